Thin whole path as separate processes

An entry, agents beside a fake engine and a fake service, and a control process serve a streamed draft, a lookup, a filing and its resend. The control role keeps its state in memory only; the replicated log follows.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,54 @@
+# Thin front to CMake. `make help` lists the targets.
+BUILD ?= build
+BUILD_TYPE ?= RelWithDebInfo
+SHELL := /bin/bash
+
+.DEFAULT_GOAL := build
+
+.PHONY: help
+help: ## Lists the targets.
+	@grep -hE '^[a-z-]+:.*## ' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
+
+.PHONY: deps
+deps: ## Installs the packages that the build needs (Debian).
+	@scripts/install-deps.sh
+
+$(BUILD)/build.ninja: CMakeLists.txt | deps
+	@cmake -S . -B $(BUILD) -G Ninja -DCMAKE_BUILD_TYPE=$(BUILD_TYPE) \
+	    -DCMAKE_EXPORT_COMPILE_COMMANDS=ON >/dev/null
+
+.PHONY: build
+build: $(BUILD)/build.ninja ## Builds both binaries, the fakes and the tests.
+	@cmake --build $(BUILD)
+
+.PHONY: test
+test: build ## Runs the unit tests, the scripted runs and the short fuzz runs.
+	@scripts/run-tests.sh $(BUILD)
+
+.PHONY: lint
+lint: build ## Checks format, clang-tidy and the house rules.
+	@scripts/lint.sh $(BUILD)
+
+.PHONY: format
+format: ## Formats the sources in place.
+	@scripts/list-sources.sh | xargs clang-format -i
+
+.PHONY: bench
+bench: build ## Runs the benches and checks their bounds.
+	@scripts/run-bench.sh $(BUILD)
+
+.PHONY: demo
+demo: build ## Starts the embedded default and sends real requests to it.
+	@scripts/demo.sh $(BUILD)
+
+.PHONY: fuzz
+fuzz: deps ## Long fuzz runs under AddressSanitizer.
+	@scripts/run-fuzz.sh
+
+.PHONY: generate
+generate: ## Regenerates the protobuf-c code from the schema.
+	@cd src/wire && protoc-c --c_out=generated wire.proto
+
+.PHONY: clean
+clean: ## Removes the build folder.
+	@rm -rf $(BUILD)
--- /dev/null
+++ b/scripts/list-sources.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Lists the hand-written C sources and headers, one a line.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+find src test -name '*.[ch]' -not -path '*/generated/*' | sort
--- /dev/null
+++ b/src/kernel/log.c
@@ -0,0 +1,77 @@
+/** @file
+ * Logger: formats a record and writes it with one call, so that records of
+ * several threads do not mix.
+ */
+#include "kernel/log.h"
+
+#include <stdarg.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "kernel/clock.h"
+#include "kernel/error.h"
+
+#define LOG_LINE_BYTES 1024
+
+static const char *const level_names[] = {
+    [LOG_LEVEL_DEBUG] = "debug",
+    [LOG_LEVEL_INFO] = "info",
+    [LOG_LEVEL_WARN] = "warn",
+    [LOG_LEVEL_ERROR] = "error",
+};
+
+static atomic_int lowest_level = LOG_LEVEL_INFO;
+
+void
+Log_SetLevel(LogLevel level)
+{
+    atomic_store(&lowest_level, level);
+}
+
+int
+Log_ParseLevel(const char *name, LogLevel *level)
+{
+    for (int i = LOG_LEVEL_DEBUG; i <= LOG_LEVEL_ERROR; i++) {
+        if (strcmp(name, level_names[i]) == 0) {
+            *level = (LogLevel)i;
+            return ERR_OK;
+        }
+    }
+    return ERR_INVALID;
+}
+
+static size_t
+format_prefix(char *line, size_t size, LogLevel level, const char *part)
+{
+    int64_t wall_ms = Clock_WallMs();
+    time_t seconds = (time_t)(wall_ms / 1000);
+    struct tm utc;
+    gmtime_r(&seconds, &utc);
+    size_t used = strftime(line, size, "%Y-%m-%dT%H:%M:%S", &utc);
+    int more = snprintf(line + used, size - used,
+                        ".%03dZ %-5s %s: ", (int)(wall_ms % 1000),
+                        level_names[level], part);
+    return used + (size_t)more;
+}
+
+void
+Log_Write(LogLevel level, const char *part, const char *format, ...)
+{
+    if ((int)level < atomic_load(&lowest_level)) {
+        return;
+    }
+    char line[LOG_LINE_BYTES];
+    size_t used = format_prefix(line, sizeof(line) - 1, level, part);
+    va_list args;
+    va_start(args, format);
+    int more = vsnprintf(line + used, sizeof(line) - 1 - used, format, args);
+    va_end(args);
+    size_t room = sizeof(line) - 2 - used;
+    used += (size_t)more < room ? (size_t)more : room;
+    line[used++] = '\n';
+    ssize_t written = write(STDERR_FILENO, line, used);
+    (void)written;
+}
--- /dev/null
+++ b/src/sched/work.c
@@ -0,0 +1,28 @@
+/** @file
+ * Names and identities of the terms of a decision.
+ */
+#include "sched/work.h"
+
+#include <string.h>
+
+#include <xxhash.h>
+
+static const char *const reason_names[] = {
+    [REFUSE_NONE] = "none",           [REFUSE_SHED] = "shed",
+    [REFUSE_DEADLINE] = "deadline",   [REFUSE_LEAVING] = "leaving",
+    [REFUSE_UNFIT] = "unfit",         [REFUSE_LAPSED] = "lapsed",
+    [REFUSE_DUPLICATE] = "duplicate", [REFUSE_QUARANTINED] = "quarantined",
+};
+
+const char *
+Work_ReasonName(RefuseReason reason)
+{
+    size_t count = sizeof(reason_names) / sizeof(reason_names[0]);
+    return (size_t)reason < count ? reason_names[reason] : "unknown";
+}
+
+uint64_t
+Work_Target(bool is_model, const char *name)
+{
+    return XXH3_64bits_withSeed(name, strlen(name), is_model ? 1 : 2);
+}
--- /dev/null
+++ b/src/sched/work.h
@@ -0,0 +1,63 @@
+/** @file
+ * The terms that every scheduling decision is made of. Pure: no clock, no
+ * sockets.
+ */
+#ifndef LAURELLIFT_SCHED_WORK_H
+#define LAURELLIFT_SCHED_WORK_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "kernel/clock.h"
+#include "kernel/error.h"
+
+#define WORK_TIERS 4
+/** Longest prefix chain that is kept of one request. */
+#define WORK_PREFIX_BLOCKS 32
+/** Prompt tokens that one prefix hash covers. */
+#define WORK_BLOCK_TOKENS 128
+
+typedef struct RequestId {
+    uint64_t high;
+    uint64_t low;
+} RequestId;
+
+/** What a decision knows of a request. */
+typedef struct Work {
+    RequestId id;
+    uint64_t target;        /**< Work_Target of the model or service. */
+    uint64_t fingerprint;   /**< Of account, route and body. */
+    uint32_t tier;          /**< 0 is the highest. */
+    TimeUs deadline;        /**< On this process's clock. */
+    uint32_t prompt_tokens; /**< 0 for plain services. */
+    uint32_t output_tokens; /**< Expected. */
+    bool alone;             /**< Runs with nothing beside it. */
+    uint32_t prefix_count;
+    uint64_t prefix[WORK_PREFIX_BLOCKS]; /**< Hash chain of the prompt. */
+} Work;
+
+/** Why work is not taken. Same order as Wire__RefuseReason. */
+typedef enum RefuseReason {
+    REFUSE_NONE = 0,
+    REFUSE_SHED = 1,
+    REFUSE_DEADLINE = 2,
+    REFUSE_LEAVING = 3,
+    REFUSE_UNFIT = 4,
+    REFUSE_LAPSED = 5,
+    REFUSE_DUPLICATE = 6,
+    REFUSE_QUARANTINED = 7,
+} RefuseReason;
+
+/** Stable lower-case name of a reason, such as "deadline". */
+const char *Work_ReasonName(RefuseReason reason);
+
+/** Identity of a model or a service in decisions. */
+uint64_t Work_Target(bool is_model, const char *name);
+
+static inline bool
+work_same_id(RequestId a, RequestId b)
+{
+    return a.high == b.high && a.low == b.low;
+}
+
+#endif
--- /dev/null
+++ b/src/wire/http.c
@@ -0,0 +1,162 @@
+/** @file
+ * HTTP helpers shared by the roles' servers.
+ */
+#include "wire/http.h"
+
+#include <event2/buffer.h>
+#include <event2/keyvalq_struct.h>
+#include <glib.h>
+
+#include "kernel/counter.h"
+#include "kernel/task.h"
+
+typedef struct ReadyCheck {
+    bool (*ready)(void *owner);
+    void *owner;
+} ReadyCheck;
+
+static const char *
+reason_of(int status)
+{
+    switch (status) {
+    case 200:
+        return "OK";
+    case 202:
+        return "Accepted";
+    case 400:
+        return "Bad Request";
+    case 401:
+        return "Unauthorized";
+    case 403:
+        return "Forbidden";
+    case 404:
+        return "Not Found";
+    case 405:
+        return "Method Not Allowed";
+    case 409:
+        return "Conflict";
+    case 413:
+        return "Content Too Large";
+    case 422:
+        return "Unprocessable Content";
+    case 429:
+        return "Too Many Requests";
+    case 502:
+        return "Bad Gateway";
+    case 503:
+        return "Service Unavailable";
+    case 504:
+        return "Gateway Timeout";
+    default:
+        return status < 400 ? "OK" : "Error";
+    }
+}
+
+void
+Http_ReplyJson(struct evhttp_request *request, int status, json_t *body)
+{
+    char *text = json_dumps(body, JSON_SORT_KEYS);
+    json_decref(body);
+    struct evbuffer *out = evbuffer_new();
+    evbuffer_add_printf(out, "%s\n", text);
+    free(text);
+    evhttp_add_header(evhttp_request_get_output_headers(request),
+                      "Content-Type", "application/json");
+    evhttp_send_reply(request, status, reason_of(status), out);
+    evbuffer_free(out);
+}
+
+uint32_t
+Http_RetryAfterSeconds(uint32_t retry_after_ms)
+{
+    uint32_t seconds = (retry_after_ms + 999) / 1000;
+    return seconds == 0 ? 1 : seconds;
+}
+
+void
+Http_ReplyError(struct evhttp_request *request, const HttpError *error)
+{
+    if (error->retry_after_ms > 0) {
+        char seconds[16];
+        g_snprintf(seconds, sizeof(seconds), "%u",
+                   Http_RetryAfterSeconds(error->retry_after_ms));
+        evhttp_add_header(evhttp_request_get_output_headers(request),
+                          "Retry-After", seconds);
+    }
+    Http_ReplyJson(request, error->status,
+                   json_pack("{s:{s:s, s:s, s:s}}", "error", "code",
+                             error->code, "message", error->message, "outcome",
+                             error->outcome));
+}
+
+char *
+Http_Body(struct evhttp_request *request, size_t *length)
+{
+    struct evbuffer *in = evhttp_request_get_input_buffer(request);
+    size_t size = evbuffer_get_length(in);
+    char *body = g_malloc(size + 1);
+    evbuffer_copyout(in, body, size);
+    body[size] = '\0';
+    if (length != NULL) {
+        *length = size;
+    }
+    return body;
+}
+
+static void
+on_healthz(struct evhttp_request *request, void *arg)
+{
+    Http_ReplyJson(request, 200, json_pack("{s:s}", "status", "ok"));
+}
+
+static void
+on_readyz(struct evhttp_request *request, void *arg)
+{
+    const ReadyCheck *check = arg;
+    bool ready = !Kernel_Stopping(Kernel_Current());
+    if (ready && check->ready != NULL) {
+        ready = check->ready(check->owner);
+    }
+    Http_ReplyJson(request, ready ? 200 : 503,
+                   json_pack("{s:b}", "ready", ready));
+}
+
+static void
+on_metrics(struct evhttp_request *request, void *arg)
+{
+    struct evbuffer *out = evbuffer_new();
+    Counter_PrintAll(out);
+    evhttp_add_header(evhttp_request_get_output_headers(request),
+                      "Content-Type", "text/plain; version=0.0.4");
+    evhttp_send_reply(request, 200, "OK", out);
+    evbuffer_free(out);
+}
+
+static void
+on_state(struct evhttp_request *request, void *arg)
+{
+    Http_ReplyJson(request, 200, Kernel_Dump(Kernel_Current()));
+}
+
+struct evhttp *
+Http_Listen(struct event_base *base, const Address *address,
+            bool (*ready)(void *owner), void *owner, Error *err)
+{
+    struct evhttp *server = evhttp_new(base);
+    INVARIANT(server != NULL);
+    if (evhttp_bind_socket(server, address->host, address->port) != 0) {
+        evhttp_free(server);
+        Error_Set(err, ERR_IO, "Cannot listen at %s:%u.", address->host,
+                  address->port);
+        return NULL;
+    }
+    /* One small record a server, kept until the process ends. */
+    ReadyCheck *check = g_new0(ReadyCheck, 1);
+    check->ready = ready;
+    check->owner = owner;
+    evhttp_set_cb(server, "/healthz", on_healthz, NULL);
+    evhttp_set_cb(server, "/readyz", on_readyz, check);
+    evhttp_set_cb(server, "/metrics", on_metrics, NULL);
+    evhttp_set_cb(server, "/debug/state", on_state, NULL);
+    return server;
+}
--- /dev/null
+++ b/src/wire/link.c
@@ -0,0 +1,430 @@
+/** @file
+ * Links: connections, hello, heartbeats and the two send queues.
+ */
+#include "wire/link.h"
+
+#include <arpa/inet.h>
+
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <glib.h>
+
+#include "kernel/log.h"
+
+#define PART "link"
+/* Bulk frames wait while more than this is handed to the socket. */
+#define LINK_SOCKET_BACKLOG_BYTES (64u * 1024)
+/* Bytes allowed before the hello has come. */
+#define LINK_HELLO_MAX_BYTES 4096
+
+struct Link {
+    struct event_base *base;
+    const LinkSelf *self;
+    const LinkOps *ops;
+    void *owner;
+    void *data;
+    LinkServer *server; /* NULL: dialled */
+    Address address;    /* dialled links */
+    struct bufferevent *connection;
+    struct event *heartbeat;
+    struct event *redial;
+    struct evbuffer *control; /* packed control frames */
+    struct evbuffer *bulk;    /* packed bulk frames */
+    Wire__Frame *hello;       /* of the other side; NULL: not up */
+    TimeUs heard_at;
+    uint64_t bytes_in;
+    uint64_t bytes_out;
+    bool in_callback; /* a close waits until the callback returns */
+    bool closed;
+};
+
+struct LinkServer {
+    struct event_base *base;
+    const LinkSelf *self;
+    const LinkOps *ops;
+    void *owner;
+    struct evconnlistener *listener;
+    GHashTable *links; /* set of accepted Link */
+};
+
+static void start_dial(Link *link);
+
+static void
+free_link(Link *link)
+{
+    if (link->server != NULL) {
+        g_hash_table_remove(link->server->links, link);
+    }
+    event_free(link->heartbeat);
+    event_free(link->redial);
+    evbuffer_free(link->control);
+    evbuffer_free(link->bulk);
+    g_free(link);
+}
+
+/* Closes the connection and forgets what was queued on it. */
+static void
+drop_connection(Link *link)
+{
+    if (link->connection != NULL) {
+        bufferevent_free(link->connection);
+        link->connection = NULL;
+    }
+    event_del(link->heartbeat);
+    evbuffer_drain(link->control, evbuffer_get_length(link->control));
+    evbuffer_drain(link->bulk, evbuffer_get_length(link->bulk));
+    if (link->hello != NULL) {
+        wire__frame__free_unpacked(link->hello, NULL);
+        link->hello = NULL;
+    }
+}
+
+static void
+lose_connection(Link *link, const char *why)
+{
+    bool was_up = link->hello != NULL;
+    if (was_up) {
+        LOG_INFO(PART, "Connection lost. peer=%s why=\"%s\"",
+                 link->hello->hello->name, why);
+        link->in_callback = true;
+        link->ops->down(link, link->owner);
+        link->in_callback = false;
+    }
+    drop_connection(link);
+    if (link->closed || link->server != NULL) {
+        free_link(link);
+        return;
+    }
+    struct timeval delay = {.tv_usec = LINK_REDIAL_MS * US_PER_MS};
+    event_add(link->redial, &delay);
+}
+
+/* Moves queued frames to the socket: all control frames, then bulk ones
+ * while the socket's backlog is short. */
+static void
+flush_queues(Link *link)
+{
+    struct evbuffer *socket = bufferevent_get_output(link->connection);
+    link->bytes_out += evbuffer_get_length(link->control);
+    evbuffer_add_buffer(socket, link->control);
+    while (evbuffer_get_length(socket) < LINK_SOCKET_BACKLOG_BYTES) {
+        uint32_t header;
+        if (evbuffer_copyout(link->bulk, &header, sizeof(header)) <
+            (ev_ssize_t)sizeof(header))
+        {
+            break;
+        }
+        size_t length = FRAME_HEADER_BYTES + ntohl(header);
+        evbuffer_remove_buffer(link->bulk, socket, length);
+        link->bytes_out += length;
+    }
+}
+
+static void
+send_hello(Link *link)
+{
+    Wire__Hello hello = WIRE__HELLO__INIT;
+    hello.version = LINK_PROTOCOL_VERSION;
+    hello.role = link->self->role;
+    hello.name = (char *)link->self->name;
+    hello.incarnation = link->self->incarnation;
+    hello.zone = (char *)link->self->zone;
+    hello.region = (char *)link->self->region;
+    Wire__Frame frame = WIRE__FRAME__INIT;
+    frame.body_case = WIRE__FRAME__BODY_HELLO;
+    frame.hello = &hello;
+    Frame_Write(bufferevent_get_output(link->connection), &frame);
+}
+
+/* Takes the first frame. The link is up when it is a fitting hello. */
+static int
+accept_hello(Link *link, Wire__Frame *frame, Error *err)
+{
+    if (frame->body_case != WIRE__FRAME__BODY_HELLO) {
+        wire__frame__free_unpacked(frame, NULL);
+        return Error_Set(err, ERR_INVALID, "First frame is no hello.");
+    }
+    if (frame->hello->version != LINK_PROTOCOL_VERSION) {
+        wire__frame__free_unpacked(frame, NULL);
+        return Error_Set(err, ERR_INVALID, "Protocol version differs.");
+    }
+    link->hello = frame;
+    link->ops->up(link, link->owner);
+    return ERR_OK;
+}
+
+static int
+take_frame(Link *link, Wire__Frame *frame, Error *err)
+{
+    if (link->hello == NULL) {
+        return accept_hello(link, frame, err);
+    }
+    if (frame->body_case != WIRE__FRAME__BODY_HEARTBEAT &&
+        frame->body_case != WIRE__FRAME__BODY_HELLO &&
+        frame->body_case != WIRE__FRAME__BODY__NOT_SET)
+    {
+        link->ops->frame(link, frame, link->owner);
+    }
+    wire__frame__free_unpacked(frame, NULL);
+    return ERR_OK;
+}
+
+static int
+take_frames(Link *link, struct evbuffer *in, Error *err)
+{
+    while (!link->closed) {
+        if (link->hello == NULL &&
+            evbuffer_get_length(in) > LINK_HELLO_MAX_BYTES) {
+            uint32_t header = 0;
+            evbuffer_copyout(in, &header, sizeof(header));
+            if (ntohl(header) > LINK_HELLO_MAX_BYTES) {
+                return Error_Set(err, ERR_INVALID, "Hello is too large.");
+            }
+        }
+        Wire__Frame *frame;
+        int result = Frame_Read(in, &frame, err);
+        if (result != ERR_OK || frame == NULL) {
+            return result;
+        }
+        result = take_frame(link, frame, err);
+        if (result != ERR_OK) {
+            return result;
+        }
+    }
+    return ERR_OK;
+}
+
+static void
+on_read(struct bufferevent *connection, void *arg)
+{
+    Link *link = arg;
+    struct evbuffer *in = bufferevent_get_input(connection);
+    link->heard_at = Clock_Now();
+    size_t before = evbuffer_get_length(in);
+    Error err = ERROR_INIT;
+    link->in_callback = true;
+    int result = take_frames(link, in, &err);
+    link->in_callback = false;
+    link->bytes_in += before - evbuffer_get_length(in);
+    if (result != ERR_OK || link->closed) {
+        lose_connection(link, link->closed ? "closed here" : err.text);
+    }
+}
+
+static void
+on_write(struct bufferevent *connection, void *arg)
+{
+    flush_queues(arg);
+}
+
+static void
+on_event(struct bufferevent *connection, short events, void *arg)
+{
+    Link *link = arg;
+    if (events & BEV_EVENT_CONNECTED) {
+        link->heard_at = Clock_Now();
+        send_hello(link);
+        return;
+    }
+    lose_connection(link, events & BEV_EVENT_EOF ? "closed by the peer"
+                                                 : "connection failed");
+}
+
+static void
+on_heartbeat(evutil_socket_t fd, short events, void *arg)
+{
+    Link *link = arg;
+    TimeUs silent_us = LINK_SILENT_HEARTBEATS * LINK_HEARTBEAT_MS * US_PER_MS;
+    if (Clock_Now() - link->heard_at > silent_us) {
+        lose_connection(link, "silent");
+        return;
+    }
+    Wire__Heartbeat heartbeat = WIRE__HEARTBEAT__INIT;
+    Wire__Frame frame = WIRE__FRAME__INIT;
+    frame.body_case = WIRE__FRAME__BODY_HEARTBEAT;
+    frame.heartbeat = &heartbeat;
+    Link_Send(link, &frame);
+}
+
+static void
+on_redial(evutil_socket_t fd, short events, void *arg)
+{
+    start_dial(arg);
+}
+
+static Link *
+new_link(struct event_base *base, const LinkSelf *self, const LinkOps *ops,
+         void *owner)
+{
+    Link *link = g_new0(Link, 1);
+    link->base = base;
+    link->self = self;
+    link->ops = ops;
+    link->owner = owner;
+    link->control = evbuffer_new();
+    link->bulk = evbuffer_new();
+    link->heartbeat = event_new(base, -1, EV_PERSIST, on_heartbeat, link);
+    link->redial = event_new(base, -1, 0, on_redial, link);
+    return link;
+}
+
+static void
+open_connection(Link *link, evutil_socket_t fd)
+{
+    link->connection =
+        bufferevent_socket_new(link->base, fd, BEV_OPT_CLOSE_ON_FREE);
+    INVARIANT(link->connection != NULL);
+    bufferevent_setcb(link->connection, on_read, on_write, on_event, link);
+    bufferevent_setwatermark(link->connection, EV_WRITE,
+                             LINK_SOCKET_BACKLOG_BYTES / 2, 0);
+    bufferevent_enable(link->connection, EV_READ | EV_WRITE);
+    link->heard_at = Clock_Now();
+    struct timeval period = {.tv_usec = LINK_HEARTBEAT_MS * US_PER_MS};
+    event_add(link->heartbeat, &period);
+}
+
+static void
+start_dial(Link *link)
+{
+    open_connection(link, -1);
+    const struct sockaddr *to = (const void *)&link->address.storage;
+    if (bufferevent_socket_connect(link->connection, to,
+                                   (int)link->address.length) != 0 &&
+        link->connection != NULL)
+    {
+        lose_connection(link, "cannot dial");
+    }
+}
+
+Link *
+Link_Dial(struct event_base *base, const LinkSelf *self,
+          const Address *address, const LinkOps *ops, void *owner)
+{
+    Link *link = new_link(base, self, ops, owner);
+    link->address = *address;
+    event_active(link->redial, EV_TIMEOUT, 0);
+    return link;
+}
+
+static void
+on_accept(struct evconnlistener *listener, evutil_socket_t fd,
+          struct sockaddr *from, int length, void *arg)
+{
+    LinkServer *server = arg;
+    Link *link =
+        new_link(server->base, server->self, server->ops, server->owner);
+    link->server = server;
+    g_hash_table_add(server->links, link);
+    open_connection(link, fd);
+    send_hello(link);
+}
+
+LinkServer *
+Link_Listen(struct event_base *base, const LinkSelf *self,
+            const Address *address, const LinkOps *ops, void *owner,
+            Error *err)
+{
+    LinkServer *server = g_new0(LinkServer, 1);
+    server->base = base;
+    server->self = self;
+    server->ops = ops;
+    server->owner = owner;
+    server->links = g_hash_table_new(NULL, NULL);
+    unsigned flags = LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE;
+    server->listener = evconnlistener_new_bind(
+        base, on_accept, server, flags, -1,
+        (const struct sockaddr *)&address->storage, (int)address->length);
+    if (server->listener == NULL) {
+        Error_Set(err, ERR_IO, "Cannot listen at %s:%u.", address->host,
+                  address->port);
+        g_hash_table_destroy(server->links);
+        g_free(server);
+        return NULL;
+    }
+    return server;
+}
+
+void
+Link_CloseServer(LinkServer *server)
+{
+    evconnlistener_free(server->listener);
+    GHashTableIter iter;
+    gpointer link;
+    g_hash_table_iter_init(&iter, server->links);
+    while (g_hash_table_iter_next(&iter, &link, NULL)) {
+        Link_Close(link);
+        g_hash_table_iter_init(&iter, server->links);
+    }
+    g_hash_table_destroy(server->links);
+    g_free(server);
+}
+
+void
+Link_Close(Link *link)
+{
+    link->closed = true;
+    if (link->in_callback) {
+        return;
+    }
+    drop_connection(link);
+    free_link(link);
+}
+
+int
+Link_Send(Link *link, const Wire__Frame *frame)
+{
+    if (link->hello == NULL || link->connection == NULL || link->closed) {
+        return ERR_UNAVAILABLE;
+    }
+    struct evbuffer *socket = bufferevent_get_output(link->connection);
+    bool bulk = Frame_IsBulk(frame);
+    struct evbuffer *queue = bulk ? link->bulk : link->control;
+    size_t queued = evbuffer_get_length(queue) + evbuffer_get_length(socket);
+    if (queued > LINK_QUEUE_MAX_BYTES) {
+        return ERR_FULL;
+    }
+    int result = Frame_Write(queue, frame);
+    if (result == ERR_OK) {
+        flush_queues(link);
+    }
+    return result;
+}
+
+bool
+Link_IsUp(const Link *link)
+{
+    return link->hello != NULL;
+}
+
+const Wire__Hello *
+Link_Peer(const Link *link)
+{
+    return link->hello == NULL ? NULL : link->hello->hello;
+}
+
+void
+Link_SetData(Link *link, void *data)
+{
+    link->data = data;
+}
+
+void *
+Link_Data(const Link *link)
+{
+    return link->data;
+}
+
+void
+Link_Dump(const Link *link, json_t *out)
+{
+    const Wire__Hello *peer = Link_Peer(link);
+    json_object_set_new(out, "peer", json_string(peer ? peer->name : ""));
+    json_object_set_new(out, "up", json_boolean(peer != NULL));
+    json_object_set_new(out, "bytes_in",
+                        json_integer((json_int_t)link->bytes_in));
+    json_object_set_new(out, "bytes_out",
+                        json_integer((json_int_t)link->bytes_out));
+    json_object_set_new(
+        out, "queued_bytes",
+        json_integer((json_int_t)evbuffer_get_length(link->bulk)));
+}
--- /dev/null
+++ b/src/wire/self.c
@@ -0,0 +1,29 @@
+/** @file
+ * Identity of this process.
+ */
+#include "wire/self.h"
+
+#include <sodium.h>
+
+#include "kernel/clock.h"
+
+#define INCARNATION_RANDOM_BITS 16
+
+uint64_t
+Self_NewIncarnation(void)
+{
+    uint64_t random = randombytes_uniform(1u << INCARNATION_RANDOM_BITS);
+    return ((uint64_t)Clock_WallMs() << INCARNATION_RANDOM_BITS) | random;
+}
+
+LinkSelf
+Self_Make(const Settings *settings, Wire__Role role, const char *name)
+{
+    return (LinkSelf){
+        .role = role,
+        .name = name,
+        .incarnation = Self_NewIncarnation(),
+        .zone = settings->zone,
+        .region = settings->region,
+    };
+}
--- /dev/null
+++ b/src/wire/self.h
@@ -0,0 +1,17 @@
+/** @file
+ * The identity that a process sends in its hellos.
+ */
+#ifndef LAURELLIFT_WIRE_SELF_H
+#define LAURELLIFT_WIRE_SELF_H
+
+#include "kernel/settings.h"
+#include "wire/link.h"
+
+/** A number that is higher at each start of a process. */
+uint64_t Self_NewIncarnation(void);
+
+/** Identity of one role of this process. @p name outlives the result. */
+LinkSelf Self_Make(const Settings *settings, Wire__Role role,
+                   const char *name);
+
+#endif
--- /dev/null
+++ b/test/fakes/fake_service.c
@@ -0,0 +1,77 @@
+/** @file
+ * Fake plain service: records each request it runs and answers with a
+ * running number.
+ */
+#include "fake.h"
+
+#include <stdlib.h>
+
+#include <event2/buffer.h>
+
+typedef struct Service {
+    Fake fake;
+    gchar *name;
+    gint delay_ms;
+    unsigned ran;
+} Service;
+
+typedef struct Call {
+    Service *service;
+    struct evhttp_request *request;
+    unsigned number;
+} Call;
+
+static void
+on_due(evutil_socket_t fd, short events, void *arg)
+{
+    Call *call = arg;
+    struct evbuffer *out = evbuffer_new();
+    evbuffer_add_printf(out, "{\"service\":\"%s\",\"number\":%u}\n",
+                        call->service->name, call->number);
+    evhttp_add_header(evhttp_request_get_output_headers(call->request),
+                      "Content-Type", "application/json");
+    evhttp_send_reply(call->request, 200, "OK", out);
+    evbuffer_free(out);
+    g_free(call);
+}
+
+static void
+on_request(struct evhttp_request *request, void *arg)
+{
+    Service *service = arg;
+    Call *call = g_new0(Call, 1);
+    call->service = service;
+    call->request = request;
+    call->number = ++service->ran;
+    struct evbuffer *in = evhttp_request_get_input_buffer(request);
+    size_t length = evbuffer_get_length(in);
+    const char *body = (const char *)evbuffer_pullup(in, -1);
+    Fake_Record(&service->fake, "ran %s %.*s", evhttp_request_get_uri(request),
+                (int)length, body == NULL ? "" : body);
+    struct timeval delay = {
+        .tv_sec = service->delay_ms / 1000,
+        .tv_usec = (service->delay_ms % 1000) * 1000,
+    };
+    event_base_once(service->fake.base, -1, EV_TIMEOUT, on_due, call, &delay);
+}
+
+int
+main(int argc, char **argv)
+{
+    Service service = {.fake = {.slots = 8}, .delay_ms = 1};
+    const GOptionEntry own[] = {
+        {"name", 0, 0, G_OPTION_ARG_STRING, &service.name, "Service", "NAME"},
+        {"delay-ms", 0, 0, G_OPTION_ARG_INT, &service.delay_ms,
+         "Time of one request", "MS"},
+        {NULL},
+    };
+    Fake_ReadOptions(&service.fake, argc, argv, own);
+    if (service.name == NULL) {
+        service.name = g_strdup("register");
+    }
+    Fake_Start(&service.fake,
+               json_pack("{s:s, s:s, s:i}", "kind", "service", "service",
+                         service.name, "slots", service.fake.slots));
+    evhttp_set_gencb(service.fake.http, on_request, &service);
+    return Fake_Run(&service.fake);
+}
--- /dev/null
+++ b/test/functional/lib.sh
@@ -0,0 +1,161 @@
+# Helpers of the scripted runs. A script starts processes with `spawn`, waits
+# with `wait_ready`, and prints what it sees; every process it started is
+# ended when it exits.
+set -uo pipefail
+cd "$LL_WORK"
+
+PIDS=()
+
+# Port number N (0 to 39) of this script.
+port() { echo $((LL_PORT_BASE + $1)); }
+
+# spawn NAME PROGRAM ARGS...: starts a program; its log is NAME.log. The
+# process id stands in $SPAWNED and in NAME.pid.
+spawn() {
+    local name=$1 program=$2
+    shift 2
+    "$program" "$@" >>"$name.log" 2>&1 &
+    SPAWNED=$!
+    PIDS+=("$SPAWNED")
+    echo "$SPAWNED" >"$name.pid"
+}
+
+daemon() { spawn "$1" "$LL_BUILD/src/daemon/laurelliftd" "$1.yaml"; }
+engine() { local n=$1; shift; spawn "$n" "$LL_BUILD/test/fakes/fake_engine" "$@"; }
+service() { local n=$1; shift; spawn "$n" "$LL_BUILD/test/fakes/fake_service" "$@"; }
+
+# stop NAME [SIGNAL]: ends a process and waits for it.
+stop() {
+    local pid
+    pid=$(cat "$1.pid")
+    kill "-${2:-TERM}" "$pid" 2>/dev/null
+    wait "$pid" 2>/dev/null
+}
+
+end_all() {
+    for pid in "${PIDS[@]}"; do
+        kill -CONT "$pid" 2>/dev/null
+        kill -KILL "$pid" 2>/dev/null
+    done
+    wait 2>/dev/null
+}
+trap end_all EXIT
+
+# until_true COMMAND...: waits until the command succeeds, 20 s at most.
+until_true() {
+    for _ in $(seq 400); do
+        if "$@" >/dev/null 2>&1; then
+            return 0
+        fi
+        sleep 0.05
+    done
+    echo "gave up waiting for: $*"
+    return 1
+}
+
+http_ok() { curl -fs "$1"; }
+
+# wait_ready HTTP_PORT: waits until the entry holds a rule lease.
+wait_ready() { until_true http_ok "http://127.0.0.1:$1/readyz"; }
+
+# state PORT JQ_FILTER: one value of a process's state dump.
+state() { curl -s "http://127.0.0.1:$1/debug/state" | jq -r "$2"; }
+
+# agents_up ENTRY_PORT N: true when N agents are joined and take work.
+agents_up() {
+    [ "$(state "$1" '[.entry.agents[] | select(.up)] | length')" -ge "$2" ]
+}
+
+# agent_works AGENT_HTTP_PORT: true when the agent's endpoint takes work.
+agent_works() { state "$1" '[.[] | .leaving?] | any' | grep -q false; }
+
+# rule_file: the rules that most scripts use, on standard output.
+rule_file() {
+    local sahil milk
+    sahil=$("$LL_BUILD/src/cli/laurellift" hash-key sahil-key)
+    milk=$("$LL_BUILD/src/cli/laurellift" hash-key milk-key)
+    cat <<EOF
+account sahil key=$sahil tier=0  # asked by Sahil Orders Drafting LLC
+account milk key=$milk tier=2    # asked by Fraser Valley Milk Quality Payment Office
+model draft-large                # asked by Sahil Orders Drafting LLC
+route POST /v1/chat/completions model                      # asked by both offices
+route GET /orders/* service=register idempotent=yes        # asked by Sahil Orders Drafting LLC
+route POST /orders service=register idempotent=no          # asked by Sahil Orders Drafting LLC
+EOF
+}
+
+# Settings of one process: control_settings NAME ID LINK ADMIN, and so on.
+settings_head() {
+    cat <<EOF
+name: $1
+region: west
+zone: west-1
+stop_timeout_ms: 5000
+control_hosts:
+EOF
+    for i in "${!CONTROL_PORTS[@]}"; do
+        cat <<EOF
+  - { id: $((i + 1)), address: "127.0.0.1:${CONTROL_PORTS[i]}", admin: "127.0.0.1:${ADMIN_PORTS[i]}" }
+EOF
+    done
+}
+
+control_settings() {
+    settings_head "$1"
+    cat <<EOF
+control:
+  id: $2
+  data_dir: $LL_WORK/$1.data
+  bootstrap: true
+  rules: $LL_WORK/rules
+  operators:
+    - { name: night desk, key_hash: $("$LL_BUILD/src/cli/laurellift" hash-key operator-key) }
+EOF
+}
+
+# agent_settings NAME LISTEN HTTP ENDPOINT
+agent_settings() {
+    settings_head "$1"
+    cat <<EOF
+agents:
+  - { name: $1, listen: "127.0.0.1:$2", http: "127.0.0.1:$3", endpoint: "127.0.0.1:$4" }
+EOF
+}
+
+entry_settings() {
+    settings_head "$1"
+    printf 'entry: { http: "127.0.0.1:%s" }\n' "$2"
+}
+
+# Starts the thin path as separate processes: control, an engine and its
+# agent, a service and its agent, an entry. Ports: 0 entry HTTP, 1 control
+# links, 2 control admin, 3-5 engine agent, 6-8 service agent.
+start_path() {
+    CONTROL_PORTS=("$(port 1)")
+    ADMIN_PORTS=("$(port 2)")
+    rule_file >rules
+    control_settings control 1 >control.yaml
+    agent_settings agent-engine "$(port 3)" "$(port 4)" "$(port 5)" >agent-engine.yaml
+    agent_settings agent-service "$(port 6)" "$(port 7)" "$(port 8)" >agent-service.yaml
+    entry_settings entry "$(port 0)" >entry.yaml
+    engine engine --listen "127.0.0.1:$(port 5)" --agent "127.0.0.1:$(port 4)" --record engine.record ${ENGINE_OPTIONS:-}
+    service service --listen "127.0.0.1:$(port 8)" --agent "127.0.0.1:$(port 7)" --record service.record ${SERVICE_OPTIONS:-}
+    daemon control
+    daemon agent-engine
+    daemon agent-service
+    daemon entry
+    wait_ready "$(port 0)"
+    until_true agents_up "$(port 0)" 2
+    until_true agent_works "$(port 4)"
+    until_true agent_works "$(port 7)"
+}
+
+# call METHOD PATH [CURL OPTIONS]: prints the status, then the body.
+call() {
+    local method=$1 path=$2
+    shift 2
+    curl -s -o body -w '%{http_code}\n' -X "$method" \
+        -H "Authorization: Bearer ${KEY:-sahil-key}" "$@" \
+        "http://127.0.0.1:$(port 0)$path"
+    cat body
+}
