--- /dev/null
+++ b/src/control/log_core.c
@@ -0,0 +1,378 @@
+/** @file
+ * Log core: construction, the dispatch of messages, applying and views.
+ */
+#include "control/log_core.h"
+
+#include "control/log_state.h"
+
+void
+LogCore_Send(LogCore *core, LogMessage *message, bool durable)
+{
+    message->from = core->id;
+    message->from_disk = core->disk_id;
+    uint64_t needed = durable ? LogEntries_NeededSequence(core) : 0;
+    if (core->failed) {
+        LogMessage_Clear(message);
+        return;
+    }
+    if (needed > core->saved) {
+        LogHeld *held = g_new(LogHeld, 1);
+        *held = (LogHeld){.sequence = needed, .message = *message};
+        g_queue_push_tail(&core->held, held);
+        return;
+    }
+    LogMessage *copy = g_new(LogMessage, 1);
+    *copy = *message;
+    g_queue_push_tail(&core->outbox, copy);
+}
+
+bool
+LogCore_TakeMessage(LogCore *core, LogMessage *message)
+{
+    LogMessage *first = g_queue_pop_head(&core->outbox);
+    if (first == NULL) {
+        return false;
+    }
+    *message = *first;
+    g_free(first);
+    return true;
+}
+
+/* Takes over the log that the store held. */
+static int
+load_image(LogCore *core, const StoreImage *image, Error *err)
+{
+    core->term = image->term;
+    core->vote = image->vote;
+    if (image->snapshot.index != 0) {
+        core->snapshot = image->snapshot;
+        g_bytes_ref(core->snapshot.data);
+        if (LogConfig_UnpackSnapshot(core->snapshot.data, &core->base_config,
+                                     NULL) != ERR_OK)
+        {
+            return Error_Set(err, ERR_CORRUPT,
+                             "The snapshot holds no membership.");
+        }
+    }
+    core->base_index = core->snapshot.index;
+    core->base_term = core->snapshot.term;
+    core->base_config_index = core->snapshot.index;
+    core->config = core->base_config;
+    core->config_index = core->base_config_index;
+    core->commit = core->snapshot.index;
+    for (guint i = 0; i < image->entries->len; i++) {
+        const StoreEntry *entry =
+            &g_array_index(image->entries, StoreEntry, i);
+        LogConfig config;
+        if (entry->kind == LOG_ENTRY_MEMBERS &&
+            LogConfig_Unpack(entry->data, &config) != ERR_OK)
+        {
+            return Error_Set(err, ERR_CORRUPT,
+                             "Entry %llu holds no membership.",
+                             (unsigned long long)entry->index);
+        }
+        LogEntries_Append(core, entry);
+    }
+    core->dirty_from = 0;
+    core->durable = LogEntries_Last(core);
+    return ERR_OK;
+}
+
+static bool
+is_sole_voter(const LogCore *core)
+{
+    return LogConfig_VoterCount(&core->config) == 1 &&
+           LogConfig_IsVoter(&core->config, core->id, core->disk_id);
+}
+
+LogCore *
+LogCore_New(const LogCoreSpec *spec, Error *err)
+{
+    LogCore *core = g_new0(LogCore, 1);
+    core->id = spec->id;
+    core->disk_id = spec->disk_id;
+    core->timing = spec->timing;
+    core->now = spec->now;
+    core->random = g_rand_new_with_seed(spec->seed);
+    core->entries = StoreEntry_NewArray();
+    core->saving = g_array_new(FALSE, FALSE, sizeof(LogSaving));
+    core->incoming = g_byte_array_new();
+    g_queue_init(&core->held);
+    g_queue_init(&core->outbox);
+    if (load_image(core, spec->image, err) != ERR_OK) {
+        LogCore_Free(core);
+        return NULL;
+    }
+    LogElection_ResetTimer(core, spec->now);
+    if (is_sole_voter(core)) {
+        core->election_at = spec->now;
+    }
+    return core;
+}
+
+static void
+clear_queues(LogCore *core)
+{
+    LogHeld *held;
+    while ((held = g_queue_pop_head(&core->held)) != NULL) {
+        LogMessage_Clear(&held->message);
+        g_free(held);
+    }
+    LogMessage message;
+    while (LogCore_TakeMessage(core, &message)) {
+        LogMessage_Clear(&message);
+    }
+}
+
+void
+LogCore_Free(LogCore *core)
+{
+    clear_queues(core);
+    for (unsigned i = 0; i < LOG_MEMBERS_MAX; i++) {
+        g_clear_pointer(&core->progress[i].snapshot.data, g_bytes_unref);
+    }
+    g_clear_pointer(&core->snapshot.data, g_bytes_unref);
+    g_array_unref(core->entries);
+    g_array_unref(core->saving);
+    g_byte_array_unref(core->incoming);
+    g_rand_free(core->random);
+    g_free(core);
+}
+
+int
+LogCore_Found(LogCore *core, const LogConfig *config, TimeUs now)
+{
+    if (LogEntries_Last(core) != 0) {
+        return ERR_CONFLICT;
+    }
+    if (core->term == 0) {
+        core->term = 1;
+        LogEntries_SaveState(core);
+    }
+    GBytes *data = LogConfig_Pack(config);
+    StoreEntry entry = {
+        .index = 1,
+        .term = core->term,
+        .kind = LOG_ENTRY_MEMBERS,
+        .data = data,
+    };
+    LogEntries_Append(core, &entry);
+    g_bytes_unref(data);
+    core->election_at = now;
+    return ERR_OK;
+}
+
+void
+LogCore_Tick(LogCore *core, TimeUs now)
+{
+    core->now = now;
+    if (core->failed) {
+        return;
+    }
+    if (core->role == LOG_LEADER) {
+        LogLeader_Tick(core, now);
+        return;
+    }
+    if (now < core->election_at) {
+        return;
+    }
+    if (LogConfig_IsVoter(&core->config, core->id, core->disk_id)) {
+        LogElection_Campaign(core, true, false, now);
+        return;
+    }
+    core->leader = 0;
+    LogElection_ResetTimer(core, now);
+}
+
+static void
+on_timeout_now(LogCore *core, const LogMessage *message, TimeUs now)
+{
+    if (message->term == core->term && message->from == core->leader &&
+        core->role == LOG_FOLLOWER &&
+        LogConfig_IsVoter(&core->config, core->id, core->disk_id))
+    {
+        LogElection_Campaign(core, false, true, now);
+    }
+}
+
+/* Replies that carry a newer term end the leadership. */
+static void
+on_reply(LogCore *core, const LogMessage *message, TimeUs now)
+{
+    if (message->term > core->term) {
+        LogElection_Follow(core, message->term, 0, now);
+        return;
+    }
+    if (core->role != LOG_LEADER) {
+        return;
+    }
+    if (message->type == LOG_APPEND_REPLY) {
+        LogLeader_OnAppendReply(core, message, now);
+        return;
+    }
+    LogLeader_OnSnapshotReply(core, message, now);
+}
+
+void
+LogCore_Receive(LogCore *core, const LogMessage *message, TimeUs now)
+{
+    core->now = now;
+    if (core->failed) {
+        if (message->type == LOG_APPEND && message->term >= core->term) {
+            core->leader = message->from;
+        }
+        return;
+    }
+    switch (message->type) {
+    case LOG_VOTE:
+        LogElection_OnVote(core, message, now);
+        break;
+    case LOG_VOTE_REPLY:
+        LogElection_OnVoteReply(core, message, now);
+        break;
+    case LOG_APPEND:
+        LogFollower_OnAppend(core, message, now);
+        break;
+    case LOG_SNAPSHOT:
+        LogFollower_OnSnapshot(core, message, now);
+        break;
+    case LOG_APPEND_REPLY:
+    case LOG_SNAPSHOT_REPLY:
+        on_reply(core, message, now);
+        break;
+    case LOG_TIMEOUT_NOW:
+        on_timeout_now(core, message, now);
+        break;
+    }
+}
+
+int
+LogCore_Propose(LogCore *core, GBytes *command)
+{
+    if (core->role != LOG_LEADER || core->transferee != 0 || core->failed) {
+        return ERR_UNAVAILABLE;
+    }
+    uint64_t last = LogEntries_Last(core);
+    if (last - core->commit >= LOG_PENDING_MAX) {
+        return ERR_FULL;
+    }
+    StoreEntry entry = {
+        .index = last + 1,
+        .term = core->term,
+        .kind = LOG_ENTRY_COMMAND,
+        .data = command,
+    };
+    LogEntries_Append(core, &entry);
+    return ERR_OK;
+}
+
+void
+LogCore_Flush(LogCore *core, TimeUs now)
+{
+    core->now = now;
+    if (core->role != LOG_LEADER) {
+        return;
+    }
+    bool begin =
+        core->round_wanted && LogLeader_QuorumRound(core) >= core->round;
+    if (begin) {
+        core->round++;
+        core->round_commit = core->commit;
+        core->round_wanted = false;
+    }
+    LogLeader_Broadcast(core, begin, now);
+}
+
+uint64_t
+LogCore_AskConfirm(LogCore *core)
+{
+    if (core->role != LOG_LEADER) {
+        return 0;
+    }
+    core->round_wanted = true;
+    return core->round + 1;
+}
+
+bool
+LogCore_Confirmed(const LogCore *core, uint64_t ticket)
+{
+    return core->role == LOG_LEADER && core->commit >= core->term_start &&
+           LogLeader_QuorumRound(core) >= ticket &&
+           core->applied >= MAX(core->round_commit, core->term_start);
+}
+
+void
+LogCore_DiskFailed(LogCore *core)
+{
+    if (core->failed) {
+        return;
+    }
+    clear_queues(core);
+    if (core->role == LOG_LEADER) {
+        LogCore_HandOver(core, core->now);
+        if (core->transferee != 0) {
+            LogMessage message = {
+                .type = LOG_TIMEOUT_NOW,
+                .to = core->transferee,
+                .term = core->term,
+            };
+            LogCore_Send(core, &message, false);
+        }
+    }
+    LogElection_Follow(core, core->term, 0, core->now);
+    core->failed = true;
+}
+
+LogApply
+LogCore_NextApply(LogCore *core, const StoreEntry **entry,
+                  const StoreSnapshot **snapshot)
+{
+    if (core->snapshot.index > core->applied) {
+        if (core->durable < core->snapshot.index) {
+            return LOG_APPLY_NONE;
+        }
+        core->applied = core->snapshot.index;
+        *snapshot = &core->snapshot;
+        return LOG_APPLY_SNAPSHOT;
+    }
+    if (core->applied >= MIN(core->commit, core->durable)) {
+        return LOG_APPLY_NONE;
+    }
+    core->applied++;
+    *entry = LogCore_Entry(core, core->applied);
+    INVARIANT(*entry != NULL);
+    return LOG_APPLY_ENTRY;
+}
+
+void
+LogCore_View(const LogCore *core, LogView *view)
+{
+    *view = (LogView){
+        .id = core->id,
+        .disk_id = core->disk_id,
+        .leads = core->role == LOG_LEADER,
+        .votes = !core->failed &&
+                 LogConfig_IsVoter(&core->config, core->id, core->disk_id),
+        .failed = core->failed,
+        .leader = core->leader,
+        .term = core->term,
+        .last_index = LogEntries_Last(core),
+        .durable = core->durable,
+        .commit = core->commit,
+        .applied = core->applied,
+        .config_index = core->config_index,
+        .snapshot_index = core->snapshot.index,
+        .config = &core->config,
+    };
+}
+
+uint64_t
+LogCore_Match(const LogCore *core, uint32_t id)
+{
+    for (unsigned i = 0; i < core->config.count; i++) {
+        if (core->progress[i].id == id) {
+            return core->progress[i].match;
+        }
+    }
+    return 0;
+}
--- /dev/null
+++ b/src/control/log_election.c
@@ -0,0 +1,190 @@
+/** @file
+ * Log core: elections. A host first asks whether it could win (pre-vote), so
+ * that one that was cut off for long does not depose a good leader.
+ */
+#include "control/log_state.h"
+
+void
+LogElection_ResetTimer(LogCore *core, TimeUs now)
+{
+    TimeUs span = core->timing.election;
+    TimeUs extra = g_rand_int_range(core->random, 0, (gint32)span);
+    core->election_at = now + span + extra;
+}
+
+void
+LogElection_Follow(LogCore *core, uint64_t term, uint32_t leader, TimeUs now)
+{
+    if (term > core->term) {
+        core->term = term;
+        core->vote = 0;
+        LogEntries_SaveState(core);
+    }
+    if (core->role != LOG_FOLLOWER || leader != 0) {
+        LogElection_ResetTimer(core, now);
+    }
+    core->role = LOG_FOLLOWER;
+    core->leader = leader;
+    core->transferee = 0;
+    core->round_wanted = false;
+}
+
+static bool
+grant(LogCore *core, uint32_t id, uint64_t disk_id)
+{
+    unsigned count = 0;
+    for (unsigned i = 0; i < core->config.count; i++) {
+        const LogMember *member = &core->config.members[i];
+        if (member->learner) {
+            continue;
+        }
+        if (member->id == id && member->disk_id == disk_id) {
+            core->granted |= 1u << i;
+        }
+        count += (core->granted >> i) & 1u;
+    }
+    return count > LogConfig_VoterCount(&core->config) / 2;
+}
+
+static void
+send_vote_requests(LogCore *core, bool pre_vote, bool transfer)
+{
+    for (unsigned i = 0; i < core->config.count; i++) {
+        const LogMember *member = &core->config.members[i];
+        if (member->learner || member->id == core->id) {
+            continue;
+        }
+        LogMessage message = {
+            .type = LOG_VOTE,
+            .to = member->id,
+            .to_disk = member->disk_id,
+            .term = core->term + (pre_vote ? 1 : 0),
+            .index = LogEntries_Last(core),
+            .log_term = LogEntries_LastTerm(core),
+            .pre_vote = pre_vote,
+            .transfer = transfer,
+        };
+        LogCore_Send(core, &message, !pre_vote);
+    }
+}
+
+void
+LogElection_Campaign(LogCore *core, bool pre_vote, bool transfer, TimeUs now)
+{
+    core->leader = 0;
+    core->granted = 0;
+    LogElection_ResetTimer(core, now);
+    if (pre_vote) {
+        core->role = LOG_PRE_CANDIDATE;
+        send_vote_requests(core, true, false);
+        if (grant(core, core->id, core->disk_id)) {
+            LogElection_Campaign(core, false, false, now);
+        }
+        return;
+    }
+    core->role = LOG_CANDIDATE;
+    core->term++;
+    core->vote = core->id;
+    LogEntries_SaveState(core);
+    core->self_vote_after = LogEntries_NeededSequence(core);
+    send_vote_requests(core, false, transfer);
+}
+
+void
+LogElection_CountOwnVote(LogCore *core, TimeUs now)
+{
+    if (core->role == LOG_CANDIDATE && core->self_vote_after <= core->saved &&
+        grant(core, core->id, core->disk_id))
+    {
+        LogLeader_Begin(core, now);
+    }
+}
+
+/* Whether the candidate's log holds all that could be committed here. */
+static bool
+is_up_to_date(const LogCore *core, const LogMessage *message)
+{
+    uint64_t last_term = LogEntries_LastTerm(core);
+    if (message->log_term != last_term) {
+        return message->log_term > last_term;
+    }
+    return message->index >= LogEntries_Last(core);
+}
+
+static bool
+hears_leader(const LogCore *core, TimeUs now)
+{
+    return core->role == LOG_LEADER ||
+           (core->leader != 0 &&
+            now - core->heard_leader_at < core->timing.election);
+}
+
+static void
+reply_vote(LogCore *core, const LogMessage *request, bool granted)
+{
+    LogMessage reply = {
+        .type = LOG_VOTE_REPLY,
+        .to = request->from,
+        .term = core->term,
+        .pre_vote = request->pre_vote,
+        .success = granted,
+    };
+    if (request->pre_vote && granted) {
+        reply.term = request->term;
+    }
+    LogCore_Send(core, &reply, !request->pre_vote);
+}
+
+void
+LogElection_OnVote(LogCore *core, const LogMessage *message, TimeUs now)
+{
+    if (message->to_disk != core->disk_id) {
+        return; /* meant for a disk that was lost */
+    }
+    if (hears_leader(core, now) && !message->transfer) {
+        return;
+    }
+    if (message->pre_vote) {
+        bool granted =
+            message->term > core->term && is_up_to_date(core, message);
+        reply_vote(core, message, granted);
+        return;
+    }
+    if (message->term > core->term) {
+        LogElection_Follow(core, message->term, 0, now);
+    }
+    bool granted = message->term == core->term &&
+                   (core->vote == 0 || core->vote == message->from) &&
+                   is_up_to_date(core, message);
+    if (granted && core->vote == 0) {
+        core->vote = message->from;
+        LogEntries_SaveState(core);
+    }
+    if (granted) {
+        LogElection_ResetTimer(core, now);
+    }
+    reply_vote(core, message, granted);
+}
+
+void
+LogElection_OnVoteReply(LogCore *core, const LogMessage *message, TimeUs now)
+{
+    if (!message->success) {
+        if (message->term > core->term) {
+            LogElection_Follow(core, message->term, 0, now);
+        }
+        return;
+    }
+    if (message->pre_vote && core->role == LOG_PRE_CANDIDATE &&
+        message->term == core->term + 1 &&
+        grant(core, message->from, message->from_disk))
+    {
+        LogElection_Campaign(core, false, false, now);
+    }
+    else if (!message->pre_vote && core->role == LOG_CANDIDATE &&
+             message->term == core->term &&
+             grant(core, message->from, message->from_disk))
+    {
+        LogLeader_Begin(core, now);
+    }
+}
--- /dev/null
+++ b/src/control/log_entries.c
@@ -0,0 +1,248 @@
+/** @file
+ * Log core: the entries in memory, and what has to be saved of them.
+ */
+#include "control/log_state.h"
+
+uint64_t
+LogEntries_Last(const LogCore *core)
+{
+    return core->base_index + core->entries->len;
+}
+
+const StoreEntry *
+LogCore_Entry(const LogCore *core, uint64_t index)
+{
+    if (index <= core->base_index || index > LogEntries_Last(core)) {
+        return NULL;
+    }
+    return &g_array_index(core->entries, StoreEntry,
+                          index - core->base_index - 1);
+}
+
+uint64_t
+LogEntries_Term(const LogCore *core, uint64_t index)
+{
+    if (index == core->base_index) {
+        return core->base_term;
+    }
+    const StoreEntry *entry = LogCore_Entry(core, index);
+    return entry == NULL ? 0 : entry->term;
+}
+
+uint64_t
+LogEntries_LastTerm(const LogCore *core)
+{
+    return LogEntries_Term(core, LogEntries_Last(core));
+}
+
+/* The membership in force at @p index; sets where it stands. */
+static LogConfig
+config_at(const LogCore *core, uint64_t index, uint64_t *config_index)
+{
+    LogConfig config = core->base_config;
+    *config_index = core->base_config_index;
+    for (uint64_t i = index; i > core->base_index; i--) {
+        const StoreEntry *entry = LogCore_Entry(core, i);
+        if (entry->kind == LOG_ENTRY_MEMBERS) {
+            int result = LogConfig_Unpack(entry->data, &config);
+            INVARIANT(result == ERR_OK);
+            *config_index = i;
+            break;
+        }
+    }
+    return config;
+}
+
+static void
+use_config(LogCore *core, const LogConfig *config, uint64_t index)
+{
+    core->config = *config;
+    core->config_index = index;
+    if (core->role == LOG_LEADER) {
+        LogLeader_Reconfigure(core);
+    }
+}
+
+void
+LogEntries_Append(LogCore *core, const StoreEntry *entry)
+{
+    INVARIANT(entry->index == LogEntries_Last(core) + 1);
+    StoreEntry_Append(core->entries, entry);
+    if (core->dirty_from == 0) {
+        core->dirty_from = entry->index;
+    }
+    if (entry->kind == LOG_ENTRY_MEMBERS) {
+        LogConfig config;
+        int result = LogConfig_Unpack(entry->data, &config);
+        INVARIANT(result == ERR_OK);
+        use_config(core, &config, entry->index);
+    }
+}
+
+/* Nothing above @p index is durable any more. */
+static void
+forget_durable(LogCore *core, uint64_t index)
+{
+    core->durable = MIN(core->durable, index);
+    for (guint i = 0; i < core->saving->len; i++) {
+        LogSaving *saving = &g_array_index(core->saving, LogSaving, i);
+        saving->last_index = MIN(saving->last_index, index);
+    }
+}
+
+void
+LogEntries_Truncate(LogCore *core, uint64_t index)
+{
+    INVARIANT(index > core->commit);
+    g_array_set_size(core->entries, (guint)(index - core->base_index - 1));
+    forget_durable(core, index - 1);
+    if (core->dirty_from > index) {
+        core->dirty_from = index;
+    }
+    if (core->config_index >= index) {
+        uint64_t config_index;
+        LogConfig config = config_at(core, index - 1, &config_index);
+        use_config(core, &config, config_index);
+    }
+}
+
+void
+LogEntries_Install(LogCore *core, const StoreSnapshot *snapshot,
+                   const LogConfig *config)
+{
+    INVARIANT(snapshot->index > core->commit);
+    g_array_set_size(core->entries, 0);
+    forget_durable(core, 0);
+    core->dirty_from = 0;
+    core->base_index = snapshot->index;
+    core->base_term = snapshot->term;
+    core->base_config = *config;
+    core->base_config_index = snapshot->index;
+    core->commit = snapshot->index;
+    g_clear_pointer(&core->snapshot.data, g_bytes_unref);
+    core->snapshot = *snapshot;
+    g_bytes_ref(core->snapshot.data);
+    core->snapshot_dirty = true;
+    core->reset_dirty = true;
+    use_config(core, config, snapshot->index);
+}
+
+void
+LogCore_Compact(LogCore *core, GBytes *state)
+{
+    if (core->applied <= core->snapshot.index || core->failed) {
+        return;
+    }
+    uint64_t at;
+    LogConfig config = config_at(core, core->applied, &at);
+    g_clear_pointer(&core->snapshot.data, g_bytes_unref);
+    core->snapshot.index = core->applied;
+    core->snapshot.term = LogEntries_Term(core, core->applied);
+    core->snapshot.data = LogConfig_PackSnapshot(&config, state);
+    core->snapshot_dirty = true;
+    if (core->applied <= core->base_index + LOG_TRAILING_ENTRIES) {
+        return;
+    }
+    uint64_t base = core->applied - LOG_TRAILING_ENTRIES;
+    core->base_config = config_at(core, base, &core->base_config_index);
+    core->base_term = LogEntries_Term(core, base);
+    g_array_remove_range(core->entries, 0, (guint)(base - core->base_index));
+    core->base_index = base;
+}
+
+void
+LogEntries_SaveState(LogCore *core)
+{
+    core->state_dirty = true;
+}
+
+static bool
+is_dirty(const LogCore *core)
+{
+    return core->state_dirty || core->dirty_from != 0 || core->snapshot_dirty;
+}
+
+uint64_t
+LogEntries_NeededSequence(const LogCore *core)
+{
+    return core->sequence + (is_dirty(core) ? 1 : 0);
+}
+
+static void
+take_entries(LogCore *core, StoreBatch *batch)
+{
+    batch->entries = StoreEntry_NewArray();
+    for (uint64_t i = core->dirty_from; i <= LogEntries_Last(core); i++) {
+        StoreEntry_Append(batch->entries, LogCore_Entry(core, i));
+    }
+    core->dirty_from = 0;
+}
+
+bool
+LogCore_TakeBatch(LogCore *core, StoreBatch *batch)
+{
+    if (core->failed || !is_dirty(core)) {
+        return false;
+    }
+    *batch = (StoreBatch){.sequence = ++core->sequence};
+    if (core->state_dirty) {
+        batch->has_state = true;
+        batch->term = core->term;
+        batch->vote = core->vote;
+        core->state_dirty = false;
+    }
+    if (core->snapshot_dirty) {
+        batch->snapshot = core->snapshot;
+        g_bytes_ref(batch->snapshot.data);
+        batch->reset = core->reset_dirty;
+        core->snapshot_dirty = false;
+        core->reset_dirty = false;
+    }
+    if (core->dirty_from != 0) {
+        take_entries(core, batch);
+    }
+    LogSaving saving = {
+        .sequence = core->sequence,
+        .last_index = LogEntries_Last(core),
+    };
+    g_array_append_val(core->saving, saving);
+    return true;
+}
+
+/* Moves the messages that waited for the disk to the outbox. */
+static void
+release_held(LogCore *core)
+{
+    LogHeld *held;
+    while ((held = g_queue_peek_head(&core->held)) != NULL &&
+           held->sequence <= core->saved)
+    {
+        g_queue_pop_head(&core->held);
+        LogMessage *message = g_new(LogMessage, 1);
+        *message = held->message;
+        g_queue_push_tail(&core->outbox, message);
+        g_free(held);
+    }
+}
+
+void
+LogCore_Saved(LogCore *core, uint64_t sequence, TimeUs now)
+{
+    if (core->failed) {
+        return;
+    }
+    core->saved = MAX(core->saved, sequence);
+    while (core->saving->len > 0) {
+        LogSaving saving = g_array_index(core->saving, LogSaving, 0);
+        if (saving.sequence > sequence) {
+            break;
+        }
+        core->durable = MAX(core->durable, saving.last_index);
+        g_array_remove_index(core->saving, 0);
+    }
+    release_held(core);
+    LogElection_CountOwnVote(core, now);
+    if (core->role == LOG_LEADER) {
+        LogLeader_AdvanceCommit(core, now);
+    }
+}
--- /dev/null
+++ b/src/control/log_member.c
@@ -0,0 +1,149 @@
+/** @file
+ * Log core: changes of membership, one member at a time, through the log.
+ */
+#include <string.h>
+
+#include "control/log_state.h"
+
+/* Most voters at one time. */
+#define VOTERS_MAX 9
+
+/* A change may begin when the last one and an entry of the leader's own
+ * term are committed. */
+static bool
+may_change(const LogCore *core)
+{
+    return core->role == LOG_LEADER && core->transferee == 0 &&
+           core->commit >= core->term_start &&
+           core->config_index <= core->commit;
+}
+
+static void
+propose_config(LogCore *core, const LogConfig *config)
+{
+    GBytes *data = LogConfig_Pack(config);
+    StoreEntry entry = {
+        .index = LogEntries_Last(core) + 1,
+        .term = core->term,
+        .kind = LOG_ENTRY_MEMBERS,
+        .data = data,
+    };
+    LogEntries_Append(core, &entry);
+    g_bytes_unref(data);
+}
+
+static int
+add_member(LogCore *core, uint32_t id, uint64_t disk_id, const char *address,
+           Error *err)
+{
+    LogConfig config = core->config;
+    if (LogConfig_Find(&config, id) != NULL) {
+        return Error_Set(err, ERR_DUPLICATE,
+                         "Control host %u is a member already.", id);
+    }
+    if (config.count >= VOTERS_MAX) {
+        return Error_Set(err, ERR_FULL, "There are %u members already.",
+                         config.count);
+    }
+    LogMember *member = &config.members[config.count++];
+    *member = (LogMember){.id = id, .disk_id = disk_id, .learner = true};
+    g_strlcpy(member->address, address, LOG_ADDRESS_BYTES);
+    propose_config(core, &config);
+    return ERR_OK;
+}
+
+static int
+remove_member(LogCore *core, uint32_t id, Error *err)
+{
+    LogConfig config = core->config;
+    const LogMember *member = LogConfig_Find(&config, id);
+    if (member == NULL) {
+        return Error_Set(err, ERR_NOT_FOUND, "Control host %u is no member.",
+                         id);
+    }
+    size_t position = (size_t)(member - config.members);
+    size_t behind = config.count - position - 1;
+    memmove(&config.members[position], &config.members[position + 1],
+            behind * sizeof(LogMember));
+    config.count--;
+    propose_config(core, &config);
+    return ERR_OK;
+}
+
+int
+LogCore_ChangeMember(LogCore *core, uint32_t id, uint64_t disk_id,
+                     const char *address, Error *err)
+{
+    if (core->role != LOG_LEADER) {
+        return Error_Set(err, ERR_UNAVAILABLE, "This host does not lead.");
+    }
+    if (!may_change(core)) {
+        return Error_Set(err, ERR_UNAVAILABLE,
+                         "Another change of members is under way.");
+    }
+    if (address != NULL) {
+        return add_member(core, id, disk_id, address, err);
+    }
+    if (id != core->id) {
+        return remove_member(core, id, err);
+    }
+    if (LogConfig_VoterCount(&core->config) == 1) {
+        return Error_Set(err, ERR_INVALID,
+                         "The last voter cannot be removed.");
+    }
+    LogCore_HandOver(core, core->now);
+    return Error_Set(err, ERR_UNAVAILABLE,
+                     "Control host %u leads; it hands over, ask again.", id);
+}
+
+/* Whether the member's known disk has been silent for long. */
+static bool
+disk_is_lost(LogCore *core, const LogMember *member, TimeUs now)
+{
+    const LogProgress *progress =
+        LogLeader_Progress(core, member->id, member->disk_id);
+    return progress != NULL && now - progress->heard_at > core->timing.replace;
+}
+
+void
+LogCore_Met(LogCore *core, uint32_t id, uint64_t disk_id, TimeUs now)
+{
+    core->now = now;
+    const LogMember *member = LogConfig_Find(&core->config, id);
+    if (!may_change(core) || member == NULL || id == core->id ||
+        member->disk_id == disk_id)
+    {
+        return;
+    }
+    if (member->disk_id != 0 && !disk_is_lost(core, member, now)) {
+        return;
+    }
+    LogConfig config = core->config;
+    LogMember *changed = &config.members[member - core->config.members];
+    changed->disk_id = disk_id;
+    changed->learner = true;
+    propose_config(core, &config);
+}
+
+/* Promotes one learner that has caught up. */
+void
+LogMember_Tick(LogCore *core, TimeUs now)
+{
+    if (!may_change(core) || LogConfig_VoterCount(&core->config) >= VOTERS_MAX)
+    {
+        return;
+    }
+    for (unsigned i = 0; i < core->config.count; i++) {
+        const LogProgress *progress = &core->progress[i];
+        if (core->config.members[i].learner && progress->disk_id != 0 &&
+            progress->flow == LOG_FLOW_STREAM &&
+            progress->match >= core->commit &&
+            now - progress->heard_at <= core->timing.election)
+        {
+            LogConfig config = core->config;
+            config.members[i].learner = false;
+            propose_config(core, &config);
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/src/control/replica.c
@@ -0,0 +1,534 @@
+/** @file
+ * Replica: the loop that moves work between the log core, the store's
+ * thread, the links and the owner of the state.
+ */
+#include "control/replica.h"
+
+#include <string.h>
+
+#include <sys/random.h>
+
+#include "control/replica_state.h"
+#include "kernel/counter.h"
+#include "kernel/log.h"
+
+#define PART REPLICA_PART
+
+#define HEARTBEAT_US (100 * US_PER_MS)
+#define ELECTION_US (500 * US_PER_MS)
+/* Silence after which a member's disk counts as lost, when the host has
+ * come back with another. */
+#define REPLACE_US (5 * US_PER_S)
+#define TICK_US (25 * US_PER_MS)
+/* A snapshot is taken after so many entries or bytes. */
+#define SNAPSHOT_ENTRIES 10000
+#define SNAPSHOT_BYTES (16u * 1024 * 1024)
+/* A confirmation that takes longer has failed. */
+#define CONFIRM_US (2 * US_PER_S)
+/* A leader whose disk takes longer hands over. */
+#define DISK_STALL_US (2 * US_PER_S)
+#define WAITING_LOG_US (10 * US_PER_S)
+
+typedef struct Confirm {
+    uint64_t ticket;
+    uint64_t term;
+    TimeUs until;
+    void (*done)(void *arg, bool leads);
+    void *arg;
+} Confirm;
+
+typedef struct Saving {
+    uint64_t sequence;
+    TimeUs since;
+} Saving;
+
+void
+Replica_Schedule(Replica *replica)
+{
+    event_active(replica->pump, EV_TIMEOUT, 0);
+}
+
+void
+Replica_ReportTruncated(Replica *replica)
+{
+    LogView view;
+    LogCore_View(replica->core, &view);
+    uint64_t kept = MAX(view.durable, view.applied);
+    if (kept >= replica->reported) {
+        return;
+    }
+    replica->reported = kept;
+    replica->ops->truncated(replica->owner, kept + 1);
+}
+
+/* Tells the owner of the entries that have become durable. */
+static void
+report_appended(Replica *replica)
+{
+    LogView view;
+    LogCore_View(replica->core, &view);
+    replica->reported = MAX(replica->reported, view.snapshot_index);
+    while (replica->reported < view.durable) {
+        replica->reported++;
+        const StoreEntry *entry =
+            LogCore_Entry(replica->core, replica->reported);
+        if (entry == NULL || entry->kind != LOG_ENTRY_COMMAND) {
+            continue;
+        }
+        GBytes *data = g_bytes_ref(entry->data);
+        gsize length;
+        const uint8_t *command = g_bytes_get_data(data, &length);
+        replica->ops->appended(replica->owner, replica->reported, command,
+                               length);
+        g_bytes_unref(data);
+    }
+}
+
+static void
+apply_entry(Replica *replica, const StoreEntry *entry)
+{
+    if (entry->kind != LOG_ENTRY_COMMAND) {
+        return;
+    }
+    uint64_t index = entry->index;
+    GBytes *data = g_bytes_ref(entry->data);
+    gsize length;
+    const uint8_t *command = g_bytes_get_data(data, &length);
+    replica->applied_bytes += length;
+    replica->ops->apply(replica->owner, index, command, length);
+    g_bytes_unref(data);
+}
+
+static int
+restore(Replica *replica, const StoreSnapshot *snapshot, Error *err)
+{
+    LogConfig config;
+    GBytes *state = NULL;
+    int result = LogConfig_UnpackSnapshot(snapshot->data, &config, &state);
+    if (result != ERR_OK) {
+        return Error_Set(err, result, "The snapshot cannot be read.");
+    }
+    gsize length;
+    const uint8_t *bytes = g_bytes_get_data(state, &length);
+    result = replica->ops->restore(replica->owner, bytes, length, err);
+    g_bytes_unref(state);
+    replica->applied_bytes = 0;
+    replica->reported = MAX(replica->reported, snapshot->index);
+    return result;
+}
+
+static int
+apply_all(Replica *replica, Error *err)
+{
+    const StoreEntry *entry;
+    const StoreSnapshot *snapshot;
+    for (;;) {
+        switch (LogCore_NextApply(replica->core, &entry, &snapshot)) {
+        case LOG_APPLY_NONE:
+            report_appended(replica);
+            return ERR_OK;
+        case LOG_APPLY_ENTRY: {
+            StoreEntry copy = *entry;
+            g_bytes_ref(copy.data);
+            report_appended(replica);
+            apply_entry(replica, &copy);
+            g_bytes_unref(copy.data);
+            break;
+        }
+        case LOG_APPLY_SNAPSHOT: {
+            int result = restore(replica, snapshot, err);
+            if (result != ERR_OK) {
+                return result;
+            }
+            break;
+        }
+        }
+    }
+}
+
+static void
+compact(Replica *replica)
+{
+    LogView view;
+    LogCore_View(replica->core, &view);
+    if (view.applied - view.snapshot_index < SNAPSHOT_ENTRIES &&
+        replica->applied_bytes < SNAPSHOT_BYTES)
+    {
+        return;
+    }
+    GBytes *state = replica->ops->snapshot(replica->owner);
+    LogCore_Compact(replica->core, state);
+    g_bytes_unref(state);
+    replica->applied_bytes = 0;
+    LOG_INFO(PART, "Snapshot taken. index=%llu",
+             (unsigned long long)view.applied);
+}
+
+static void
+answer_confirms(Replica *replica)
+{
+    LogView view;
+    LogCore_View(replica->core, &view);
+    TimeUs now = Clock_Now();
+    for (guint i = 0; i < replica->confirms->len;) {
+        Confirm confirm = g_array_index(replica->confirms, Confirm, i);
+        bool leads = view.leads && view.term == confirm.term;
+        bool confirmed =
+            leads && LogCore_Confirmed(replica->core, confirm.ticket);
+        if (leads && !confirmed && now < confirm.until) {
+            i++;
+            continue;
+        }
+        g_array_remove_index(replica->confirms, i);
+        confirm.done(confirm.arg, confirmed);
+    }
+}
+
+static void
+report_leadership(Replica *replica)
+{
+    LogView view;
+    LogCore_View(replica->core, &view);
+    Counter_Set(Counter_Get("replica_term", "Term of the replicated log."),
+                (int64_t)view.term);
+    Counter_Set(Counter_Get("replica_commit_index", "Committed entries."),
+                (int64_t)view.commit);
+    if (view.leads == replica->led) {
+        return;
+    }
+    replica->led = view.leads;
+    Counter_Set(Counter_Get("replica_leads", "1 while this host leads."),
+                view.leads);
+    LOG_INFO(PART, "%s term=%llu last=%llu",
+             view.leads ? "Leads." : "Leads no longer.",
+             (unsigned long long)view.term,
+             (unsigned long long)view.last_index);
+    replica->ops->leadership(replica->owner, view.leads);
+}
+
+static void
+submit_batches(Replica *replica)
+{
+    StoreBatch batch;
+    while (LogCore_TakeBatch(replica->core, &batch)) {
+        Saving saving = {.sequence = batch.sequence, .since = Clock_Now()};
+        g_array_append_val(replica->saving, saving);
+        StoreWriter_Submit(replica->writer, &batch);
+    }
+}
+
+static void
+send_messages(Replica *replica)
+{
+    LogMessage message;
+    while (LogCore_TakeMessage(replica->core, &message)) {
+        ReplicaLinks_Send(replica, &message);
+        LogMessage_Clear(&message);
+    }
+}
+
+static void
+pump(Replica *replica)
+{
+    LogCore_Flush(replica->core, Clock_Now());
+    submit_batches(replica);
+    send_messages(replica);
+    Error err = ERROR_INIT;
+    int result = apply_all(replica, &err);
+    if (result != ERR_OK) {
+        LOG_ERROR(PART, "State cannot be restored. why=\"%s\"", err.text);
+    }
+    INVARIANT(result == ERR_OK);
+    answer_confirms(replica);
+    report_leadership(replica);
+    compact(replica);
+    LogView view;
+    LogCore_View(replica->core, &view);
+    if (view.config_index != replica->dialled_config) {
+        LOG_INFO(PART, "Membership changed. index=%llu members=%u voters=%u",
+                 (unsigned long long)view.config_index, view.config->count,
+                 LogConfig_VoterCount(view.config));
+        ReplicaLinks_Update(replica);
+    }
+}
+
+static void
+on_pump(evutil_socket_t fd, short events, void *arg)
+{
+    pump(arg);
+}
+
+static void
+on_saved(void *owner, uint64_t sequence, int result, const char *why)
+{
+    Replica *replica = owner;
+    while (replica->saving->len > 0 &&
+           g_array_index(replica->saving, Saving, 0).sequence <= sequence)
+    {
+        g_array_remove_index(replica->saving, 0);
+    }
+    LogView view;
+    LogCore_View(replica->core, &view);
+    if (result == ERR_OK) {
+        LogCore_Saved(replica->core, sequence, Clock_Now());
+    }
+    else if (!view.failed) {
+        LOG_ERROR(PART, "Disk failed; this host steps aside. why=\"%s\"", why);
+        Counter_Set(Counter_Get("replica_read_only",
+                                "1 when the disk failed or is full."),
+                    1);
+        LogCore_DiskFailed(replica->core);
+    }
+    Replica_Schedule(replica);
+}
+
+/* The members of a new cluster, when all of them are there and empty. */
+static bool
+gather_founders(Replica *replica, LogConfig *config)
+{
+    const Settings *settings = replica->settings;
+    LogView view;
+    LogCore_View(replica->core, &view);
+    *config = (LogConfig){.count = 0};
+    for (unsigned i = 0; i < settings->control_hosts_count; i++) {
+        const SettingsControlHost *host = &settings->control_hosts[i];
+        LogMember *member = &config->members[config->count++];
+        member->id = host->id;
+        g_strlcpy(member->address, host->address, LOG_ADDRESS_BYTES);
+        if (host->id == view.id) {
+            member->disk_id = view.disk_id;
+            continue;
+        }
+        const ReplicaIdentity *identity =
+            ReplicaLinks_Identity(replica, host->id);
+        if (host->id < view.id || identity == NULL || !identity->bootstrap ||
+            identity->last_index != 0)
+        {
+            return false;
+        }
+        member->disk_id = identity->disk_id;
+    }
+    return true;
+}
+
+/* The host with the lowest id founds the cluster once every configured host
+ * is connected and says that its folder is empty. */
+static void
+try_found(Replica *replica, TimeUs now)
+{
+    LogView view;
+    LogCore_View(replica->core, &view);
+    if (view.last_index != 0) {
+        return;
+    }
+    LogConfig config;
+    if (replica->settings->control->bootstrap &&
+        gather_founders(replica, &config)) {
+        LOG_INFO(PART, "Cluster founded. voters=%u", config.count);
+        LogCore_Found(replica->core, &config, now);
+        LogCore_Tick(replica->core, now);
+        return;
+    }
+    if (now - replica->waiting_logged_at >= WAITING_LOG_US) {
+        replica->waiting_logged_at = now;
+        LOG_INFO(PART, "Folder is empty; waits to be admitted. bootstrap=%s",
+                 replica->settings->control->bootstrap ? "yes" : "no");
+    }
+}
+
+static void
+check_disk(Replica *replica, TimeUs now)
+{
+    if (replica->saving->len == 0) {
+        return;
+    }
+    TimeUs since = g_array_index(replica->saving, Saving, 0).since;
+    if (now - since > DISK_STALL_US) {
+        LogCore_HandOver(replica->core, now);
+    }
+}
+
+static void
+on_tick(evutil_socket_t fd, short events, void *arg)
+{
+    Replica *replica = arg;
+    TimeUs now = Clock_Now();
+    try_found(replica, now);
+    ReplicaLinks_Meet(replica, now);
+    check_disk(replica, now);
+    LogCore_Tick(replica->core, now);
+    pump(replica);
+}
+
+int
+Replica_Propose(Replica *replica, const uint8_t *command, size_t length)
+{
+    GBytes *data = g_bytes_new(command, length);
+    int result = LogCore_Propose(replica->core, data);
+    g_bytes_unref(data);
+    Replica_Schedule(replica);
+    return result;
+}
+
+void
+Replica_ConfirmLeads(Replica *replica, void (*done)(void *arg, bool leads),
+                     void *arg)
+{
+    uint64_t ticket = LogCore_AskConfirm(replica->core);
+    if (ticket == 0) {
+        done(arg, false);
+        return;
+    }
+    LogView view;
+    LogCore_View(replica->core, &view);
+    Confirm confirm = {
+        .ticket = ticket,
+        .term = view.term,
+        .until = Clock_Now() + CONFIRM_US,
+        .done = done,
+        .arg = arg,
+    };
+    g_array_append_val(replica->confirms, confirm);
+    Replica_Schedule(replica);
+}
+
+int
+Replica_ChangeMember(Replica *replica, uint32_t id, const char *address,
+                     Error *err)
+{
+    Address parsed;
+    if (address != NULL && Address_Parse(address, &parsed, err) != ERR_OK) {
+        return err->code;
+    }
+    const ReplicaIdentity *identity = ReplicaLinks_Identity(replica, id);
+    uint64_t disk_id = identity == NULL ? 0 : identity->disk_id;
+    int result =
+        LogCore_ChangeMember(replica->core, id, disk_id, address, err);
+    Replica_Schedule(replica);
+    return result;
+}
+
+void
+Replica_HandOver(Replica *replica)
+{
+    LogCore_HandOver(replica->core, Clock_Now());
+    Replica_Schedule(replica);
+}
+
+static Replica *
+new_replica(struct event_base *base, const Settings *settings,
+            const LinkSelf *self, const ReplicaOps *ops, void *owner)
+{
+    Replica *replica = g_new0(Replica, 1);
+    replica->base = base;
+    replica->settings = settings;
+    replica->self = self;
+    replica->ops = ops;
+    replica->owner = owner;
+    replica->peers = g_ptr_array_new();
+    replica->identities = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+    replica->confirms = g_array_new(FALSE, FALSE, sizeof(Confirm));
+    replica->saving = g_array_new(FALSE, FALSE, sizeof(Saving));
+    replica->tick = event_new(base, -1, EV_PERSIST, on_tick, replica);
+    replica->pump = event_new(base, -1, 0, on_pump, replica);
+    return replica;
+}
+
+static Store *
+open_store(const Settings *settings, StoreImage *image, Error *err)
+{
+    uint64_t disk_id;
+    if (getrandom(&disk_id, sizeof(disk_id), 0) != sizeof(disk_id)) {
+        Error_Set(err, ERR_IO, "No random bytes.");
+        return NULL;
+    }
+    StoreFiles files;
+    const char *path = settings->control->data_dir;
+    if (StoreFiles_OpenFolder(path, &files, err) != ERR_OK) {
+        return NULL;
+    }
+    return Store_Open(&files, settings->control->id, disk_id, image, err);
+}
+
+static int
+open_core(Replica *replica, Error *err)
+{
+    StoreImage image;
+    Store *store = open_store(replica->settings, &image, err);
+    if (store == NULL) {
+        return err->code;
+    }
+    LogCoreSpec spec = {
+        .id = replica->settings->control->id,
+        .disk_id = image.disk_id,
+        .timing = {.heartbeat = HEARTBEAT_US,
+                   .election = ELECTION_US,
+                   .replace = REPLACE_US},
+        .seed = g_random_int(),
+        .now = Clock_Now(),
+        .image = &image,
+    };
+    replica->core = LogCore_New(&spec, err);
+    StoreImage_Clear(&image);
+    if (replica->core != NULL) {
+        replica->writer =
+            StoreWriter_Start(replica->base, store, on_saved, replica, err);
+    }
+    if (replica->writer == NULL) {
+        Store_Close(store);
+        return err->code;
+    }
+    return apply_all(replica, err);
+}
+
+Replica *
+Replica_Open(struct event_base *base, const Settings *settings,
+             const LinkSelf *self, const ReplicaOps *ops, void *owner,
+             Error *err)
+{
+    if (settings->control_hosts_count > REPLICA_VOTERS_MAX) {
+        Error_Set(err, ERR_INVALID, "More than %d control hosts are set.",
+                  REPLICA_VOTERS_MAX);
+        return NULL;
+    }
+    Replica *replica = new_replica(base, settings, self, ops, owner);
+    if (open_core(replica, err) != ERR_OK) {
+        Replica_Close(replica);
+        return NULL;
+    }
+    LogView view;
+    LogCore_View(replica->core, &view);
+    LOG_INFO(PART, "Log opened. id=%u disk=%016llx term=%llu last=%llu",
+             view.id, (unsigned long long)view.disk_id,
+             (unsigned long long)view.term,
+             (unsigned long long)view.last_index);
+    ReplicaLinks_Update(replica);
+    replica->waiting_logged_at = Clock_Now();
+    struct timeval period = {.tv_usec = TICK_US};
+    event_add(replica->tick, &period);
+    event_active(replica->tick, EV_TIMEOUT, 0);
+    return replica;
+}
+
+void
+Replica_Close(Replica *replica)
+{
+    event_free(replica->tick);
+    event_free(replica->pump);
+    for (guint i = 0; i < replica->confirms->len; i++) {
+        Confirm *confirm = &g_array_index(replica->confirms, Confirm, i);
+        confirm->done(confirm->arg, false);
+    }
+    ReplicaLinks_Close(replica);
+    if (replica->writer != NULL) {
+        StoreWriter_Close(replica->writer);
+    }
+    if (replica->core != NULL) {
+        LogCore_Free(replica->core);
+    }
+    g_ptr_array_unref(replica->peers);
+    g_hash_table_destroy(replica->identities);
+    g_array_unref(replica->confirms);
+    g_array_unref(replica->saving);
+    g_free(replica);
+}
--- /dev/null
+++ b/src/control/replica_dump.c
@@ -0,0 +1,78 @@
+/** @file
+ * Replica: its status and its part of the state dump.
+ */
+#include "control/replica_state.h"
+
+void
+Replica_Status(const Replica *replica, ReplicaStatus *status)
+{
+    LogView view;
+    LogCore_View(replica->core, &view);
+    *status = (ReplicaStatus){
+        .id = view.id,
+        .leads = view.leads,
+        .votes = view.votes,
+        .read_only = view.failed,
+        .leader = view.leader,
+        .term = view.term,
+        .last_index = view.last_index,
+        .commit = view.commit,
+        .applied = view.applied,
+        .config_index = view.config_index,
+    };
+    for (unsigned i = 0; i < view.config->count; i++) {
+        const LogMember *member = &view.config->members[i];
+        if (!member->learner && status->voter_count < REPLICA_VOTERS_MAX) {
+            status->voters[status->voter_count++] = member->id;
+        }
+    }
+}
+
+static void
+set_number(json_t *out, const char *name, uint64_t value)
+{
+    json_object_set_new(out, name, json_integer((json_int_t)value));
+}
+
+static json_t *
+dump_members(const Replica *replica, const LogView *view)
+{
+    json_t *members = json_array();
+    for (unsigned i = 0; i < view->config->count; i++) {
+        const LogMember *member = &view->config->members[i];
+        json_t *item = json_object();
+        set_number(item, "id", member->id);
+        json_object_set_new(item, "learner", json_boolean(member->learner));
+        json_object_set_new(item, "address", json_string(member->address));
+        if (view->leads && member->id != view->id) {
+            set_number(item, "match",
+                       LogCore_Match(replica->core, member->id));
+        }
+        json_array_append_new(members, item);
+    }
+    return members;
+}
+
+void
+Replica_Dump(const Replica *replica, json_t *out)
+{
+    LogView view;
+    LogCore_View(replica->core, &view);
+    char disk[24];
+    g_snprintf(disk, sizeof(disk), "%016llx",
+               (unsigned long long)view.disk_id);
+    set_number(out, "id", view.id);
+    json_object_set_new(out, "disk", json_string(disk));
+    json_object_set_new(out, "leads", json_boolean(view.leads));
+    json_object_set_new(out, "votes", json_boolean(view.votes));
+    json_object_set_new(out, "read_only", json_boolean(view.failed));
+    set_number(out, "leader", view.leader);
+    set_number(out, "term", view.term);
+    set_number(out, "last_index", view.last_index);
+    set_number(out, "durable", view.durable);
+    set_number(out, "commit", view.commit);
+    set_number(out, "applied", view.applied);
+    set_number(out, "snapshot", view.snapshot_index);
+    set_number(out, "config_index", view.config_index);
+    json_object_set_new(out, "members", dump_members(replica, &view));
+}
--- /dev/null
+++ b/src/control/replica_links.c
@@ -0,0 +1,256 @@
+/** @file
+ * Replica: links to the other control hosts. Each host dials all others;
+ * both ends say who they are before any frame of the log protocol counts.
+ */
+#include <string.h>
+
+#include "control/replica_state.h"
+#include "control/replica_wire.h"
+#include "kernel/log.h"
+
+static ReplicaPeer *
+find_peer(const Replica *replica, uint32_t id)
+{
+    for (guint i = 0; i < replica->peers->len; i++) {
+        ReplicaPeer *peer = replica->peers->pdata[i];
+        if (peer->id == id) {
+            return peer;
+        }
+    }
+    return NULL;
+}
+
+const ReplicaIdentity *
+ReplicaLinks_Identity(const Replica *replica, uint32_t id)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, replica->identities);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const ReplicaIdentity *identity = value;
+        if (identity->id == id) {
+            return identity;
+        }
+    }
+    return NULL;
+}
+
+static void
+send_hello(Replica *replica, Link *link)
+{
+    LogView view;
+    LogCore_View(replica->core, &view);
+    Wire__ReplicaHello hello = WIRE__REPLICA_HELLO__INIT;
+    hello.id = view.id;
+    hello.disk_id = view.disk_id;
+    hello.bootstrap = replica->settings->control->bootstrap;
+    hello.last_index = view.last_index;
+    Wire__Frame frame = WIRE__FRAME__INIT;
+    frame.body_case = WIRE__FRAME__BODY_REPLICA_HELLO;
+    frame.replica_hello = &hello;
+    Link_Send(link, &frame);
+}
+
+static void
+on_hello(Replica *replica, Link *link, const Wire__ReplicaHello *hello)
+{
+    ReplicaIdentity *identity = g_new0(ReplicaIdentity, 1);
+    identity->id = hello->id;
+    identity->disk_id = hello->disk_id;
+    identity->bootstrap = hello->bootstrap;
+    identity->last_index = hello->last_index;
+    g_hash_table_insert(replica->identities, link, identity);
+    LOG_INFO(REPLICA_PART, "Control host met. id=%u disk=%016llx", hello->id,
+             (unsigned long long)hello->disk_id);
+}
+
+static void
+on_message(Replica *replica, Link *link, const Wire__Frame *frame)
+{
+    const ReplicaIdentity *identity =
+        g_hash_table_lookup(replica->identities, link);
+    LogMessage message;
+    if (identity == NULL || !ReplicaWire_Read(frame, &message)) {
+        return;
+    }
+    message.from = identity->id;
+    message.from_disk = identity->disk_id;
+    LogCore_Receive(replica->core, &message, Clock_Now());
+    LogMessage_Clear(&message);
+    Replica_ReportTruncated(replica);
+    Replica_Schedule(replica);
+}
+
+void
+Replica_OnFrame(Replica *replica, Link *link, const Wire__Frame *frame)
+{
+    if (frame->body_case != WIRE__FRAME__BODY_REPLICA_HELLO) {
+        on_message(replica, link, frame);
+        return;
+    }
+    on_hello(replica, link, frame->replica_hello);
+    send_hello(replica, link);
+    ReplicaPeer *peer = find_peer(replica, frame->replica_hello->id);
+    if (peer != NULL) {
+        peer->incoming = link;
+    }
+    Replica_Schedule(replica);
+}
+
+void
+Replica_OnLinkDown(Replica *replica, Link *link)
+{
+    g_hash_table_remove(replica->identities, link);
+    for (guint i = 0; i < replica->peers->len; i++) {
+        ReplicaPeer *peer = replica->peers->pdata[i];
+        if (peer->incoming == link) {
+            peer->incoming = NULL;
+        }
+    }
+}
+
+static void
+on_up(Link *link, void *owner)
+{
+    send_hello(owner, link);
+}
+
+static void
+on_down(Link *link, void *owner)
+{
+    Replica *replica = owner;
+    g_hash_table_remove(replica->identities, link);
+}
+
+static void
+on_frame(Link *link, const Wire__Frame *frame, void *owner)
+{
+    Replica *replica = owner;
+    if (frame->body_case == WIRE__FRAME__BODY_REPLICA_HELLO) {
+        on_hello(replica, link, frame->replica_hello);
+        Replica_Schedule(replica);
+        return;
+    }
+    on_message(replica, link, frame);
+}
+
+static const LinkOps dialled_ops = {
+    .up = on_up,
+    .down = on_down,
+    .frame = on_frame,
+};
+
+static void
+close_peer(Replica *replica, ReplicaPeer *peer)
+{
+    if (peer->dialled != NULL) {
+        g_hash_table_remove(replica->identities, peer->dialled);
+        Link_Close(peer->dialled);
+    }
+    g_free(peer);
+}
+
+static void
+dial_peer(Replica *replica, uint32_t id, const char *address)
+{
+    Address parsed;
+    Error err = ERROR_INIT;
+    if (Address_Parse(address, &parsed, &err) != ERR_OK) {
+        LOG_WARN(REPLICA_PART, "Address cannot be used. id=%u why=\"%s\"", id,
+                 err.text);
+        return;
+    }
+    ReplicaPeer *peer = g_new0(ReplicaPeer, 1);
+    peer->id = id;
+    g_strlcpy(peer->address, address, LOG_ADDRESS_BYTES);
+    peer->dialled = Link_Dial(replica->base, replica->self, &parsed,
+                              &dialled_ops, replica);
+    g_ptr_array_add(replica->peers, peer);
+}
+
+/* Where the host stands now; NULL when it is no longer wanted. */
+static const char *
+wanted_address(const Replica *replica, const LogConfig *config, uint32_t id)
+{
+    const LogMember *member = LogConfig_Find(config, id);
+    if (member != NULL) {
+        return member->address;
+    }
+    const Settings *settings = replica->settings;
+    for (unsigned i = 0; i < settings->control_hosts_count; i++) {
+        if (settings->control_hosts[i].id == id) {
+            return settings->control_hosts[i].address;
+        }
+    }
+    return NULL;
+}
+
+static void
+want_peer(Replica *replica, const LogConfig *config, uint32_t id)
+{
+    if (id == replica->settings->control->id || find_peer(replica, id) != NULL)
+    {
+        return;
+    }
+    dial_peer(replica, id, wanted_address(replica, config, id));
+}
+
+void
+ReplicaLinks_Update(Replica *replica)
+{
+    LogView view;
+    LogCore_View(replica->core, &view);
+    const Settings *settings = replica->settings;
+    for (guint i = replica->peers->len; i > 0; i--) {
+        ReplicaPeer *peer = replica->peers->pdata[i - 1];
+        const char *address = wanted_address(replica, view.config, peer->id);
+        if (address == NULL || strcmp(address, peer->address) != 0) {
+            g_ptr_array_remove_index_fast(replica->peers, i - 1);
+            close_peer(replica, peer);
+        }
+    }
+    for (unsigned i = 0; i < settings->control_hosts_count; i++) {
+        want_peer(replica, view.config, settings->control_hosts[i].id);
+    }
+    for (unsigned i = 0; i < view.config->count; i++) {
+        want_peer(replica, view.config, view.config->members[i].id);
+    }
+    replica->dialled_config = view.config_index;
+}
+
+void
+ReplicaLinks_Send(Replica *replica, const LogMessage *message)
+{
+    const ReplicaPeer *peer = find_peer(replica, message->to);
+    if (peer == NULL) {
+        return;
+    }
+    if (peer->dialled != NULL && Link_IsUp(peer->dialled)) {
+        ReplicaWire_Send(peer->dialled, message);
+        return;
+    }
+    if (peer->incoming != NULL && Link_IsUp(peer->incoming)) {
+        ReplicaWire_Send(peer->incoming, message);
+    }
+}
+
+void
+ReplicaLinks_Meet(Replica *replica, TimeUs now)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, replica->identities);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const ReplicaIdentity *identity = value;
+        LogCore_Met(replica->core, identity->id, identity->disk_id, now);
+    }
+}
+
+void
+ReplicaLinks_Close(Replica *replica)
+{
+    for (guint i = 0; i < replica->peers->len; i++) {
+        close_peer(replica, replica->peers->pdata[i]);
+    }
+    g_ptr_array_set_size(replica->peers, 0);
+}
--- /dev/null
+++ b/src/store/record.c
@@ -0,0 +1,96 @@
+/** @file
+ * Records: packing and checking.
+ */
+#include "store/record.h"
+
+#include <endian.h>
+#include <string.h>
+
+#include <xxhash.h>
+
+#define RECORD_MAGIC 0x31524c4cu /* "LLR1" */
+#define FILE_SEED_FACTOR 0x9e3779b97f4a7c15u
+
+/* Layout of a record's header on disk, little endian. */
+typedef struct Header {
+    uint64_t checksum; /* of all that follows */
+    uint32_t magic;
+    uint32_t length;
+    uint64_t synced;
+    uint64_t index;
+    uint64_t term;
+    uint32_t type;
+    uint32_t extra;
+} Header;
+
+_Static_assert(sizeof(Header) == RECORD_HEADER_BYTES, "header has no gaps");
+
+static uint64_t
+checksum(const uint8_t *record, size_t size, uint64_t file, uint64_t offset)
+{
+    uint64_t seed = file * FILE_SEED_FACTOR + offset;
+    size_t skip = sizeof(uint64_t);
+    return XXH3_64bits_withSeed(record + skip, size - skip, seed);
+}
+
+uint64_t
+Record_Size(const Record *record)
+{
+    return RECORD_HEADER_BYTES + (uint64_t)record->length;
+}
+
+void
+Record_Write(GByteArray *out, const Record *record, uint64_t file,
+             uint64_t offset)
+{
+    Header header = {
+        .magic = htole32(RECORD_MAGIC),
+        .length = htole32(record->length),
+        .synced = htole64(record->synced),
+        .index = htole64(record->index),
+        .term = htole64(record->term),
+        .type = htole32(record->type),
+        .extra = htole32(record->extra),
+    };
+    guint start = out->len;
+    g_byte_array_append(out, (const guint8 *)&header, sizeof(header));
+    if (record->length > 0) {
+        g_byte_array_append(out, record->payload, record->length);
+    }
+    uint64_t sum =
+        htole64(checksum(out->data + start, out->len - start, file, offset));
+    memcpy(out->data + start, &sum, sizeof(sum));
+}
+
+bool
+Record_Read(const uint8_t *bytes, size_t length, uint64_t file,
+            uint64_t offset, Record *record)
+{
+    Header header;
+    if (offset > length || length - offset < sizeof(header)) {
+        return false;
+    }
+    memcpy(&header, bytes + offset, sizeof(header));
+    uint32_t payload = le32toh(header.length);
+    if (le32toh(header.magic) != RECORD_MAGIC ||
+        payload > RECORD_PAYLOAD_MAX_BYTES ||
+        length - offset - sizeof(header) < payload)
+    {
+        return false;
+    }
+    size_t size = sizeof(header) + payload;
+    if (checksum(bytes + offset, size, file, offset) !=
+        le64toh(header.checksum)) {
+        return false;
+    }
+    *record = (Record){
+        .type = (RecordType)le32toh(header.type),
+        .extra = le32toh(header.extra),
+        .index = le64toh(header.index),
+        .term = le64toh(header.term),
+        .synced = le64toh(header.synced),
+        .payload = bytes + offset + sizeof(header),
+        .length = payload,
+    };
+    return true;
+}
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -1,21 +1,418 @@
 /** @file
- * Store: the data folder.
+ * Store: writing records, syncing, snapshots and compaction.
  */
 #include "store/store.h"
 
+#include <endian.h>
 #include <errno.h>
 #include <string.h>
 
-#include <glib.h>
+#include "kernel/log.h"
+#include "store/state.h"
 
-#define FOLDER_MODE 0700
+#define PART "store"
+
+static void
+clear_entry(gpointer data)
+{
+    StoreEntry *entry = data;
+    g_bytes_unref(entry->data);
+}
+
+GArray *
+StoreEntry_NewArray(void)
+{
+    GArray *entries = g_array_new(FALSE, FALSE, sizeof(StoreEntry));
+    g_array_set_clear_func(entries, clear_entry);
+    return entries;
+}
+
+void
+StoreEntry_Append(GArray *entries, const StoreEntry *entry)
+{
+    StoreEntry copy = *entry;
+    g_bytes_ref(copy.data);
+    g_array_append_val(entries, copy);
+}
+
+/* Every failure ends here: nothing written later would be trustworthy. */
+static int
+fail(Store *store, int result, const char *what, Error *err)
+{
+    store->failed = true;
+    return Error_Set(err, ERR_IO, "Cannot %s: %s.", what, strerror(-result));
+}
+
+static int
+write_all(Store *store, int file, const uint8_t *bytes, size_t length,
+          uint64_t offset)
+{
+    const StoreFiles *files = &store->files;
+    size_t done = 0;
+    while (done < length) {
+        ssize_t count = files->write(files->context, file, bytes + done,
+                                     length - done, offset + done);
+        if (count < 0) {
+            return (int)count;
+        }
+        if (count == 0) {
+            return -ENOSPC;
+        }
+        done += (size_t)count;
+    }
+    return 0;
+}
+
+static Segment *
+open_segment(Store *store)
+{
+    return &g_array_index(store->segments, Segment, store->segments->len - 1);
+}
+
+/* Adds a record of the open segment to the buffer. */
+static void
+add_record(Store *store, Record *record)
+{
+    record->synced = store->synced;
+    uint64_t offset = store->size + store->buffer->len;
+    Record_Write(store->buffer, record, open_segment(store)->number, offset);
+}
+
+static int
+flush_buffer(Store *store, Error *err)
+{
+    GByteArray *buffer = store->buffer;
+    if (buffer->len == 0) {
+        return ERR_OK;
+    }
+    int result =
+        write_all(store, store->file, buffer->data, buffer->len, store->size);
+    if (result != 0) {
+        return fail(store, result, "write to the log", err);
+    }
+    store->size += buffer->len;
+    g_byte_array_set_size(buffer, 0);
+    return ERR_OK;
+}
 
 int
-Store_PrepareFolder(const char *path, Error *err)
+Store_Sync(Store *store, Error *err)
+{
+    if (store->failed) {
+        return Error_Set(err, ERR_IO, "The disk has failed before.");
+    }
+    if (store->synced == store->size) {
+        return ERR_OK;
+    }
+    int result = store->files.sync(store->files.context, store->file);
+    if (result != 0) {
+        return fail(store, result, "sync the log", err);
+    }
+    store->synced = store->size;
+    return ERR_OK;
+}
+
+void
+Store_MarkSynced(Store *store)
+{
+    if (store->failed || store->marked || store->synced != store->size) {
+        return;
+    }
+    Record record = {.type = RECORD_SYNCED};
+    add_record(store, &record);
+    Error err = ERROR_INIT;
+    if (flush_buffer(store, &err) == ERR_OK) {
+        store->marked = true;
+    }
+}
+
+static void
+add_identity(Store *store)
+{
+    uint8_t payload[STORE_IDENTITY_BYTES];
+    uint32_t replica = htole32(store->replica);
+    uint64_t disk_id = htole64(store->disk_id);
+    memcpy(payload, &replica, sizeof(replica));
+    memcpy(payload + sizeof(replica), &disk_id, sizeof(disk_id));
+    Record record = {
+        .type = RECORD_SEGMENT,
+        .term = store->term,
+        .extra = store->vote,
+        .payload = payload,
+        .length = sizeof(payload),
+    };
+    add_record(store, &record);
+}
+
+/* Opens the next segment, durable with its first record. */
+static int
+start_segment(Store *store, Error *err)
+{
+    const StoreFiles *files = &store->files;
+    uint64_t number = 1;
+    if (store->segments->len > 0) {
+        number = open_segment(store)->number + 1;
+    }
+    char name[STORE_NAME_BYTES];
+    StoreLoad_Name(name, STORE_SEGMENT_PREFIX, number);
+    if (store->file >= 0) {
+        files->close(files->context, store->file);
+    }
+    store->file = files->open(files->context, name, true);
+    if (store->file < 0) {
+        return fail(store, store->file, "make a segment", err);
+    }
+    Segment segment = {.number = number};
+    g_array_append_val(store->segments, segment);
+    store->size = 0;
+    store->synced = 0;
+    add_identity(store);
+    int result = flush_buffer(store, err);
+    if (result == ERR_OK) {
+        result = Store_Sync(store, err);
+    }
+    if (result != ERR_OK) {
+        return result;
+    }
+    result = files->sync_folder(files->context);
+    return result == 0 ? ERR_OK : fail(store, result, "sync the folder", err);
+}
+
+static void
+add_state(Store *store, uint64_t term, uint32_t vote)
+{
+    store->term = term;
+    store->vote = vote;
+    Record record = {.type = RECORD_STATE, .term = term, .extra = vote};
+    add_record(store, &record);
+}
+
+static void
+add_reset(Store *store, const StoreSnapshot *snapshot)
+{
+    Record record = {
+        .type = RECORD_RESET,
+        .index = snapshot->index,
+        .term = snapshot->term,
+    };
+    add_record(store, &record);
+    Segment *segment = open_segment(store);
+    segment->last_index = MAX(segment->last_index, snapshot->index);
+}
+
+static void
+add_entries(Store *store, const GArray *entries)
+{
+    Segment *segment = open_segment(store);
+    for (guint i = 0; i < entries->len; i++) {
+        const StoreEntry *entry = &g_array_index(entries, StoreEntry, i);
+        gsize length;
+        const uint8_t *payload = g_bytes_get_data(entry->data, &length);
+        Record record = {
+            .type = RECORD_ENTRY,
+            .index = entry->index,
+            .term = entry->term,
+            .extra = entry->kind,
+            .payload = payload,
+            .length = (uint32_t)length,
+        };
+        add_record(store, &record);
+        segment->last_index = MAX(segment->last_index, entry->index);
+    }
+}
+
+static int
+write_snapshot_file(Store *store, const char *name,
+                    const StoreSnapshot *snapshot)
+{
+    const StoreFiles *files = &store->files;
+    gsize length;
+    const uint8_t *payload = g_bytes_get_data(snapshot->data, &length);
+    Record record = {
+        .type = RECORD_SNAPSHOT,
+        .index = snapshot->index,
+        .term = snapshot->term,
+        .payload = payload,
+        .length = (uint32_t)length,
+    };
+    GByteArray *bytes = g_byte_array_new();
+    Record_Write(bytes, &record, snapshot->index, 0);
+    int file = files->open(files->context, name, true);
+    int result = file < 0 ? file : 0;
+    if (result == 0) {
+        result = write_all(store, file, bytes->data, bytes->len, 0);
+    }
+    if (result == 0) {
+        result = files->sync(files->context, file);
+    }
+    if (file >= 0) {
+        files->close(files->context, file);
+    }
+    g_byte_array_unref(bytes);
+    return result;
+}
+
+/* Removes one file at a time, so that no crash leaves a gap. */
+static int
+remove_durably(Store *store, const char *prefix, uint64_t number)
+{
+    const StoreFiles *files = &store->files;
+    char name[STORE_NAME_BYTES];
+    StoreLoad_Name(name, prefix, number);
+    int result = files->remove(files->context, name);
+    return result != 0 ? result : files->sync_folder(files->context);
+}
+
+/* Removes the older snapshot and the segments that the newest covers. */
+static int
+compact(Store *store, uint64_t older_snapshot, Error *err)
 {
-    if (g_mkdir_with_parents(path, FOLDER_MODE) != 0) {
-        return Error_Set(err, ERR_IO, "Cannot make folder %s: %s.", path,
-                         strerror(errno));
+    int result = 0;
+    if (older_snapshot != 0 && older_snapshot != store->snapshot_index) {
+        result = remove_durably(store, STORE_SNAPSHOT_PREFIX, older_snapshot);
     }
+    while (result == 0 && store->segments->len > 1) {
+        Segment oldest = g_array_index(store->segments, Segment, 0);
+        if (oldest.last_index > store->snapshot_index) {
+            break;
+        }
+        result = remove_durably(store, STORE_SEGMENT_PREFIX, oldest.number);
+        g_array_remove_index(store->segments, 0);
+    }
+    return result == 0 ? ERR_OK : fail(store, result, "compact the log", err);
+}
+
+static int
+save_snapshot(Store *store, const StoreSnapshot *snapshot, Error *err)
+{
+    const StoreFiles *files = &store->files;
+    char name[STORE_NAME_BYTES];
+    StoreLoad_Name(name, STORE_SNAPSHOT_PREFIX, snapshot->index);
+    char temporary[STORE_NAME_BYTES + sizeof(STORE_TEMPORARY_SUFFIX)];
+    g_snprintf(temporary, sizeof(temporary), "%s%s", name,
+               STORE_TEMPORARY_SUFFIX);
+    int result = write_snapshot_file(store, temporary, snapshot);
+    if (result == 0) {
+        result = files->rename(files->context, temporary, name);
+    }
+    if (result == 0) {
+        result = files->sync_folder(files->context);
+    }
+    if (result != 0) {
+        return fail(store, result, "save a snapshot", err);
+    }
+    store->snapshot_index = snapshot->index;
     return ERR_OK;
 }
+
+static int
+write_snapshot(Store *store, const StoreBatch *batch, Error *err)
+{
+    uint64_t older = store->snapshot_index;
+    int result = flush_buffer(store, err);
+    if (result == ERR_OK) {
+        result = save_snapshot(store, &batch->snapshot, err);
+    }
+    if (result == ERR_OK && batch->reset) {
+        add_reset(store, &batch->snapshot);
+        result = flush_buffer(store, err);
+    }
+    if (result == ERR_OK) {
+        result = Store_Sync(store, err);
+    }
+    return result == ERR_OK ? compact(store, older, err) : result;
+}
+
+int
+Store_Write(Store *store, const StoreBatch *batch, Error *err)
+{
+    if (store->failed) {
+        return Error_Set(err, ERR_IO, "The disk has failed before.");
+    }
+    int result = ERR_OK;
+    if (store->size > STORE_SEGMENT_BYTES) {
+        result = Store_Sync(store, err);
+        if (result == ERR_OK) {
+            result = start_segment(store, err);
+        }
+    }
+    store->marked = false;
+    if (result == ERR_OK && batch->has_state) {
+        add_state(store, batch->term, batch->vote);
+    }
+    if (result == ERR_OK && batch->snapshot.index != 0) {
+        result = write_snapshot(store, batch, err);
+    }
+    if (result == ERR_OK && batch->entries != NULL) {
+        add_entries(store, batch->entries);
+    }
+    return result == ERR_OK ? flush_buffer(store, err) : result;
+}
+
+static Store *
+refuse(Store *store, StoreImage *image)
+{
+    StoreImage_Clear(image);
+    Store_Close(store);
+    return NULL;
+}
+
+Store *
+Store_Open(const StoreFiles *files, uint32_t replica, uint64_t new_disk_id,
+           StoreImage *image, Error *err)
+{
+    Store *store = g_new0(Store, 1);
+    store->files = *files;
+    store->replica = replica;
+    store->file = -1;
+    store->segments = g_array_new(FALSE, FALSE, sizeof(Segment));
+    store->buffer = g_byte_array_new();
+    *image = (StoreImage){.entries = StoreEntry_NewArray()};
+    if (StoreLoad_Read(store, image, err) != ERR_OK) {
+        return refuse(store, image);
+    }
+    if (image->disk_id == 0) {
+        image->replica = replica;
+        image->disk_id = new_disk_id;
+    }
+    store->disk_id = image->disk_id;
+    store->term = image->term;
+    store->vote = image->vote;
+    int result = start_segment(store, err);
+    if (result == ERR_OK && image->entries->len == 0 &&
+        image->snapshot.index != 0) {
+        add_reset(store, &image->snapshot);
+        result = flush_buffer(store, err);
+    }
+    if (result == ERR_OK) {
+        result = Store_Sync(store, err);
+    }
+    return result == ERR_OK ? store : refuse(store, image);
+}
+
+void
+Store_Close(Store *store)
+{
+    if (store->file >= 0) {
+        Store_MarkSynced(store);
+        store->files.close(store->files.context, store->file);
+    }
+    store->files.free(store->files.context);
+    g_array_unref(store->segments);
+    g_byte_array_unref(store->buffer);
+    g_free(store);
+}
+
+void
+StoreImage_Clear(StoreImage *image)
+{
+    g_clear_pointer(&image->snapshot.data, g_bytes_unref);
+    g_clear_pointer(&image->entries, g_array_unref);
+}
+
+void
+StoreBatch_Clear(StoreBatch *batch)
+{
+    g_clear_pointer(&batch->snapshot.data, g_bytes_unref);
+    g_clear_pointer(&batch->entries, g_array_unref);
+}
