Settings: report the line of an unknown key, and the field of a bad value

Cause: libcyaml places an unknown key at the start of its mapping, so the line shown was the mapping's. The key is now searched from that line on. Checks of values moved to a module of their own.

--- a/src/kernel/settings.c
+++ b/src/kernel/settings.c
@@ -1,17 +1,16 @@
 /** @file
- * Settings: the YAML schema, defaults, and checks that the schema language
- * cannot express.
+ * Settings: the YAML schema, loading and defaults.
  */
 #include "kernel/settings.h"
 
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include <cyaml/cyaml.h>
-#include <event2/util.h>
 #include <glib.h>
 
-#include "kernel/log.h"
+#include "kernel/settings_check.h"
 
 #define DEFAULT_STOP_TIMEOUT_MS 20000
 #define DEFAULT_MAX_BODY_BYTES (4u * 1024 * 1024)
@@ -107,11 +106,12 @@
     CYAML_VALUE_MAPPING(CYAML_FLAG_POINTER, Settings, settings_fields),
 };
 
-/* Collects the library's messages: the first says what is wrong, a later
- * one says where. */
+/* What the library says of a fault. It logs the fault first, then where it
+ * stands, innermost place first. */
 typedef struct LoadReport {
     char what[160];
-    char where[80];
+    char field[64]; /* innermost, with quotes; empty: not known */
+    unsigned line;  /* 0: not known */
 } LoadReport;
 
 static void
@@ -119,118 +119,38 @@
              va_list args)
 {
     LoadReport *report = context;
-    char line[160];
-    vsnprintf(line, sizeof(line), format, args);
-    g_strchomp(line);
-    const char *text = strncmp(line, "Load: ", 6) == 0 ? line + 6 : line;
-    const char *at = strstr(text, "(line:");
-    if (at != NULL && report->where[0] == '\0') {
-        g_strlcpy(report->where, at, sizeof(report->where));
+    char text[200];
+    vsnprintf(text, sizeof(text), format, args);
+    g_strchomp(text);
+    const char *place = strstr(text, "(line: ");
+    if (place != NULL && report->line == 0) {
+        report->line = (unsigned)strtoul(place + strlen("(line: "), NULL, 10);
+        sscanf(text, " in mapping field %63s", report->field);
+    }
+    const char *prefix = "Load: ";
+    if (report->what[0] == '\0' && g_str_has_prefix(text, prefix)) {
+        g_strlcpy(report->what, text + strlen(prefix), sizeof(report->what));
     }
-    if (report->what[0] == '\0' && strcmp(text, "Backtrace:") != 0) {
-        g_strlcpy(report->what, text, sizeof(report->what));
-    }
-}
-
-/* Line of the first occurrence of @p value in the file, or 0. */
-static unsigned
-line_of(const char *path, const char *value)
-{
-    FILE *file = fopen(path, "re");
-    if (file == NULL) {
-        return 0;
-    }
-    char line[512];
-    unsigned number = 0;
-    unsigned found = 0;
-    while (found == 0 && fgets(line, sizeof(line), file) != NULL) {
-        number++;
-        found = strstr(line, value) != NULL ? number : 0;
-    }
-    fclose(file);
-    return found;
 }
 
+/* The library places an unknown key at the start of its mapping; the key
+ * itself stands on that line or a later one. */
 static int
-check_address(const char *path, const char *key, const char *value, Error *err)
+set_load_error(const char *path, const LoadReport *report, Error *err)
 {
-    struct sockaddr_storage storage;
-    int length = sizeof(storage);
-    const char *colon = strrchr(value, ':');
-    if (colon != NULL && atoi(colon + 1) > 0 &&
-        evutil_parse_sockaddr_port(value, (struct sockaddr *)&storage,
-                                   &length) == 0)
-    {
-        return ERR_OK;
-    }
+    const char *unknown = "Unexpected key: ";
+    if (!g_str_has_prefix(report->what, unknown)) {
+        return Error_Set(err, ERR_INVALID, "%s:%u: %s%s%s", path,
+                         report->line == 0 ? 1 : report->line, report->what,
+                         report->field[0] == '\0' ? "" : " near field ",
+                         report->field);
+    }
+    const char *key = report->what + strlen(unknown);
     return Error_Set(err, ERR_INVALID,
-                     "%s:%u: %s: '%s' is no address; expected IP:PORT", path,
-                     line_of(path, value), key, value);
-}
-
-static int
-check_control(const char *path, const Settings *settings, Error *err)
-{
-    bool found = settings->control == NULL;
-    for (unsigned i = 0; i < settings->control_hosts_count; i++) {
-        const SettingsControlHost *host = &settings->control_hosts[i];
-        int result = check_address(path, "address", host->address, err);
-        if (result == ERR_OK) {
-            result = check_address(path, "admin", host->admin, err);
-        }
-        if (result != ERR_OK) {
-            return result;
-        }
-        found = found || host->id == settings->control->id;
-    }
-    if (!found) {
-        return Error_Set(err, ERR_INVALID,
-                         "%s:%u: control: id %u is not in control_hosts", path,
-                         line_of(path, "control:"), settings->control->id);
-    }
-    return ERR_OK;
-}
-
-static int
-check_agent(const char *path, const SettingsAgent *agent, Error *err)
-{
-    int result = check_address(path, "listen", agent->listen, err);
-    if (result == ERR_OK) {
-        result = check_address(path, "http", agent->http, err);
-    }
-    if (result == ERR_OK) {
-        result = check_address(path, "endpoint", agent->endpoint, err);
-    }
-    return result;
-}
-
-static int
-check_settings(const char *path, const Settings *settings, Error *err)
-{
-    LogLevel level;
-    if (settings->log_level != NULL &&
-        Log_ParseLevel(settings->log_level, &level) != ERR_OK)
-    {
-        return Error_Set(err, ERR_INVALID,
-                         "%s:%u: log_level: expected debug, info, warn or "
-                         "error",
-                         path, line_of(path, "log_level"));
-    }
-    int result = check_control(path, settings, err);
-    if (result == ERR_OK && settings->entry != NULL) {
-        result = check_address(path, "http", settings->entry->http, err);
-    }
-    for (unsigned i = 0; result == ERR_OK && i < settings->agents_count; i++) {
-        result = check_agent(path, &settings->agents[i], err);
-    }
-    if (result == ERR_OK && settings->entry == NULL &&
-        settings->control == NULL && settings->agents_count == 0)
-    {
-        return Error_Set(err, ERR_INVALID,
-                         "%s:1: no role; expected entry, agents or control",
-                         path);
-    }
-    return result;
+                     "%s:%u: unknown key '%s'; docs/CONFIGURATION.md lists "
+                     "the keys",
+                     path, SettingsCheck_FindLine(path, key, report->line),
+                     key);
 }
 
 static void
@@ -277,19 +197,19 @@
 Settings_Load(const char *path, Settings **settings, Error *err)
 {
     *settings = NULL;
-    LoadReport report = {.what = "", .where = ""};
+    LoadReport report = {.line = 0};
     cyaml_config_t config = make_config(&report);
     cyaml_data_t *data = NULL;
     cyaml_err_t outcome =
         cyaml_load_file(path, &config, &settings_schema, &data, NULL);
+    if (outcome == CYAML_ERR_FILE_OPEN) {
+        return Error_Set(err, ERR_IO, "%s: cannot be opened", path);
+    }
     if (outcome != CYAML_OK) {
-        const char *what =
-            report.what[0] ? report.what : cyaml_strerror(outcome);
-        return Error_Set(err, ERR_INVALID, "%s: %s %s", path, what,
-                         report.where);
+        return set_load_error(path, &report, err);
     }
     Settings *loaded = (Settings *)data;
-    int result = check_settings(path, loaded, err);
+    int result = SettingsCheck_All(path, loaded, err);
     if (result != ERR_OK) {
         Settings_Free(loaded);
         return result;
@@ -302,7 +222,7 @@
 void
 Settings_Free(Settings *settings)
 {
-    LoadReport report = {.what = "", .where = ""};
+    LoadReport report = {.line = 0};
     cyaml_config_t config = make_config(&report);
     cyaml_free(&config, &settings_schema, settings, 0);
 }
