Stateful fuzzing of the log core against an oracle

Cause: the log core's safety had unit runs only; elections under loss, reordering, frozen hosts, slow and lost disks were not tried.

--- /dev/null
+++ b/scripts/run-fuzz.sh
@@ -0,0 +1,25 @@
+#!/usr/bin/env bash
+# Long fuzz runs under AddressSanitizer, one target after another. The corpus
+# is kept in the build folder and grows from run to run.
+# Usage: run-fuzz.sh [SECONDS_EACH] [TARGET...]
+set -uo pipefail
+cd "$(dirname "$0")/.."
+seconds=${1:-600}
+shift || true
+folder=$(realpath "${BUILD:-build}")/fuzz
+scripts/fuzz-build.sh "$folder" || exit 1
+
+status=0
+while read -r target _ bytes _; do
+    [[ "$target" != \#* ]] || continue
+    [ $# -eq 0 ] || [[ " $* " == *" $target "* ]] || continue
+    corpus=$folder/corpus/$target
+    mkdir -p "$corpus" "$folder/finds/$target"
+    echo "== $target: $seconds s"
+    "$folder/test/fuzz/fuzz_$target" -max_total_time="$seconds" \
+        -max_len="$bytes" -print_final_stats=1 \
+        -artifact_prefix="$folder/finds/$target/" "$corpus" 2>&1 |
+        tail -n 25
+    [ "${PIPESTATUS[0]}" -eq 0 ] || status=1
+done <test/fuzz/runs.txt
+exit $status
--- /dev/null
+++ b/test/fuzz/fuzz.h
@@ -0,0 +1,67 @@
+/** @file
+ * What the fuzz targets share: reading decisions from the input, and ending
+ * the run when the oracle disagrees.
+ */
+#ifndef LAURELLIFT_TEST_FUZZ_FUZZ_H
+#define LAURELLIFT_TEST_FUZZ_FUZZ_H
+
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include <xxhash.h>
+
+/** The decisions of one run: the input's bytes and, when they are used up,
+ * an endless stream that the input determines. Short inputs thus make long
+ * runs. */
+typedef struct FuzzInput {
+    const uint8_t *bytes;
+    size_t length;
+    size_t at;
+    uint64_t stream; /**< State of the generator (splitmix64). */
+} FuzzInput;
+
+static inline FuzzInput
+fuzz_input(const uint8_t *bytes, size_t length)
+{
+    return (FuzzInput){
+        .bytes = bytes,
+        .length = length,
+        .stream = XXH3_64bits(bytes, length),
+    };
+}
+
+static inline uint8_t
+fuzz_byte(FuzzInput *input)
+{
+    if (input->at < input->length) {
+        return input->bytes[input->at++];
+    }
+    input->stream += 0x9e3779b97f4a7c15u;
+    uint64_t value = input->stream;
+    value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9u;
+    value = (value ^ (value >> 27)) * 0x94d049bb133111ebu;
+    return (uint8_t)(value ^ (value >> 31));
+}
+
+/** A decision from 0 to @p limit - 1; 0 for a limit of 0. */
+static inline unsigned
+fuzz_pick(FuzzInput *input, unsigned limit)
+{
+    return limit == 0 ? 0 : fuzz_byte(input) % limit;
+}
+
+/** Ends the run when @p condition is false; libFuzzer keeps the input. */
+#define FUZZ_CHECK(condition, ...)                                            \
+    do {                                                                      \
+        if (!(condition)) {                                                   \
+            fprintf(stderr, "oracle: " __VA_ARGS__);                          \
+            fprintf(stderr, "\n");                                            \
+            abort();                                                          \
+        }                                                                     \
+    } while (0)
+
+int LLVMFuzzerTestOneInput(const uint8_t *bytes, size_t length);
+
+#endif
--- /dev/null
+++ b/test/fuzz/fuzz_log.c
@@ -0,0 +1,247 @@
+/** @file
+ * Fuzz target: several log cores, their disks and a bag of messages. Each
+ * input byte decides what happens next; the oracle stands in log_net.c.
+ */
+#include "fuzz.h"
+#include "log_net.h"
+
+#define EVENTS_PER_RUN 500
+
+/* One kind of event; the table gives the likelier ones more places. */
+typedef enum Event {
+    EVENT_DELIVER,
+    EVENT_DELIVER_ANY,
+    EVENT_DUPLICATE,
+    EVENT_DROP,
+    EVENT_SAVE,
+    EVENT_TICK,
+    EVENT_RUN,
+    EVENT_PROPOSE,
+    EVENT_CONFIRM,
+    EVENT_CRASH,
+    EVENT_RESTART,
+    EVENT_CUT,
+    EVENT_ISOLATE,
+    EVENT_SPLIT,
+    EVENT_HEAL,
+    EVENT_LOSE_DISK,
+    EVENT_FAIL_DISK,
+    EVENT_SLOW_DISK,
+    EVENT_FREEZE,
+    EVENT_POWER_CUT,
+    EVENT_MEMBER,
+    EVENT_HAND_OVER,
+    EVENT_COMPACT,
+} Event;
+
+static const Event events[] = {
+    EVENT_DELIVER,     EVENT_DELIVER,   EVENT_DELIVER,   EVENT_DELIVER,
+    EVENT_DELIVER_ANY, EVENT_DUPLICATE, EVENT_DROP,      EVENT_SAVE,
+    EVENT_SAVE,        EVENT_TICK,      EVENT_TICK,      EVENT_RUN,
+    EVENT_RUN,         EVENT_RUN,       EVENT_RUN,       EVENT_RUN,
+    EVENT_RUN,         EVENT_PROPOSE,   EVENT_PROPOSE,   EVENT_PROPOSE,
+    EVENT_CONFIRM,     EVENT_CONFIRM,   EVENT_CRASH,     EVENT_RESTART,
+    EVENT_RESTART,     EVENT_CUT,       EVENT_ISOLATE,   EVENT_ISOLATE,
+    EVENT_SPLIT,       EVENT_HEAL,      EVENT_HEAL,      EVENT_HEAL,
+    EVENT_LOSE_DISK,   EVENT_FAIL_DISK, EVENT_SLOW_DISK, EVENT_SLOW_DISK,
+    EVENT_FREEZE,      EVENT_FREEZE,    EVENT_POWER_CUT, EVENT_MEMBER,
+    EVENT_HAND_OVER,   EVENT_COMPACT,
+};
+
+/* The leader most of the time, so that proposals count; else any host. */
+static unsigned
+pick_leader(Net *net, FuzzInput *input)
+{
+    unsigned choice = fuzz_byte(input);
+    for (unsigned i = 0; choice >= 64 && i < NET_HOSTS; i++) {
+        unsigned at = (choice + i) % NET_HOSTS;
+        LogView view;
+        if (net->hosts[at].core == NULL) {
+            continue;
+        }
+        LogCore_View(net->hosts[at].core, &view);
+        if (view.leads) {
+            return at;
+        }
+    }
+    return choice % NET_HOSTS;
+}
+
+static void
+isolate(Net *net, unsigned host, bool both_ways)
+{
+    for (unsigned i = 0; i < NET_HOSTS; i++) {
+        net->cut[host][i] = i != host;
+        net->cut[i][host] = i != host && both_ways;
+    }
+}
+
+/* Cuts the hosts into two groups. */
+static void
+split(Net *net, unsigned group)
+{
+    for (unsigned i = 0; i < NET_HOSTS; i++) {
+        for (unsigned k = 0; k < NET_HOSTS; k++) {
+            net->cut[i][k] = ((group >> i) & 1u) != ((group >> k) & 1u);
+        }
+    }
+}
+
+static void
+heal(Net *net)
+{
+    split(net, 0);
+    for (unsigned i = 0; i < NET_HOSTS; i++) {
+        LogView view = {.failed = false};
+        if (net->hosts[i].core != NULL) {
+            LogCore_View(net->hosts[i].core, &view);
+        }
+        if (view.failed) {
+            Net_Crash(net, i);
+        }
+        Net_Start(net, i);
+        net->hosts[i].slow = false;
+        net->hosts[i].frozen = false;
+    }
+}
+
+/* Every host stops at once; each disk keeps what it had got to. */
+static void
+cut_power(Net *net, FuzzInput *input)
+{
+    for (unsigned i = 0; i < NET_HOSTS; i++) {
+        Net_Save(net, i, fuzz_pick(input, 3), false);
+        Net_Crash(net, i);
+    }
+    for (unsigned i = 0; i < NET_HOSTS; i++) {
+        Net_Start(net, i);
+    }
+}
+
+/* What befalls one host. */
+static void
+play_fault(Net *net, FuzzInput *input, Event event)
+{
+    unsigned host = fuzz_pick(input, NET_HOSTS);
+    switch (event) {
+    case EVENT_CRASH:
+        Net_Save(net, host, fuzz_pick(input, 4), false);
+        Net_Crash(net, host);
+        break;
+    case EVENT_RESTART:
+        Net_Save(net, host, fuzz_pick(input, 4), false);
+        Net_Crash(net, host);
+        Net_Start(net, host);
+        break;
+    case EVENT_CUT:
+        net->cut[host][fuzz_pick(input, NET_HOSTS)] = true;
+        break;
+    case EVENT_ISOLATE:
+        isolate(net, host, fuzz_byte(input) & 1);
+        break;
+    case EVENT_SPLIT:
+        split(net, fuzz_byte(input));
+        break;
+    case EVENT_SLOW_DISK:
+        net->hosts[host].slow = !net->hosts[host].slow;
+        break;
+    case EVENT_FREEZE:
+        host = pick_leader(net, input);
+        net->hosts[host].frozen = !net->hosts[host].frozen;
+        break;
+    case EVENT_POWER_CUT:
+        cut_power(net, input);
+        break;
+    case EVENT_LOSE_DISK:
+        Net_LoseDisk(net, host);
+        break;
+    case EVENT_FAIL_DISK:
+        Net_FailDisk(net, host);
+        break;
+    default:
+        heal(net);
+        break;
+    }
+}
+
+/* What a leader is asked to do. */
+static void
+play_request(Net *net, FuzzInput *input, Event event)
+{
+    unsigned host = pick_leader(net, input);
+    unsigned choice;
+    switch (event) {
+    case EVENT_PROPOSE:
+        Net_Propose(net, host);
+        break;
+    case EVENT_CONFIRM:
+        Net_AskConfirm(net, host);
+        break;
+    case EVENT_MEMBER:
+        choice = fuzz_byte(input);
+        Net_ChangeMember(net, host, choice % NET_HOSTS + 1, choice >= 96);
+        break;
+    case EVENT_HAND_OVER:
+        Net_HandOver(net, host);
+        break;
+    default:
+        Net_Compact(net, host);
+        break;
+    }
+}
+
+static void
+play(Net *net, FuzzInput *input, Event event)
+{
+    unsigned host;
+    switch (event) {
+    case EVENT_DELIVER:
+        for (unsigned left = 1 + fuzz_pick(input, 6); left > 0; left--) {
+            Net_Deliver(net, 0, false);
+        }
+        break;
+    case EVENT_DELIVER_ANY:
+        Net_Deliver(net, fuzz_byte(input), false);
+        break;
+    case EVENT_DUPLICATE:
+        Net_Deliver(net, fuzz_byte(input), true);
+        break;
+    case EVENT_DROP:
+        Net_Drop(net, fuzz_byte(input));
+        break;
+    case EVENT_SAVE:
+        host = fuzz_pick(input, NET_HOSTS);
+        Net_Save(net, host, 1 + fuzz_pick(input, 3), true);
+        break;
+    case EVENT_TICK:
+        host = fuzz_pick(input, NET_HOSTS);
+        Net_Tick(net, host, fuzz_byte(input) * 5 * US_PER_MS);
+        break;
+    case EVENT_RUN:
+        Net_Run(net, 1 + fuzz_pick(input, 12));
+        break;
+    case EVENT_PROPOSE:
+    case EVENT_CONFIRM:
+    case EVENT_MEMBER:
+    case EVENT_HAND_OVER:
+    case EVENT_COMPACT:
+        play_request(net, input, event);
+        break;
+    default:
+        play_fault(net, input, event);
+        break;
+    }
+}
+
+int
+LLVMFuzzerTestOneInput(const uint8_t *bytes, size_t length)
+{
+    FuzzInput input = fuzz_input(bytes, length);
+    Net *net = Net_New(fuzz_byte(&input) & 1 ? 3 : 5);
+    for (unsigned i = 0; i < EVENTS_PER_RUN; i++) {
+        unsigned choice = fuzz_pick(&input, G_N_ELEMENTS(events));
+        play(net, &input, events[choice]);
+    }
+    Net_Free(net);
+    return 0;
+}
--- /dev/null
+++ b/test/fuzz/log_net.c
@@ -0,0 +1,575 @@
+/** @file
+ * Hosts of the log core with disks and a bag of messages, and the oracle:
+ * committed entries never change or vanish, one leader a term, one vote a
+ * term from each disk, the same order of applying, and no confirmed read
+ * that misses what was committed before it was asked.
+ */
+#include "log_net.h"
+
+#include <string.h>
+
+#include "fuzz.h"
+
+#define ROUND_US (50 * US_PER_MS)
+#define DIGEST_FACTOR 0x100000001b3u
+
+static uint64_t
+mix(uint64_t digest, const StoreEntry *entry)
+{
+    gsize length;
+    const uint8_t *bytes = g_bytes_get_data(entry->data, &length);
+    digest = (digest ^ entry->index) * DIGEST_FACTOR;
+    digest = (digest ^ entry->term) * DIGEST_FACTOR;
+    digest = (digest ^ entry->kind) * DIGEST_FACTOR;
+    for (gsize i = 0; i < length; i++) {
+        digest = (digest ^ bytes[i]) * DIGEST_FACTOR;
+    }
+    return digest;
+}
+
+static void
+free_batch(gpointer data)
+{
+    StoreBatch_Clear(data);
+    g_free(data);
+}
+
+static void
+free_message(gpointer data)
+{
+    LogMessage_Clear(data);
+    g_free(data);
+}
+
+static uint64_t
+highest_term(const Net *net)
+{
+    uint64_t term = 0;
+    for (unsigned i = 0; i < NET_HOSTS; i++) {
+        if (net->hosts[i].core != NULL) {
+            LogView view;
+            LogCore_View(net->hosts[i].core, &view);
+            term = MAX(term, view.term);
+        }
+    }
+    return term;
+}
+
+/* ---- The oracle ---- */
+
+static void
+check_fact(Net *net, const NetHost *host, uint64_t index)
+{
+    const StoreEntry *entry = LogCore_Entry(host->core, index);
+    if (entry == NULL) {
+        return; /* in the snapshot; its digest is compared on restore */
+    }
+    if (index > net->facts->len) {
+        FUZZ_CHECK(index == net->facts->len + 1, "gap before %lu", index);
+        uint64_t before =
+            index == 1 ? 0
+                       : g_array_index(net->facts, NetFact, index - 2).digest;
+        NetFact fact = {
+            .term = entry->term,
+            .digest = mix(before, entry),
+            .seen_term = highest_term(net),
+            .is_config = entry->kind == LOG_ENTRY_MEMBERS,
+        };
+        if (fact.is_config) {
+            LogConfig_Unpack(entry->data, &fact.config);
+        }
+        g_array_append_val(net->facts, fact);
+        return;
+    }
+    const NetFact *fact = &g_array_index(net->facts, NetFact, index - 1);
+    FUZZ_CHECK(fact->term == entry->term,
+               "host %u commits index %lu of term %lu, not of %lu", host->id,
+               index, entry->term, fact->term);
+}
+
+/* A leader holds all that was committed before its term. */
+static void
+check_leader(Net *net, const NetHost *host, const LogView *view)
+{
+    uint64_t self = ((uint64_t)host->id << 32) | host->disk.disk_id;
+    gpointer key = GSIZE_TO_POINTER(view->term);
+    uint64_t known = GPOINTER_TO_SIZE(g_hash_table_lookup(net->leaders, key));
+    FUZZ_CHECK(known == 0 || known == self, "two leaders in term %lu",
+               view->term);
+    if (known != 0) {
+        return;
+    }
+    g_hash_table_insert(net->leaders, key, GSIZE_TO_POINTER(self));
+    for (uint64_t i = view->snapshot_index + 1; i <= net->facts->len; i++) {
+        const NetFact *fact = &g_array_index(net->facts, NetFact, i - 1);
+        const StoreEntry *entry = LogCore_Entry(host->core, i);
+        FUZZ_CHECK(fact->seen_term >= view->term ||
+                       (entry != NULL && entry->term == fact->term),
+                   "leader of term %lu lacks committed index %lu", view->term,
+                   i);
+    }
+}
+
+static void
+check_confirm(Net *net, NetHost *host, const LogView *view)
+{
+    if (host->ticket == 0) {
+        return;
+    }
+    if (!view->leads || view->term != host->ticket_term) {
+        host->ticket = 0;
+        return;
+    }
+    if (LogCore_Confirmed(host->core, host->ticket)) {
+        FUZZ_CHECK(host->applied >= host->ticket_committed,
+                   "confirmed read at %lu misses index %lu", host->applied,
+                   host->ticket_committed);
+        host->ticket = 0;
+    }
+}
+
+static void
+check_vote(Net *net, const LogMessage *message)
+{
+    if (message->type != LOG_VOTE_REPLY || message->pre_vote ||
+        !message->success) {
+        return;
+    }
+    char *key = g_strdup_printf("%lu %lu", message->from_disk, message->term);
+    unsigned known = GPOINTER_TO_UINT(g_hash_table_lookup(net->votes, key));
+    FUZZ_CHECK(known == 0 || known == message->to,
+               "host %u votes twice in term %lu", message->from,
+               message->term);
+    g_hash_table_insert(net->votes, key, GUINT_TO_POINTER(message->to));
+}
+
+static void
+restore(Net *net, NetHost *host, const StoreSnapshot *snapshot)
+{
+    LogConfig config;
+    GBytes *state = NULL;
+    int result = LogConfig_UnpackSnapshot(snapshot->data, &config, &state);
+    FUZZ_CHECK(result == ERR_OK, "snapshot cannot be read");
+    memcpy(&host->digest, g_bytes_get_data(state, NULL), sizeof(host->digest));
+    g_bytes_unref(state);
+    host->applied = snapshot->index;
+    FUZZ_CHECK(
+        snapshot->index <= net->facts->len &&
+            host->digest ==
+                g_array_index(net->facts, NetFact, snapshot->index - 1).digest,
+        "snapshot of index %lu differs", snapshot->index);
+}
+
+static void
+apply_all(Net *net, NetHost *host)
+{
+    const StoreEntry *entry;
+    const StoreSnapshot *snapshot;
+    for (;;) {
+        switch (LogCore_NextApply(host->core, &entry, &snapshot)) {
+        case LOG_APPLY_NONE:
+            return;
+        case LOG_APPLY_SNAPSHOT:
+            restore(net, host, snapshot);
+            break;
+        case LOG_APPLY_ENTRY:
+            FUZZ_CHECK(entry->index == host->applied + 1, "order of applying");
+            host->digest = mix(host->digest, entry);
+            host->applied = entry->index;
+            FUZZ_CHECK(host->digest ==
+                           g_array_index(net->facts, NetFact, entry->index - 1)
+                               .digest,
+                       "host %u applies another entry at %lu", host->id,
+                       entry->index);
+            break;
+        }
+    }
+}
+
+/* Takes what a host has to give and holds it against the oracle. */
+static void
+settle(Net *net, NetHost *host)
+{
+    if (host->core == NULL) {
+        return;
+    }
+    LogCore_Flush(host->core, net->now);
+    StoreBatch batch;
+    while (LogCore_TakeBatch(host->core, &batch)) {
+        g_ptr_array_add(host->disk.batches, g_memdup2(&batch, sizeof(batch)));
+    }
+    LogMessage message;
+    while (LogCore_TakeMessage(host->core, &message)) {
+        check_vote(net, &message);
+        if (net->bag->len >= NET_BAG_MAX) {
+            LogMessage_Clear(&message);
+            continue;
+        }
+        g_ptr_array_add(net->bag, g_memdup2(&message, sizeof(message)));
+    }
+    LogView view;
+    LogCore_View(host->core, &view);
+    while (host->checked < view.commit) {
+        check_fact(net, host, ++host->checked);
+    }
+    if (view.leads) {
+        check_leader(net, host, &view);
+    }
+    apply_all(net, host);
+    check_confirm(net, host, &view);
+}
+
+/* ---- Hosts and disks ---- */
+
+static void
+new_disk(Net *net, NetHost *host)
+{
+    NetDisk *disk = &host->disk;
+    StoreImage_Clear(&disk->image);
+    g_clear_pointer(&disk->batches, g_ptr_array_unref);
+    disk->disk_id = net->next_disk++;
+    disk->image = (StoreImage){.entries = StoreEntry_NewArray()};
+    disk->batches = g_ptr_array_new_with_free_func(free_batch);
+}
+
+void
+Net_Start(Net *net, unsigned index)
+{
+    NetHost *host = &net->hosts[index];
+    if (host->core != NULL) {
+        return;
+    }
+    LogCoreSpec spec = {
+        .id = host->id,
+        .disk_id = host->disk.disk_id,
+        .timing = {.heartbeat = 100 * US_PER_MS,
+                   .election = 500 * US_PER_MS,
+                   .replace = 2 * US_PER_S},
+        .seed = (uint32_t)(host->id * 1000 + net->now % 977),
+        .now = net->now,
+        .image = &host->disk.image,
+    };
+    Error err = ERROR_INIT;
+    host->core = LogCore_New(&spec, &err);
+    FUZZ_CHECK(host->core != NULL, "core cannot start: %s", err.text);
+    host->checked = 0;
+    host->applied = 0;
+    host->digest = 0;
+    host->ticket = 0;
+    host->frozen = false;
+    settle(net, host);
+}
+
+void
+Net_Crash(Net *net, unsigned index)
+{
+    NetHost *host = &net->hosts[index];
+    if (host->core != NULL) {
+        LogCore_Free(host->core);
+        host->core = NULL;
+    }
+    g_ptr_array_set_size(host->disk.batches, 0);
+}
+
+static void
+drop_covered(StoreImage *image, const StoreSnapshot *snapshot)
+{
+    GArray *entries = image->entries;
+    uint64_t base = image->snapshot.index;
+    uint64_t covered = snapshot->index - base;
+    g_array_remove_range(entries, 0, (guint)MIN(covered, entries->len));
+}
+
+static void
+write_batch(StoreImage *image, const StoreBatch *batch)
+{
+    if (batch->has_state) {
+        image->term = batch->term;
+        image->vote = batch->vote;
+    }
+    if (batch->snapshot.index != 0) {
+        if (batch->reset) {
+            g_array_set_size(image->entries, 0);
+        }
+        else {
+            drop_covered(image, &batch->snapshot);
+        }
+        g_clear_pointer(&image->snapshot.data, g_bytes_unref);
+        image->snapshot = batch->snapshot;
+        g_bytes_ref(image->snapshot.data);
+    }
+    for (guint i = 0; batch->entries != NULL && i < batch->entries->len; i++) {
+        const StoreEntry *entry =
+            &g_array_index(batch->entries, StoreEntry, i);
+        uint64_t place = entry->index - image->snapshot.index - 1;
+        FUZZ_CHECK(place <= image->entries->len, "gap in a saved log");
+        g_array_set_size(image->entries, (guint)place);
+        StoreEntry_Append(image->entries, entry);
+    }
+}
+
+void
+Net_Save(Net *net, unsigned index, unsigned count, bool told)
+{
+    NetHost *host = &net->hosts[index];
+    uint64_t sequence = 0;
+    while (count-- > 0 && host->disk.batches->len > 0) {
+        StoreBatch *batch = host->disk.batches->pdata[0];
+        sequence = batch->sequence;
+        write_batch(&host->disk.image, batch);
+        g_ptr_array_remove_index(host->disk.batches, 0);
+    }
+    if (sequence != 0 && told && host->core != NULL) {
+        LogCore_Saved(host->core, sequence, net->now);
+        settle(net, host);
+    }
+}
+
+static bool
+keeps_majority(const Net *net, const LogConfig *config, unsigned lost)
+{
+    unsigned kept = 0;
+    for (unsigned i = 0; i < config->count; i++) {
+        const LogMember *member = &config->members[i];
+        const NetHost *host = &net->hosts[member->id - 1];
+        kept += !member->learner && member->id - 1 != lost &&
+                host->disk.disk_id == member->disk_id;
+    }
+    return kept > LogConfig_VoterCount(config) / 2;
+}
+
+/* Whether every membership that may still decide keeps a majority. */
+static bool
+may_lose(const Net *net, unsigned lost)
+{
+    uint64_t newest = 0;
+    for (uint64_t i = net->facts->len; i > 0 && newest == 0; i--) {
+        const NetFact *fact = &g_array_index(net->facts, NetFact, i - 1);
+        if (fact->is_config) {
+            newest = i;
+            if (!keeps_majority(net, &fact->config, lost)) {
+                return false;
+            }
+        }
+    }
+    for (unsigned i = 0; i < NET_HOSTS; i++) {
+        if (net->hosts[i].core == NULL) {
+            return false;
+        }
+        LogView view;
+        LogCore_View(net->hosts[i].core, &view);
+        if (view.config_index >= newest && view.config->count > 0 &&
+            !keeps_majority(net, view.config, lost))
+        {
+            return false;
+        }
+    }
+    return newest != 0;
+}
+
+void
+Net_LoseDisk(Net *net, unsigned index)
+{
+    if (!may_lose(net, index)) {
+        return;
+    }
+    Net_Crash(net, index);
+    new_disk(net, &net->hosts[index]);
+    Net_Start(net, index);
+}
+
+void
+Net_FailDisk(Net *net, unsigned index)
+{
+    NetHost *host = &net->hosts[index];
+    if (host->core != NULL) {
+        LogCore_DiskFailed(host->core);
+        g_ptr_array_set_size(host->disk.batches, 0);
+        settle(net, host);
+    }
+}
+
+/* ---- What happens ---- */
+
+void
+Net_Tick(Net *net, unsigned index, TimeUs span)
+{
+    net->now += span;
+    NetHost *host = &net->hosts[index];
+    if (host->core == NULL) {
+        return;
+    }
+    for (unsigned i = 0; i < NET_HOSTS; i++) {
+        if (i != index && net->hosts[i].core != NULL && !net->cut[i][index]) {
+            LogCore_Met(host->core, net->hosts[i].id,
+                        net->hosts[i].disk.disk_id, net->now);
+        }
+    }
+    LogCore_Tick(host->core, net->now);
+    settle(net, host);
+}
+
+void
+Net_Deliver(Net *net, unsigned at, bool keep)
+{
+    if (net->bag->len == 0) {
+        return;
+    }
+    LogMessage *message = net->bag->pdata[at % net->bag->len];
+    NetHost *host = &net->hosts[message->to - 1];
+    if (host->core != NULL && !net->cut[message->from - 1][message->to - 1]) {
+        LogCore_Receive(host->core, message, net->now);
+    }
+    if (!keep) {
+        g_ptr_array_remove_index(net->bag, at % net->bag->len);
+    }
+    settle(net, host);
+}
+
+void
+Net_Drop(Net *net, unsigned at)
+{
+    if (net->bag->len > 0) {
+        g_ptr_array_remove_index(net->bag, at % net->bag->len);
+    }
+}
+
+void
+Net_Propose(Net *net, unsigned index)
+{
+    NetHost *host = &net->hosts[index];
+    if (host->core == NULL) {
+        return;
+    }
+    uint64_t number = net->next_command++;
+    GBytes *command = g_bytes_new(&number, sizeof(number));
+    LogCore_Propose(host->core, command);
+    g_bytes_unref(command);
+    settle(net, host);
+}
+
+void
+Net_AskConfirm(Net *net, unsigned index)
+{
+    NetHost *host = &net->hosts[index];
+    if (host->core == NULL || host->ticket != 0) {
+        return;
+    }
+    LogView view;
+    LogCore_View(host->core, &view);
+    host->ticket = LogCore_AskConfirm(host->core);
+    host->ticket_term = view.term;
+    host->ticket_committed = net->facts->len;
+    settle(net, host);
+}
+
+void
+Net_HandOver(Net *net, unsigned index)
+{
+    NetHost *host = &net->hosts[index];
+    if (host->core != NULL) {
+        LogCore_HandOver(host->core, net->now);
+        settle(net, host);
+    }
+}
+
+void
+Net_ChangeMember(Net *net, unsigned index, uint32_t id, bool add)
+{
+    NetHost *host = &net->hosts[index];
+    if (host->core == NULL) {
+        return;
+    }
+    Error err = ERROR_INIT;
+    LogCore_ChangeMember(host->core, id, net->hosts[id - 1].disk.disk_id,
+                         add ? "127.0.0.1:1" : NULL, &err);
+    settle(net, host);
+}
+
+void
+Net_Compact(Net *net, unsigned index)
+{
+    NetHost *host = &net->hosts[index];
+    if (host->core == NULL) {
+        return;
+    }
+    GBytes *state = g_bytes_new(&host->digest, sizeof(host->digest));
+    LogCore_Compact(host->core, state);
+    g_bytes_unref(state);
+    settle(net, host);
+}
+
+/* Delivers once what is in the bag; what is for a frozen host waits. */
+static void
+deliver_all(Net *net)
+{
+    guint waiting = 0;
+    for (guint left = net->bag->len; left > 0; left--) {
+        const LogMessage *message = net->bag->pdata[waiting];
+        if (net->hosts[message->to - 1].frozen) {
+            waiting++;
+            continue;
+        }
+        Net_Deliver(net, waiting, false);
+    }
+}
+
+void
+Net_Run(Net *net, unsigned rounds)
+{
+    for (unsigned round = 0; round < rounds; round++) {
+        for (unsigned i = 0; i < NET_HOSTS; i++) {
+            if (!net->hosts[i].frozen) {
+                Net_Tick(net, i, ROUND_US / NET_HOSTS);
+            }
+        }
+        for (unsigned burst = 0; burst < 4; burst++) {
+            deliver_all(net);
+            for (unsigned i = 0; i < NET_HOSTS; i++) {
+                bool works = !net->hosts[i].slow && !net->hosts[i].frozen;
+                Net_Save(net, i, works ? UINT32_MAX : 0, true);
+            }
+        }
+    }
+}
+
+Net *
+Net_New(unsigned voters)
+{
+    Net *net = g_new0(Net, 1);
+    net->voters = voters;
+    net->next_disk = 100;
+    net->now = US_PER_S;
+    net->bag = g_ptr_array_new_with_free_func(free_message);
+    net->facts = g_array_new(FALSE, FALSE, sizeof(NetFact));
+    net->leaders = g_hash_table_new(NULL, NULL);
+    net->votes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    LogConfig config = {.count = 0};
+    for (unsigned i = 0; i < NET_HOSTS; i++) {
+        net->hosts[i].id = i + 1;
+        new_disk(net, &net->hosts[i]);
+        Net_Start(net, i);
+        if (i < voters) {
+            config.members[config.count++] = (LogMember){
+                .id = i + 1, .disk_id = net->hosts[i].disk.disk_id};
+        }
+    }
+    LogCore_Found(net->hosts[0].core, &config, net->now);
+    settle(net, &net->hosts[0]);
+    return net;
+}
+
+void
+Net_Free(Net *net)
+{
+    for (unsigned i = 0; i < NET_HOSTS; i++) {
+        Net_Crash(net, i);
+        StoreImage_Clear(&net->hosts[i].disk.image);
+        g_ptr_array_unref(net->hosts[i].disk.batches);
+    }
+    g_ptr_array_unref(net->bag);
+    g_array_unref(net->facts);
+    g_hash_table_destroy(net->leaders);
+    g_hash_table_destroy(net->votes);
+    g_free(net);
+}
--- a/test/unit/log_host.c
+++ b/test/unit/log_host.c
@@ -18,8 +18,8 @@
     struct sockaddr_in address = {.sin_family = AF_INET,
                                   .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
     socklen_t length = sizeof(address);
-    bind(fd, (struct sockaddr *)&address, length);
-    getsockname(fd, (struct sockaddr *)&address, &length);
+    INVARIANT(bind(fd, (struct sockaddr *)&address, length) == 0);
+    INVARIANT(getsockname(fd, (struct sockaddr *)&address, &length) == 0);
     close(fd);
     return ntohs(address.sin_port);
 }
