Load tool and checker of both sides' records

The load tool sends an open-loop mix and records what callers were told; the checker compares it with what endpoints ran and reports doubled runs, cut or foreign answers, false not_run and refusals without Retry-After.

--- /dev/null
+++ b/test/fakes/caller.c
@@ -0,0 +1,223 @@
+/** @file
+ * A caller's requests over HTTP: bodies with a tag, answers checked for
+ * being whole and the caller's own.
+ */
+#include "caller.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <jansson.h>
+
+static const char *const kind_names[] = {
+    [CALL_DRAFT] = "draft",
+    [CALL_LOOKUP] = "lookup",
+    [CALL_FILING] = "filing",
+};
+
+const char *
+Caller_KindName(CallKind kind)
+{
+    return kind_names[kind];
+}
+
+int64_t
+Caller_Now(void)
+{
+    return g_get_monotonic_time();
+}
+
+/* The tag names a draft's attempt, so that a second run shows; a filing's
+ * resends carry the same tag, so that a second run shows as well. */
+static void
+write_tag(const Call *call, char *tag, size_t size)
+{
+    if (call->kind == CALL_FILING) {
+        g_snprintf(tag, size, "tag-%u", call->number);
+        return;
+    }
+    g_snprintf(tag, size, "tag-%u-%u", call->number, call->attempt);
+}
+
+/* Whole: a draft ends with its last event, any answer holds the tag. */
+static bool
+is_whole(const Call *call)
+{
+    char tag[48];
+    write_tag(call, tag, sizeof(tag));
+    if (strstr(call->answer->str, tag) == NULL) {
+        return false;
+    }
+    return call->kind != CALL_DRAFT ||
+           g_str_has_suffix(call->answer->str, "data: [DONE]\n\n");
+}
+
+static const char *
+outcome_name(const char *text)
+{
+    static const char *const names[] = {"ran", "not_run", "unknown"};
+    for (size_t i = 0; text != NULL && i < G_N_ELEMENTS(names); i++) {
+        if (strcmp(text, names[i]) == 0) {
+            return names[i];
+        }
+    }
+    return "broken";
+}
+
+static CallOutcome
+judge(const Call *call, struct evhttp_request *request)
+{
+    CallOutcome outcome = {.outcome = "broken", .retry_after_s = -1};
+    if (request == NULL || evhttp_request_get_response_code(request) == 0) {
+        return outcome;
+    }
+    outcome.status = evhttp_request_get_response_code(request);
+    const char *retry = evhttp_find_header(
+        evhttp_request_get_input_headers(request), "Retry-After");
+    if (retry != NULL) {
+        outcome.retry_after_s = atoi(retry);
+    }
+    if (outcome.status == 200) {
+        outcome.outcome = "ran";
+        outcome.whole = is_whole(call);
+        return outcome;
+    }
+    json_t *json = json_loads(call->answer->str, 0, NULL);
+    const json_t *error = json_object_get(json, "error");
+    outcome.outcome =
+        outcome_name(json_string_value(json_object_get(error, "outcome")));
+    json_decref(json);
+    return outcome;
+}
+
+static void
+record(const CallerTool *tool, const Call *call, const CallOutcome *outcome)
+{
+    FILE *file = tool->record == NULL ? NULL : fopen(tool->record, "ae");
+    if (file == NULL) {
+        return;
+    }
+    char tag[48];
+    write_tag(call, tag, sizeof(tag));
+    fprintf(file,
+            "{\"tag\":\"%s\",\"kind\":\"%s\",\"tier\":%u,\"attempt\":%u,"
+            "\"status\":%d,\"outcome\":\"%s\",\"whole\":%s,"
+            "\"retry_after_s\":%d,\"ms\":%.1f}\n",
+            tag, kind_names[call->kind], call->tier, call->attempt,
+            outcome->status, outcome->outcome,
+            outcome->whole ? "true" : "false", outcome->retry_after_s,
+            (double)(Caller_Now() - call->sent_us) / 1000);
+    fclose(file);
+}
+
+static void
+take_answer(Call *call, struct evhttp_request *request)
+{
+    struct evbuffer *in = evhttp_request_get_input_buffer(request);
+    size_t length = evbuffer_get_length(in);
+    if (length == 0) {
+        return;
+    }
+    if (call->first_us == 0) {
+        call->first_us = Caller_Now();
+    }
+    g_string_append_len(call->answer, (char *)evbuffer_pullup(in, -1),
+                        (gssize)length);
+    evbuffer_drain(in, length);
+}
+
+static void
+on_chunk(struct evhttp_request *request, void *arg)
+{
+    take_answer(arg, request);
+}
+
+static void
+on_done(struct evhttp_request *request, void *arg)
+{
+    Call *call = arg;
+    CallerTool *tool = call->tool;
+    if (request != NULL) {
+        take_answer(call, request);
+    }
+    CallOutcome outcome = judge(call, request);
+    record(tool, call, &outcome);
+    if (tool->done(tool, call, &outcome)) {
+        return;
+    }
+    g_string_free(call->answer, TRUE);
+    g_free(call);
+}
+
+static void
+add_headers(const CallerTool *tool, const Call *call,
+            struct evkeyvalq *headers)
+{
+    char text[64];
+    evhttp_add_header(headers, "Host", "entry");
+    evhttp_add_header(headers, "Connection", "close");
+    char *bearer = g_strdup_printf("Bearer %s", tool->key);
+    evhttp_add_header(headers, "Authorization", bearer);
+    g_free(bearer);
+    g_snprintf(text, sizeof(text), "%u", call->tier);
+    evhttp_add_header(headers, "X-Laurellift-Tier", text);
+    g_snprintf(text, sizeof(text), "%d", tool->deadline_ms);
+    evhttp_add_header(headers, "X-Laurellift-Deadline-Ms", text);
+    if (call->kind == CALL_FILING) {
+        g_snprintf(text, sizeof(text), "filing-%u", call->number);
+        evhttp_add_header(headers, "Idempotency-Key", text);
+    }
+}
+
+static void
+write_draft(const Call *call, const char *tag, struct evbuffer *body)
+{
+    char *padding = g_strnfill(call->prompt_bytes, 'x');
+    evbuffer_add_printf(body,
+                        "{\"model\":\"draft-large\",\"stream\":true,"
+                        "\"max_tokens\":%u,\"messages\":[{\"role\":\"user\","
+                        "\"content\":\"%s %s\"}]}",
+                        call->tokens, tag, padding);
+    g_free(padding);
+}
+
+void
+Caller_Send(CallerTool *tool, Call *call)
+{
+    call->tool = tool;
+    call->attempt++;
+    call->sent_us = Caller_Now();
+    call->first_us = 0;
+    if (call->answer == NULL) {
+        call->answer = g_string_new(NULL);
+    }
+    g_string_truncate(call->answer, 0);
+    guint which = (call->number + call->attempt) % tool->entries->len;
+    const Address *entry = g_ptr_array_index(tool->entries, which);
+    struct evhttp_connection *connection =
+        evhttp_connection_base_new(tool->base, NULL, entry->host, entry->port);
+    evhttp_connection_free_on_completion(connection);
+    struct evhttp_request *request = evhttp_request_new(on_done, call);
+    evhttp_request_set_chunked_cb(request, on_chunk);
+    add_headers(tool, call, evhttp_request_get_output_headers(request));
+    struct evbuffer *body = evhttp_request_get_output_buffer(request);
+    char tag[48];
+    write_tag(call, tag, sizeof(tag));
+    if (call->kind == CALL_DRAFT) {
+        write_draft(call, tag, body);
+        evhttp_make_request(connection, request, EVHTTP_REQ_POST,
+                            "/v1/chat/completions");
+    }
+    else if (call->kind == CALL_FILING) {
+        evbuffer_add_printf(body, "%s", tag);
+        evhttp_make_request(connection, request, EVHTTP_REQ_POST, "/orders");
+    }
+    else {
+        char *path = g_strdup_printf("/orders/%s", tag);
+        evhttp_make_request(connection, request, EVHTTP_REQ_GET, path);
+        g_free(path);
+    }
+}
--- a/test/fakes/fake_engine.c
+++ b/test/fakes/fake_engine.c
@@ -16,6 +16,7 @@
     gchar *model;
     gint token_ms;   /* decode time of one token */
     gint prefill_ms; /* time to the first token */
+    gboolean echo;   /* the first word is the prompt's first word */
     gchar *crash_on; /* a prompt that holds this text kills the engine */
 } Engine;
 
@@ -27,12 +28,14 @@
     int tokens;
     int sent;
     GString *text;
+    char *first_word; /* NULL: word0 */
 } Stream;
 
 static void
 free_stream(Stream *stream)
 {
     event_free(stream->next);
+    g_free(stream->first_word);
     g_string_free(stream->text, TRUE);
     g_free(stream);
 }
@@ -55,15 +58,27 @@
     event_add(stream->next, &delay);
 }
 
+static void
+write_word(const Stream *stream, char *word, size_t size)
+{
+    if (stream->sent == 0 && stream->first_word != NULL) {
+        g_strlcpy(word, stream->first_word, size);
+        return;
+    }
+    g_snprintf(word, size, "word%d", stream->sent);
+}
+
 static void
 send_token(Stream *stream)
 {
     struct evbuffer *out = evbuffer_new();
+    char word[64];
+    write_word(stream, word, sizeof(word));
     evbuffer_add_printf(
         out,
         "data: {\"object\":\"chat.completion.chunk\",\"choices\":[{"
-        "\"index\":0,\"delta\":{\"content\":\"word%d \"}}]}\n\n",
-        stream->sent);
+        "\"index\":0,\"delta\":{\"content\":\"%s \"}}]}\n\n",
+        word);
     evhttp_send_reply_chunk(stream->request, out);
     evbuffer_free(out);
 }
@@ -106,11 +121,27 @@
     if (stream->streamed) {
         send_token(stream);
     }
-    g_string_append_printf(stream->text, "word%d ", stream->sent);
+    char word[64];
+    write_word(stream, word, sizeof(word));
+    g_string_append_printf(stream->text, "%s ", word);
     stream->sent++;
     schedule(stream, stream->engine->token_ms);
 }
 
+/* First word of the first message's content; free with g_free. */
+static char *
+first_word_of(const json_t *body)
+{
+    const json_t *messages = json_object_get(body, "messages");
+    const json_t *content =
+        json_object_get(json_array_get(messages, 0), "content");
+    const char *text = json_string_value(content);
+    if (text == NULL) {
+        return NULL;
+    }
+    return g_strndup(text, strcspn(text, " \n"));
+}
+
 static void
 start_stream(Engine *engine, struct evhttp_request *request,
              const json_t *body)
@@ -122,6 +153,9 @@
     json_int_t most = json_integer_value(json_object_get(body, "max_tokens"));
     stream->tokens = most > 0 ? (int)most : DEFAULT_TOKENS;
     stream->text = g_string_new(NULL);
+    if (engine->echo) {
+        stream->first_word = first_word_of(body);
+    }
     stream->next = event_new(engine->fake.base, -1, 0, on_token, stream);
     evhttp_connection_set_closecb(evhttp_request_get_connection(request),
                                   on_closed, stream);
@@ -167,6 +201,8 @@
          "Time of one token", "MS"},
         {"prefill-ms", 0, 0, G_OPTION_ARG_INT, &engine.prefill_ms,
          "Time to the first token", "MS"},
+        {"echo", 0, 0, G_OPTION_ARG_NONE, &engine.echo,
+         "The first word is the prompt's first word", NULL},
         {"crash-on", 0, 0, G_OPTION_ARG_STRING, &engine.crash_on,
          "Crash on prompts with this text", "TEXT"},
         {NULL},
--- a/test/fakes/fake_service.c
+++ b/test/fakes/fake_service.c
@@ -12,6 +12,7 @@
     Fake fake;
     gchar *name;
     gint delay_ms;
+    gboolean echo; /* answers carry what was asked */
     unsigned ran;
 } Service;
 
@@ -19,6 +20,7 @@
     Service *service;
     struct evhttp_request *request;
     unsigned number;
+    char *asked; /* path and body */
 } Call;
 
 static void
@@ -26,12 +28,17 @@
 {
     Call *call = arg;
     struct evbuffer *out = evbuffer_new();
-    evbuffer_add_printf(out, "{\"service\":\"%s\",\"number\":%u}\n",
+    evbuffer_add_printf(out, "{\"service\":\"%s\",\"number\":%u",
                         call->service->name, call->number);
+    if (call->service->echo) {
+        evbuffer_add_printf(out, ",\"asked\":\"%s\"", call->asked);
+    }
+    evbuffer_add_printf(out, "}\n");
     evhttp_add_header(evhttp_request_get_output_headers(call->request),
                       "Content-Type", "application/json");
     evhttp_send_reply(call->request, 200, "OK", out);
     evbuffer_free(out);
+    g_free(call->asked);
     g_free(call);
 }
 
@@ -46,8 +53,9 @@
     struct evbuffer *in = evhttp_request_get_input_buffer(request);
     size_t length = evbuffer_get_length(in);
     const char *body = (const char *)evbuffer_pullup(in, -1);
-    Fake_Record(&service->fake, "ran %s %.*s", evhttp_request_get_uri(request),
-                (int)length, body == NULL ? "" : body);
+    call->asked = g_strdup_printf("%s %.*s", evhttp_request_get_uri(request),
+                                  (int)length, body == NULL ? "" : body);
+    Fake_Record(&service->fake, "ran %s", call->asked);
     struct timeval delay = {
         .tv_sec = service->delay_ms / 1000,
         .tv_usec = (service->delay_ms % 1000) * 1000,
@@ -63,6 +71,8 @@
         {"name", 0, 0, G_OPTION_ARG_STRING, &service.name, "Service", "NAME"},
         {"delay-ms", 0, 0, G_OPTION_ARG_INT, &service.delay_ms,
          "Time of one request", "MS"},
+        {"echo", 0, 0, G_OPTION_ARG_NONE, &service.echo,
+         "Answers carry what was asked", NULL},
         {NULL},
     };
     Fake_ReadOptions(&service.fake, argc, argv, own);
--- /dev/null
+++ b/test/fakes/load.c
@@ -0,0 +1,264 @@
+/** @file
+ * Load tool: sends an open-loop mix of drafts, lookups and filings to
+ * entries, resends filings whose outcome is open, and prints goodput and
+ * latency by tier. It ends by itself.
+ */
+#include "caller.h"
+
+#include <math.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define TIERS 4
+#define DRAIN_S 15
+#define RESEND_DELAY_MS 300
+
+typedef struct TierFigures {
+    uint32_t offered;
+    uint32_t good; /* whole, by the deadline */
+    uint32_t refused;
+    uint32_t other;
+    GArray *latency_ms; /* of good ones */
+    GArray *first_ms;
+} TierFigures;
+
+typedef struct Load {
+    CallerTool tool;
+    gdouble rate;
+    gint seconds;
+    gint seed;
+    gint draft_percent;
+    gint filing_percent;
+    gint tokens;
+    gint first_number;
+    GRand *random;
+    struct event *next;
+    int64_t end_us;
+    uint32_t number;
+    uint32_t open;
+    TierFigures tiers[TIERS];
+} Load;
+
+static void
+count(Load *load, const Call *call, const CallOutcome *outcome)
+{
+    TierFigures *tier = &load->tiers[call->tier];
+    double ms = (double)(Caller_Now() - call->sent_us) / 1000;
+    if (outcome->whole && ms <= load->tool.deadline_ms) {
+        tier->good++;
+        g_array_append_val(tier->latency_ms, ms);
+        double first = (double)(call->first_us - call->sent_us) / 1000;
+        g_array_append_val(tier->first_ms, first);
+    }
+    else if (strcmp(outcome->outcome, "not_run") == 0) {
+        tier->refused++;
+    }
+    else {
+        tier->other++;
+    }
+}
+
+static void
+on_resend(evutil_socket_t fd, short events, void *arg)
+{
+    Call *call = arg;
+    Caller_Send(call->tool, call);
+}
+
+static void
+stop_when_done(Load *load)
+{
+    if (load->open == 0 && Caller_Now() >= load->end_us) {
+        event_base_loopbreak(load->tool.base);
+    }
+}
+
+/* A filing whose outcome is open, or that did not run, is sent again. */
+static bool
+on_done(CallerTool *tool, Call *call, const CallOutcome *outcome)
+{
+    Load *load = (Load *)tool;
+    bool resend = call->kind == CALL_FILING && !outcome->whole &&
+                  call->attempt <= (uint32_t)tool->resends;
+    if (resend) {
+        struct timeval delay = {.tv_usec = RESEND_DELAY_MS * 1000};
+        event_base_once(tool->base, -1, EV_TIMEOUT, on_resend, call, &delay);
+        return true;
+    }
+    count(load, call, outcome);
+    load->open--;
+    stop_when_done(load);
+    return false;
+}
+
+static CallKind
+choose_kind(Load *load)
+{
+    int roll = g_rand_int_range(load->random, 0, 100);
+    if (roll < load->draft_percent) {
+        return CALL_DRAFT;
+    }
+    roll -= load->draft_percent;
+    return roll < load->filing_percent ? CALL_FILING : CALL_LOOKUP;
+}
+
+static void
+send_one(Load *load)
+{
+    Call *call = g_new0(Call, 1);
+    call->kind = choose_kind(load);
+    call->number = (uint32_t)load->first_number + load->number++;
+    call->tier = (uint32_t)g_rand_int_range(load->random, 0, TIERS);
+    bool long_one = g_rand_int_range(load->random, 0, 10) == 0;
+    call->tokens = (uint32_t)load->tokens * (long_one ? 10 : 1);
+    call->prompt_bytes = long_one ? 8000 : 200;
+    load->tiers[call->tier].offered++;
+    load->open++;
+    Caller_Send(&load->tool, call);
+}
+
+static void
+on_next(evutil_socket_t fd, short events, void *arg)
+{
+    Load *load = arg;
+    if (Caller_Now() >= load->end_us) {
+        stop_when_done(load);
+        return;
+    }
+    send_one(load);
+    double gap_s = -log(1 - g_rand_double(load->random)) / load->rate;
+    struct timeval delay = {
+        .tv_sec = (time_t)gap_s,
+        .tv_usec = (suseconds_t)((gap_s - floor(gap_s)) * 1e6),
+    };
+    event_add(load->next, &delay);
+}
+
+static gint
+compare_doubles(gconstpointer a, gconstpointer b)
+{
+    double first = *(const double *)a;
+    double second = *(const double *)b;
+    return (first > second) - (first < second);
+}
+
+static double
+percentile(GArray *values, double part)
+{
+    if (values->len == 0) {
+        return 0;
+    }
+    g_array_sort(values, compare_doubles);
+    guint index = (guint)(part * (values->len - 1));
+    return g_array_index(values, double, index);
+}
+
+static void
+print_figures(Load *load)
+{
+    printf("tier offered  good refused other goodput  "
+           "p50_ms  p95_ms  p99_ms first_p95_ms\n");
+    for (int i = 0; i < TIERS; i++) {
+        TierFigures *tier = &load->tiers[i];
+        double goodput =
+            tier->offered == 0 ? 1 : (double)tier->good / tier->offered;
+        printf("%4d %7u %5u %7u %5u %7.3f %7.1f %7.1f %7.1f %12.1f\n", i,
+               tier->offered, tier->good, tier->refused, tier->other, goodput,
+               percentile(tier->latency_ms, 0.50),
+               percentile(tier->latency_ms, 0.95),
+               percentile(tier->latency_ms, 0.99),
+               percentile(tier->first_ms, 0.95));
+    }
+    printf("open %u\n", load->open);
+}
+
+static bool
+read_entries(Load *load, gchar **entries)
+{
+    load->tool.entries = g_ptr_array_new();
+    for (gchar **text = entries; text != NULL && *text != NULL; text++) {
+        Address *address = g_new0(Address, 1);
+        if (Address_Parse(*text, address, NULL) != ERR_OK) {
+            return false;
+        }
+        g_ptr_array_add(load->tool.entries, address);
+    }
+    return load->tool.entries->len > 0;
+}
+
+static void
+run(Load *load)
+{
+    signal(SIGPIPE, SIG_IGN);
+    load->tool.done = on_done;
+    load->tool.base = event_base_new();
+    load->random = g_rand_new_with_seed((guint32)load->seed);
+    for (int i = 0; i < TIERS; i++) {
+        load->tiers[i].latency_ms = g_array_new(FALSE, FALSE, sizeof(double));
+        load->tiers[i].first_ms = g_array_new(FALSE, FALSE, sizeof(double));
+    }
+    load->end_us = Caller_Now() + load->seconds * (int64_t)1000000;
+    load->next = event_new(load->tool.base, -1, 0, on_next, load);
+    event_active(load->next, EV_TIMEOUT, 0);
+    struct timeval limit = {.tv_sec = load->seconds + DRAIN_S};
+    event_base_loopexit(load->tool.base, &limit);
+    event_base_dispatch(load->tool.base);
+    print_figures(load);
+}
+
+int
+main(int argc, char **argv)
+{
+    Load load = {
+        .tool = {.deadline_ms = 5000, .resends = 20},
+        .rate = 100,
+        .seconds = 5,
+        .seed = 1,
+        .draft_percent = 40,
+        .filing_percent = 20,
+        .tokens = 8,
+        .first_number = 1,
+    };
+    gchar **entries = NULL;
+    const GOptionEntry options[] = {
+        {"entry", 0, 0, G_OPTION_ARG_STRING_ARRAY, &entries,
+         "Entry; may be repeated", "IP:PORT"},
+        {"key", 0, 0, G_OPTION_ARG_STRING, &load.tool.key, "API key", "KEY"},
+        {"record", 0, 0, G_OPTION_ARG_FILENAME, &load.tool.record,
+         "Record of what was said", "FILE"},
+        {"rate", 0, 0, G_OPTION_ARG_DOUBLE, &load.rate, "Requests a second",
+         "N"},
+        {"seconds", 0, 0, G_OPTION_ARG_INT, &load.seconds, "Length", "N"},
+        {"seed", 0, 0, G_OPTION_ARG_INT, &load.seed, "Seed", "N"},
+        {"first", 0, 0, G_OPTION_ARG_INT, &load.first_number,
+         "Number of the first request", "N"},
+        {"drafts", 0, 0, G_OPTION_ARG_INT, &load.draft_percent,
+         "Part of model work", "PERCENT"},
+        {"filings", 0, 0, G_OPTION_ARG_INT, &load.filing_percent,
+         "Part of filings", "PERCENT"},
+        {"tokens", 0, 0, G_OPTION_ARG_INT, &load.tokens,
+         "Answer's length of nine in ten drafts; the tenth has ten times it",
+         "N"},
+        {"deadline-ms", 0, 0, G_OPTION_ARG_INT, &load.tool.deadline_ms,
+         "Deadline of each request", "MS"},
+        {NULL},
+    };
+    GOptionContext *context = g_option_context_new("- load on entries");
+    g_option_context_add_main_entries(context, options, NULL);
+    GError *fault = NULL;
+    if (!g_option_context_parse(context, &argc, &argv, &fault) ||
+        !read_entries(&load, entries) || load.rate <= 0)
+    {
+        fprintf(stderr, "load: %s\n",
+                fault == NULL ? "expected --entry IP:PORT" : fault->message);
+        return 2;
+    }
+    g_option_context_free(context);
+    if (load.tool.key == NULL) {
+        load.tool.key = g_strdup("sahil-key");
+    }
+    run(&load);
+    return 0;
+}
--- a/test/functional/lib.sh
+++ b/test/functional/lib.sh
@@ -159,3 +159,65 @@
         "http://127.0.0.1:$(port 0)$path"
     cat body
 }
+
+# Starts three control hosts, two entries, two engines and two services, each
+# with its agent. Ports: 0-1 entries, 10-12 control links, 13-15 control
+# admin, then three for each agent: its links, its HTTP, its endpoint.
+start_cluster() {
+    CONTROL_PORTS=("$(port 10)" "$(port 11)" "$(port 12)")
+    ADMIN_PORTS=("$(port 13)" "$(port 14)" "$(port 15)")
+    rule_file >rules
+    local i first
+    for i in 1 2 3; do
+        control_settings "control-$i" "$i" >"control-$i.yaml"
+        daemon "control-$i"
+    done
+    for i in 0 1 2 3; do
+        first=$((20 + i * 3))
+        local kind=engine
+        [ $i -lt 2 ] || kind=service
+        agent_settings "agent-$i" "$(port $first)" "$(port $((first + 1)))" "$(port $((first + 2)))" >"agent-$i.yaml"
+        start_endpoint "$i" "$kind"
+        daemon "agent-$i"
+    done
+    for i in 0 1; do
+        entry_settings "entry-$i" "$(port $i)" >"entry-$i.yaml"
+        daemon "entry-$i"
+    done
+    cluster_ready
+}
+
+# start_endpoint I KIND: starts endpoint I of the cluster.
+start_endpoint() {
+    local first=$((20 + $1 * 3))
+    "$2" "endpoint-$1" --echo --listen "127.0.0.1:$(port $((first + 2)))" \
+        --agent "127.0.0.1:$(port $((first + 1)))" --record "endpoint-$1.record"
+}
+
+cluster_ready() {
+    local i
+    for i in 0 1; do
+        wait_ready "$(port $i)"
+        until_true agents_up "$(port $i)" 4
+    done
+    for i in 0 1 2 3; do
+        until_true agent_works "$(port $((20 + i * 3 + 1)))"
+    done
+}
+
+# load_cluster SECONDS [OPTIONS]: sends a mix to both entries.
+load_cluster() {
+    local seconds=$1
+    shift
+    "$LL_BUILD/test/fakes/load" --entry "127.0.0.1:$(port 0)" --entry "127.0.0.1:$(port 1)" \
+        --rate 60 --seconds "$seconds" --record callers.record "$@" >load.out
+}
+
+# check_cluster: prints the number of broken promises.
+check_cluster() {
+    "$LL_BUILD/test/fakes/check_records" callers.record endpoint-*.record
+    grep open load.out
+}
+
+# pid NAME: process id of a started process.
+pid() { cat "$1.pid"; }
