--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -1,5 +1,5 @@
 /** @file
- * Agent task: start, timers, stop and dump.
+ * Agent task: start, timers, planned stop.
  */
 #include "agent/agent.h"
 
@@ -9,36 +9,82 @@
 #define TICK_MS 20
 #define REPORT_MS 250
 #define DEFAULT_SLOTS 1
-#define MAX_WANTS 4096
 #define MAX_TOMBSTONES 8192
+#define CACHE_BLOCKS 8192
+/* A loop that comes back later than this handles expiry before frames. */
+#define LATE_TICK_MS 100
+/* Longest wait of a planned stop for entries to acknowledge answers. */
+#define STOP_ACK_MS 2000
 
 static void
-check_leaving(Agent *agent, TimeUs now)
+update_leaving(Agent *agent, TimeUs now)
 {
-    bool leaving = agent->draining || !AgentEndpoint_Usable(agent, now);
-    QueueState state;
-    Queue_State(agent->queue, now, &state);
-    if (state.leaving == leaving) {
+    bool leaving = !AgentEndpoint_Usable(agent, now);
+    if (agent->leaving == leaving) {
         return;
     }
+    agent->leaving = leaving;
     LOG_INFO(AGENT_PART, "%s endpoint=%s",
              leaving ? "Endpoint takes no new work." : "Endpoint takes work.",
              agent->own->name);
     Queue_SetLeaving(agent->queue, leaving, now);
+    AgentLinks_FlushQueue(agent);
     AgentLinks_SendState(agent);
-    AgentLinks_SendPresence(agent);
+    AgentControl_SendPresence(agent);
 }
 
 static void
-on_tick(evutil_socket_t fd, short events, void *arg)
+expire(Agent *agent, TimeUs now)
 {
-    Agent *agent = arg;
-    TimeUs now = Clock_Now();
-    check_leaving(agent, now);
+    agent->ticked_at = now;
     Queue_Tick(agent->queue, now);
     AgentLinks_FlushQueue(agent);
-    if (agent->draining && g_hash_table_size(agent->runs) == 0) {
+}
+
+void
+Agent_Refresh(Agent *agent, TimeUs now)
+{
+    update_leaving(agent, now);
+    if (now - agent->ticked_at >= LATE_TICK_MS * US_PER_MS) {
+        expire(agent, now);
+    }
+}
+
+/* Goes on with a planned stop: runs end, entries take their answers, the
+ * links say goodbye. */
+static void
+advance_stop(Agent *agent, TimeUs now)
+{
+    if (agent->said_goodbye) {
         Task_Drained(agent->task);
+        return;
+    }
+    if (g_hash_table_size(agent->runs) > 0) {
+        agent->idle_since = now;
+        return;
+    }
+    bool patient = now - agent->idle_since < STOP_ACK_MS * US_PER_MS;
+    if (!patient || AgentAnswer_AllTaken(agent)) {
+        AgentLinks_SayGoodbye(agent);
+        agent->said_goodbye = true;
+    }
+}
+
+static void
+on_tick(evutil_socket_t fd, short events, void *arg)
+{
+    Agent *agent = arg;
+    TimeUs now = Clock_Now();
+    update_leaving(agent, now);
+    expire(agent, now);
+    Wants_Expire(agent->wants, now, agent->own->grant_ms * US_PER_MS);
+    AgentRun_Tick(agent, now);
+    AgentAnswer_Tick(agent, now);
+    AgentCrash_Tick(agent->crashes, now);
+    AgentOrders_Tick(agent->orders);
+    AgentControl_Tick(agent);
+    if (agent->draining) {
+        advance_stop(agent, now);
     }
 }
 
@@ -46,7 +92,7 @@
 on_report(evutil_socket_t fd, short events, void *arg)
 {
     AgentLinks_SendState(arg);
-    AgentLinks_SendPresence(arg);
+    AgentControl_SendPresence(arg);
 }
 
 static struct event *
@@ -65,6 +111,9 @@
     Agent *agent = state;
     agent->task = self;
     agent->base = Task_Base(self);
+    agent->crashes = AgentCrash_New(agent);
+    agent->leaving = true;
+    Queue_SetLeaving(agent->queue, true, Clock_Now());
     int result =
         Address_Parse(agent->own->endpoint, &agent->endpoint_address, err);
     if (result == ERR_OK) {
@@ -73,10 +122,12 @@
     if (result == ERR_OK) {
         result = AgentLinks_Open(agent, err);
     }
+    if (result == ERR_OK) {
+        result = AgentControl_Open(agent, err);
+    }
     if (result != ERR_OK) {
         return result;
     }
-    Queue_SetLeaving(agent->queue, true, Clock_Now());
     agent->tick = add_timer(agent, on_tick, TICK_MS);
     agent->report = add_timer(agent, on_report, REPORT_MS);
     return ERR_OK;
@@ -92,6 +143,8 @@
 {
     Agent *agent = state;
     agent->draining = true;
+    agent->idle_since = Clock_Now();
+    Agent_Refresh(agent, agent->idle_since);
 }
 
 static void
@@ -99,12 +152,25 @@
 {
     Agent *agent = state;
     AgentRun_FreeAll(agent);
+    AgentOrders_Free(agent->orders);
+    if (agent->crashes != NULL) {
+        AgentCrash_Free(agent->crashes);
+    }
+    AgentControl_Close(agent);
     AgentLinks_Close(agent);
-    evhttp_free(agent->http);
-    event_free(agent->tick);
-    event_free(agent->report);
-    Queue_Free(agent->queue);
+    if (agent->http != NULL) {
+        evhttp_free(agent->http);
+    }
+    if (agent->tick != NULL) {
+        event_free(agent->tick);
+        event_free(agent->report);
+    }
+    g_hash_table_destroy(agent->answers);
     g_hash_table_destroy(agent->runs);
+    g_hash_table_destroy(agent->suspects);
+    Queue_Free(agent->queue);
+    Wants_Free(agent->wants);
+    Cache_Free(agent->cache);
     g_ptr_array_free(agent->endpoint.models, TRUE);
     g_free(agent);
 }
@@ -112,14 +178,7 @@
 static void
 dump(TaskHandle self, void *state, json_t *out)
 {
-    Agent *agent = state;
-    QueueState queue;
-    Queue_State(agent->queue, Clock_Now(), &queue);
-    json_object_set_new(out, "slots", json_integer(queue.slots));
-    json_object_set_new(out, "running", json_integer(queue.running));
-    json_object_set_new(out, "granted", json_integer(queue.granted));
-    json_object_set_new(out, "queued", json_integer(queue.queued));
-    json_object_set_new(out, "leaving", json_boolean(queue.leaving));
+    AgentDump_Fill(state, out);
 }
 
 static const TaskOps agent_ops = {
@@ -138,9 +197,18 @@
     agent->own = own;
     agent->self = Self_Make(settings, WIRE__ROLE__ROLE_AGENT, own->name);
     agent->endpoint.models = g_ptr_array_new_with_free_func(g_free);
-    agent->runs = g_hash_table_new(AgentRun_HashId, AgentRun_EqualId);
+    agent->endpoint.kv_free = -1;
+    agent->runs = g_hash_table_new(Wants_HashId, Wants_EqualId);
+    agent->answers = g_hash_table_new_full(Wants_HashId, Wants_EqualId, NULL,
+                                           AgentAnswer_Free);
+    agent->suspects = g_hash_table_new(NULL, NULL);
+    agent->entry_links = g_hash_table_new(NULL, NULL);
+    agent->control_links = g_ptr_array_new();
+    agent->wants = Wants_New(AGENT_WANTS_MAX);
+    agent->cache = Cache_New(CACHE_BLOCKS);
+    agent->orders = AgentOrders_New(agent);
     agent->queue = Queue_New(&(QueueConfig){
-        .max_wants = MAX_WANTS,
+        .max_wants = AGENT_WANTS_MAX,
         .max_tombstones = MAX_TOMBSTONES,
         .slots = DEFAULT_SLOTS,
         .grant_ttl = own->grant_ms * US_PER_MS,
--- /dev/null
+++ b/src/agent/answer.c
@@ -0,0 +1,411 @@
+/** @file
+ * Answers: pieces are kept until the entry has acknowledged them, so that a
+ * lost link is replaced and the stream goes on where it stood.
+ */
+#include "agent/state.h"
+
+#include <string.h>
+
+#include <event2/buffer.h>
+#include <xxhash.h>
+
+#include "kernel/counter.h"
+
+/* Unacknowledged bytes of one answer at which reading stops. */
+#define ANSWER_UNACKED_MAX_BYTES (4u * 1024 * 1024)
+/* Unacknowledged bytes of all answers above which each may hold only
+ * ANSWER_CROWDED_BYTES. */
+#define ANSWERS_MAX_BYTES (32u * 1024 * 1024)
+#define ANSWER_CROWDED_BYTES (64u * 1024)
+#define ENDED_ANSWERS_MAX 4096
+#define PIECE_MAX_BYTES (64u * 1024)
+
+struct Answer {
+    Agent *agent;
+    RequestId id;
+    Run *run;       /* NULL: the run has ended */
+    uint64_t token; /* 0: the entry's link is gone */
+    TimeUs gone_at;
+    char *entry; /* name and incarnation of the entry that dispatched */
+    uint64_t incarnation;
+    bool idempotent;
+    bool has_head;
+    bool head_sent;
+    uint32_t status;
+    char *type;
+    struct evbuffer *kept; /* bytes from offset acked on */
+    uint64_t acked;
+    uint64_t sent;
+    uint64_t length;
+    XXH3_state_t *hash;
+    bool ended;
+    bool end_sent;
+    bool taken; /* acknowledged to the end */
+    TimeUs ended_at;
+    Wire__EndOutcome outcome;
+    char *detail;
+    uint32_t cached_tokens;
+};
+
+Answer *
+AgentAnswer_New(Agent *agent, Link *link, Run *run,
+                const Wire__Dispatch *dispatch)
+{
+    const Wire__Hello *peer = Link_Peer(link);
+    Answer *answer = g_new0(Answer, 1);
+    answer->agent = agent;
+    answer->id = (RequestId){dispatch->id->high, dispatch->id->low};
+    answer->run = run;
+    answer->token = AgentLinks_Token(link);
+    answer->entry = g_strdup(peer->name);
+    answer->incarnation = peer->incarnation;
+    answer->idempotent = dispatch->idempotent;
+    answer->kept = evbuffer_new();
+    answer->hash = XXH3_createState();
+    XXH3_64bits_reset(answer->hash);
+    g_hash_table_insert(agent->answers, &answer->id, answer);
+    return answer;
+}
+
+void
+AgentAnswer_Free(gpointer data)
+{
+    Answer *answer = data;
+    Agent *agent = answer->agent;
+    agent->kept_bytes -= evbuffer_get_length(answer->kept);
+    if (answer->ended) {
+        g_queue_remove(&agent->ended_answers, answer);
+    }
+    evbuffer_free(answer->kept);
+    XXH3_freeState(answer->hash);
+    g_free(answer->entry);
+    g_free(answer->type);
+    g_free(answer->detail);
+    g_free(answer);
+}
+
+static void
+drop(Answer *answer)
+{
+    g_hash_table_remove(answer->agent->answers, &answer->id);
+}
+
+static bool
+send_frame(Answer *answer, const Wire__Frame *frame)
+{
+    int result = AgentLinks_Send(answer->agent, answer->token, frame);
+    if (result == ERR_FULL) {
+        answer->agent->answers_behind = true;
+    }
+    return result == ERR_OK;
+}
+
+static bool
+send_head(Answer *answer)
+{
+    Wire__RequestId id = agent_wire_id(answer->id);
+    Wire__AnswerHead head = WIRE__ANSWER_HEAD__INIT;
+    head.id = &id;
+    head.status = answer->status;
+    head.content_type = answer->type;
+    Wire__Frame frame = WIRE__FRAME__INIT;
+    frame.body_case = WIRE__FRAME__BODY_ANSWER_HEAD;
+    frame.answer_head = &head;
+    return send_frame(answer, &frame);
+}
+
+static bool
+send_piece(Answer *answer, const uint8_t *data, size_t length)
+{
+    Wire__RequestId id = agent_wire_id(answer->id);
+    Wire__AnswerPiece piece = WIRE__ANSWER_PIECE__INIT;
+    piece.id = &id;
+    piece.offset = answer->sent;
+    piece.data.data = (uint8_t *)data;
+    piece.data.len = length;
+    Wire__Frame frame = WIRE__FRAME__INIT;
+    frame.body_case = WIRE__FRAME__BODY_ANSWER_PIECE;
+    frame.answer_piece = &piece;
+    if (!send_frame(answer, &frame)) {
+        return false;
+    }
+    answer->sent += length;
+    return true;
+}
+
+static bool
+send_end(Answer *answer)
+{
+    Wire__RequestId id = agent_wire_id(answer->id);
+    Wire__AnswerEnd end = WIRE__ANSWER_END__INIT;
+    end.id = &id;
+    end.outcome = answer->outcome;
+    end.length = answer->length;
+    end.hash = XXH3_64bits_digest(answer->hash);
+    end.detail = answer->detail;
+    end.cached_tokens = answer->cached_tokens;
+    Wire__Frame frame = WIRE__FRAME__INIT;
+    frame.body_case = WIRE__FRAME__BODY_ANSWER_END;
+    frame.answer_end = &end;
+    return send_frame(answer, &frame);
+}
+
+static bool
+send_kept(Answer *answer)
+{
+    uint8_t *data = g_malloc(PIECE_MAX_BYTES);
+    bool sent = true;
+    while (sent && answer->sent < answer->length) {
+        struct evbuffer_ptr at;
+        evbuffer_ptr_set(answer->kept, &at, answer->sent - answer->acked,
+                         EVBUFFER_PTR_SET);
+        ev_ssize_t length =
+            evbuffer_copyout_from(answer->kept, &at, data, PIECE_MAX_BYTES);
+        INVARIANT(length > 0);
+        sent = send_piece(answer, data, (size_t)length);
+    }
+    g_free(data);
+    return sent;
+}
+
+/* Sends what the entry has not been sent yet, as far as its link takes it. */
+static void
+pump(Answer *answer)
+{
+    if (answer->token == 0) {
+        return;
+    }
+    if (answer->has_head && !answer->head_sent) {
+        answer->head_sent = send_head(answer);
+    }
+    bool head_passed = answer->head_sent || !answer->has_head;
+    bool passed = head_passed;
+    if (passed && answer->sent < answer->length) {
+        passed = send_kept(answer);
+    }
+    if (passed && answer->ended && !answer->end_sent) {
+        answer->end_sent = send_end(answer);
+    }
+}
+
+void
+AgentAnswer_Head(Answer *answer, uint32_t status, const char *type)
+{
+    answer->has_head = true;
+    answer->status = status;
+    answer->type = g_strdup(type);
+    pump(answer);
+}
+
+bool
+AgentAnswer_HasHead(const Answer *answer)
+{
+    return answer->has_head;
+}
+
+void
+AgentAnswer_Piece(Answer *answer, const uint8_t *data, size_t length)
+{
+    bool up_to_date = answer->token != 0 && answer->head_sent &&
+                      answer->sent == answer->length;
+    evbuffer_add(answer->kept, data, length);
+    answer->agent->kept_bytes += length;
+    XXH3_64bits_update(answer->hash, data, length);
+    answer->length += length;
+    if (up_to_date && length <= PIECE_MAX_BYTES) {
+        send_piece(answer, data, length);
+        return;
+    }
+    pump(answer);
+}
+
+/* Bounds what ended answers hold: the oldest ones go first. */
+static void
+bound_ended(Agent *agent)
+{
+    while (agent->ended_answers.length > ENDED_ANSWERS_MAX ||
+           (agent->kept_bytes > ANSWERS_MAX_BYTES &&
+            agent->ended_answers.length > 1))
+    {
+        drop(g_queue_peek_head(&agent->ended_answers));
+    }
+}
+
+void
+AgentAnswer_End(Answer *answer, Wire__EndOutcome outcome, const char *detail,
+                uint32_t cached_tokens)
+{
+    Agent *agent = answer->agent;
+    answer->run = NULL;
+    answer->ended = true;
+    answer->ended_at = Clock_Now();
+    answer->outcome = outcome;
+    answer->detail = g_strdup(detail);
+    answer->cached_tokens = cached_tokens;
+    g_queue_push_tail(&agent->ended_answers, answer);
+    pump(answer);
+    bound_ended(agent);
+}
+
+bool
+AgentAnswer_Full(const Answer *answer)
+{
+    size_t unacked = evbuffer_get_length(answer->kept);
+    bool crowded = answer->agent->kept_bytes >= ANSWERS_MAX_BYTES;
+    return unacked >=
+           (crowded ? ANSWER_CROWDED_BYTES : ANSWER_UNACKED_MAX_BYTES);
+}
+
+bool
+AgentAnswer_Abandoned(const Answer *answer, TimeUs now)
+{
+    TimeUs patience = answer->agent->own->resume_ms * US_PER_MS;
+    return answer->token == 0 && answer->idempotent &&
+           now - answer->gone_at >= patience;
+}
+
+/* The answer of this id, when the link's peer is the entry that it is for. */
+static Answer *
+find_for(Agent *agent, Link *link, const Wire__RequestId *wire)
+{
+    RequestId id = {.high = wire->high, .low = wire->low};
+    Answer *answer = g_hash_table_lookup(agent->answers, &id);
+    const Wire__Hello *peer = Link_Peer(link);
+    if (answer == NULL || peer->incarnation != answer->incarnation ||
+        strcmp(peer->name, answer->entry) != 0)
+    {
+        return NULL;
+    }
+    return answer;
+}
+
+static void
+free_acked(Answer *answer, uint64_t offset)
+{
+    if (offset > answer->acked) {
+        size_t length = (size_t)(offset - answer->acked);
+        evbuffer_drain(answer->kept, length);
+        answer->agent->kept_bytes -= length;
+        answer->acked = offset;
+    }
+    if (answer->run != NULL && !AgentAnswer_Full(answer)) {
+        AgentRun_SetReading(answer->run, true);
+    }
+}
+
+void
+AgentAnswer_OnAck(Agent *agent, Link *link, const Wire__AnswerAck *ack)
+{
+    Answer *answer = find_for(agent, link, ack->id);
+    if (answer == NULL || ack->offset > answer->sent) {
+        return;
+    }
+    free_acked(answer, ack->offset);
+    answer->taken = answer->end_sent && answer->acked == answer->length;
+}
+
+void
+AgentAnswer_SendUnknown(Link *link, RequestId request)
+{
+    Wire__RequestId id = agent_wire_id(request);
+    Wire__Unknown unknown = WIRE__UNKNOWN__INIT;
+    unknown.id = &id;
+    Wire__Frame frame = WIRE__FRAME__INIT;
+    frame.body_case = WIRE__FRAME__BODY_UNKNOWN;
+    frame.unknown = &unknown;
+    Link_Send(link, &frame);
+}
+
+void
+AgentAnswer_OnResume(Agent *agent, Link *link, const Wire__Resume *resume)
+{
+    Answer *answer = find_for(agent, link, resume->id);
+    if (answer == NULL || resume->offset < answer->acked ||
+        resume->offset > answer->length)
+    {
+        AgentAnswer_SendUnknown(
+            link, (RequestId){resume->id->high, resume->id->low});
+        return;
+    }
+    answer->token = AgentLinks_Token(link);
+    answer->gone_at = 0;
+    answer->head_sent = resume->have_head;
+    answer->end_sent = false;
+    answer->sent = resume->offset;
+    free_acked(answer, resume->offset);
+    Counter_Add(Counter_Get("agent_resumed_total",
+                            "Answers that went on over a new link."),
+                1);
+    pump(answer);
+}
+
+void
+AgentAnswer_OnCancel(Agent *agent, Link *link, RequestId id)
+{
+    Wire__RequestId wire = agent_wire_id(id);
+    Answer *answer = find_for(agent, link, &wire);
+    if (answer == NULL) {
+        return;
+    }
+    if (answer->run != NULL) {
+        AgentRun_Cancel(answer->run, "Cancelled by the entry.");
+    }
+    answer->taken = true;
+}
+
+void
+AgentAnswer_OwnerGone(Agent *agent, uint64_t token)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, agent->answers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        Answer *answer = value;
+        if (answer->token == token) {
+            answer->token = 0;
+            answer->gone_at = Clock_Now();
+        }
+    }
+}
+
+static void
+pump_all(Agent *agent)
+{
+    agent->answers_behind = false;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, agent->answers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        pump(value);
+    }
+}
+
+void
+AgentAnswer_Tick(Agent *agent, TimeUs now)
+{
+    TimeUs keep = agent->own->keep_ms * US_PER_MS;
+    Answer *oldest;
+    while ((oldest = g_queue_peek_head(&agent->ended_answers)) != NULL &&
+           now - oldest->ended_at >= keep)
+    {
+        drop(oldest);
+    }
+    if (agent->answers_behind) {
+        pump_all(agent);
+    }
+}
+
+bool
+AgentAnswer_AllTaken(const Agent *agent)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, agent->answers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const Answer *answer = value;
+        if (!answer->taken) {
+            return false;
+        }
+    }
+    return true;
+}
--- /dev/null
+++ b/src/agent/control.c
@@ -0,0 +1,171 @@
+/** @file
+ * The agent's links to control hosts: presence, quarantine, reports of
+ * crashes, fencing.
+ */
+#include "agent/state.h"
+
+#include "kernel/log.h"
+
+typedef enum SuspectFlag {
+    SUSPECT_ALONE = 1,       /* runs with nothing beside it */
+    SUSPECT_QUARANTINED = 2, /* does not run */
+} SuspectFlag;
+
+#define QUARANTINE_ASK_MS 1000
+
+void
+AgentControl_SendAll(Agent *agent, const Wire__Frame *frame)
+{
+    for (guint i = 0; i < agent->control_links->len; i++) {
+        Link_Send(g_ptr_array_index(agent->control_links, i), frame);
+    }
+}
+
+void
+AgentControl_SendPresence(Agent *agent)
+{
+    Wire__Presence presence = WIRE__PRESENCE__INIT;
+    presence.role = WIRE__ROLE__ROLE_AGENT;
+    presence.name = agent->own->name;
+    presence.incarnation = agent->self.incarnation;
+    presence.address = agent->own->listen;
+    presence.zone = agent->settings->zone;
+    presence.region = agent->settings->region;
+    presence.kind = agent->endpoint.is_engine ? "engine" : "service";
+    presence.service = agent->endpoint.service;
+    presence.models = (char **)agent->endpoint.models->pdata;
+    presence.n_models = agent->endpoint.models->len;
+    presence.leaving = !AgentEndpoint_Usable(agent, Clock_Now());
+    Wire__Frame frame = WIRE__FRAME__INIT;
+    frame.body_case = WIRE__FRAME__BODY_PRESENCE;
+    frame.presence = &presence;
+    AgentControl_SendAll(agent, &frame);
+}
+
+static gpointer
+key_of(uint64_t fingerprint)
+{
+    return GSIZE_TO_POINTER(fingerprint);
+}
+
+static bool
+has_flag(const Agent *agent, uint64_t fingerprint, SuspectFlag flag)
+{
+    gpointer flags = g_hash_table_lookup(agent->suspects, key_of(fingerprint));
+    return (GPOINTER_TO_INT(flags) & flag) != 0;
+}
+
+bool
+AgentControl_Quarantined(const Agent *agent, uint64_t fingerprint)
+{
+    return has_flag(agent, fingerprint, SUSPECT_QUARANTINED);
+}
+
+bool
+AgentControl_Suspected(const Agent *agent, uint64_t fingerprint)
+{
+    return has_flag(agent, fingerprint, SUSPECT_ALONE);
+}
+
+static void
+on_quarantine(Agent *agent, const Wire__Quarantine *message)
+{
+    if (message->version <= agent->quarantine_version) {
+        return;
+    }
+    agent->quarantine_version = message->version;
+    g_hash_table_remove_all(agent->suspects);
+    for (size_t i = 0; i < message->n_entries; i++) {
+        const Wire__QuarantineEntry *entry = message->entries[i];
+        int flags = (entry->crashes > 0 ? SUSPECT_ALONE : 0) |
+                    (entry->quarantined ? SUSPECT_QUARANTINED : 0);
+        g_hash_table_insert(agent->suspects, key_of(entry->fingerprint),
+                            GINT_TO_POINTER(flags));
+    }
+}
+
+static void
+ask_quarantine(Agent *agent)
+{
+    Wire__QuarantineRequest request = WIRE__QUARANTINE_REQUEST__INIT;
+    request.have_version = agent->quarantine_version;
+    Wire__Frame frame = WIRE__FRAME__INIT;
+    frame.body_case = WIRE__FRAME__BODY_QUARANTINE_REQUEST;
+    frame.quarantine_request = &request;
+    AgentControl_SendAll(agent, &frame);
+}
+
+void
+AgentControl_Tick(Agent *agent)
+{
+    TimeUs now = Clock_Now();
+    if (now - agent->quarantine_asked_at >= QUARANTINE_ASK_MS * US_PER_MS) {
+        agent->quarantine_asked_at = now;
+        ask_quarantine(agent);
+    }
+}
+
+static void
+on_up(Link *link, void *owner)
+{
+    AgentControl_SendPresence(owner);
+}
+
+static void
+on_down(Link *link, void *owner)
+{
+}
+
+static void
+on_frame(Link *link, const Wire__Frame *frame, void *owner)
+{
+    Agent *agent = owner;
+    switch (frame->body_case) {
+    case WIRE__FRAME__BODY_QUARANTINE:
+        on_quarantine(agent, frame->quarantine);
+        break;
+    case WIRE__FRAME__BODY_COMMAND_REPLY:
+        AgentCrash_OnReply(agent->crashes, frame->command_reply);
+        break;
+    case WIRE__FRAME__BODY_FENCE_REPLY:
+        AgentOrders_OnFloor(agent->orders, frame->fence_reply);
+        break;
+    case WIRE__FRAME__BODY_ORDER:
+        AgentOrders_OnOrder(agent->orders, link, frame->order);
+        break;
+    default:
+        break;
+    }
+}
+
+static const LinkOps link_ops = {
+    .up = on_up,
+    .down = on_down,
+    .frame = on_frame,
+};
+
+int
+AgentControl_Open(Agent *agent, Error *err)
+{
+    for (unsigned i = 0; i < agent->settings->control_hosts_count; i++) {
+        const char *text = agent->settings->control_hosts[i].address;
+        Address address;
+        int result = Address_Parse(text, &address, err);
+        if (result != ERR_OK) {
+            return result;
+        }
+        g_ptr_array_add(
+            agent->control_links,
+            Link_Dial(agent->base, &agent->self, &address, &link_ops, agent));
+    }
+    return ERR_OK;
+}
+
+void
+AgentControl_Close(Agent *agent)
+{
+    for (guint i = 0; i < agent->control_links->len; i++) {
+        Link_Close(g_ptr_array_index(agent->control_links, i));
+    }
+    g_ptr_array_free(agent->control_links, TRUE);
+}
--- /dev/null
+++ b/src/agent/crash.c
@@ -0,0 +1,222 @@
+/** @file
+ * Crashes of the endpoint. When runs break, their fingerprints are held
+ * until it is known whether the endpoint died: it refuses a connection,
+ * announces another boot id, or falls silent. They are then reported to
+ * control. An announcement with the same boot id clears them.
+ */
+#include "agent/state.h"
+
+#include <string.h>
+
+#include <event2/bufferevent.h>
+#include <sodium.h>
+
+#include "kernel/counter.h"
+#include "kernel/log.h"
+
+#define FINGERPRINTS_MAX 256
+#define REPORTS_MAX 64
+#define RESEND_MS 500
+/* Broken runs of one crash are noticed within this span. */
+#define SETTLE_MS 50
+#define PROBE_TIMEOUT_S 1
+
+/* A report that no control host has recorded yet. */
+typedef struct CrashReport {
+    uint8_t id[COMMAND_ID_BYTES];
+    GArray *fingerprints; /* uint64_t */
+} CrashReport;
+
+struct CrashWatch {
+    Agent *agent;
+    GArray *suspects; /* uint64_t; empty: nothing to decide */
+    TimeUs since;
+    struct event *probe;
+    struct bufferevent *connection; /* of the probe */
+    GPtrArray *reports;             /* of CrashReport */
+    TimeUs sent_at;
+};
+
+static void
+free_report(gpointer data)
+{
+    CrashReport *report = data;
+    g_array_free(report->fingerprints, TRUE);
+    g_free(report);
+}
+
+static void
+end_probe(CrashWatch *watch)
+{
+    if (watch->connection != NULL) {
+        bufferevent_free(watch->connection);
+        watch->connection = NULL;
+    }
+    event_del(watch->probe);
+}
+
+static void
+send_report(const CrashWatch *watch, const CrashReport *report)
+{
+    Wire__Command command = WIRE__COMMAND__INIT;
+    command.command_id.data = (uint8_t *)report->id;
+    command.command_id.len = COMMAND_ID_BYTES;
+    command.kind = WIRE__COMMAND_KIND__COMMAND_CRASH;
+    command.author = watch->agent->own->name;
+    command.subject = watch->agent->own->name;
+    command.fingerprints = (uint64_t *)report->fingerprints->data;
+    command.n_fingerprints = report->fingerprints->len;
+    Wire__Frame frame = WIRE__FRAME__INIT;
+    frame.body_case = WIRE__FRAME__BODY_COMMAND;
+    frame.command = &command;
+    AgentControl_SendAll(watch->agent, &frame);
+}
+
+static void
+report_crash(CrashWatch *watch, const char *why)
+{
+    end_probe(watch);
+    if (watch->suspects->len == 0) {
+        return;
+    }
+    LOG_WARN(AGENT_PART,
+             "Endpoint crashed with requests in flight. endpoint=%s "
+             "requests=%u why=\"%s\"",
+             watch->agent->own->name, watch->suspects->len, why);
+    Counter_Add(Counter_Get("agent_crashes_total",
+                            "Crashes of endpoints with requests in flight."),
+                1);
+    if (watch->reports->len == REPORTS_MAX) {
+        g_ptr_array_remove_index(watch->reports, 0);
+    }
+    CrashReport *report = g_new0(CrashReport, 1);
+    randombytes_buf(report->id, sizeof(report->id));
+    report->fingerprints = watch->suspects;
+    watch->suspects = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    g_ptr_array_add(watch->reports, report);
+    send_report(watch, report);
+}
+
+static void
+on_probed(struct bufferevent *connection, short events, void *arg)
+{
+    CrashWatch *watch = arg;
+    bool accepted = (events & BEV_EVENT_CONNECTED) != 0;
+    end_probe(watch);
+    if (!accepted) {
+        report_crash(watch, "it refuses connections");
+    }
+}
+
+/* Opens a connection to see whether the endpoint still listens. */
+static void
+on_probe(evutil_socket_t fd, short events, void *arg)
+{
+    CrashWatch *watch = arg;
+    const Address *address = &watch->agent->endpoint_address;
+    end_probe(watch);
+    watch->connection =
+        bufferevent_socket_new(watch->agent->base, -1, BEV_OPT_CLOSE_ON_FREE);
+    bufferevent_setcb(watch->connection, NULL, NULL, on_probed, watch);
+    struct timeval limit = {.tv_sec = PROBE_TIMEOUT_S};
+    bufferevent_set_timeouts(watch->connection, &limit, &limit);
+    bufferevent_socket_connect(watch->connection,
+                               (const struct sockaddr *)&address->storage,
+                               (int)address->length);
+}
+
+void
+AgentCrash_Suspect(CrashWatch *watch, uint64_t fingerprint)
+{
+    if (watch->suspects->len == 0) {
+        watch->since = Clock_Now();
+        struct timeval delay = {.tv_usec = SETTLE_MS * US_PER_MS};
+        event_add(watch->probe, &delay);
+    }
+    if (fingerprint != 0 && watch->suspects->len < FINGERPRINTS_MAX) {
+        g_array_append_val(watch->suspects, fingerprint);
+    }
+}
+
+void
+AgentCrash_Refused(CrashWatch *watch)
+{
+    report_crash(watch, "it refuses connections");
+}
+
+void
+AgentCrash_Announced(CrashWatch *watch, bool restarted)
+{
+    if (restarted) {
+        report_crash(watch, "it restarted");
+        return;
+    }
+    bool settled = Clock_Now() - watch->since > 2 * SETTLE_MS * US_PER_MS;
+    if (watch->suspects->len > 0 && settled) {
+        g_array_set_size(watch->suspects, 0);
+        end_probe(watch);
+    }
+}
+
+void
+AgentCrash_OnReply(CrashWatch *watch, const Wire__CommandReply *reply)
+{
+    if (reply->code != ERR_OK || reply->command_id.len != COMMAND_ID_BYTES) {
+        return;
+    }
+    for (guint i = 0; i < watch->reports->len; i++) {
+        const CrashReport *report = g_ptr_array_index(watch->reports, i);
+        if (memcmp(report->id, reply->command_id.data, COMMAND_ID_BYTES) == 0)
+        {
+            g_ptr_array_remove_index(watch->reports, i);
+            return;
+        }
+    }
+}
+
+void
+AgentCrash_Tick(CrashWatch *watch, TimeUs now)
+{
+    TimeUs patience = watch->agent->own->announce_ms * US_PER_MS;
+    if (watch->suspects->len > 0 && now - watch->since >= patience &&
+        watch->agent->endpoint.heard_at < watch->since)
+    {
+        report_crash(watch, "it announces itself no more");
+    }
+    if (now - watch->sent_at < RESEND_MS * US_PER_MS) {
+        return;
+    }
+    watch->sent_at = now;
+    for (guint i = 0; i < watch->reports->len; i++) {
+        send_report(watch, g_ptr_array_index(watch->reports, i));
+    }
+}
+
+void
+AgentCrash_Dump(const CrashWatch *watch, json_t *out)
+{
+    json_object_set_new(out, "suspects", json_integer(watch->suspects->len));
+    json_object_set_new(out, "unrecorded_crashes",
+                        json_integer(watch->reports->len));
+}
+
+CrashWatch *
+AgentCrash_New(Agent *agent)
+{
+    CrashWatch *watch = g_new0(CrashWatch, 1);
+    watch->agent = agent;
+    watch->suspects = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    watch->reports = g_ptr_array_new_with_free_func(free_report);
+    watch->probe = event_new(agent->base, -1, 0, on_probe, watch);
+    return watch;
+}
+
+void
+AgentCrash_Free(CrashWatch *watch)
+{
+    end_probe(watch);
+    event_free(watch->probe);
+    g_array_free(watch->suspects, TRUE);
+    g_ptr_array_free(watch->reports, TRUE);
+    g_free(watch);
+}
--- a/src/agent/endpoint.c
+++ b/src/agent/endpoint.c
@@ -1,6 +1,7 @@
 /** @file
- * The endpoint's side: it announces itself, reports load and leaves, over
- * HTTP, as JSON.
+ * The endpoint's side: it announces itself and says that it leaves, over
+ * HTTP, as JSON. Reports of another shape are answered 400 and change
+ * nothing.
  */
 #include "agent/state.h"
 
@@ -9,9 +10,17 @@
 #include "kernel/log.h"
 
 #define SLOTS_MAX 4096
+#define MODELS_MAX 64
+#define MODEL_NAME_MAX_BYTES 128
+#define BODY_MAX_BYTES (1024 * 1024)
+#define HEADERS_MAX_BYTES 8192
+#define HTTP_TIMEOUT_S 10
+/* Longest silence that is tolerated, whatever the settings say, so that
+ * grants end within 3 s. */
+#define SILENCE_MAX_MS 2900
 
-static void
-reply_bad(struct evhttp_request *request, const char *message)
+void
+AgentEndpoint_ReplyBad(struct evhttp_request *request, const char *message)
 {
     Http_ReplyError(request, &(HttpError){
                                  .status = 400,
@@ -21,20 +30,70 @@
                              });
 }
 
-static json_t *
-read_json(struct evhttp_request *request)
+json_t *
+AgentEndpoint_ReadJson(struct evhttp_request *request)
 {
+    if (evhttp_request_get_command(request) != EVHTTP_REQ_POST) {
+        Http_ReplyError(request, &(HttpError){
+                                     .status = 405,
+                                     .code = "method",
+                                     .message = "Expected POST.",
+                                     .outcome = "not_run",
+                                 });
+        return NULL;
+    }
     size_t length;
     char *body = Http_Body(request, &length);
-    json_t *json = json_loadb(body, length, 0, NULL);
+    json_t *json = json_loadb(body, length, JSON_REJECT_DUPLICATES, NULL);
     g_free(body);
     if (!json_is_object(json)) {
         json_decref(json);
+        AgentEndpoint_ReplyBad(request, "Expected a JSON object.");
         return NULL;
     }
     return json;
 }
 
+/* An absent flag is false; false as result: not a flag. */
+static bool
+read_flag(const json_t *json, const char *name, bool *value)
+{
+    const json_t *flag = json_object_get(json, name);
+    *value = json_is_true(flag);
+    return flag == NULL || json_is_boolean(flag);
+}
+
+/* An absent text is empty; false as result: not a text that fits. */
+static bool
+read_text(const json_t *json, const char *name, char *value)
+{
+    const json_t *text = json_object_get(json, name);
+    const char *string = text == NULL ? "" : json_string_value(text);
+    return string != NULL &&
+           g_strlcpy(value, string, ENDPOINT_TEXT_BYTES) < ENDPOINT_TEXT_BYTES;
+}
+
+static bool
+are_models(const json_t *models)
+{
+    if (models == NULL) {
+        return true;
+    }
+    if (!json_is_array(models) || json_array_size(models) > MODELS_MAX) {
+        return false;
+    }
+    size_t index;
+    json_t *model;
+    json_array_foreach(models, index, model)
+    {
+        size_t length = json_string_length(model);
+        if (length == 0 || length > MODEL_NAME_MAX_BYTES) {
+            return false;
+        }
+    }
+    return true;
+}
+
 static void
 take_models(Endpoint *endpoint, const json_t *models)
 {
@@ -43,58 +102,115 @@
     json_t *model;
     json_array_foreach(models, index, model)
     {
-        if (json_is_string(model)) {
-            g_ptr_array_add(endpoint->models,
-                            g_strdup(json_string_value(model)));
-        }
+        g_ptr_array_add(endpoint->models, g_strdup(json_string_value(model)));
     }
 }
 
+/* Reads the plain fields into @p next.
+ * @return NULL, or what was expected. */
 static const char *
-take_announcement(Agent *agent, const json_t *json)
+read_announcement(const json_t *json, Endpoint *next)
 {
-    Endpoint *endpoint = &agent->endpoint;
     const char *kind = json_string_value(json_object_get(json, "kind"));
-    json_int_t slots = json_integer_value(json_object_get(json, "slots"));
+    const json_t *slots = json_object_get(json, "slots");
     if (kind == NULL ||
         (strcmp(kind, "engine") != 0 && strcmp(kind, "service") != 0))
     {
         return "Expected kind: engine or service.";
     }
-    if (slots < 1 || slots > SLOTS_MAX) {
+    if (!json_is_integer(slots) || json_integer_value(slots) < 1 ||
+        json_integer_value(slots) > SLOTS_MAX)
+    {
         return "Expected slots: 1 to 4096.";
     }
-    endpoint->is_engine = kind[0] == 'e';
-    endpoint->slots = (uint32_t)slots;
-    endpoint->checks_fencing =
-        json_is_true(json_object_get(json, "checks_fencing"));
-    const char *service = json_string_value(json_object_get(json, "service"));
-    g_strlcpy(endpoint->service, service == NULL ? "" : service,
-              sizeof(endpoint->service));
-    take_models(endpoint, json_object_get(json, "models"));
-    endpoint->leaving = json_is_true(json_object_get(json, "leaving"));
+    next->is_engine = kind[0] == 'e';
+    next->slots = (uint32_t)json_integer_value(slots);
+    if (!read_flag(json, "checks_fencing", &next->checks_fencing) ||
+        !read_flag(json, "leaving", &next->leaving))
+    {
+        return "Expected checks_fencing and leaving: true or false.";
+    }
+    if (!read_text(json, "service", next->service) ||
+        !read_text(json, "boot", next->boot) ||
+        !read_text(json, "version", next->version))
+    {
+        return "Expected service, boot and version: texts to 64 bytes.";
+    }
+    if (!next->is_engine && next->service[0] == '\0') {
+        return "Expected service: the name of the service.";
+    }
+    if (!are_models(json_object_get(json, "models"))) {
+        return "Expected models: up to 64 names to 128 bytes.";
+    }
+    return NULL;
+}
+
+static void
+take_announcement(Agent *agent, const Endpoint *next, const json_t *models)
+{
+    Endpoint *endpoint = &agent->endpoint;
+    bool restarted =
+        endpoint->announced && strcmp(endpoint->boot, next->boot) != 0;
+    bool resized = !endpoint->announced || endpoint->slots != next->slots;
+    *endpoint = *next;
     endpoint->announced = true;
     endpoint->heard_at = Clock_Now();
-    return NULL;
+    take_models(endpoint, models);
+    if (restarted) {
+        LOG_INFO(AGENT_PART, "Endpoint restarted. endpoint=%s",
+                 agent->own->name);
+        endpoint->told_leaving = false;
+        AgentReport_Reset(agent);
+    }
+    if (resized || restarted) {
+        endpoint->usable_slots = endpoint->slots;
+        Queue_SetSlots(agent->queue, endpoint->slots, endpoint->heard_at);
+    }
+    AgentCrash_Announced(agent->crashes, restarted);
+    Agent_Refresh(agent, endpoint->heard_at);
+    AgentLinks_FlushQueue(agent);
 }
 
 static void
 on_announce(struct evhttp_request *request, void *arg)
 {
     Agent *agent = arg;
-    json_t *json = read_json(request);
+    json_t *json = AgentEndpoint_ReadJson(request);
     if (json == NULL) {
-        reply_bad(request, "Expected a JSON object.");
         return;
     }
-    const char *fault = take_announcement(agent, json);
-    json_decref(json);
+    /* What the announcement does not state stays as it is. */
+    Endpoint next = agent->endpoint;
+    const char *fault = read_announcement(json, &next);
     if (fault != NULL) {
-        reply_bad(request, fault);
+        AgentEndpoint_ReplyBad(request, fault);
+    }
+    else {
+        take_announcement(agent, &next, json_object_get(json, "models"));
+        Http_ReplyJson(request, 200, json_pack("{s:s}", "status", "ok"));
+    }
+    json_decref(json);
+}
+
+static void
+on_leaving(struct evhttp_request *request, void *arg)
+{
+    Agent *agent = arg;
+    json_t *json = AgentEndpoint_ReadJson(request);
+    if (json == NULL) {
         return;
     }
-    Queue_SetSlots(agent->queue, agent->endpoint.slots, Clock_Now());
-    AgentLinks_FlushQueue(agent);
+    bool leaving = true;
+    if (json_object_get(json, "leaving") != NULL &&
+        !read_flag(json, "leaving", &leaving))
+    {
+        AgentEndpoint_ReplyBad(request, "Expected leaving: true or false.");
+        json_decref(json);
+        return;
+    }
+    json_decref(json);
+    agent->endpoint.told_leaving = leaving;
+    Agent_Refresh(agent, Clock_Now());
     Http_ReplyJson(request, 200, json_pack("{s:s}", "status", "ok"));
 }
 
@@ -103,8 +219,10 @@
 {
     const Endpoint *endpoint = &agent->endpoint;
     TimeUs silent = now - endpoint->heard_at;
-    return endpoint->announced && !endpoint->leaving && !agent->draining &&
-           silent < agent->own->announce_ms * US_PER_MS;
+    TimeUs most = MIN(agent->own->announce_ms, SILENCE_MAX_MS) * US_PER_MS;
+    return endpoint->announced && !endpoint->leaving &&
+           !endpoint->told_leaving && !agent->draining &&
+           !agent->drained_by_order && silent < most;
 }
 
 int
@@ -119,6 +237,11 @@
     if (agent->http == NULL) {
         return err->code;
     }
+    evhttp_set_max_body_size(agent->http, BODY_MAX_BYTES);
+    evhttp_set_max_headers_size(agent->http, HEADERS_MAX_BYTES);
+    evhttp_set_timeout(agent->http, HTTP_TIMEOUT_S);
     evhttp_set_cb(agent->http, "/v1/announce", on_announce, agent);
+    evhttp_set_cb(agent->http, "/v1/leaving", on_leaving, agent);
+    AgentReport_Listen(agent);
     return ERR_OK;
 }
--- a/src/agent/links.c
+++ b/src/agent/links.c
@@ -1,14 +1,16 @@
 /** @file
- * The agent's links: entries dial it, it dials the control hosts.
+ * The agent's links to entries, which dial it: wants, grants, dispatches,
+ * answers, and the reports of its state.
  */
 #include "agent/state.h"
 
+#include "kernel/counter.h"
 #include "kernel/log.h"
 
 #define ACTIONS_AT_ONCE 64
 
-static uint64_t
-token_of(const Link *link)
+uint64_t
+AgentLinks_Token(const Link *link)
 {
     return (uint64_t)(uintptr_t)Link_Data(link);
 }
@@ -22,28 +24,40 @@
 }
 
 static void
-send_action(Agent *agent, const QueueAction *action)
+send_grant(Agent *agent, const QueueAction *action)
 {
-    Wire__RequestId id = WIRE__REQUEST_ID__INIT;
-    id.high = action->id.high;
-    id.low = action->id.low;
-    Wire__Frame frame = WIRE__FRAME__INIT;
+    Counter_Add(Counter_Get("agent_granted_total", "Grants sent."), 1);
+    WantInfo *info = Wants_Find(agent->wants, action->id);
+    if (info != NULL) {
+        info->granted = Clock_Now();
+    }
+    Wire__RequestId id = agent_wire_id(action->id);
     Wire__Grant grant = WIRE__GRANT__INIT;
+    grant.id = &id;
+    grant.grant_id = action->grant_id;
+    grant.ttl_ms = action->ttl_ms;
+    Wire__Frame frame = WIRE__FRAME__INIT;
+    frame.body_case = WIRE__FRAME__BODY_GRANT;
+    frame.grant = &grant;
+    AgentLinks_Send(agent, action->owner, &frame);
+}
+
+static void
+send_refuse(Agent *agent, const QueueAction *action)
+{
+    char counter[64];
+    g_snprintf(counter, sizeof(counter), "agent_refused_total{reason=\"%s\"}",
+               Work_ReasonName(action->reason));
+    Counter_Add(Counter_Get(counter, "Wants and dispatches refused."), 1);
+    Wants_Remove(agent->wants, action->id);
+    Wire__RequestId id = agent_wire_id(action->id);
     Wire__Refuse refuse = WIRE__REFUSE__INIT;
-    if (action->kind == QUEUE_GRANT) {
-        grant.id = &id;
-        grant.grant_id = action->grant_id;
-        grant.ttl_ms = action->ttl_ms;
-        frame.body_case = WIRE__FRAME__BODY_GRANT;
-        frame.grant = &grant;
-    }
-    else {
-        refuse.id = &id;
-        refuse.reason = (Wire__RefuseReason)action->reason;
-        refuse.retry_after_ms = action->retry_after_ms;
-        frame.body_case = WIRE__FRAME__BODY_REFUSE;
-        frame.refuse = &refuse;
-    }
+    refuse.id = &id;
+    refuse.reason = (Wire__RefuseReason)action->reason;
+    refuse.retry_after_ms = action->retry_after_ms;
+    Wire__Frame frame = WIRE__FRAME__INIT;
+    frame.body_case = WIRE__FRAME__BODY_REFUSE;
+    frame.refuse = &refuse;
     AgentLinks_Send(agent, action->owner, &frame);
 }
 
@@ -56,7 +70,12 @@
                 Queue_TakeActions(agent->queue, actions, ACTIONS_AT_ONCE)) > 0)
     {
         for (size_t i = 0; i < count; i++) {
-            send_action(agent, &actions[i]);
+            if (actions[i].kind == QUEUE_GRANT) {
+                send_grant(agent, &actions[i]);
+            }
+            else {
+                send_refuse(agent, &actions[i]);
+            }
         }
     }
 }
@@ -84,26 +103,59 @@
     g_free(state->models);
 }
 
-void
-AgentLinks_SendState(Agent *agent)
+static void
+fill_state(Agent *agent, Wire__AgentState *state)
 {
     QueueState queue;
     Queue_State(agent->queue, Clock_Now(), &queue);
+    state->sequence = ++agent->report_sequence;
+    state->kind = agent->endpoint.is_engine ? "engine" : "service";
+    state->service = agent->endpoint.service;
+    state->leaving = queue.leaving;
+    state->slots = queue.slots;
+    state->running = queue.running + queue.granted;
+    state->queued = queue.queued;
+    state->queued_prompt_tokens = queue.queued_prompt_tokens;
+    state->queued_output_tokens = queue.queued_output_tokens;
+    state->prefill_tokens_s = (float)queue.prefill_tokens_s;
+    state->decode_tokens_s = (float)queue.decode_tokens_s;
+    state->lowest_tier = queue.lowest_tier;
+    state->retry_after_ms = queue.retry_after_ms;
+    fill_models(agent, state);
+}
+
+static void
+fill_blocks(Wire__AgentState *state, const GArray *cached,
+            const GArray *evicted)
+{
+    state->cached = (uint64_t *)cached->data;
+    state->n_cached = cached->len;
+    state->evicted = (uint64_t *)evicted->data;
+    state->n_evicted = evicted->len;
+}
+
+/* Tells the queue which blocks came and went since the last report. */
+static void
+tell_queue(Agent *agent, const Wire__AgentState *state)
+{
+    if (state->cache_reset) {
+        Queue_CacheReset(agent->queue);
+    }
+    Queue_Cached(agent->queue, state->cached, (uint32_t)state->n_cached, true);
+    Queue_Cached(agent->queue, state->evicted, (uint32_t)state->n_evicted,
+                 false);
+}
+
+void
+AgentLinks_SendState(Agent *agent)
+{
     Wire__AgentState state = WIRE__AGENT_STATE__INIT;
-    state.sequence = ++agent->report_sequence;
-    state.kind = agent->endpoint.is_engine ? "engine" : "service";
-    state.service = agent->endpoint.service;
-    state.leaving = queue.leaving;
-    state.slots = queue.slots;
-    state.running = queue.running + queue.granted;
-    state.queued = queue.queued;
-    state.queued_prompt_tokens = queue.queued_prompt_tokens;
-    state.queued_output_tokens = queue.queued_output_tokens;
-    state.prefill_tokens_s = (float)queue.prefill_tokens_s;
-    state.decode_tokens_s = (float)queue.decode_tokens_s;
-    state.lowest_tier = queue.lowest_tier;
-    state.retry_after_ms = queue.retry_after_ms;
-    fill_models(agent, &state);
+    fill_state(agent, &state);
+    GArray *cached = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    GArray *evicted = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    state.cache_reset = Cache_TakeChanges(agent->cache, cached, evicted);
+    fill_blocks(&state, cached, evicted);
+    tell_queue(agent, &state);
     Wire__Frame frame = WIRE__FRAME__INIT;
     frame.body_case = WIRE__FRAME__BODY_AGENT_STATE;
     frame.agent_state = &state;
@@ -114,40 +166,51 @@
         Link_Send(link, &frame);
     }
     free_models(&state);
+    g_array_free(cached, TRUE);
+    g_array_free(evicted, TRUE);
+}
+
+/* The first report on a link names every cached block. */
+static void
+send_first_state(Agent *agent, Link *link)
+{
+    Wire__AgentState state = WIRE__AGENT_STATE__INIT;
+    fill_state(agent, &state);
+    GArray *cached = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    GArray *evicted = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    Cache_List(agent->cache, cached);
+    state.cache_reset = true;
+    fill_blocks(&state, cached, evicted);
+    Wire__Frame frame = WIRE__FRAME__INIT;
+    frame.body_case = WIRE__FRAME__BODY_AGENT_STATE;
+    frame.agent_state = &state;
+    Link_Send(link, &frame);
+    free_models(&state);
+    g_array_free(cached, TRUE);
+    g_array_free(evicted, TRUE);
 }
 
 void
-AgentLinks_SendPresence(Agent *agent)
+AgentLinks_SayGoodbye(Agent *agent)
 {
-    Wire__Presence presence = WIRE__PRESENCE__INIT;
-    presence.role = WIRE__ROLE__ROLE_AGENT;
-    presence.name = agent->own->name;
-    presence.incarnation = agent->self.incarnation;
-    presence.address = agent->own->listen;
-    presence.zone = agent->settings->zone;
-    presence.region = agent->settings->region;
-    presence.kind = agent->endpoint.is_engine ? "engine" : "service";
-    presence.service = agent->endpoint.service;
-    presence.models = (char **)agent->endpoint.models->pdata;
-    presence.n_models = agent->endpoint.models->len;
-    presence.leaving = !AgentEndpoint_Usable(agent, Clock_Now());
+    Wire__Goodbye goodbye = WIRE__GOODBYE__INIT;
     Wire__Frame frame = WIRE__FRAME__INIT;
-    frame.body_case = WIRE__FRAME__BODY_PRESENCE;
-    frame.presence = &presence;
-    for (guint i = 0; i < agent->control_links->len; i++) {
-        Link_Send(g_ptr_array_index(agent->control_links, i), &frame);
+    frame.body_case = WIRE__FRAME__BODY_GOODBYE;
+    frame.goodbye = &goodbye;
+    GHashTableIter iter;
+    gpointer link;
+    g_hash_table_iter_init(&iter, agent->entry_links);
+    while (g_hash_table_iter_next(&iter, NULL, &link)) {
+        Link_Send(link, &frame);
     }
+    AgentControl_SendAll(agent, &frame);
 }
 
 static void
-on_want(Agent *agent, Link *link, const Wire__Want *want)
+fill_work(const Agent *agent, const Wire__Want *want, TimeUs now, Work *work)
 {
-    if (want->id == NULL || want->tier >= WORK_TIERS) {
-        return;
-    }
-    TimeUs now = Clock_Now();
     bool is_model = want->model[0] != '\0';
-    Work work = {
+    *work = (Work){
         .id = {.high = want->id->high, .low = want->id->low},
         .target =
             Work_Target(is_model, is_model ? want->model : want->service),
@@ -156,38 +219,79 @@
         .deadline = now + want->deadline_ms * US_PER_MS,
         .prompt_tokens = want->prompt_tokens,
         .output_tokens = want->output_tokens,
-        .alone = want->alone,
+        .alone =
+            want->alone || AgentControl_Suspected(agent, want->fingerprint),
     };
-    while (work.prefix_count < want->n_prefix_hash &&
-           work.prefix_count < WORK_PREFIX_BLOCKS)
+    while (work->prefix_count < want->n_prefix_hash &&
+           work->prefix_count < WORK_PREFIX_BLOCKS)
     {
-        work.prefix[work.prefix_count] = want->prefix_hash[work.prefix_count];
-        work.prefix_count++;
+        work->prefix[work->prefix_count] =
+            want->prefix_hash[work->prefix_count];
+        work->prefix_count++;
+    }
+}
+
+static void
+on_want(Agent *agent, Link *link, const Wire__Want *want)
+{
+    if (want->tier >= WORK_TIERS) {
+        return;
+    }
+    TimeUs now = Clock_Now();
+    Work work;
+    fill_work(agent, want, now, &work);
+    if (AgentControl_Quarantined(agent, work.fingerprint)) {
+        send_refuse(agent, &(QueueAction){
+                               .kind = QUEUE_REFUSE,
+                               .id = work.id,
+                               .owner = AgentLinks_Token(link),
+                               .reason = REFUSE_QUARANTINED,
+                           });
+        return;
+    }
+    Wants_Add(agent->wants, &work, AgentLinks_Token(link), now);
+    Queue_Want(agent->queue, &work, AgentLinks_Token(link), now);
+}
+
+static void
+on_withdraw(Agent *agent, Link *link, RequestId id)
+{
+    uint64_t token = AgentLinks_Token(link);
+    const WantInfo *info = Wants_Find(agent->wants, id);
+    if (info != NULL && info->owner == token) {
+        Wants_Remove(agent->wants, id);
     }
-    Queue_Want(agent->queue, &work, token_of(link), now);
+    Queue_Withdraw(agent->queue, id, token, Clock_Now());
 }
 
 static void
-on_entry_frame(Link *link, const Wire__Frame *frame, void *owner)
+on_frame(Link *link, const Wire__Frame *frame, void *owner)
 {
     Agent *agent = owner;
     const Wire__RequestId *wire_id = Frame_RequestId(frame);
     if (wire_id == NULL) {
         return;
     }
+    Agent_Refresh(agent, Clock_Now());
     RequestId id = {.high = wire_id->high, .low = wire_id->low};
     switch (frame->body_case) {
     case WIRE__FRAME__BODY_WANT:
         on_want(agent, link, frame->want);
         break;
     case WIRE__FRAME__BODY_WITHDRAW:
-        Queue_Withdraw(agent->queue, id, token_of(link), Clock_Now());
+        on_withdraw(agent, link, id);
         break;
     case WIRE__FRAME__BODY_DISPATCH:
-        AgentRun_Start(agent, token_of(link), frame->dispatch);
+        AgentRun_Start(agent, link, frame->dispatch);
         break;
     case WIRE__FRAME__BODY_CANCEL:
-        AgentRun_Cancel(agent, id);
+        AgentAnswer_OnCancel(agent, link, id);
+        break;
+    case WIRE__FRAME__BODY_ANSWER_ACK:
+        AgentAnswer_OnAck(agent, link, frame->answer_ack);
+        break;
+    case WIRE__FRAME__BODY_RESUME:
+        AgentAnswer_OnResume(agent, link, frame->resume);
         break;
     default:
         break;
@@ -196,7 +300,7 @@
 }
 
 static void
-on_entry_up(Link *link, void *owner)
+on_up(Link *link, void *owner)
 {
     Agent *agent = owner;
     uint64_t token = ++agent->next_token;
@@ -204,82 +308,45 @@
     g_hash_table_insert(agent->entry_links, GSIZE_TO_POINTER(token), link);
     LOG_INFO(AGENT_PART, "Entry joined. endpoint=%s entry=%s",
              agent->own->name, Link_Peer(link)->name);
-    AgentLinks_SendState(agent);
+    send_first_state(agent, link);
 }
 
 static void
-on_entry_down(Link *link, void *owner)
+on_down(Link *link, void *owner)
 {
     Agent *agent = owner;
-    uint64_t token = token_of(link);
+    uint64_t token = AgentLinks_Token(link);
     g_hash_table_remove(agent->entry_links, GSIZE_TO_POINTER(token));
+    Wants_RemoveOwner(agent->wants, token);
+    AgentAnswer_OwnerGone(agent, token);
     Queue_OwnerGone(agent->queue, token, Clock_Now());
     AgentLinks_FlushQueue(agent);
 }
 
-static const LinkOps entry_ops = {
-    .up = on_entry_up,
-    .down = on_entry_down,
-    .frame = on_entry_frame,
-};
-
-static void
-on_control_up(Link *link, void *owner)
-{
-    AgentLinks_SendPresence(owner);
-}
-
-static void
-on_control_down(Link *link, void *owner)
-{
-}
-
-static void
-on_control_frame(Link *link, const Wire__Frame *frame, void *owner)
-{
-}
-
-static const LinkOps control_ops = {
-    .up = on_control_up,
-    .down = on_control_down,
-    .frame = on_control_frame,
+static const LinkOps link_ops = {
+    .up = on_up,
+    .down = on_down,
+    .frame = on_frame,
 };
 
 int
 AgentLinks_Open(Agent *agent, Error *err)
 {
-    agent->entry_links = g_hash_table_new(NULL, NULL);
-    agent->control_links = g_ptr_array_new();
     Address address;
     int result = Address_Parse(agent->own->listen, &address, err);
     if (result != ERR_OK) {
         return result;
     }
     agent->entries = Link_Listen(agent->base, &agent->self, &address,
-                                 &entry_ops, agent, err);
-    if (agent->entries == NULL) {
-        return err->code;
-    }
-    for (unsigned i = 0; i < agent->settings->control_hosts_count; i++) {
-        const char *text = agent->settings->control_hosts[i].address;
-        result = Address_Parse(text, &address, err);
-        if (result != ERR_OK) {
-            return result;
-        }
-        g_ptr_array_add(agent->control_links,
-                        Link_Dial(agent->base, &agent->self, &address,
-                                  &control_ops, agent));
-    }
-    return ERR_OK;
+                                 &link_ops, agent, err);
+    return agent->entries == NULL ? err->code : ERR_OK;
 }
 
 void
 AgentLinks_Close(Agent *agent)
 {
-    for (guint i = 0; i < agent->control_links->len; i++) {
-        Link_Close(g_ptr_array_index(agent->control_links, i));
+    if (agent->entries != NULL) {
+        Link_CloseServer(agent->entries);
     }
-    g_ptr_array_free(agent->control_links, TRUE);
-    Link_CloseServer(agent->entries);
     g_hash_table_destroy(agent->entry_links);
 }
--- a/src/agent/run.c
+++ b/src/agent/run.c
@@ -1,77 +1,152 @@
 /** @file
- * Runs: a dispatched request on the endpoint, over HTTP, and its answer on
- * the way back to the entry.
+ * Runs: a dispatched request on the endpoint, over HTTP.
+ *
+ * Each run has a connection of its own: a kept connection that the endpoint
+ * closes while a request is sent on it leaves open whether the request ran.
  */
 #include "agent/state.h"
 
 #include <string.h>
 
 #include <event2/buffer.h>
-#include <xxhash.h>
+#include <event2/bufferevent.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 
+#include "agent/usage.h"
+#include "kernel/counter.h"
 #include "kernel/log.h"
 
+/* TCP keepalive: a connection that the other side no longer knows fails
+ * within about KEEPALIVE_IDLE_S + KEEPALIVE_PROBES * KEEPALIVE_PERIOD_S. */
+#define KEEPALIVE_IDLE_S 5
+#define KEEPALIVE_PERIOD_S 2
+#define KEEPALIVE_PROBES 3
+#define UNACKED_MAX_MS 10000
+#define ANSWER_HEADERS_MAX_BYTES (64 * 1024)
+#define DETAIL_BYTES 96
+#define DUMP_RUNS_MAX 64
+#define PREFIX_HEADER "X-Laurellift-Prefix"
+
 struct Run {
     Agent *agent;
+    Answer *answer;
     RequestId id;
-    uint64_t token; /* entry that the answer goes to */
+    uint64_t fingerprint;
+    bool known; /* the want is known: work holds its figures */
+    Work work;
+    uint32_t expected; /* blocks thought cached at the start */
     struct evhttp_connection *connection;
     struct evhttp_request *request;
-    bool head_sent;
-    uint64_t length; /* bytes of the answer so far */
-    XXH3_state_t *hash;
+    struct event *deadline;
+    struct event *pause; /* stops reading, outside of evhttp's callbacks */
+    enum evhttp_request_error fault;
+    bool faulted;
+    Usage usage;
+    TimeUs started;
     TimeUs first_piece;
 };
 
-guint
-AgentRun_HashId(gconstpointer id)
+typedef struct Ending {
+    Wire__EndOutcome outcome;
+    const char *name; /* label of the counter */
+    const char *detail;
+} Ending;
+
+static void
+count_ending(const char *name)
 {
-    const RequestId *request = id;
-    return (guint)(request->high ^ request->low);
+    char counter[64];
+    g_snprintf(counter, sizeof(counter), "agent_runs_total{outcome=\"%s\"}",
+               name);
+    Counter_Add(Counter_Get(counter, "Runs that ended, by outcome."), 1);
 }
 
-gboolean
-AgentRun_EqualId(gconstpointer a, gconstpointer b)
+static void
+free_connection(evutil_socket_t fd, short events, void *connection)
+{
+    evhttp_connection_free(connection);
+}
+
+static void
+free_run(Run *run)
 {
-    const RequestId *first = a;
-    const RequestId *second = b;
-    return work_same_id(*first, *second);
+    g_hash_table_remove(run->agent->runs, &run->id);
+    if (run->deadline != NULL) {
+        event_free(run->deadline);
+    }
+    event_free(run->pause);
+    g_free(run);
+}
+
+/* Prompt tokens that were computed for an answer that nobody gets. */
+static void
+count_tokens(const Run *run, const UsageTokens *tokens, bool complete)
+{
+    if (!run->known || run->work.prompt_tokens == 0) {
+        return;
+    }
+    uint32_t prompt = run->work.prompt_tokens;
+    uint32_t cached = MIN(tokens->cached, prompt);
+    Counter_Add(Counter_Get("agent_prompt_tokens_total",
+                            "Prompt tokens of requests that ran."),
+                prompt);
+    Counter_Add(Counter_Get("agent_cached_tokens_total",
+                            "Prompt tokens found in the prefix cache."),
+                cached);
+    if (!complete) {
+        Counter_Add(Counter_Get("agent_wasted_prefill_tokens_total",
+                                "Uncached prompt tokens of runs that did "
+                                "not complete."),
+                    prompt - cached);
+    }
 }
 
-static Wire__RequestId
-wire_id(RequestId id)
+static void
+finish(Run *run, const Ending *ending)
 {
-    Wire__RequestId wire = WIRE__REQUEST_ID__INIT;
-    wire.high = id.high;
-    wire.low = id.low;
-    return wire;
+    Agent *agent = run->agent;
+    bool complete = ending->outcome == WIRE__END_OUTCOME__END_COMPLETE;
+    bool ran = ending->outcome != WIRE__END_OUTCOME__END_NOT_RUN;
+    UsageTokens tokens = Usage_Read(&run->usage);
+    if (complete && run->known) {
+        AgentReport_Learn(agent, &run->work, run->expected,
+                          tokens.cached_stated ? (int64_t)tokens.cached : -1);
+    }
+    if (ran) {
+        count_tokens(run, &tokens, complete);
+    }
+    count_ending(ending->name);
+    AgentAnswer_End(run->answer, ending->outcome, ending->detail,
+                    tokens.cached);
+    QueueResult result = {
+        .first_piece = run->first_piece,
+        .output_tokens = tokens.output,
+        .cached_tokens = tokens.cached,
+        .complete = complete,
+    };
+    Queue_Finished(agent->queue, run->id, &result, Clock_Now());
+    free_run(run);
+    AgentLinks_FlushQueue(agent);
 }
 
 static void
-send_head(Run *run)
+pass_head(Run *run)
 {
-    if (run->head_sent) {
+    if (AgentAnswer_HasHead(run->answer)) {
         return;
     }
-    run->head_sent = true;
-    Wire__RequestId id = wire_id(run->id);
-    Wire__AnswerHead head = WIRE__ANSWER_HEAD__INIT;
-    head.id = &id;
-    head.status = (uint32_t)evhttp_request_get_response_code(run->request);
     const char *type = evhttp_find_header(
         evhttp_request_get_input_headers(run->request), "Content-Type");
-    head.content_type = type == NULL ? "" : (char *)type;
-    Wire__Frame frame = WIRE__FRAME__INIT;
-    frame.body_case = WIRE__FRAME__BODY_ANSWER_HEAD;
-    frame.answer_head = &head;
-    AgentLinks_Send(run->agent, run->token, &frame);
+    int status = evhttp_request_get_response_code(run->request);
+    AgentAnswer_Head(run->answer, (uint32_t)status, type == NULL ? "" : type);
 }
 
 static void
 on_chunk(struct evhttp_request *request, void *arg)
 {
     Run *run = arg;
-    send_head(run);
+    pass_head(run);
     struct evbuffer *in = evhttp_request_get_input_buffer(request);
     size_t size = evbuffer_get_length(in);
     if (size == 0) {
@@ -81,108 +156,207 @@
         run->first_piece = Clock_Now();
         Queue_FirstPiece(run->agent->queue, run->id, run->first_piece);
     }
-    Wire__RequestId id = wire_id(run->id);
-    Wire__AnswerPiece piece = WIRE__ANSWER_PIECE__INIT;
-    piece.id = &id;
-    piece.offset = run->length;
-    piece.data.data = evbuffer_pullup(in, -1);
-    piece.data.len = size;
-    XXH3_64bits_update(run->hash, piece.data.data, size);
-    run->length += size;
-    Wire__Frame frame = WIRE__FRAME__INIT;
-    frame.body_case = WIRE__FRAME__BODY_ANSWER_PIECE;
-    frame.answer_piece = &piece;
-    AgentLinks_Send(run->agent, run->token, &frame);
+    const uint8_t *data = evbuffer_pullup(in, -1);
+    Usage_Take(&run->usage, (const char *)data, size);
+    AgentAnswer_Piece(run->answer, data, size);
     evbuffer_drain(in, size);
+    if (AgentAnswer_Full(run->answer)) {
+        /* evhttp enables reading after this callback. */
+        event_active(run->pause, EV_TIMEOUT, 0);
+    }
 }
 
-static void
-send_end(Run *run, Wire__EndOutcome outcome, const char *detail)
+void
+AgentRun_SetReading(Run *run, bool reading)
 {
-    Wire__RequestId id = wire_id(run->id);
-    Wire__AnswerEnd end = WIRE__ANSWER_END__INIT;
-    end.id = &id;
-    end.outcome = outcome;
-    end.length = run->length;
-    end.hash = XXH3_64bits_digest(run->hash);
-    end.detail = (char *)detail;
-    Wire__Frame frame = WIRE__FRAME__INIT;
-    frame.body_case = WIRE__FRAME__BODY_ANSWER_END;
-    frame.answer_end = &end;
-    AgentLinks_Send(run->agent, run->token, &frame);
+    struct bufferevent *socket =
+        evhttp_connection_get_bufferevent(run->connection);
+    if (reading) {
+        event_del(run->pause);
+        bufferevent_enable(socket, EV_READ);
+    }
+    else {
+        bufferevent_disable(socket, EV_READ);
+    }
 }
 
 static void
-free_run(Run *run)
+on_pause(evutil_socket_t fd, short events, void *arg)
 {
-    g_hash_table_remove(run->agent->runs, &run->id);
-    XXH3_freeState(run->hash);
-    g_free(run);
+    Run *run = arg;
+    if (AgentAnswer_Full(run->answer)) {
+        AgentRun_SetReading(run, false);
+    }
 }
 
-static void
-finish(Run *run, Wire__EndOutcome outcome, const char *detail)
+/* True when the end of the answer is stated inside the answer: by length, by
+ * chunks, by a status without a body, or by the last event of a stream. */
+static bool
+is_whole(const Run *run)
 {
-    Agent *agent = run->agent;
-    send_end(run, outcome, detail);
-    QueueResult result = {
-        .first_piece = run->first_piece,
-        .complete = outcome == WIRE__END_OUTCOME__END_COMPLETE,
+    struct evkeyvalq *headers = evhttp_request_get_input_headers(run->request);
+    int status = evhttp_request_get_response_code(run->request);
+    return evhttp_find_header(headers, "Content-Length") != NULL ||
+           evhttp_find_header(headers, "Transfer-Encoding") != NULL ||
+           status == 204 || status == 304 || Usage_StreamDone(&run->usage);
+}
+
+static Ending
+broken(const Run *run, char detail[DETAIL_BYTES])
+{
+    Ending ending = {
+        .outcome = WIRE__END_OUTCOME__END_BROKEN,
+        .name = "broken",
+        .detail = detail,
     };
-    Queue_Finished(agent->queue, run->id, &result, Clock_Now());
-    free_run(run);
-    AgentLinks_FlushQueue(agent);
+    if (run->faulted && run->fault == EVREQ_HTTP_TIMEOUT) {
+        ending.name = "silent";
+        g_snprintf(detail, DETAIL_BYTES,
+                   "The endpoint sent nothing for %u ms.",
+                   run->agent->own->idle_ms);
+        return ending;
+    }
+    g_strlcpy(detail, "The endpoint's connection broke.", DETAIL_BYTES);
+    return ending;
 }
 
+static const Ending ending_not_run = {
+    .outcome = WIRE__END_OUTCOME__END_NOT_RUN,
+    .name = "not_run",
+    .detail = "The endpoint took no connection.",
+};
+static const Ending ending_complete = {
+    .outcome = WIRE__END_OUTCOME__END_COMPLETE,
+    .name = "complete",
+    .detail = "",
+};
+static const Ending ending_cut = {
+    .outcome = WIRE__END_OUTCOME__END_BROKEN,
+    .name = "cut",
+    .detail = "The answer does not state where it ends.",
+};
+
+static void
+on_fault(enum evhttp_request_error fault, void *arg)
+{
+    Run *run = arg;
+    run->fault = fault;
+    run->faulted = true;
+}
+
+/* evhttp passes no request when the connection failed after it stood, and
+ * one without a status when it never stood. */
 static void
 on_done(struct evhttp_request *request, void *arg)
 {
     Run *run = arg;
-    bool complete =
-        request != NULL && evhttp_request_get_response_code(request) != 0;
-    if (complete) {
-        send_head(run);
-        on_chunk(request, run);
-    }
-    finish(run,
-           complete ? WIRE__END_OUTCOME__END_COMPLETE
-                    : WIRE__END_OUTCOME__END_BROKEN,
-           complete ? "" : "The endpoint's connection broke.");
+    Agent *agent = run->agent;
+    event_base_once(agent->base, -1, EV_TIMEOUT, free_connection,
+                    run->connection, NULL);
+    if (request == NULL) {
+        char detail[DETAIL_BYTES];
+        Ending ending = broken(run, detail);
+        if (!run->faulted || run->fault == EVREQ_HTTP_EOF) {
+            AgentCrash_Suspect(agent->crashes, run->fingerprint);
+        }
+        finish(run, &ending);
+        return;
+    }
+    if (evhttp_request_get_response_code(request) == 0) {
+        AgentCrash_Refused(agent->crashes);
+        finish(run, &ending_not_run);
+        return;
+    }
+    on_chunk(request, run);
+    finish(run, is_whole(run) ? &ending_complete : &ending_cut);
+}
+
+typedef struct Method {
+    const char *name;
+    enum evhttp_cmd_type type;
+} Method;
+
+static const Method methods[] = {
+    {"GET", EVHTTP_REQ_GET},     {"POST", EVHTTP_REQ_POST},
+    {"PUT", EVHTTP_REQ_PUT},     {"DELETE", EVHTTP_REQ_DELETE},
+    {"PATCH", EVHTTP_REQ_PATCH},
+};
+
+static const Method *
+find_method(const char *name)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(methods); i++) {
+        if (strcmp(methods[i].name, name) == 0) {
+            return &methods[i];
+        }
+    }
+    return NULL;
+}
+
+/* A path that can stand in a request line. */
+static bool
+is_path(const char *path)
+{
+    for (const char *at = path; *at != '\0'; at++) {
+        if (!g_ascii_isgraph(*at)) {
+            return false;
+        }
+    }
+    return path[0] == '/';
 }
 
 static void
-refuse_dispatch(Agent *agent, uint64_t token, const Wire__Dispatch *dispatch,
-                RefuseReason reason)
+refuse(Agent *agent, Link *link, const Wire__Dispatch *dispatch,
+       RefuseReason reason)
 {
+    char counter[64];
+    g_snprintf(counter, sizeof(counter), "agent_refused_total{reason=\"%s\"}",
+               Work_ReasonName(reason));
+    Counter_Add(Counter_Get(counter, "Wants and dispatches refused."), 1);
+    if (reason == REFUSE_DUPLICATE) {
+        /* It may have run: a refusal would say that it has not. A request
+         * whose answer is here needs nothing more. */
+        RequestId id = {dispatch->id->high, dispatch->id->low};
+        if (g_hash_table_lookup(agent->answers, &id) == NULL) {
+            AgentAnswer_SendUnknown(link, id);
+        }
+        return;
+    }
     Wire__RequestId id = *dispatch->id;
-    Wire__Refuse refuse = WIRE__REFUSE__INIT;
-    refuse.id = &id;
-    refuse.grant_id = dispatch->grant_id;
-    refuse.reason = (Wire__RefuseReason)reason;
-    refuse.retry_after_ms = 1000;
+    Wire__Refuse message = WIRE__REFUSE__INIT;
+    message.id = &id;
+    message.grant_id = dispatch->grant_id;
+    message.reason = (Wire__RefuseReason)reason;
+    message.retry_after_ms = 1000;
     Wire__Frame frame = WIRE__FRAME__INIT;
     frame.body_case = WIRE__FRAME__BODY_REFUSE;
-    frame.refuse = &refuse;
-    AgentLinks_Send(agent, token, &frame);
+    frame.refuse = &message;
+    Link_Send(link, &frame);
 }
 
-static enum evhttp_cmd_type
-method_of(const char *name)
+static void
+on_deadline(evutil_socket_t fd, short events, void *arg)
 {
-    if (strcmp(name, "POST") == 0) {
-        return EVHTTP_REQ_POST;
-    }
-    if (strcmp(name, "PUT") == 0) {
-        return EVHTTP_REQ_PUT;
+    AgentRun_Cancel(arg, "The deadline has passed.");
+}
+
+static void
+add_prefix_header(const Run *run, struct evkeyvalq *headers)
+{
+    if (!run->known || run->work.prefix_count == 0) {
+        return;
     }
-    if (strcmp(name, "DELETE") == 0) {
-        return EVHTTP_REQ_DELETE;
+    GString *value = g_string_new(NULL);
+    for (uint32_t i = 0; i < run->work.prefix_count; i++) {
+        g_string_append_printf(value, "%s%016" G_GINT64_MODIFIER "x",
+                               i == 0 ? "" : ",", run->work.prefix[i]);
     }
-    return EVHTTP_REQ_GET;
+    evhttp_add_header(headers, PREFIX_HEADER, value->str);
+    g_string_free(value, TRUE);
 }
 
 static void
-add_headers(Run *run, const Wire__Dispatch *dispatch)
+fill_request(Run *run, const Wire__Dispatch *dispatch)
 {
     struct evkeyvalq *headers =
         evhttp_request_get_output_headers(run->request);
@@ -192,71 +366,189 @@
         evhttp_add_header(headers, dispatch->headers[i]->name,
                           dispatch->headers[i]->value);
     }
+    add_prefix_header(run, headers);
     if (dispatch->body.len > 0) {
         evbuffer_add(evhttp_request_get_output_buffer(run->request),
                      dispatch->body.data, dispatch->body.len);
     }
 }
 
-void
-AgentRun_Start(Agent *agent, uint64_t token, const Wire__Dispatch *dispatch)
+static void
+watch_silence(Run *run)
 {
-    RequestId id = {.high = dispatch->id->high, .low = dispatch->id->low};
-    RefuseReason reason =
-        Queue_Dispatch(agent->queue, id, dispatch->grant_id, Clock_Now());
-    if (reason != REFUSE_NONE) {
-        refuse_dispatch(agent, token, dispatch, reason);
+    int on = 1;
+    int idle = KEEPALIVE_IDLE_S;
+    int period = KEEPALIVE_PERIOD_S;
+    int probes = KEEPALIVE_PROBES;
+    unsigned unacked = UNACKED_MAX_MS;
+    struct bufferevent *socket =
+        evhttp_connection_get_bufferevent(run->connection);
+    evutil_socket_t fd = bufferevent_getfd(socket);
+    if (fd < 0) {
         return;
     }
+    setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof(idle));
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &period, sizeof(period));
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked, sizeof(unacked));
+}
+
+static struct timeval
+span_ms(uint32_t ms)
+{
+    return (struct timeval){
+        .tv_sec = ms / 1000,
+        .tv_usec = (ms % 1000) * US_PER_MS,
+    };
+}
+
+static Run *
+new_run(Agent *agent, Link *link, const Wire__Dispatch *dispatch)
+{
     Run *run = g_new0(Run, 1);
     run->agent = agent;
-    run->id = id;
-    run->token = token;
-    run->hash = XXH3_createState();
-    XXH3_64bits_reset(run->hash);
+    run->id = (RequestId){dispatch->id->high, dispatch->id->low};
+    run->fingerprint = dispatch->fingerprint;
+    run->started = Clock_Now();
+    WantInfo *info = Wants_Find(agent->wants, run->id);
+    if (info != NULL) {
+        run->known = true;
+        run->work = info->work;
+        run->expected = Cache_Leading(agent->cache, info->work.prefix,
+                                      info->work.prefix_count);
+        Wants_Remove(agent->wants, run->id);
+    }
+    run->answer = AgentAnswer_New(agent, link, run, dispatch);
+    run->pause = event_new(agent->base, -1, 0, on_pause, run);
+    run->deadline = event_new(agent->base, -1, 0, on_deadline, run);
+    struct timeval left = span_ms(dispatch->deadline_ms);
+    event_add(run->deadline, &left);
     g_hash_table_insert(agent->runs, &run->id, run);
+    return run;
+}
+
+/* Opens the connection and sends the request. The run may have ended when
+ * this returns. */
+static void
+send_request(Run *run, const Wire__Dispatch *dispatch,
+             enum evhttp_cmd_type method)
+{
+    Agent *agent = run->agent;
     const Address *address = &agent->endpoint_address;
     run->connection = evhttp_connection_base_new(agent->base, NULL,
                                                  address->host, address->port);
-    evhttp_connection_free_on_completion(run->connection);
+    struct timeval idle = span_ms(agent->own->idle_ms);
+    evhttp_connection_set_max_headers_size(run->connection,
+                                           ANSWER_HEADERS_MAX_BYTES);
+    evhttp_connection_set_timeout_tv(run->connection, &idle);
     run->request = evhttp_request_new(on_done, run);
     evhttp_request_set_chunked_cb(run->request, on_chunk);
-    add_headers(run, dispatch);
-    if (evhttp_make_request(run->connection, run->request,
-                            method_of(dispatch->method), dispatch->path) != 0)
+    evhttp_request_set_error_cb(run->request, on_fault);
+    fill_request(run, dispatch);
+    RequestId id = run->id;
+    if (evhttp_make_request(run->connection, run->request, method,
+                            dispatch->path) != 0)
     {
-        LOG_WARN(AGENT_PART, "Cannot reach the endpoint. endpoint=%s",
-                 agent->own->name);
-        finish(run, WIRE__END_OUTCOME__END_BROKEN, "Cannot reach it.");
+        event_base_once(agent->base, -1, EV_TIMEOUT, free_connection,
+                        run->connection, NULL);
+        finish(run, &ending_not_run);
+        return;
+    }
+    if (g_hash_table_lookup(agent->runs, &id) == run) {
+        watch_silence(run);
     }
 }
 
-static void
-abandon(Run *run)
+void
+AgentRun_Start(Agent *agent, Link *link, const Wire__Dispatch *dispatch)
 {
-    evhttp_cancel_request(run->request);
+    RequestId id = {.high = dispatch->id->high, .low = dispatch->id->low};
+    TimeUs now = Clock_Now();
+    RefuseReason reason =
+        Queue_Dispatch(agent->queue, id, dispatch->grant_id, now);
+    if (reason != REFUSE_NONE) {
+        Wants_Remove(agent->wants, id);
+        refuse(agent, link, dispatch, reason);
+        return;
+    }
+    const Method *method = find_method(dispatch->method);
+    if (method == NULL || !is_path(dispatch->path)) {
+        reason = REFUSE_UNFIT;
+    }
+    else if (dispatch->deadline_ms == 0) {
+        reason = REFUSE_DEADLINE;
+    }
+    else if (AgentControl_Quarantined(agent, dispatch->fingerprint)) {
+        reason = REFUSE_QUARANTINED;
+    }
+    if (reason != REFUSE_NONE) {
+        /* The queue keeps a tombstone: it never runs here. */
+        QueueResult nothing = {.complete = false};
+        Queue_Finished(agent->queue, id, &nothing, now);
+        Wants_Remove(agent->wants, id);
+        refuse(agent, link, dispatch, reason);
+        return;
+    }
+    send_request(new_run(agent, link, dispatch), dispatch, method->type);
 }
 
 void
-AgentRun_Cancel(Agent *agent, RequestId id)
+AgentRun_Cancel(Run *run, const char *why)
 {
-    Run *run = g_hash_table_lookup(agent->runs, &id);
-    if (run == NULL) {
-        return;
+    evhttp_connection_free(run->connection);
+    finish(run, &(Ending){
+                    .outcome = WIRE__END_OUTCOME__END_CANCELLED,
+                    .name = "cancelled",
+                    .detail = why,
+                });
+}
+
+void
+AgentRun_Tick(Agent *agent, TimeUs now)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, agent->runs);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        Run *run = value;
+        if (AgentAnswer_Abandoned(run->answer, now)) {
+            AgentRun_Cancel(run, "Its entry stayed away.");
+            g_hash_table_iter_init(&iter, agent->runs);
+        }
     }
-    abandon(run);
-    finish(run, WIRE__END_OUTCOME__END_CANCELLED, "Cancelled.");
 }
 
 void
 AgentRun_FreeAll(Agent *agent)
 {
     GHashTableIter iter;
-    gpointer run;
+    gpointer value;
     g_hash_table_iter_init(&iter, agent->runs);
-    while (g_hash_table_iter_next(&iter, NULL, &run)) {
-        abandon(run);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        Run *run = value;
+        evhttp_connection_free(run->connection);
         free_run(run);
         g_hash_table_iter_init(&iter, agent->runs);
     }
 }
+
+void
+AgentRun_Dump(const Agent *agent, json_t *out)
+{
+    TimeUs now = Clock_Now();
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, agent->runs);
+    while (json_array_size(out) < DUMP_RUNS_MAX &&
+           g_hash_table_iter_next(&iter, NULL, &value))
+    {
+        const Run *run = value;
+        json_int_t age_ms = (now - run->started) / US_PER_MS;
+        json_array_append_new(
+            out, json_pack("{s:i, s:I, s:I, s:b}", "tier", (int)run->work.tier,
+                           "age_ms", age_ms, "prompt_tokens",
+                           (json_int_t)run->work.prompt_tokens, "answering",
+                           run->first_piece != 0));
+    }
+}
--- /dev/null
+++ b/src/agent/wants.c
@@ -0,0 +1,115 @@
+/** @file
+ * What the agent remembers of wants, by request id.
+ */
+#include "agent/wants.h"
+
+struct WantTable {
+    GHashTable *infos; /* RequestId -> WantInfo */
+    uint32_t capacity;
+};
+
+guint
+Wants_HashId(gconstpointer id)
+{
+    const RequestId *request = id;
+    return (guint)(request->high ^ request->low);
+}
+
+gboolean
+Wants_EqualId(gconstpointer a, gconstpointer b)
+{
+    const RequestId *first = a;
+    const RequestId *second = b;
+    return work_same_id(*first, *second);
+}
+
+WantTable *
+Wants_New(uint32_t capacity)
+{
+    WantTable *wants = g_new0(WantTable, 1);
+    wants->capacity = capacity;
+    wants->infos =
+        g_hash_table_new_full(Wants_HashId, Wants_EqualId, NULL, g_free);
+    return wants;
+}
+
+void
+Wants_Free(WantTable *wants)
+{
+    g_hash_table_destroy(wants->infos);
+    g_free(wants);
+}
+
+void
+Wants_Add(WantTable *wants, const Work *work, uint64_t owner, TimeUs now)
+{
+    if (Wants_Count(wants) >= wants->capacity ||
+        g_hash_table_contains(wants->infos, &work->id))
+    {
+        return;
+    }
+    WantInfo *info = g_new0(WantInfo, 1);
+    info->work = *work;
+    info->owner = owner;
+    info->at = now;
+    g_hash_table_insert(wants->infos, &info->work.id, info);
+}
+
+WantInfo *
+Wants_Find(WantTable *wants, RequestId id)
+{
+    return g_hash_table_lookup(wants->infos, &id);
+}
+
+void
+Wants_Remove(WantTable *wants, RequestId id)
+{
+    g_hash_table_remove(wants->infos, &id);
+}
+
+void
+Wants_RemoveOwner(WantTable *wants, uint64_t owner)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, wants->infos);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const WantInfo *info = value;
+        if (info->owner == owner) {
+            g_hash_table_iter_remove(&iter);
+        }
+    }
+}
+
+void
+Wants_Expire(WantTable *wants, TimeUs now, TimeUs grant_ttl)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, wants->infos);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const WantInfo *info = value;
+        bool lapsed = info->granted != 0 && now >= info->granted + grant_ttl;
+        if (lapsed || now >= info->work.deadline) {
+            g_hash_table_iter_remove(&iter);
+        }
+    }
+}
+
+uint32_t
+Wants_Count(const WantTable *wants)
+{
+    return g_hash_table_size(wants->infos);
+}
+
+void
+Wants_ForEach(WantTable *wants, void (*visit)(const WantInfo *info, void *arg),
+              void *arg)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, wants->infos);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        visit(value, arg);
+    }
+}
--- a/src/entry/request.c
+++ b/src/entry/request.c
@@ -371,6 +371,7 @@
     message.body.data = (uint8_t *)request->body;
     message.body.len = request->body_length;
     message.fingerprint = request->work.fingerprint;
+    message.idempotent = request->idempotency_key == NULL;
     Wire__Frame frame = WIRE__FRAME__INIT;
     frame.body_case = WIRE__FRAME__BODY_DISPATCH;
     frame.dispatch = &message;
--- a/src/kernel/settings.c
+++ b/src/kernel/settings.c
@@ -19,6 +19,9 @@
 #define DEFAULT_LEASE_MS 3000
 #define DEFAULT_GRANT_MS 1000
 #define DEFAULT_ANNOUNCE_MS 2500
+#define DEFAULT_IDLE_MS 120000
+#define DEFAULT_RESUME_MS 5000
+#define DEFAULT_KEEP_MS 30000
 #define DEFAULT_CLAIM_RETENTION_S (7u * 24 * 3600)
 
 #define TEXT(key, type, member)                                               \
@@ -66,6 +69,9 @@
     TEXT("endpoint", SettingsAgent, endpoint),
     NUMBER("grant_ms", SettingsAgent, grant_ms),
     NUMBER("announce_ms", SettingsAgent, announce_ms),
+    NUMBER("idle_ms", SettingsAgent, idle_ms),
+    NUMBER("resume_ms", SettingsAgent, resume_ms),
+    NUMBER("keep_ms", SettingsAgent, keep_ms),
     CYAML_FIELD_END,
 };
 
@@ -255,6 +261,9 @@
         SettingsAgent *agent = &settings->agents[i];
         set_default(&agent->grant_ms, DEFAULT_GRANT_MS);
         set_default(&agent->announce_ms, DEFAULT_ANNOUNCE_MS);
+        set_default(&agent->idle_ms, DEFAULT_IDLE_MS);
+        set_default(&agent->resume_ms, DEFAULT_RESUME_MS);
+        set_default(&agent->keep_ms, DEFAULT_KEEP_MS);
     }
     if (settings->control != NULL) {
         set_default(&settings->control->claim_retention_s,
--- a/src/kernel/settings.h
+++ b/src/kernel/settings.h
@@ -37,6 +37,9 @@
     char *endpoint;       /**< IP:PORT where the endpoint takes requests. */
     uint32_t grant_ms;    /**< Life of a grant. */
     uint32_t announce_ms; /**< Longest silence of the endpoint. */
+    uint32_t idle_ms;     /**< Longest silence of a running request. */
+    uint32_t resume_ms;   /**< How long a lost entry may come back. */
+    uint32_t keep_ms;     /**< How long an answer waits for its entry. */
 } SettingsAgent;
 
 typedef struct SettingsControl {
