--- a/test/fakes/fake.c
+++ b/test/fakes/fake.c
@@ -7,6 +7,7 @@
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <unistd.h>
 
 #include <event2/buffer.h>
 #include <event2/event.h>
@@ -23,6 +24,7 @@
          "Agent to announce to", "IP:PORT"},
         {"record", 0, 0, G_OPTION_ARG_FILENAME, &fake->record,
          "Record of what ran", "FILE"},
+        {"boot", 0, 0, G_OPTION_ARG_STRING, &fake->boot, "Boot id", "TEXT"},
         {"slots", 0, 0, G_OPTION_ARG_INT, &fake->slots, "Requests at once",
          "N"},
         {NULL},
@@ -44,35 +46,59 @@
 }
 
 static void
-on_announced(struct evhttp_request *request, void *arg)
+on_posted(struct evhttp_request *request, void *arg)
 {
 }
 
 static void
-on_announce(evutil_socket_t fd, short events, void *arg)
+post(Fake *fake, const char *path, const json_t *report)
 {
-    Fake *fake = arg;
     Address agent;
-    if (Address_Parse(fake->agent, &agent, NULL) != ERR_OK) {
+    if (fake->agent == NULL ||
+        Address_Parse(fake->agent, &agent, NULL) != ERR_OK) {
         return;
     }
     struct evhttp_connection *connection =
         evhttp_connection_base_new(fake->base, NULL, agent.host, agent.port);
     evhttp_connection_free_on_completion(connection);
-    struct evhttp_request *request = evhttp_request_new(on_announced, NULL);
+    struct evhttp_request *request = evhttp_request_new(on_posted, NULL);
     struct evkeyvalq *headers = evhttp_request_get_output_headers(request);
     evhttp_add_header(headers, "Host", fake->agent);
     evhttp_add_header(headers, "Connection", "close");
-    char *text = json_dumps(fake->announcement, 0);
+    char *text = json_dumps(report, 0);
     evbuffer_add_printf(evhttp_request_get_output_buffer(request), "%s", text);
     free(text);
-    evhttp_make_request(connection, request, EVHTTP_REQ_POST, "/v1/announce");
+    evhttp_make_request(connection, request, EVHTTP_REQ_POST, path);
+}
+
+void
+Fake_Post(Fake *fake, const char *path, json_t *report)
+{
+    post(fake, path, report);
+    json_decref(report);
+}
+
+static void
+on_announce(evutil_socket_t fd, short events, void *arg)
+{
+    Fake *fake = arg;
+    post(fake, "/v1/announce", fake->announcement);
+}
+
+static void
+on_leave(evutil_socket_t fd, short events, void *arg)
+{
+    Fake_Post(arg, "/v1/leaving", json_object());
 }
 
 void
 Fake_Start(Fake *fake, json_t *announcement)
 {
     fake->announcement = announcement;
+    if (fake->boot == NULL) {
+        fake->boot = g_strdup_printf("%d", (int)getpid());
+    }
+    json_object_set_new(announcement, "boot", json_string(fake->boot));
     fake->base = event_base_new();
     fake->http = evhttp_new(fake->base);
     Address address;
@@ -123,6 +149,8 @@
     struct event *stop =
         evsignal_new(fake->base, SIGTERM, on_stop, fake->base);
     event_add(stop, NULL);
+    struct event *leave = evsignal_new(fake->base, SIGUSR1, on_leave, fake);
+    event_add(leave, NULL);
     event_base_dispatch(fake->base);
     return 0;
 }
--- a/test/fakes/fake.h
+++ b/test/fakes/fake.h
@@ -18,6 +18,7 @@
     gchar *listen; /**< IP:PORT for requests. */
     gchar *agent;  /**< IP:PORT of the agent's HTTP; NULL: none. */
     gchar *record; /**< File that gets one line for each request run. */
+    gchar *boot;   /**< Boot id announced; NULL: made from the process id. */
     gint slots;
     struct event_base *base;
     struct evhttp *http;
@@ -37,7 +38,11 @@
 void Fake_Record(const Fake *fake, const char *format, ...)
     __attribute__((format(printf, 2, 3)));
 
-/** Runs until SIGTERM. */
+/** Posts a report to the agent and takes @p report. Its answer is passed
+ * over. */
+void Fake_Post(Fake *fake, const char *path, json_t *report);
+
+/** Runs until SIGTERM. SIGUSR1 tells the agent that the endpoint leaves. */
 int Fake_Run(Fake *fake);
 
 #endif
--- a/test/fakes/fake_engine.c
+++ b/test/fakes/fake_engine.c
@@ -1,38 +1,44 @@
 /** @file
  * Fake model engine: chat completions, streamed or whole, at a set speed.
- * It knows no priorities and runs what it is given at once.
+ * It knows no priorities and runs what it is given at once. Options make it
+ * fail in the ways that the agent must bear.
  */
-#include "fake.h"
+#include "fake_engine.h"
 
 #include <stdlib.h>
 #include <string.h>
 
 #include <event2/buffer.h>
+#include <event2/http_struct.h>
 
 #define DEFAULT_TOKENS 8
-
-typedef struct Engine {
-    Fake fake;
-    gchar *model;
-    gint token_ms;   /* decode time of one token */
-    gint prefill_ms; /* time to the first token */
-    gchar *crash_on; /* a prompt that holds this text kills the engine */
-} Engine;
+#define BLOCK_TOKENS 128
+#define BLOCKS_MAX 64
+#define BYTES_PER_TOKEN 4
+/* Lets what was sent leave the process before the connection closes. */
+#define CUT_DELAY_MS 30
 
 typedef struct Stream {
     Engine *engine;
     struct evhttp_request *request;
     struct event *next;
+    struct event *cut;
     bool streamed;
+    bool usage; /* the caller asks for usage in the stream */
     int tokens;
     int sent;
+    int bytes; /* body bytes sent */
+    int prompt_tokens;
+    int cached_tokens;
     GString *text;
 } Stream;
 
 static void
 free_stream(Stream *stream)
 {
+    stream->engine->running--;
     event_free(stream->next);
+    event_free(stream->cut);
     g_string_free(stream->text, TRUE);
     g_free(stream);
 }
@@ -46,16 +52,50 @@
 }
 
 static void
-schedule(Stream *stream, int delay_ms)
+schedule(struct event *event, int delay_ms)
 {
     struct timeval delay = {
         .tv_sec = delay_ms / 1000,
         .tv_usec = (delay_ms % 1000) * 1000,
     };
-    event_add(stream->next, &delay);
+    event_add(event, &delay);
 }
 
 static void
+on_cut(evutil_socket_t fd, short events, void *arg)
+{
+    Stream *stream = arg;
+    struct evhttp_connection *connection =
+        evhttp_request_get_connection(stream->request);
+    evhttp_connection_set_closecb(connection, NULL, NULL);
+    Fake_Record(&stream->engine->fake, "cut after %d", stream->bytes);
+    free_stream(stream);
+    evhttp_connection_free(connection);
+}
+
+/* Sends a part of the body, up to where the connection is to be cut.
+ * @return false: nothing more will be sent. */
+static bool
+send_part(Stream *stream, struct evbuffer *part)
+{
+    int cut_after = stream->engine->cut_after;
+    int length = (int)evbuffer_get_length(part);
+    if (cut_after == 0 || stream->bytes + length < cut_after) {
+        stream->bytes += length;
+        evhttp_send_reply_chunk(stream->request, part);
+        return true;
+    }
+    int keep = cut_after - stream->bytes;
+    struct evbuffer *head = evbuffer_new();
+    evbuffer_remove_buffer(part, head, (size_t)keep);
+    stream->bytes += keep;
+    evhttp_send_reply_chunk(stream->request, head);
+    evbuffer_free(head);
+    schedule(stream->cut, CUT_DELAY_MS);
+    return false;
+}
+
+static bool
 send_token(Stream *stream)
 {
     struct evbuffer *out = evbuffer_new();
@@ -64,35 +104,71 @@
         "data: {\"object\":\"chat.completion.chunk\",\"choices\":[{"
         "\"index\":0,\"delta\":{\"content\":\"word%d \"}}]}\n\n",
         stream->sent);
-    evhttp_send_reply_chunk(stream->request, out);
+    bool more = send_part(stream, out);
     evbuffer_free(out);
+    return more;
 }
 
 static void
-end_stream(Stream *stream)
+add_usage(const Stream *stream, struct evbuffer *out)
+{
+    evbuffer_add_printf(out, "\"usage\":{\"completion_tokens\":%d",
+                        stream->sent);
+    if (stream->engine->cache != NULL) {
+        evbuffer_add_printf(out,
+                            ",\"prompt_tokens\":%d,\"prompt_tokens_details\":"
+                            "{\"cached_tokens\":%d}",
+                            stream->prompt_tokens, stream->cached_tokens);
+    }
+    evbuffer_add_printf(out, "}");
+}
+
+static void
+end_streamed(Stream *stream)
 {
-    struct evhttp_connection *connection =
-        evhttp_request_get_connection(stream->request);
-    evhttp_connection_set_closecb(connection, NULL, NULL);
     struct evbuffer *out = evbuffer_new();
-    if (stream->streamed) {
-        evbuffer_add_printf(out, "data: [DONE]\n\n");
-        evhttp_send_reply_chunk(stream->request, out);
-        evhttp_send_reply_end(stream->request);
+    if (stream->usage) {
+        evbuffer_add_printf(out, "data: {\"choices\":[],");
+        add_usage(stream, out);
+        evbuffer_add_printf(out, "}\n\n");
+    }
+    evbuffer_add_printf(out, "data: [DONE]\n\n");
+    evhttp_send_reply_chunk(stream->request, out);
+    evhttp_send_reply_end(stream->request);
+    evbuffer_free(out);
+}
+
+/* @return false: the connection is to be cut. */
+static bool
+end_whole(Stream *stream)
+{
+    struct evbuffer *out = evbuffer_new();
+    evbuffer_add_printf(
+        out,
+        "{\"object\":\"chat.completion\",\"choices\":[{\"index\":0,"
+        "\"message\":{\"role\":\"assistant\",\"content\":\"%s\"}}],",
+        stream->text->str);
+    add_usage(stream, out);
+    evbuffer_add_printf(out, "}\n");
+    struct evkeyvalq *headers =
+        evhttp_request_get_output_headers(stream->request);
+    evhttp_add_header(headers, "Content-Type", "application/json");
+    char length[16];
+    g_snprintf(length, sizeof(length), "%zu", evbuffer_get_length(out));
+    if (stream->engine->unframed) {
+        stream->request->minor = 0;
+        evhttp_add_header(headers, "Connection", "close");
     }
     else {
-        evbuffer_add_printf(
-            out,
-            "{\"object\":\"chat.completion\",\"choices\":[{\"index\":0,"
-            "\"message\":{\"role\":\"assistant\",\"content\":\"%s\"}}],"
-            "\"usage\":{\"completion_tokens\":%d}}\n",
-            stream->text->str, stream->sent);
-        evhttp_add_header(evhttp_request_get_output_headers(stream->request),
-                          "Content-Type", "application/json");
-        evhttp_send_reply(stream->request, 200, "OK", out);
+        evhttp_add_header(headers, "Content-Length", length);
     }
+    evhttp_send_reply_start(stream->request, 200, "OK");
+    bool more = send_part(stream, out);
     evbuffer_free(out);
-    free_stream(stream);
+    if (more) {
+        evhttp_send_reply_end(stream->request);
+    }
+    return more;
 }
 
 static void
@@ -100,29 +176,84 @@
 {
     Stream *stream = arg;
     if (stream->sent == stream->tokens) {
-        end_stream(stream);
+        evhttp_connection_set_closecb(
+            evhttp_request_get_connection(stream->request), NULL, NULL);
+        bool ended = true;
+        if (stream->streamed) {
+            end_streamed(stream);
+        }
+        else {
+            ended = end_whole(stream);
+        }
+        if (ended) {
+            free_stream(stream);
+        }
         return;
     }
-    if (stream->streamed) {
-        send_token(stream);
+    if (stream->streamed && !send_token(stream)) {
+        return;
     }
     g_string_append_printf(stream->text, "word%d ", stream->sent);
     stream->sent++;
-    schedule(stream, stream->engine->token_ms);
+    if (stream->sent != stream->engine->silent_after) {
+        schedule(stream->next, stream->engine->token_ms);
+    }
+}
+
+/* Looks up and stores the prompt's blocks as the agent names them. */
+static void
+use_cache(Stream *stream, size_t body_length)
+{
+    Engine *engine = stream->engine;
+    stream->prompt_tokens = (int)body_length / BYTES_PER_TOKEN;
+    const char *names =
+        evhttp_find_header(evhttp_request_get_input_headers(stream->request),
+                           "X-Laurellift-Prefix");
+    if (engine->cache == NULL || names == NULL) {
+        return;
+    }
+    uint64_t blocks[BLOCKS_MAX];
+    uint32_t count = 0;
+    char **words = g_strsplit(names, ",", BLOCKS_MAX);
+    for (; words[count] != NULL; count++) {
+        blocks[count] = g_ascii_strtoull(words[count], NULL, 16);
+    }
+    g_strfreev(words);
+    uint32_t held = Cache_Leading(engine->cache, blocks, count);
+    stream->cached_tokens = (int)held * BLOCK_TOKENS;
+    Cache_Add(engine->cache, blocks, count);
+    schedule(engine->cache_timer, engine->cache_ms);
+    Fake_Record(&engine->fake, "blocks %u cached %u", count, held);
+}
+
+static int
+prefill_time_ms(const Stream *stream)
+{
+    const Engine *engine = stream->engine;
+    if (engine->prefill_tokens_s == 0) {
+        return engine->prefill_ms;
+    }
+    int tokens = MAX(0, stream->prompt_tokens - stream->cached_tokens);
+    return engine->prefill_ms + tokens * 1000 / engine->prefill_tokens_s;
 }
 
 static void
 start_stream(Engine *engine, struct evhttp_request *request,
-             const json_t *body)
+             const json_t *body, size_t length)
 {
     Stream *stream = g_new0(Stream, 1);
     stream->engine = engine;
     stream->request = request;
+    engine->running++;
     stream->streamed = json_is_true(json_object_get(body, "stream"));
+    const json_t *options = json_object_get(body, "stream_options");
+    stream->usage = json_is_true(json_object_get(options, "include_usage"));
     json_int_t most = json_integer_value(json_object_get(body, "max_tokens"));
     stream->tokens = most > 0 ? (int)most : DEFAULT_TOKENS;
     stream->text = g_string_new(NULL);
     stream->next = event_new(engine->fake.base, -1, 0, on_token, stream);
+    stream->cut = event_new(engine->fake.base, -1, 0, on_cut, stream);
+    use_cache(stream, length);
     evhttp_connection_set_closecb(evhttp_request_get_connection(request),
                                   on_closed, stream);
     if (stream->streamed) {
@@ -130,7 +261,7 @@
                           "Content-Type", "text/event-stream");
         evhttp_send_reply_start(request, 200, "OK");
     }
-    schedule(stream, engine->prefill_ms);
+    schedule(stream->next, prefill_time_ms(stream));
 }
 
 static void
@@ -153,32 +284,122 @@
     if (crash) {
         _Exit(1);
     }
-    start_stream(engine, request, body);
+    start_stream(engine, request, body, length);
     json_decref(body);
 }
 
-int
-main(int argc, char **argv)
+static json_t *
+hash_list(const GArray *blocks)
+{
+    json_t *list = json_array();
+    for (guint i = 0; i < blocks->len; i++) {
+        uint64_t block = g_array_index(blocks, uint64_t, i);
+        char *name = g_strdup_printf("%016" G_GINT64_MODIFIER "x", block);
+        json_array_append_new(list, json_string(name));
+        g_free(name);
+    }
+    return list;
+}
+
+/* Reports what the cache stored and dropped; some reports are lost. */
+static void
+on_cache_timer(evutil_socket_t fd, short events, void *arg)
+{
+    Engine *engine = arg;
+    GArray *stored = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    GArray *evicted = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    Cache_TakeChanges(engine->cache, stored, evicted);
+    json_int_t sequence = ++engine->cache_sequence;
+    json_t *report =
+        json_pack("{s:I, s:o, s:o}", "sequence", sequence, "stored",
+                  hash_list(stored), "evicted", hash_list(evicted));
+    if (engine->cache_gap == 0 || sequence % engine->cache_gap != 0) {
+        Fake_Post(&engine->fake, "/v1/cache", report);
+    }
+    else {
+        json_decref(report);
+    }
+    g_array_free(stored, TRUE);
+    g_array_free(evicted, TRUE);
+}
+
+/* Reports the load of one period ago. */
+static void
+on_load_timer(evutil_socket_t fd, short events, void *arg)
+{
+    Engine *engine = arg;
+    Fake_Post(&engine->fake, "/v1/load",
+              json_pack("{s:I, s:i, s:i}", "sequence", ++engine->load_sequence,
+                        "running", engine->running_before, "queued", 0));
+    engine->running_before = engine->running;
+}
+
+static void
+read_options(Engine *engine, int argc, char **argv)
 {
-    Engine engine = {.fake = {.slots = 4}, .token_ms = 2, .prefill_ms = 5};
     const GOptionEntry own[] = {
-        {"model", 0, 0, G_OPTION_ARG_STRING, &engine.model, "Model", "NAME"},
-        {"token-ms", 0, 0, G_OPTION_ARG_INT, &engine.token_ms,
+        {"model", 0, 0, G_OPTION_ARG_STRING, &engine->model, "Model", "NAME"},
+        {"token-ms", 0, 0, G_OPTION_ARG_INT, &engine->token_ms,
          "Time of one token", "MS"},
-        {"prefill-ms", 0, 0, G_OPTION_ARG_INT, &engine.prefill_ms,
-         "Time to the first token", "MS"},
-        {"crash-on", 0, 0, G_OPTION_ARG_STRING, &engine.crash_on,
+        {"prefill-ms", 0, 0, G_OPTION_ARG_INT, &engine->prefill_ms,
+         "Least time to the first token", "MS"},
+        {"prefill-tokens-s", 0, 0, G_OPTION_ARG_INT, &engine->prefill_tokens_s,
+         "Speed of prefill", "N"},
+        {"crash-on", 0, 0, G_OPTION_ARG_STRING, &engine->crash_on,
          "Crash on prompts with this text", "TEXT"},
+        {"cut-after", 0, 0, G_OPTION_ARG_INT, &engine->cut_after,
+         "Close after so many bytes of an answer", "BYTES"},
+        {"silent-after", 0, 0, G_OPTION_ARG_INT, &engine->silent_after,
+         "Send nothing after so many tokens", "N"},
+        {"unframed", 0, 0, G_OPTION_ARG_NONE, &engine->unframed,
+         "End answers by closing only", NULL},
+        {"cache-blocks", 0, 0, G_OPTION_ARG_INT, &engine->cache_blocks,
+         "Blocks of prefix cache", "N"},
+        {"cache-ms", 0, 0, G_OPTION_ARG_INT, &engine->cache_ms,
+         "Lag of cache events", "MS"},
+        {"cache-gap", 0, 0, G_OPTION_ARG_INT, &engine->cache_gap,
+         "Lose every so many cache events", "N"},
+        {"load-ms", 0, 0, G_OPTION_ARG_INT, &engine->load_ms,
+         "Period of load reports", "MS"},
+        {"order-ms", 0, 0, G_OPTION_ARG_INT, &engine->order_ms,
+         "Time of one order", "MS"},
+        {"checks-fencing", 0, 0, G_OPTION_ARG_NONE, &engine->checks_fencing,
+         "Refuse orders with old numbers", NULL},
         {NULL},
     };
-    Fake_ReadOptions(&engine.fake, argc, argv, own);
-    if (engine.model == NULL) {
-        engine.model = g_strdup("draft-large");
+    Fake_ReadOptions(&engine->fake, argc, argv, own);
+    if (engine->model == NULL) {
+        engine->model = g_strdup("draft-large");
+    }
+}
+
+static void
+start_reports(Engine *engine)
+{
+    if (engine->cache_blocks > 0) {
+        engine->cache = Cache_New((uint32_t)engine->cache_blocks);
+        engine->cache_timer =
+            event_new(engine->fake.base, -1, 0, on_cache_timer, engine);
     }
+    if (engine->load_ms > 0) {
+        engine->load_timer = event_new(engine->fake.base, -1, EV_PERSIST,
+                                       on_load_timer, engine);
+        schedule(engine->load_timer, engine->load_ms);
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    Engine engine = {.fake = {.slots = 4}, .token_ms = 2, .prefill_ms = 5};
+    read_options(&engine, argc, argv);
     Fake_Start(&engine.fake,
-               json_pack("{s:s, s:[s], s:i}", "kind", "engine", "models",
-                         engine.model, "slots", engine.fake.slots));
+               json_pack("{s:s, s:[s], s:i, s:b}", "kind", "engine", "models",
+                         engine.model, "slots", engine.fake.slots,
+                         "checks_fencing", engine.checks_fencing));
     evhttp_set_cb(engine.fake.http, "/v1/chat/completions", on_completion,
                   &engine);
+    FakeOrders_Listen(&engine);
+    start_reports(&engine);
     return Fake_Run(&engine.fake);
 }
