--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -77,7 +77,6 @@
     TimeUs now = Clock_Now();
     update_leaving(agent, now);
     expire(agent, now);
-    Wants_Expire(agent->wants, now, agent->own->grant_ms * US_PER_MS);
     AgentRun_Tick(agent, now);
     AgentAnswer_Tick(agent, now);
     AgentCrash_Tick(agent->crashes, now);
@@ -91,8 +90,10 @@
 static void
 on_report(evutil_socket_t fd, short events, void *arg)
 {
-    AgentLinks_SendState(arg);
-    AgentControl_SendPresence(arg);
+    Agent *agent = arg;
+    Wants_Expire(agent->wants, Clock_Now(), agent->own->grant_ms * US_PER_MS);
+    AgentLinks_SendState(agent);
+    AgentControl_SendPresence(agent);
 }
 
 static struct event *
--- a/src/agent/dump.c
+++ b/src/agent/dump.c
@@ -97,6 +97,8 @@
                         json_integer(g_hash_table_size(agent->answers)));
     json_object_set_new(out, "unacknowledged_bytes",
                         json_integer((json_int_t)agent->kept_bytes));
+    json_object_set_new(out, "quarantine_version",
+                        json_integer((json_int_t)agent->quarantine_version));
     json_object_set_new(out, "endpoint", dump_endpoint(agent));
     json_t *entries = json_array();
     dump_links(agent, entries);
--- a/src/agent/run.c
+++ b/src/agent/run.c
@@ -313,15 +313,6 @@
     g_snprintf(counter, sizeof(counter), "agent_refused_total{reason=\"%s\"}",
                Work_ReasonName(reason));
     Counter_Add(Counter_Get(counter, "Wants and dispatches refused."), 1);
-    if (reason == REFUSE_DUPLICATE) {
-        /* It may have run: a refusal would say that it has not. A request
-         * whose answer is here needs nothing more. */
-        RequestId id = {dispatch->id->high, dispatch->id->low};
-        if (g_hash_table_lookup(agent->answers, &id) == NULL) {
-            AgentAnswer_SendUnknown(link, id);
-        }
-        return;
-    }
     Wire__RequestId id = *dispatch->id;
     Wire__Refuse message = WIRE__REFUSE__INIT;
     message.id = &id;
@@ -334,6 +325,20 @@
     Link_Send(link, &frame);
 }
 
+/* Answers a dispatch of a request that the queue has seen before. Only when
+ * it provably did not run may it be refused: a refusal says so. */
+static void
+answer_repeated(Agent *agent, Link *link, const Wire__Dispatch *dispatch)
+{
+    RequestId id = {dispatch->id->high, dispatch->id->low};
+    if (Wants_DidNotRun(agent->wants, id)) {
+        refuse(agent, link, dispatch, REFUSE_LAPSED);
+    }
+    else if (g_hash_table_lookup(agent->answers, &id) == NULL) {
+        AgentAnswer_SendUnknown(link, id);
+    }
+}
+
 static void
 on_deadline(evutil_socket_t fd, short events, void *arg)
 {
@@ -417,8 +422,8 @@
         run->work = info->work;
         run->expected = Cache_Leading(agent->cache, info->work.prefix,
                                       info->work.prefix_count);
-        Wants_Remove(agent->wants, run->id);
     }
+    Wants_NoteRun(agent->wants, run->id);
     run->answer = AgentAnswer_New(agent, link, run, dispatch);
     run->pause = event_new(agent->base, -1, 0, on_pause, run);
     run->deadline = event_new(agent->base, -1, 0, on_deadline, run);
@@ -460,6 +465,23 @@
     }
 }
 
+/* What the queue does not know of a dispatch. */
+static RefuseReason
+check_dispatch(const Agent *agent, const Wire__Dispatch *dispatch,
+               const Method *method)
+{
+    if (method == NULL || !is_path(dispatch->path)) {
+        return REFUSE_UNFIT;
+    }
+    if (dispatch->deadline_ms == 0) {
+        return REFUSE_DEADLINE;
+    }
+    if (AgentControl_Quarantined(agent, dispatch->fingerprint)) {
+        return REFUSE_QUARANTINED;
+    }
+    return REFUSE_NONE;
+}
+
 void
 AgentRun_Start(Agent *agent, Link *link, const Wire__Dispatch *dispatch)
 {
@@ -467,26 +489,23 @@
     TimeUs now = Clock_Now();
     RefuseReason reason =
         Queue_Dispatch(agent->queue, id, dispatch->grant_id, now);
-    if (reason != REFUSE_NONE) {
-        Wants_Remove(agent->wants, id);
-        refuse(agent, link, dispatch, reason);
+    if (reason == REFUSE_DUPLICATE) {
+        answer_repeated(agent, link, dispatch);
         return;
     }
     const Method *method = find_method(dispatch->method);
-    if (method == NULL || !is_path(dispatch->path)) {
-        reason = REFUSE_UNFIT;
-    }
-    else if (dispatch->deadline_ms == 0) {
-        reason = REFUSE_DEADLINE;
-    }
-    else if (AgentControl_Quarantined(agent, dispatch->fingerprint)) {
-        reason = REFUSE_QUARANTINED;
+    bool took_slot = reason == REFUSE_NONE;
+    if (took_slot) {
+        reason = check_dispatch(agent, dispatch, method);
     }
     if (reason != REFUSE_NONE) {
-        /* The queue keeps a tombstone: it never runs here. */
-        QueueResult nothing = {.complete = false};
-        Queue_Finished(agent->queue, id, &nothing, now);
+        if (took_slot) {
+            /* The queue keeps a tombstone: it never runs here. */
+            QueueResult nothing = {.complete = false};
+            Queue_Finished(agent->queue, id, &nothing, now);
+        }
         Wants_Remove(agent->wants, id);
+        Wants_NoteNotRun(agent->wants, id);
         refuse(agent, link, dispatch, reason);
         return;
     }
--- a/src/agent/wants.c
+++ b/src/agent/wants.c
@@ -6,6 +6,8 @@
 struct WantTable {
     GHashTable *infos; /* RequestId -> WantInfo */
     uint32_t capacity;
+    GHashTable *not_run; /* RequestId -> its GList node in lapsed */
+    GQueue lapsed;       /* of RequestId, oldest first */
 };
 
 guint
@@ -30,6 +32,8 @@
     wants->capacity = capacity;
     wants->infos =
         g_hash_table_new_full(Wants_HashId, Wants_EqualId, NULL, g_free);
+    wants->not_run = g_hash_table_new(Wants_HashId, Wants_EqualId);
+    g_queue_init(&wants->lapsed);
     return wants;
 }
 
@@ -37,6 +41,8 @@
 Wants_Free(WantTable *wants)
 {
     g_hash_table_destroy(wants->infos);
+    g_hash_table_destroy(wants->not_run);
+    g_queue_clear_full(&wants->lapsed, g_free);
     g_free(wants);
 }
 
@@ -91,11 +97,52 @@
         const WantInfo *info = value;
         bool lapsed = info->granted != 0 && now >= info->granted + grant_ttl;
         if (lapsed || now >= info->work.deadline) {
+            Wants_NoteNotRun(wants, info->work.id);
             g_hash_table_iter_remove(&iter);
         }
     }
 }
 
+static void
+forget_lapsed(WantTable *wants, GList *node)
+{
+    RequestId *id = node->data;
+    g_hash_table_remove(wants->not_run, id);
+    g_queue_delete_link(&wants->lapsed, node);
+    g_free(id);
+}
+
+void
+Wants_NoteNotRun(WantTable *wants, RequestId id)
+{
+    if (g_hash_table_contains(wants->not_run, &id)) {
+        return;
+    }
+    if (wants->lapsed.length >= wants->capacity) {
+        forget_lapsed(wants, wants->lapsed.head);
+    }
+    g_queue_push_tail(&wants->lapsed, g_memdup2(&id, sizeof(id)));
+    g_hash_table_insert(wants->not_run, wants->lapsed.tail->data,
+                        wants->lapsed.tail);
+}
+
+void
+Wants_NoteRun(WantTable *wants, RequestId id)
+{
+    g_hash_table_remove(wants->infos, &id);
+    GList *node = g_hash_table_lookup(wants->not_run, &id);
+    if (node != NULL) {
+        forget_lapsed(wants, node);
+    }
+}
+
+bool
+Wants_DidNotRun(WantTable *wants, RequestId id)
+{
+    return g_hash_table_contains(wants->infos, &id) ||
+           g_hash_table_contains(wants->not_run, &id);
+}
+
 uint32_t
 Wants_Count(const WantTable *wants)
 {
--- a/src/agent/wants.h
+++ b/src/agent/wants.h
@@ -19,7 +19,8 @@
     TimeUs granted; /**< 0: waits for a slot. */
 } WantInfo;
 
-/** @param capacity  most wants held; others are passed over. */
+/** @param capacity  most wants held, and most lapsed ones remembered; others
+ *                   are passed over. */
 WantTable *Wants_New(uint32_t capacity);
 void Wants_Free(WantTable *wants);
 
@@ -32,9 +33,20 @@
 void Wants_Remove(WantTable *wants, RequestId id);
 void Wants_RemoveOwner(WantTable *wants, uint64_t owner);
 
-/** Forgets wants past their deadline and grants older than @p grant_ttl. */
+/** Forgets wants past their deadline and grants older than @p grant_ttl,
+ * and notes that they did not run. */
 void Wants_Expire(WantTable *wants, TimeUs now, TimeUs grant_ttl);
 
+/** Notes that the request did not run here and will not. */
+void Wants_NoteNotRun(WantTable *wants, RequestId id);
+
+/** The request begins to run: what was noted of it no longer holds. */
+void Wants_NoteRun(WantTable *wants, RequestId id);
+
+/** True when the request provably has not run here: it waits, or it lapsed.
+ * False also when that was forgotten. */
+bool Wants_DidNotRun(WantTable *wants, RequestId id);
+
 uint32_t Wants_Count(const WantTable *wants);
 
 /** Calls @p visit for each want. */
--- a/test/fakes/fake_peer.c
+++ b/test/fakes/fake_peer.c
@@ -23,6 +23,8 @@
 
 #define WORDS_MAX 8
 #define REQUESTS_MAX 64
+/* Grant id of a dispatch that was never granted. */
+#define NO_GRANT 99
 
 typedef struct PeerRequest {
     uint64_t grant_id;
@@ -84,7 +86,7 @@
     bool same = end->length == request->received &&
                 end->hash == XXH3_64bits_digest(request->hash);
     printf("end %lu %s %s %s\n", number_of(end->id), outcomes[end->outcome],
-           same ? "whole" : "partial", end->detail);
+           same ? "matches" : "differs", end->detail);
 }
 
 static void
@@ -248,7 +250,8 @@
     id.low = number(words[1]);
     Wire__Dispatch dispatch = WIRE__DISPATCH__INIT;
     dispatch.id = &id;
-    dispatch.grant_id = request_of(peer, id.low)->grant_id;
+    uint64_t grant_id = request_of(peer, id.low)->grant_id;
+    dispatch.grant_id = grant_id == 0 ? NO_GRANT : grant_id;
     dispatch.deadline_ms = (uint32_t)number(words[2]);
     dispatch.idempotent = number(words[3]) != 0;
     dispatch.method = "POST";
