Policy bench in virtual time with plain baselines

Cause: no figure says how placement and queue do under load and faults. Ruled out: processes and real time; a run would take minutes and differ each time.

--- /dev/null
+++ b/test/bench/bench_policy.c
@@ -0,0 +1,309 @@
+/** @file
+ * Policy bench: the placement and the queue under test against fake engines
+ * in virtual time, beside plain policies and with each mechanism switched
+ * off. Exits non-zero when a bound is missed.
+ *
+ * bench_policy [--short] [--case NAME] [--csv FILE]
+ * `--short` runs a part of the cases and prints `bench/policy-CASE STATUS`
+ * lines on standard output, tables on standard error.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include "policy_model.h"
+
+#define TOP_TIER_GOODPUT 0.99
+#define TOP_TIER_DEMAND 0.7
+#define GOODPUT_OF_BOUND 0.95
+#define STEADY_WASTE 0.02
+#define CRASH_WASTE 0.05
+
+#define LAG_SHORT (500 * US_PER_MS)
+#define LAG_LONG (10 * US_PER_S)
+
+static const Case cases[] = {
+    {.name = "sahil-light", .load = 0.4, .report_lag = LAG_SHORT},
+    {.name = "sahil-0.9", .load = 0.9, .report_lag = LAG_SHORT},
+    {.name = "sahil-1.2",
+     .load = 1.2,
+     .report_lag = LAG_SHORT,
+     .max_waste = STEADY_WASTE,
+     .in_short = true},
+    {.name = "sahil-2.0",
+     .load = 2.0,
+     .report_lag = LAG_SHORT,
+     .max_waste = STEADY_WASTE,
+     .in_short = true},
+    {.name = "sahil-burst",
+     .load = 0.7,
+     .burst = 2.0,
+     .report_lag = LAG_SHORT},
+    {.name = "sahil-slow-engine",
+     .load = 0.9,
+     .report_lag = LAG_SHORT,
+     .slow_engine = true,
+     .in_short = true},
+    {.name = "sahil-crash",
+     .load = 0.9,
+     .report_lag = LAG_SHORT,
+     .crash_period = 60 * US_PER_S,
+     .max_waste = CRASH_WASTE,
+     .in_short = true},
+    {.name = "sahil-stale", .load = 0.9, .report_lag = LAG_LONG},
+    {.name = "sahil-stale-1.2",
+     .load = 1.2,
+     .report_lag = LAG_LONG,
+     .max_waste = STEADY_WASTE},
+    {.name = "sahil-zone-lost",
+     .load = 0.9,
+     .report_lag = LAG_SHORT,
+     .zone_lost = true},
+    {.name = "sahil-region-cut",
+     .load = 0.9,
+     .report_lag = LAG_SHORT,
+     .region_cut = true,
+     .in_short = true},
+    {.name = "milk-light",
+     .office = OFFICE_MILK,
+     .load = 0.4,
+     .report_lag = LAG_SHORT},
+    {.name = "milk-0.9",
+     .office = OFFICE_MILK,
+     .load = 0.9,
+     .report_lag = LAG_SHORT,
+     .in_short = true},
+    {.name = "milk-1.2",
+     .office = OFFICE_MILK,
+     .load = 1.2,
+     .report_lag = LAG_SHORT,
+     .max_waste = STEADY_WASTE},
+    {.name = "milk-2.0",
+     .office = OFFICE_MILK,
+     .load = 2.0,
+     .report_lag = LAG_SHORT,
+     .max_waste = STEADY_WASTE,
+     .in_short = true},
+    {.name = "milk-burst",
+     .office = OFFICE_MILK,
+     .load = 0.7,
+     .burst = 2.0,
+     .report_lag = LAG_SHORT},
+    {.name = "milk-crash",
+     .office = OFFICE_MILK,
+     .load = 0.9,
+     .report_lag = LAG_SHORT,
+     .crash_period = 60 * US_PER_S,
+     .max_waste = CRASH_WASTE},
+    {.name = "milk-stale",
+     .office = OFFICE_MILK,
+     .load = 1.2,
+     .report_lag = LAG_LONG,
+     .max_waste = STEADY_WASTE,
+     .in_short = true},
+    {.name = "milk-zone-lost",
+     .office = OFFICE_MILK,
+     .load = 0.9,
+     .report_lag = LAG_SHORT,
+     .zone_lost = true},
+    {.name = "milk-region-cut",
+     .office = OFFICE_MILK,
+     .load = 0.9,
+     .report_lag = LAG_SHORT,
+     .region_cut = true},
+};
+
+/* The first is under test; the plain ones follow. */
+static const Policy policies[] = {
+    {.name = "laurellift"},
+    {.name = "random", .routing = ROUTING_RANDOM},
+    {.name = "round-robin", .routing = ROUTING_ROUND_ROBIN},
+    {.name = "least-stale", .routing = ROUTING_LEAST},
+    {.name = "no-affinity", .no_affinity = true},
+    {.name = "no-speed", .no_speed = true},
+    {.name = "no-probe", .no_probe = true},
+    {.name = "no-priority", .no_priority = true},
+    {.name = "no-deadline", .no_deadline = true},
+};
+#define PLAIN_FIRST 1
+#define PLAIN_LAST 3
+
+static Result
+run(const Case *bench_case, const Policy *policy)
+{
+    GArray *requests = Load_New(bench_case);
+    Result result = {
+        .region_bytes = Sim_Run(bench_case, policy, requests),
+    };
+    Result_Measure(bench_case, requests, &result);
+    g_array_free(requests, TRUE);
+    return result;
+}
+
+static double
+goodput(const TierResult *tier)
+{
+    return tier->offered == 0 ? 1 : (double)tier->good / tier->offered;
+}
+
+static void
+print_row(FILE *out, const Policy *policy, const Result *result)
+{
+    uint32_t refused = 0;
+    fprintf(out, "%-12s", policy->name);
+    for (int i = 0; i < WORK_TIERS; i++) {
+        fprintf(out, " %6.3f", goodput(&result->tiers[i]));
+        refused += result->tiers[i].refused;
+    }
+    fprintf(out, " %6.3f %6.3f %6.3f %7u %5u %8.2f\n", result->good,
+            result->good / result->possible, result->waste, refused,
+            result->inversions, result->region_bytes / 1e6);
+}
+
+static void
+print_head(FILE *out, const Case *bench_case, const Result *result)
+{
+    fprintf(out, "\n%s: requests", bench_case->name);
+    for (int i = 0; i < WORK_TIERS; i++) {
+        const TierResult *tier = &result->tiers[i];
+        fprintf(out, ", tier %d %u (demand %.2f)", i, tier->offered,
+                tier->demand);
+    }
+    fprintf(out, "\n%-12s %6s %6s %6s %6s %6s %6s %6s %7s %5s %8s\n", "policy",
+            "tier0", "tier1", "tier2", "tier3", "all", "ratio", "waste",
+            "refused", "inver", "regionMB");
+    fprintf(out, "%-12s", "bound");
+    for (int i = 0; i < WORK_TIERS; i++) {
+        const TierResult *tier = &result->tiers[i];
+        fprintf(out, " %6.3f", tier->possible / tier->offered);
+    }
+    fprintf(out, " %6.3f %6.3f\n", result->possible, 1.0);
+}
+
+static void
+write_csv(FILE *csv, const Case *bench_case, const Policy *policy,
+          const Result *result)
+{
+    fprintf(csv, "%s,%s", bench_case->name, policy->name);
+    for (int i = 0; i < WORK_TIERS; i++) {
+        fprintf(csv, ",%.4f,%u", goodput(&result->tiers[i]),
+                result->tiers[i].refused);
+    }
+    fprintf(csv, ",%.4f,%.4f,%.4f,%u,%.0f\n", result->good, result->possible,
+            result->waste, result->inversions, result->region_bytes);
+}
+
+static bool
+check(FILE *out, bool holds, const char *what, double seen, double bound)
+{
+    if (!holds) {
+        fprintf(out, "  MISSED %s: %.4f, bound %.4f\n", what, seen, bound);
+    }
+    return holds;
+}
+
+static bool
+check_targets(FILE *out, const Case *bench_case, const Result *result)
+{
+    const TierResult *top = &result->tiers[0];
+    /* A request is dispatched at most once, so no policy can finish one
+     * whose engine or link was lost while it ran. */
+    double able = top->offered - top->lost;
+    bool holds = true;
+    if (top->demand < TOP_TIER_DEMAND) {
+        holds &= check(out, top->good >= TOP_TIER_GOODPUT * able, "top tier",
+                       top->good / able, TOP_TIER_GOODPUT);
+    }
+    double ratio = result->good / result->possible;
+    holds &= check(out, ratio >= GOODPUT_OF_BOUND, "ratio to the bound", ratio,
+                   GOODPUT_OF_BOUND);
+    if (bench_case->max_waste > 0) {
+        holds &= check(out, result->waste <= bench_case->max_waste,
+                       "wasted prefill", result->waste, bench_case->max_waste);
+    }
+    holds &= check(out, result->inversions == 0, "shedding inversions",
+                   result->inversions, 0);
+    return holds;
+}
+
+static bool
+check_plain(FILE *out, const Policy *policy, const Result *result,
+            const Result *plain)
+{
+    char what[64];
+    snprintf(what, sizeof(what), "goodput of %s", policy->name);
+    bool holds = check(out, result->good >= plain->good, what, result->good,
+                       plain->good);
+    snprintf(what, sizeof(what), "top tier of %s", policy->name);
+    double top = goodput(&result->tiers[0]);
+    double plain_top = goodput(&plain->tiers[0]);
+    holds &= check(out, top >= plain_top, what, top, plain_top);
+    snprintf(what, sizeof(what), "waste of %s", policy->name);
+    holds &= check(out, result->waste <= plain->waste, what, result->waste,
+                   plain->waste);
+    return holds;
+}
+
+static bool
+run_case(FILE *out, FILE *csv, const Case *bench_case, bool all)
+{
+    Result results[G_N_ELEMENTS(policies)];
+    size_t count = all ? G_N_ELEMENTS(policies) : PLAIN_LAST + 1;
+    for (size_t i = 0; i < count; i++) {
+        results[i] = run(bench_case, &policies[i]);
+        if (i == 0) {
+            print_head(out, bench_case, &results[0]);
+        }
+        print_row(out, &policies[i], &results[i]);
+        if (csv != NULL) {
+            write_csv(csv, bench_case, &policies[i], &results[i]);
+        }
+    }
+    Result again = run(bench_case, &policies[0]);
+    bool holds = check(out, again.hash == results[0].hash,
+                       "same outcomes in a second run", 0, 1);
+    holds &= check_targets(out, bench_case, &results[0]);
+    for (size_t i = PLAIN_FIRST; i <= PLAIN_LAST; i++) {
+        holds &= check_plain(out, &policies[i], &results[0], &results[i]);
+    }
+    return holds;
+}
+
+int
+main(int argc, char **argv)
+{
+    bool is_short = false;
+    const char *only = NULL;
+    FILE *csv = NULL;
+    for (int i = 1; i < argc; i++) {
+        if (strcmp(argv[i], "--short") == 0) {
+            is_short = true;
+        }
+        else if (strcmp(argv[i], "--case") == 0 && i + 1 < argc) {
+            only = argv[++i];
+        }
+        else if (strcmp(argv[i], "--csv") == 0 && i + 1 < argc) {
+            csv = fopen(argv[++i], "w");
+        }
+    }
+    FILE *out = is_short ? stderr : stdout;
+    if (csv != NULL) {
+        fprintf(csv, "case,policy,tier0,refused0,tier1,refused1,tier2,"
+                     "refused2,tier3,refused3,all,bound,waste,inversions,"
+                     "region_bytes\n");
+    }
+    int missed = 0;
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        const Case *bench_case = &cases[i];
+        bool skip = only != NULL && strstr(bench_case->name, only) == NULL;
+        if (skip || (is_short && !bench_case->in_short)) {
+            continue;
+        }
+        bool holds = run_case(out, csv, bench_case, !is_short);
+        missed += !holds;
+        printf("bench/policy-%s %d\n", bench_case->name, !holds);
+    }
+    if (csv != NULL) {
+        fclose(csv);
+    }
+    return missed > 0;
+}
--- /dev/null
+++ b/test/bench/policy_engine.c
@@ -0,0 +1,307 @@
+/** @file
+ * Fake engine of the policy bench. Decoding progress is one number for the
+ * whole batch, as all streams decode at the same speed.
+ */
+#include "policy_engine.h"
+
+#include <math.h>
+#include <string.h>
+
+#define EPSILON 1e-6
+
+typedef struct Stream {
+    BenchRequest *request;
+    bool decoding;
+    bool counted;   /* its prefill has started */
+    double left;    /* prompt tokens to compute */
+    double ends_at; /* progress at which its last token comes */
+} Stream;
+
+struct Engine {
+    double speed;
+    TimeUs now;
+    double progress; /* tokens of a stream that decoded since the start */
+    uint32_t active;
+    Stream streams[ENGINE_BATCH];
+    GQueue waiting;     /* of BenchRequest */
+    GHashTable *blocks; /* block -> node of recent */
+    GQueue recent;      /* of block, most recently used first */
+    GArray *cached;
+    GArray *dropped;
+    EngineBestCached best;
+    void *owner;
+};
+
+Engine *
+Engine_New(void)
+{
+    Engine *engine = g_new0(Engine, 1);
+    engine->speed = 1;
+    engine->blocks = g_hash_table_new(g_int64_hash, g_int64_equal);
+    engine->cached = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    engine->dropped = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    return engine;
+}
+
+void
+Engine_Free(Engine *engine)
+{
+    g_hash_table_destroy(engine->blocks);
+    g_queue_clear_full(&engine->recent, g_free);
+    g_queue_clear(&engine->waiting);
+    g_array_free(engine->cached, TRUE);
+    g_array_free(engine->dropped, TRUE);
+    g_free(engine);
+}
+
+void
+Engine_SetBestCached(Engine *engine, EngineBestCached best, void *owner)
+{
+    engine->best = best;
+    engine->owner = owner;
+}
+
+void
+Engine_SetSpeed(Engine *engine, double speed)
+{
+    engine->speed = speed;
+}
+
+uint32_t
+Engine_Load(const Engine *engine)
+{
+    return engine->active + engine->waiting.length;
+}
+
+uint32_t
+Engine_CachedBlocks(const Engine *engine, const Work *work)
+{
+    uint32_t count = 0;
+    while (count < work->prefix_count &&
+           g_hash_table_contains(engine->blocks, &work->prefix[count]))
+    {
+        count++;
+    }
+    return count;
+}
+
+static void
+cache_block(Engine *engine, uint64_t block)
+{
+    GList *node = g_hash_table_lookup(engine->blocks, &block);
+    if (node != NULL) {
+        g_queue_unlink(&engine->recent, node);
+        g_queue_push_head_link(&engine->recent, node);
+        return;
+    }
+    if (engine->recent.length == ENGINE_CACHE_BLOCKS) {
+        uint64_t *oldest = g_queue_pop_tail(&engine->recent);
+        g_hash_table_remove(engine->blocks, oldest);
+        g_array_append_val(engine->dropped, *oldest);
+        g_free(oldest);
+    }
+    uint64_t *copy = g_memdup2(&block, sizeof(block));
+    g_queue_push_head(&engine->recent, copy);
+    g_hash_table_insert(engine->blocks, copy, engine->recent.head);
+    g_array_append_val(engine->cached, block);
+}
+
+static void
+admit(Engine *engine)
+{
+    while (engine->active < ENGINE_BATCH && engine->waiting.length > 0) {
+        engine->streams[engine->active++] = (Stream){
+            .request = g_queue_pop_head(&engine->waiting),
+        };
+    }
+}
+
+void
+Engine_Submit(Engine *engine, BenchRequest *request)
+{
+    g_queue_push_tail(&engine->waiting, request);
+    admit(engine);
+}
+
+static void
+take_out(Engine *engine, uint32_t index)
+{
+    Stream *stream = &engine->streams[index];
+    if (stream->counted) {
+        stream->request->prefilled -= (uint32_t)stream->left;
+    }
+    engine->active--;
+    memmove(stream, stream + 1, (engine->active - index) * sizeof(*stream));
+    admit(engine);
+}
+
+bool
+Engine_Cancel(Engine *engine, const BenchRequest *request)
+{
+    for (uint32_t i = 0; i < engine->active; i++) {
+        if (engine->streams[i].request == request) {
+            take_out(engine, i);
+            return true;
+        }
+    }
+    return g_queue_remove(&engine->waiting, request);
+}
+
+BenchRequest *
+Engine_Crash(Engine *engine)
+{
+    g_hash_table_remove_all(engine->blocks);
+    g_queue_clear_full(&engine->recent, g_free);
+    if (engine->active == 0) {
+        return NULL;
+    }
+    BenchRequest *request = engine->streams[0].request;
+    take_out(engine, 0);
+    return request;
+}
+
+/* The stream whose prompt is computed now: the oldest without an answer. */
+static Stream *
+prefilling(Engine *engine)
+{
+    for (uint32_t i = 0; i < engine->active; i++) {
+        if (!engine->streams[i].decoding) {
+            return &engine->streams[i];
+        }
+    }
+    return NULL;
+}
+
+static void
+start_prefill(Engine *engine, Stream *stream)
+{
+    if (stream->counted) {
+        return;
+    }
+    BenchRequest *request = stream->request;
+    const Work *work = &request->work;
+    uint32_t cached = Engine_CachedBlocks(engine, work);
+    uint32_t best = engine->best(work, engine->owner);
+    request->cached = cached * WORK_BLOCK_TOKENS;
+    request->sparable = (best - cached) * WORK_BLOCK_TOKENS;
+    request->prefilled = work->prompt_tokens - request->cached;
+    stream->left = request->prefilled;
+    stream->counted = true;
+}
+
+static double
+decode_speed(const Engine *engine, bool prefill)
+{
+    double batch = 0;
+    for (uint32_t i = 0; i < engine->active; i++) {
+        batch += engine->streams[i].decoding;
+    }
+    double speed = ENGINE_DECODE_S * engine->speed;
+    speed *= (1 + 1 / ENGINE_HALF_BATCH) / (1 + batch / ENGINE_HALF_BATCH);
+    return prefill ? speed * (1 - ENGINE_INTERFERENCE) : speed;
+}
+
+/* Seconds to the next event, and the stream it is of. */
+static double
+next_event(Engine *engine, Stream **which)
+{
+    Stream *prefill = prefilling(engine);
+    double soonest = INFINITY;
+    *which = NULL;
+    if (engine->speed <= 0) {
+        return soonest;
+    }
+    if (prefill != NULL) {
+        start_prefill(engine, prefill);
+        soonest = prefill->left / (ENGINE_PREFILL_S * engine->speed);
+        *which = prefill;
+    }
+    double speed = decode_speed(engine, prefill != NULL);
+    for (uint32_t i = 0; i < engine->active; i++) {
+        Stream *stream = &engine->streams[i];
+        double seconds = (stream->ends_at - engine->progress) / speed;
+        if (stream->decoding && seconds < soonest) {
+            soonest = seconds;
+            *which = stream;
+        }
+    }
+    return fmax(soonest, 0);
+}
+
+static void
+progress(Engine *engine, double seconds)
+{
+    Stream *prefill = prefilling(engine);
+    engine->progress += seconds * decode_speed(engine, prefill != NULL);
+    if (prefill != NULL) {
+        double computed = seconds * ENGINE_PREFILL_S * engine->speed;
+        prefill->left = fmax(prefill->left - computed, 0);
+    }
+}
+
+static EngineEvent
+finish_phase(Engine *engine, Stream *stream)
+{
+    BenchRequest *request = stream->request;
+    if (stream->decoding) {
+        take_out(engine, (uint32_t)(stream - engine->streams));
+        return (EngineEvent){.kind = ENGINE_END, .request = request};
+    }
+    stream->left = 0;
+    stream->decoding = true;
+    stream->ends_at = engine->progress + request->work.output_tokens;
+    for (uint32_t i = 0; i < request->work.prefix_count; i++) {
+        cache_block(engine, request->work.prefix[i]);
+    }
+    return (EngineEvent){.kind = ENGINE_FIRST_PIECE, .request = request};
+}
+
+EngineEvent
+Engine_Advance(Engine *engine, TimeUs now)
+{
+    Stream *stream;
+    double seconds = next_event(engine, &stream);
+    double span = (double)(now - engine->now) / US_PER_S;
+    if (stream == NULL || seconds > span + EPSILON) {
+        if (engine->speed > 0) {
+            progress(engine, span);
+        }
+        engine->now = now;
+        return (EngineEvent){.kind = ENGINE_NOTHING};
+    }
+    progress(engine, seconds);
+    engine->now += (TimeUs)(seconds * US_PER_S);
+    return finish_phase(engine, stream);
+}
+
+TimeUs
+Engine_Next(const Engine *engine)
+{
+    Stream *stream;
+    double seconds = next_event((Engine *)engine, &stream);
+    if (stream == NULL) {
+        return TIME_NEVER;
+    }
+    return engine->now + (TimeUs)(seconds * US_PER_S) + 1;
+}
+
+void
+Engine_TakeCacheEvents(Engine *engine, GArray *cached, GArray *dropped)
+{
+    g_array_append_vals(cached, engine->cached->data, engine->cached->len);
+    g_array_append_vals(dropped, engine->dropped->data, engine->dropped->len);
+    g_array_set_size(engine->cached, 0);
+    g_array_set_size(engine->dropped, 0);
+}
+
+double
+Engine_Cost(const Work *work, uint32_t cached_blocks)
+{
+    double prompt =
+        work->prompt_tokens - (double)cached_blocks * WORK_BLOCK_TOKENS;
+    double batch = ENGINE_BATCH;
+    double decode = batch * ENGINE_DECODE_S * (1 + 1 / ENGINE_HALF_BATCH) /
+                    (1 + batch / ENGINE_HALF_BATCH);
+    return prompt / ENGINE_PREFILL_S * ENGINE_INTERFERENCE +
+           work->output_tokens / decode;
+}
--- /dev/null
+++ b/test/bench/policy_load.c
@@ -0,0 +1,153 @@
+/** @file
+ * Workloads of the two offices for the policy bench, from a fixed seed.
+ */
+#include <math.h>
+
+#include "policy_engine.h"
+
+#define SEED 20261203
+#define KINDS_MAX 5
+#define BURST_PERIOD (60 * US_PER_S)
+#define BURST_LENGTH (10 * US_PER_S)
+
+/* A kind of request; lengths vary by half around the mean. */
+typedef struct Kind {
+    double share; /* of the load, by cost */
+    uint32_t tier;
+    uint32_t prompt;
+    uint32_t output;
+    uint32_t deadline_s;
+    uint32_t shared_blocks; /* prefix that its group shares */
+    uint32_t groups;
+} Kind;
+
+static const Kind kinds[][KINDS_MAX] = {
+    [OFFICE_SAHIL] =
+        {
+            /* Drafts of announced closures. */
+            {0.18, 0, 3000, 600, 60, 16, 12},
+            /* Other whole orders. */
+            {0.34, 1, 3000, 600, 90, 16, 12},
+            /* One-line lookups. */
+            {0.06, 1, 60, 10, 8, 0, 1},
+            /* Summaries of objections. */
+            {0.28, 2, 6000, 300, 60, 8, 20},
+            /* Clause wording. */
+            {0.14, 3, 400, 40, 15, 2, 12},
+        },
+    [OFFICE_MILK] =
+        {
+            /* Dispute summaries for lab appeals. */
+            {0.16, 0, 3000, 300, 60, 8, 10},
+            /* Whole-month sheet reviews. */
+            {0.44, 1, 8000, 1200, 180, 24, 30},
+            /* Premium postings checked by the model. */
+            {0.12, 2, 600, 60, 20, 2, 5},
+            /* Sheet lookups. */
+            {0.06, 2, 80, 12, 8, 0, 1},
+            /* Per-load test notes. */
+            {0.22, 3, 240, 40, 15, 1, 5},
+        },
+};
+
+static uint32_t
+vary(GRand *rand, uint32_t mean)
+{
+    return (uint32_t)fmax(1, mean * g_rand_double_range(rand, 0.5, 1.5));
+}
+
+static void
+fill_prefix(GRand *rand, const Kind *kind, uint32_t number, Work *work)
+{
+    uint32_t blocks = work->prompt_tokens / WORK_BLOCK_TOKENS;
+    work->prefix_count = MIN(blocks, WORK_PREFIX_BLOCKS);
+    uint32_t group = (uint32_t)g_rand_int_range(rand, 0, (int)kind->groups);
+    for (uint32_t i = 0; i < work->prefix_count; i++) {
+        bool shared = i < kind->shared_blocks;
+        uint64_t stem = shared ? group * 31 + kind->prompt : number + 100000;
+        work->prefix[i] = (stem << 16 | i) * 0x9e3779b97f4a7c15U;
+    }
+}
+
+static BenchRequest
+new_request(GRand *rand, const Kind *kind, uint32_t number, TimeUs now)
+{
+    BenchRequest request = {
+        .arrival = now,
+        .entry = (uint32_t)g_rand_int_range(rand, 0, ZONES),
+        .server = -1,
+        .work =
+            {
+                .id = {.high = 1, .low = number + 1},
+                .target = Work_Target(true, "model"),
+                .fingerprint = number + 1,
+                .tier = kind->tier,
+                .deadline = now + kind->deadline_s * US_PER_S,
+                .prompt_tokens = vary(rand, kind->prompt),
+                .output_tokens = vary(rand, kind->output),
+            },
+    };
+    fill_prefix(rand, kind, number, &request.work);
+    return request;
+}
+
+/* Cost of a mean request of a kind, with its shared prefix cached. */
+static double
+mean_cost(const Kind *kind)
+{
+    Work work = {
+        .prompt_tokens = kind->prompt,
+        .output_tokens = kind->output,
+    };
+    return Engine_Cost(&work, kind->shared_blocks);
+}
+
+static double
+capacity(const Case *bench_case)
+{
+    double sum = 0;
+    for (uint32_t i = 0; i < Sim_ServerCount(bench_case->office); i++) {
+        sum += Sim_ServerSpeed(&(Case){.office = bench_case->office}, i, 0);
+    }
+    return sum;
+}
+
+static bool
+in_burst(const Case *bench_case, TimeUs now)
+{
+    return bench_case->burst > 0 && now % BURST_PERIOD < BURST_LENGTH;
+}
+
+static gint
+by_arrival(gconstpointer a, gconstpointer b)
+{
+    const BenchRequest *first = a;
+    const BenchRequest *second = b;
+    if (first->arrival != second->arrival) {
+        return first->arrival < second->arrival ? -1 : 1;
+    }
+    return first->work.id.low < second->work.id.low ? -1 : 1;
+}
+
+GArray *
+Load_New(const Case *bench_case)
+{
+    GRand *rand = g_rand_new_with_seed(SEED);
+    GArray *requests = g_array_new(FALSE, FALSE, sizeof(BenchRequest));
+    for (int i = 0; i < KINDS_MAX; i++) {
+        const Kind *kind = &kinds[bench_case->office][i];
+        double rate = capacity(bench_case) * kind->share / mean_cost(kind);
+        TimeUs now = 0;
+        while (now < RUN_END) {
+            double load = in_burst(bench_case, now) ? bench_case->burst
+                                                    : bench_case->load;
+            double uniform = g_rand_double(rand);
+            now += (TimeUs)(-log(1 - uniform) / (rate * load) * US_PER_S);
+            BenchRequest request = new_request(rand, kind, requests->len, now);
+            g_array_append_val(requests, request);
+        }
+    }
+    g_array_sort(requests, by_arrival);
+    g_rand_free(rand);
+    return requests;
+}
--- /dev/null
+++ b/test/bench/policy_measure.c
@@ -0,0 +1,257 @@
+/** @file
+ * Measures of a finished run, and the bound that full knowledge of demand
+ * and capacity would reach.
+ */
+#include <string.h>
+
+#include <xxhash.h>
+
+#include "policy_engine.h"
+
+#define WINDOW US_PER_S
+#define WINDOWS 512
+#define REGIONS 2
+/* A want that was never granted counts as kept waiting after this. */
+#define WAIT_GRACE (100 * US_PER_MS)
+
+/* Capacity not yet used, in engine seconds, by region and window. */
+typedef struct Pool {
+    double left[REGIONS][WINDOWS];
+} Pool;
+
+static bool
+is_measured(const BenchRequest *request)
+{
+    return request->arrival >= WARM_UP;
+}
+
+static void
+fill_pool(const Case *bench_case, Pool *pool)
+{
+    memset(pool, 0, sizeof(*pool));
+    for (uint32_t i = 0; i < WINDOWS; i++) {
+        TimeUs now = i * WINDOW + WINDOW / 2;
+        for (uint32_t s = 0; s < Sim_ServerCount(bench_case->office); s++) {
+            uint32_t region = region_of(Sim_ServerZone(s));
+            pool->left[region][i] += Sim_ServerSpeed(bench_case, s, now);
+        }
+    }
+}
+
+static bool
+reachable(const Case *bench_case, uint32_t region, const BenchRequest *request,
+          uint32_t window)
+{
+    uint32_t zone = region == 0 ? 0 : ZONES - 1;
+    if (region_of(request->entry) == region) {
+        return true;
+    }
+    return Sim_Connected(bench_case, request->entry == 1 ? 0 : request->entry,
+                         zone, window * WINDOW);
+}
+
+/* Takes the cost from the earliest capacity in reach, or nothing. */
+static bool
+take_capacity(const Case *bench_case, Pool *pool, const BenchRequest *request,
+              double cost)
+{
+    uint32_t first = (uint32_t)(request->arrival / WINDOW);
+    uint32_t last = (uint32_t)(request->work.deadline / WINDOW);
+    for (int take = 0; take < 2; take++) {
+        double missing = cost;
+        for (uint32_t i = first; i <= last && missing > 0; i++) {
+            for (uint32_t region = 0; region < REGIONS; region++) {
+                double *left = &pool->left[region][i];
+                if (!reachable(bench_case, region, request, i)) {
+                    continue;
+                }
+                double used = MIN(*left, missing);
+                missing -= used;
+                *left -= take ? used : 0;
+            }
+        }
+        if (missing > 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Blocks that an earlier request of the run shares. */
+static uint32_t
+seen_blocks(GHashTable *seen, const Work *work)
+{
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < work->prefix_count; i++) {
+        bool fresh = g_hash_table_add(seen, (gpointer)&work->prefix[i]);
+        count += !fresh;
+    }
+    return count;
+}
+
+static void
+compute_bound(const Case *bench_case, GArray *requests, Result *result)
+{
+    Pool pool;
+    fill_pool(bench_case, &pool);
+    GHashTable *seen = g_hash_table_new(g_int64_hash, g_int64_equal);
+    double capacity = 0;
+    for (uint32_t i = 0; i < RUN_END / WINDOW; i++) {
+        capacity += pool.left[0][i] + pool.left[1][i];
+    }
+    double total = 0;
+    for (uint32_t tier = 0; tier < WORK_TIERS; tier++) {
+        for (guint i = 0; i < requests->len; i++) {
+            const BenchRequest *request =
+                &g_array_index(requests, BenchRequest, i);
+            if (request->work.tier != tier) {
+                continue;
+            }
+            double cost =
+                Engine_Cost(&request->work, seen_blocks(seen, &request->work));
+            result->tiers[tier].demand += cost / capacity;
+            bool fits = take_capacity(bench_case, &pool, request, cost);
+            result->tiers[tier].possible += fits && is_measured(request);
+        }
+        total += result->tiers[tier].possible;
+    }
+    g_hash_table_destroy(seen);
+    result->possible = total;
+}
+
+static gint
+compare_time(gconstpointer a, gconstpointer b)
+{
+    TimeUs first = *(const TimeUs *)a;
+    TimeUs second = *(const TimeUs *)b;
+    return first < second ? -1 : first > second;
+}
+
+/* Whether some start lies in [from, until]. */
+static bool
+has_start(const GArray *starts, TimeUs from, TimeUs until)
+{
+    guint low = 0;
+    guint high = starts->len;
+    while (low < high) {
+        guint middle = (low + high) / 2;
+        if (g_array_index(starts, TimeUs, middle) < from) {
+            low = middle + 1;
+        }
+        else {
+            high = middle;
+        }
+    }
+    return low < starts->len && g_array_index(starts, TimeUs, low) <= until;
+}
+
+static TimeUs
+run_time(const Work *work, double speed)
+{
+    double stream = ENGINE_DECODE_S * speed * (1 + 1 / ENGINE_HALF_BATCH) /
+                    (1 + ENGINE_BATCH / ENGINE_HALF_BATCH);
+    double seconds = work->prompt_tokens / (ENGINE_PREFILL_S * speed) +
+                     work->output_tokens / stream;
+    return (TimeUs)(seconds * US_PER_S);
+}
+
+typedef GArray *Starts[WORK_TIERS][SERVERS_MAX];
+
+/* Whether lower-tier work started, after the shedding of this request, at a
+ * place and time from which this one would have met its deadline. */
+static bool
+is_inverted(const Case *bench_case, Starts starts, const BenchRequest *request)
+{
+    bool waited = request->outcome == OUTCOME_LATE && request->server < 0;
+    if (request->outcome != OUTCOME_REFUSED && !waited) {
+        return false;
+    }
+    TimeUs from = waited ? request->arrival + WAIT_GRACE : request->ended;
+    for (uint32_t s = 0; s < Sim_ServerCount(bench_case->office); s++) {
+        double speed = Sim_ServerSpeed(bench_case, s, from);
+        bool connected =
+            Sim_Connected(bench_case, request->entry, Sim_ServerZone(s), from);
+        if (speed <= 0 || !connected) {
+            continue;
+        }
+        TimeUs until =
+            request->work.deadline - run_time(&request->work, speed);
+        for (uint32_t t = request->work.tier + 1; t < WORK_TIERS; t++) {
+            if (has_start(starts[t][s], from, until)) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+static uint32_t
+count_inversions(const Case *bench_case, GArray *requests)
+{
+    Starts starts;
+    for (uint32_t i = 0; i < WORK_TIERS * SERVERS_MAX; i++) {
+        starts[i / SERVERS_MAX][i % SERVERS_MAX] =
+            g_array_new(FALSE, FALSE, sizeof(TimeUs));
+    }
+    for (guint i = 0; i < requests->len; i++) {
+        BenchRequest *request = &g_array_index(requests, BenchRequest, i);
+        if (request->server >= 0) {
+            g_array_append_val(starts[request->work.tier][request->server],
+                               request->started);
+        }
+    }
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < WORK_TIERS * SERVERS_MAX; i++) {
+        g_array_sort(starts[i / SERVERS_MAX][i % SERVERS_MAX], compare_time);
+    }
+    for (guint i = 0; i < requests->len; i++) {
+        BenchRequest *request = &g_array_index(requests, BenchRequest, i);
+        count +=
+            is_measured(request) && is_inverted(bench_case, starts, request);
+    }
+    for (uint32_t i = 0; i < WORK_TIERS * SERVERS_MAX; i++) {
+        g_array_free(starts[i / SERVERS_MAX][i % SERVERS_MAX], TRUE);
+    }
+    return count;
+}
+
+static void
+count_outcomes(GArray *requests, Result *result)
+{
+    double prefilled = 0;
+    double wasted = 0;
+    uint32_t offered = 0;
+    uint32_t good = 0;
+    for (guint i = 0; i < requests->len; i++) {
+        BenchRequest *request = &g_array_index(requests, BenchRequest, i);
+        uint64_t fate[] = {result->hash, request->outcome, request->ended};
+        result->hash = XXH3_64bits(fate, sizeof(fate));
+        if (!is_measured(request)) {
+            continue;
+        }
+        TierResult *tier = &result->tiers[request->work.tier];
+        bool is_good = request->outcome == OUTCOME_GOOD;
+        tier->offered++;
+        tier->good += is_good;
+        tier->refused += request->outcome == OUTCOME_REFUSED;
+        tier->lost += request->outcome == OUTCOME_LOST;
+        offered++;
+        good += is_good;
+        prefilled += request->prefilled;
+        wasted += is_good ? MIN(request->sparable, request->prefilled)
+                          : request->prefilled;
+    }
+    result->good = (double)good / offered;
+    result->possible /= offered;
+    result->waste = prefilled > 0 ? wasted / prefilled : 0;
+}
+
+void
+Result_Measure(const Case *bench_case, GArray *requests, Result *result)
+{
+    double region_bytes = result->region_bytes;
+    *result = (Result){.region_bytes = region_bytes};
+    compute_bound(bench_case, requests, result);
+    count_outcomes(requests, result);
+    result->inversions = count_inversions(bench_case, requests);
+}
