Queue: hash of ids, grant order, planned shedding, measured pace

Cause: the queue was a linear scan of 8,000 items, held hopeless wants until their deadline and knew nothing of speed or cached prefixes. Ruled out: a heap per tier; the plan walks all waiting items in order anyway, and the sorted array makes shedding from its end trivial. Change: open addressing by id, an array in grant order, busy items, a ring of tombstones; the slots are planned ahead with measured prefill and decode speeds, and a want whose finish is past its deadline is refused at once with Retry-After. Mutations that test_queue catches: reversed tier order, alone ignored, no planned refusal, no tombstone of an unknown dispatch.

--- a/scripts/run-tests.sh
+++ b/scripts/run-tests.sh
@@ -45,6 +45,13 @@
     done < <("$script" "$build" "$pattern")
 done
 
+if [ -x "$build/test/bench/bench_policy" ] && [[ "bench/policy" == *"${pattern%%-*}"* ]]; then
+    while read -r name status; do
+        count "$name" "$status"
+    done < <("$build/test/bench/bench_policy" --short 2>"$build/bench_policy.log")
+    grep -B 8 MISSED "$build/bench_policy.log" || true
+fi
+
 index=0
 for script in test/functional/*.sh; do
     name=functional/$(basename "$script" .sh)
--- /dev/null
+++ b/src/sched/idmap.c
@@ -0,0 +1,89 @@
+/** @file
+ * Linear probing; removal shifts later cells back, so that no markers of
+ * removed cells pile up.
+ */
+#include "sched/idmap.h"
+
+#include <glib.h>
+#include <xxhash.h>
+
+void
+IdMap_Init(IdMap *map, uint32_t bound)
+{
+    uint32_t size = 16;
+    while (size < bound * 2) {
+        size *= 2;
+    }
+    map->cells = g_new(IdMapCell, size);
+    map->mask = size - 1;
+    map->count = 0;
+    map->bound = bound;
+    for (uint32_t i = 0; i < size; i++) {
+        map->cells[i].value = IDMAP_NONE;
+    }
+}
+
+void
+IdMap_Clear(IdMap *map)
+{
+    g_free(map->cells);
+    map->cells = NULL;
+}
+
+static uint32_t
+home_of(const IdMap *map, RequestId id)
+{
+    return (uint32_t)XXH3_64bits(&id, sizeof(id)) & map->mask;
+}
+
+/* The cell of the id, or the empty one where it would go. */
+static uint32_t
+probe(const IdMap *map, RequestId id)
+{
+    uint32_t at = home_of(map, id);
+    while (map->cells[at].value != IDMAP_NONE &&
+           !work_same_id(map->cells[at].id, id))
+    {
+        at = (at + 1) & map->mask;
+    }
+    return at;
+}
+
+uint32_t
+IdMap_Get(const IdMap *map, RequestId id)
+{
+    return map->cells[probe(map, id)].value;
+}
+
+void
+IdMap_Put(IdMap *map, RequestId id, uint32_t value)
+{
+    IdMapCell *cell = &map->cells[probe(map, id)];
+    if (cell->value == IDMAP_NONE) {
+        map->count++;
+        INVARIANT(map->count <= map->bound);
+    }
+    *cell = (IdMapCell){.id = id, .value = value};
+}
+
+void
+IdMap_Remove(IdMap *map, RequestId id)
+{
+    uint32_t hole = probe(map, id);
+    if (map->cells[hole].value == IDMAP_NONE) {
+        return;
+    }
+    map->count--;
+    uint32_t at = (hole + 1) & map->mask;
+    while (map->cells[at].value != IDMAP_NONE) {
+        uint32_t home = home_of(map, map->cells[at].id);
+        uint32_t from_home = (at - home) & map->mask;
+        uint32_t from_hole = (at - hole) & map->mask;
+        if (from_home >= from_hole) {
+            map->cells[hole] = map->cells[at];
+            hole = at;
+        }
+        at = (at + 1) & map->mask;
+    }
+    map->cells[hole].value = IDMAP_NONE;
+}
--- /dev/null
+++ b/src/sched/plan.c
@@ -0,0 +1,47 @@
+/** @file
+ * Min-heap of the times at which slots free.
+ */
+#include "sched/plan.h"
+
+void
+Plan_Add(Plan *plan, TimeUs at)
+{
+    if (plan->count == PLAN_SLOTS_MAX) {
+        return;
+    }
+    uint32_t index = plan->count++;
+    while (index > 0 && plan->frees[(index - 1) / 2] > at) {
+        plan->frees[index] = plan->frees[(index - 1) / 2];
+        index = (index - 1) / 2;
+    }
+    plan->frees[index] = at;
+}
+
+TimeUs
+Plan_Next(const Plan *plan)
+{
+    return plan->count == 0 ? TIME_NEVER : plan->frees[0];
+}
+
+void
+Plan_Take(Plan *plan, TimeUs span)
+{
+    if (plan->count == 0) {
+        return;
+    }
+    TimeUs at = plan->frees[0] + span;
+    uint32_t index = 0;
+    while (index * 2 + 1 < plan->count) {
+        uint32_t child = index * 2 + 1;
+        if (child + 1 < plan->count &&
+            plan->frees[child + 1] < plan->frees[child]) {
+            child++;
+        }
+        if (plan->frees[child] >= at) {
+            break;
+        }
+        plan->frees[index] = plan->frees[child];
+        index = child;
+    }
+    plan->frees[index] = at;
+}
--- a/src/sched/queue.c
+++ b/src/sched/queue.c
@@ -1,381 +1,396 @@
 /** @file
- * The agent's queue: one table of requests in any state, searched in full;
- * its size is bounded by the configuration.
+ * The agent's queue: grants, shedding and the life of a request.
  */
 #include "sched/queue.h"
 
-#include <string.h>
-
 #include <glib.h>
 
-typedef enum ItemState {
-    ITEM_FREE,
-    ITEM_WAITING,
-    ITEM_GRANTED,
-    ITEM_RUNNING,
-    ITEM_TOMBSTONE, /* refused or ended; never runs again */
-} ItemState;
-
-typedef struct Item {
-    ItemState state;
-    Work work;
-    uint64_t owner;
-    uint64_t grant_id;
-    TimeUs until; /* GRANTED: expiry */
-    TimeUs started;
-} Item;
+#include "sched/plan.h"
+#include "sched/queue_items.h"
 
-struct WantQueue {
-    QueueConfig config;
-    uint64_t next_grant;
-    bool leaving;
-    GQueue actions;    /* of QueueAction */
-    GQueue tombstones; /* of RequestId, oldest first */
-    uint32_t count;
-    Item *items;
-    uint32_t capacity;
-};
+/* How often waiting requests are checked against their deadlines. */
+#define PLAN_PERIOD (50 * US_PER_MS)
+/* A tier whose requests would wait this long is refused by entries. */
+#define SHED_WAIT (30 * US_PER_S)
+/* Weight of one sample in the share of wants that are dispatched here. */
+#define KEPT_WEIGHT 0.05
+#define RETRY_MIN_MS 100
+#define RETRY_MAX_MS 60000
 
-WantQueue *
-Queue_New(const QueueConfig *config)
+static uint32_t
+clamp_retry(TimeUs wait)
 {
-    WantQueue *queue = g_new0(WantQueue, 1);
-    queue->config = *config;
-    queue->next_grant = config->seed | 1;
-    queue->capacity =
-        config->max_wants + config->max_tombstones + config->slots * 2 + 16;
-    queue->items = g_new0(Item, queue->capacity);
-    g_queue_init(&queue->actions);
-    g_queue_init(&queue->tombstones);
-    return queue;
+    return (uint32_t)CLAMP(wait / US_PER_MS, RETRY_MIN_MS, RETRY_MAX_MS);
 }
 
-void
-Queue_Free(WantQueue *queue)
+static void
+refuse(WantQueue *queue, RequestId id, uint64_t owner, RefuseReason reason,
+       uint32_t retry_after_ms)
 {
-    g_queue_clear_full(&queue->actions, g_free);
-    g_queue_clear_full(&queue->tombstones, g_free);
-    g_free(queue->items);
-    g_free(queue);
+    QueueItems_PushAction(queue, &(QueueAction){
+                                     .kind = QUEUE_REFUSE,
+                                     .id = id,
+                                     .owner = owner,
+                                     .reason = reason,
+                                     .retry_after_ms = retry_after_ms,
+                                 });
 }
 
-static Item *
-find(WantQueue *queue, RequestId id)
+static uint32_t
+cached_blocks(const WantQueue *queue, const Work *work)
 {
-    for (uint32_t i = 0; i < queue->capacity; i++) {
-        Item *item = &queue->items[i];
-        if (item->state != ITEM_FREE && work_same_id(item->work.id, id)) {
-            return item;
-        }
-    }
-    return NULL;
+    return Blocks_Leading(queue->blocks, work, QUEUE_CACHE_HOLDER);
 }
 
-static Item *
-find_free(WantQueue *queue)
+static TimeUs
+run_time(const WantQueue *queue, const Item *item)
 {
-    for (uint32_t i = 0; i < queue->capacity; i++) {
-        if (queue->items[i].state == ITEM_FREE) {
-            return &queue->items[i];
-        }
-    }
-    return NULL;
+    return Pace_RunTime(&queue->pace, &item->work, item->cached_blocks);
 }
 
-static uint32_t
-count_state(const WantQueue *queue, ItemState state)
+static void
+refuse_waiting(WantQueue *queue, Item *item, RefuseReason reason, TimeUs wait)
 {
-    uint32_t count = 0;
-    for (uint32_t i = 0; i < queue->capacity; i++) {
-        count += queue->items[i].state == state;
-    }
-    return count;
+    refuse(queue, item->work.id, item->owner, reason, clamp_retry(wait));
+    QueueItems_Drop(queue, item);
 }
 
 static void
-push_action(WantQueue *queue, const QueueAction *action)
+grant(WantQueue *queue, Item *item, TimeUs now)
 {
-    g_queue_push_tail(&queue->actions, g_memdup2(action, sizeof(*action)));
+    QueueItems_MakeBusy(queue, item);
+    item->state = ITEM_GRANTED;
+    item->grant_id = queue->next_grant++;
+    item->until = now + queue->config.grant_ttl;
+    item->started = now;
+    QueueItems_PushAction(
+        queue, &(QueueAction){
+                   .kind = QUEUE_GRANT,
+                   .id = item->work.id,
+                   .owner = item->owner,
+                   .grant_id = item->grant_id,
+                   .ttl_ms = (uint32_t)(queue->config.grant_ttl / US_PER_MS),
+               });
 }
 
-static void
-refuse(WantQueue *queue, RequestId id, uint64_t owner, RefuseReason reason)
+/* Whether a request that must run alone holds the endpoint. */
+static bool
+held_alone(const WantQueue *queue)
 {
-    push_action(queue, &(QueueAction){
-                           .kind = QUEUE_REFUSE,
-                           .id = id,
-                           .owner = owner,
-                           .reason = reason,
-                           .retry_after_ms = 1000,
-                       });
+    return queue->busy_count == 1 && QueueItems_Busy(queue, 0)->work.alone;
 }
 
 static void
-bury(WantQueue *queue, Item *item)
+grant_free_slots(WantQueue *queue, TimeUs now)
 {
-    item->state = ITEM_TOMBSTONE;
-    g_queue_push_tail(&queue->tombstones,
-                      g_memdup2(&item->work.id, sizeof(RequestId)));
-    if (g_queue_get_length(&queue->tombstones) > queue->config.max_tombstones)
+    while (!queue->leaving && queue->order_count > 0 &&
+           queue->busy_count < queue->config.slots && !held_alone(queue))
     {
-        RequestId *oldest = g_queue_pop_head(&queue->tombstones);
-        Item *old = find(queue, *oldest);
-        if (old != NULL && old->state == ITEM_TOMBSTONE) {
-            old->state = ITEM_FREE;
+        Item *item = QueueItems_Waiting(queue, 0);
+        TimeUs finish = now + run_time(queue, item);
+        if (!queue->config.no_deadline && finish > item->work.deadline) {
+            refuse_waiting(queue, item, REFUSE_DEADLINE,
+                           finish - item->work.deadline);
+            continue;
         }
-        g_free(oldest);
+        if (item->work.alone && queue->busy_count > 0) {
+            return;
+        }
+        grant(queue, item, now);
     }
 }
 
-static bool
-goes_before(const Work *a, const Work *b)
+static void
+plan_busy(const WantQueue *queue, Plan *plan, TimeUs now)
 {
-    if (a->tier != b->tier) {
-        return a->tier < b->tier;
+    plan->count = 0;
+    for (uint32_t i = 0; i < queue->busy_count; i++) {
+        const Item *item = QueueItems_Busy(queue, i);
+        TimeUs frees = item->started + run_time(queue, item);
+        Plan_Add(plan, MAX(frees, now));
+    }
+    for (uint32_t i = queue->busy_count; i < queue->config.slots; i++) {
+        Plan_Add(plan, now);
     }
-    return a->deadline < b->deadline;
 }
 
-static Item *
-find_extreme(WantQueue *queue, bool first)
+/* Refuses the waiting requests whose planned finish is past their deadline,
+ * in grant order, so that each is weighed against what goes before it. */
+static void
+shed_hopeless(WantQueue *queue, TimeUs now)
 {
-    Item *found = NULL;
-    for (uint32_t i = 0; i < queue->capacity; i++) {
-        Item *item = &queue->items[i];
-        if (item->state != ITEM_WAITING) {
+    Plan plan;
+    plan_busy(queue, &plan, now);
+    queue->planned_at = now;
+    queue->lowest_tier = WORK_TIERS - 1;
+    uint32_t at = 0;
+    while (at < queue->order_count) {
+        Item *item = QueueItems_Waiting(queue, at);
+        TimeUs start = Plan_Next(&plan);
+        TimeUs span = run_time(queue, item);
+        TimeUs late = start + span - item->work.deadline;
+        if (late > 0) {
+            refuse_waiting(queue, item, REFUSE_DEADLINE, late);
             continue;
         }
-        if (found == NULL || goes_before(&item->work, &found->work) == first) {
-            found = item;
+        Plan_Take(&plan, (TimeUs)((double)span * queue->kept));
+        TimeUs wait = Plan_Next(&plan) - now;
+        if (wait > SHED_WAIT && item->work.tier < queue->lowest_tier) {
+            queue->lowest_tier = item->work.tier;
         }
+        at++;
     }
-    return found;
+    queue->retry_after_ms = clamp_retry(Plan_Next(&plan) - now);
 }
 
 static void
-grant(WantQueue *queue, Item *item, TimeUs now)
+update(WantQueue *queue, TimeUs now)
 {
-    item->state = ITEM_GRANTED;
-    item->grant_id = queue->next_grant++;
-    item->until = now + queue->config.grant_ttl;
-    push_action(queue,
-                &(QueueAction){
-                    .kind = QUEUE_GRANT,
-                    .id = item->work.id,
-                    .owner = item->owner,
-                    .grant_id = item->grant_id,
-                    .ttl_ms = (uint32_t)(queue->config.grant_ttl / US_PER_MS),
-                });
+    bool due = now >= queue->planned_at + PLAN_PERIOD;
+    if (due && !queue->config.no_deadline && queue->config.slots > 0) {
+        shed_hopeless(queue, now);
+    }
+    grant_free_slots(queue, now);
 }
 
-static void
-grant_free_slots(WantQueue *queue, TimeUs now)
+/* Makes room for work, at the cost of the last in order if that is less
+ * urgent. */
+static bool
+make_room(WantQueue *queue, const Work *work)
 {
-    uint32_t taken =
-        count_state(queue, ITEM_GRANTED) + count_state(queue, ITEM_RUNNING);
-    while (!queue->leaving && taken < queue->config.slots) {
-        Item *item = find_extreme(queue, true);
-        if (item == NULL) {
-            return;
-        }
-        grant(queue, item, now);
-        taken++;
+    if (queue->order_count < queue->config.max_wants) {
+        return true;
+    }
+    if (queue->order_count == 0) {
+        return false;
+    }
+    Item *last = QueueItems_Waiting(queue, queue->order_count - 1);
+    Item incoming = {.work = *work, .sequence = queue->next_sequence};
+    if (!QueueItems_GoesBefore(queue, &incoming, last)) {
+        return false;
     }
+    refuse(queue, last->work.id, last->owner, REFUSE_SHED,
+           clamp_retry(queue->retry_after_ms * US_PER_MS));
+    QueueItems_Drop(queue, last);
+    return true;
 }
 
 void
 Queue_Want(WantQueue *queue, const Work *work, uint64_t owner, TimeUs now)
 {
     if (queue->leaving) {
-        refuse(queue, work->id, owner, REFUSE_LEAVING);
+        refuse(queue, work->id, owner, REFUSE_LEAVING, RETRY_MIN_MS);
         return;
     }
-    Item *known = find(queue, work->id);
-    if (known != NULL) {
-        if (known->state == ITEM_TOMBSTONE) {
-            refuse(queue, work->id, owner, REFUSE_DUPLICATE);
-        }
+    if (QueueItems_IsTombstone(queue, work->id)) {
+        refuse(queue, work->id, owner, REFUSE_DUPLICATE, RETRY_MIN_MS);
         return;
     }
-    if (count_state(queue, ITEM_WAITING) >= queue->config.max_wants) {
-        Item *last = find_extreme(queue, false);
-        if (last == NULL || !goes_before(work, &last->work)) {
-            refuse(queue, work->id, owner, REFUSE_SHED);
-            return;
-        }
-        refuse(queue, last->work.id, last->owner, REFUSE_SHED);
-        last->state = ITEM_FREE;
+    if (QueueItems_Find(queue, work->id) != NULL) {
+        return;
     }
-    Item *item = find_free(queue);
-    if (item == NULL) {
-        refuse(queue, work->id, owner, REFUSE_SHED);
+    if (!make_room(queue, work)) {
+        refuse(queue, work->id, owner, REFUSE_SHED,
+               clamp_retry(queue->retry_after_ms * US_PER_MS));
         return;
     }
-    *item = (Item){.state = ITEM_WAITING, .work = *work, .owner = owner};
-    grant_free_slots(queue, now);
+    QueueItems_Add(queue, work, owner);
+    update(queue, now);
+}
+
+static void
+count_kept(WantQueue *queue, bool kept)
+{
+    queue->kept += ((kept ? 1 : 0) - queue->kept) * KEPT_WEIGHT;
 }
 
 void
 Queue_Withdraw(WantQueue *queue, RequestId id, uint64_t owner, TimeUs now)
 {
-    Item *item = find(queue, id);
-    if (item == NULL || item->owner != owner) {
+    Item *item = QueueItems_Find(queue, id);
+    if (item == NULL || item->owner != owner || item->state == ITEM_RUNNING) {
         return;
     }
-    if (item->state == ITEM_WAITING || item->state == ITEM_GRANTED) {
-        item->state = ITEM_FREE;
-        grant_free_slots(queue, now);
-    }
+    QueueItems_Drop(queue, item);
+    count_kept(queue, false);
+    update(queue, now);
 }
 
 RefuseReason
 Queue_Dispatch(WantQueue *queue, RequestId id, uint64_t grant_id, TimeUs now)
 {
-    Item *item = find(queue, id);
+    Item *item = QueueItems_Find(queue, id);
+    if (QueueItems_IsTombstone(queue, id) ||
+        (item != NULL && item->state == ITEM_RUNNING))
+    {
+        return REFUSE_DUPLICATE;
+    }
     if (item == NULL) {
-        item = find_free(queue);
-        if (item != NULL) {
-            *item = (Item){.work = {.id = id}};
-            bury(queue, item);
-        }
+        QueueItems_AddTombstone(queue, id);
         return REFUSE_LAPSED;
     }
-    if (item->state == ITEM_RUNNING || item->state == ITEM_TOMBSTONE) {
-        return REFUSE_DUPLICATE;
-    }
     bool valid = item->state == ITEM_GRANTED && item->grant_id == grant_id &&
                  now < item->until && !queue->leaving;
     if (!valid) {
-        bury(queue, item);
-        grant_free_slots(queue, now);
+        QueueItems_Bury(queue, item);
+        update(queue, now);
         return queue->leaving ? REFUSE_LEAVING : REFUSE_LAPSED;
     }
     item->state = ITEM_RUNNING;
     item->started = now;
+    item->cached_blocks = cached_blocks(queue, &item->work);
+    queue->running++;
+    count_kept(queue, true);
     return REFUSE_NONE;
 }
 
 void
 Queue_FirstPiece(WantQueue *queue, RequestId id, TimeUs now)
 {
+    Item *item = QueueItems_Find(queue, id);
+    if (item == NULL || item->state != ITEM_RUNNING || item->first_piece != 0)
+    {
+        return;
+    }
+    item->first_piece = now;
+    const Work *work = &item->work;
+    uint32_t cached = item->cached_blocks * WORK_BLOCK_TOKENS;
+    if (cached < work->prompt_tokens) {
+        Pace_FirstPiece(&queue->pace, work->prompt_tokens - cached,
+                        now - item->started);
+    }
+    Queue_Cached(queue, work->prefix, work->prefix_count, true);
+}
+
+static void
+measure(WantQueue *queue, const Item *item, const QueueResult *result,
+        TimeUs now)
+{
+    if (!result->complete) {
+        return;
+    }
+    Pace_Ran(&queue->pace, now - item->started);
+    uint32_t tokens = result->output_tokens > 0 ? result->output_tokens
+                                                : item->work.output_tokens;
+    if (item->first_piece != 0) {
+        Pace_Decoded(&queue->pace, tokens, now - item->first_piece);
+    }
 }
 
 void
 Queue_Finished(WantQueue *queue, RequestId id, const QueueResult *result,
                TimeUs now)
 {
-    Item *item = find(queue, id);
+    Item *item = QueueItems_Find(queue, id);
     if (item != NULL && item->state == ITEM_RUNNING) {
-        bury(queue, item);
-        grant_free_slots(queue, now);
+        measure(queue, item, result, now);
+        QueueItems_Bury(queue, item);
+        update(queue, now);
     }
 }
 
 void
 Queue_OwnerGone(WantQueue *queue, uint64_t owner, TimeUs now)
 {
-    for (uint32_t i = 0; i < queue->capacity; i++) {
-        Item *item = &queue->items[i];
-        if (item->owner == owner &&
-            (item->state == ITEM_WAITING || item->state == ITEM_GRANTED))
-        {
-            item->state = ITEM_FREE;
+    for (uint32_t i = queue->order_count; i > 0; i--) {
+        Item *item = QueueItems_Waiting(queue, i - 1);
+        if (item->owner == owner) {
+            QueueItems_Drop(queue, item);
         }
     }
-    grant_free_slots(queue, now);
+    for (uint32_t i = queue->busy_count; i > 0; i--) {
+        Item *item = QueueItems_Busy(queue, i - 1);
+        if (item->owner == owner && item->state == ITEM_GRANTED) {
+            QueueItems_Drop(queue, item);
+        }
+    }
+    update(queue, now);
 }
 
 void
 Queue_SetLeaving(WantQueue *queue, bool leaving, TimeUs now)
 {
     queue->leaving = leaving;
-    for (uint32_t i = 0; leaving && i < queue->capacity; i++) {
-        Item *item = &queue->items[i];
-        if (item->state == ITEM_WAITING) {
-            refuse(queue, item->work.id, item->owner, REFUSE_LEAVING);
-            item->state = ITEM_FREE;
-        }
+    while (leaving && queue->order_count > 0) {
+        Item *last = QueueItems_Waiting(queue, queue->order_count - 1);
+        refuse_waiting(queue, last, REFUSE_LEAVING, 0);
     }
-    grant_free_slots(queue, now);
+    update(queue, now);
 }
 
 void
 Queue_SetSlots(WantQueue *queue, uint32_t slots, TimeUs now)
 {
-    queue->config.slots = slots;
-    grant_free_slots(queue, now);
+    queue->config.slots = MIN(slots, QUEUE_SLOTS_MAX);
+    update(queue, now);
 }
 
 void
 Queue_Cached(WantQueue *queue, const uint64_t *blocks, uint32_t count,
              bool cached)
 {
+    for (uint32_t i = 0; i < count; i++) {
+        if (cached) {
+            Blocks_Add(queue->blocks, blocks[i], QUEUE_CACHE_HOLDER);
+        }
+        else {
+            Blocks_Remove(queue->blocks, blocks[i], QUEUE_CACHE_HOLDER);
+        }
+    }
 }
 
 void
 Queue_CacheReset(WantQueue *queue)
 {
+    Blocks_Clear(queue->blocks);
 }
 
 void
 Queue_Tick(WantQueue *queue, TimeUs now)
 {
-    for (uint32_t i = 0; i < queue->capacity; i++) {
-        Item *item = &queue->items[i];
+    for (uint32_t i = queue->busy_count; i > 0; i--) {
+        Item *item = QueueItems_Busy(queue, i - 1);
         if (item->state == ITEM_GRANTED && now >= item->until) {
-            bury(queue, item);
-        }
-        if (item->state == ITEM_WAITING && now >= item->work.deadline) {
-            refuse(queue, item->work.id, item->owner, REFUSE_DEADLINE);
-            item->state = ITEM_FREE;
+            QueueItems_Bury(queue, item);
         }
     }
-    grant_free_slots(queue, now);
+    while (queue->order_count > 0 && queue->config.slots == 0) {
+        Item *last = QueueItems_Waiting(queue, queue->order_count - 1);
+        refuse_waiting(queue, last, REFUSE_SHED, RETRY_MAX_MS * US_PER_MS);
+    }
+    update(queue, now);
 }
 
 TimeUs
 Queue_NextTimer(const WantQueue *queue)
 {
     TimeUs next = TIME_NEVER;
-    for (uint32_t i = 0; i < queue->capacity; i++) {
-        const Item *item = &queue->items[i];
+    if (queue->order_count > 0) {
+        next = queue->planned_at + PLAN_PERIOD;
+    }
+    for (uint32_t i = 0; i < queue->busy_count; i++) {
+        const Item *item = QueueItems_Busy(queue, i);
         if (item->state == ITEM_GRANTED && item->until < next) {
             next = item->until;
         }
-        if (item->state == ITEM_WAITING && item->work.deadline < next) {
-            next = item->work.deadline;
-        }
     }
     return next;
 }
 
-size_t
-Queue_TakeActions(WantQueue *queue, QueueAction *actions, size_t capacity)
-{
-    size_t taken = 0;
-    while (taken < capacity) {
-        QueueAction *action = g_queue_pop_head(&queue->actions);
-        if (action == NULL) {
-            break;
-        }
-        actions[taken++] = *action;
-        g_free(action);
-    }
-    return taken;
-}
-
 void
 Queue_State(const WantQueue *queue, TimeUs now, QueueState *state)
 {
     *state = (QueueState){
         .slots = queue->config.slots,
-        .running = count_state(queue, ITEM_RUNNING),
-        .granted = count_state(queue, ITEM_GRANTED),
-        .queued = count_state(queue, ITEM_WAITING),
-        .prefill_tokens_s = queue->config.prefill_tokens_s,
-        .decode_tokens_s = queue->config.decode_tokens_s,
-        .lowest_tier = WORK_TIERS - 1,
-        .retry_after_ms = 1000,
+        .running = queue->running,
+        .granted = queue->busy_count - queue->running,
+        .queued = queue->order_count,
+        .queued_prompt_tokens = queue->prompt_tokens,
+        .queued_output_tokens = queue->output_tokens,
+        .prefill_tokens_s = Pace_Speed(&queue->pace.prefill),
+        .decode_tokens_s = Pace_Speed(&queue->pace.decode),
+        .lowest_tier = queue->lowest_tier,
+        .retry_after_ms = MAX(queue->retry_after_ms, RETRY_MIN_MS),
         .leaving = queue->leaving,
     };
 }
--- /dev/null
+++ b/src/sched/queue_items.c
@@ -0,0 +1,244 @@
+/** @file
+ * Storage of the agent's queue: the pool, the indexes and the rings.
+ */
+#include "sched/queue_items.h"
+
+#include <string.h>
+
+#include <glib.h>
+
+/* Prefix blocks remembered of the endpoint. */
+#define CACHE_PAIRS 16384
+/* Marks an IdMap value as a position in the ring of tombstones. */
+#define TOMBSTONE_BIT 0x80000000U
+
+WantQueue *
+Queue_New(const QueueConfig *config)
+{
+    WantQueue *queue = g_new0(WantQueue, 1);
+    queue->config = *config;
+    queue->config.max_tombstones = MAX(config->max_tombstones, 1);
+    queue->config.slots = MIN(config->slots, QUEUE_SLOTS_MAX);
+    queue->next_grant = config->seed | 1;
+    uint32_t capacity = config->max_wants + QUEUE_SLOTS_MAX;
+    IdMap_Init(&queue->ids, capacity + queue->config.max_tombstones);
+    queue->items = g_new(Item, capacity);
+    queue->unused = g_new(uint32_t, capacity);
+    for (uint32_t i = 0; i < capacity; i++) {
+        queue->unused[queue->unused_count++] = capacity - 1 - i;
+    }
+    queue->order = g_new(uint32_t, config->max_wants + 1);
+    queue->busy = g_new(uint32_t, QUEUE_SLOTS_MAX);
+    queue->tombstones = g_new0(RequestId, queue->config.max_tombstones);
+    queue->action_capacity = 64;
+    queue->actions = g_new(QueueAction, queue->action_capacity);
+    queue->blocks = Blocks_New(CACHE_PAIRS);
+    Pace_Init(&queue->pace, config->prefill_tokens_s, config->decode_tokens_s);
+    queue->kept = 1;
+    queue->lowest_tier = WORK_TIERS - 1;
+    return queue;
+}
+
+void
+Queue_Free(WantQueue *queue)
+{
+    IdMap_Clear(&queue->ids);
+    Blocks_Free(queue->blocks);
+    g_free(queue->items);
+    g_free(queue->unused);
+    g_free(queue->order);
+    g_free(queue->busy);
+    g_free(queue->tombstones);
+    g_free(queue->actions);
+    g_free(queue);
+}
+
+void
+QueueItems_PushAction(WantQueue *queue, const QueueAction *action)
+{
+    uint32_t capacity = queue->action_capacity;
+    if (queue->action_count == capacity) {
+        QueueAction *larger = g_new(QueueAction, capacity * 2);
+        for (uint32_t i = 0; i < capacity; i++) {
+            larger[i] = queue->actions[(queue->action_head + i) % capacity];
+        }
+        g_free(queue->actions);
+        queue->actions = larger;
+        queue->action_capacity = capacity * 2;
+        queue->action_head = 0;
+    }
+    uint32_t at =
+        (queue->action_head + queue->action_count) % queue->action_capacity;
+    queue->actions[at] = *action;
+    queue->action_count++;
+}
+
+size_t
+Queue_TakeActions(WantQueue *queue, QueueAction *actions, size_t capacity)
+{
+    size_t taken = 0;
+    while (taken < capacity && queue->action_count > 0) {
+        actions[taken++] = queue->actions[queue->action_head];
+        queue->action_head = (queue->action_head + 1) % queue->action_capacity;
+        queue->action_count--;
+    }
+    return taken;
+}
+
+Item *
+QueueItems_Find(const WantQueue *queue, RequestId id)
+{
+    uint32_t value = IdMap_Get(&queue->ids, id);
+    return value >= TOMBSTONE_BIT ? NULL : &queue->items[value];
+}
+
+bool
+QueueItems_IsTombstone(const WantQueue *queue, RequestId id)
+{
+    uint32_t value = IdMap_Get(&queue->ids, id);
+    return value != IDMAP_NONE && value >= TOMBSTONE_BIT;
+}
+
+bool
+QueueItems_GoesBefore(const WantQueue *queue, const Item *a, const Item *b)
+{
+    if (queue->config.no_priority) {
+        return a->sequence < b->sequence;
+    }
+    if (a->work.tier != b->work.tier) {
+        return a->work.tier < b->work.tier;
+    }
+    if (a->work.deadline != b->work.deadline) {
+        return a->work.deadline < b->work.deadline;
+    }
+    return a->sequence < b->sequence;
+}
+
+/* First position whose item does not go before this one. */
+static uint32_t
+position_of(const WantQueue *queue, const Item *item)
+{
+    uint32_t low = 0;
+    uint32_t high = queue->order_count;
+    while (low < high) {
+        uint32_t middle = (low + high) / 2;
+        const Item *other = QueueItems_Waiting(queue, middle);
+        if (QueueItems_GoesBefore(queue, other, item)) {
+            low = middle + 1;
+        }
+        else {
+            high = middle;
+        }
+    }
+    return low;
+}
+
+Item *
+QueueItems_Waiting(const WantQueue *queue, uint32_t position)
+{
+    return &queue->items[queue->order[position]];
+}
+
+Item *
+QueueItems_Busy(const WantQueue *queue, uint32_t position)
+{
+    return &queue->items[queue->busy[position]];
+}
+
+static void
+enter_order(WantQueue *queue, Item *item)
+{
+    uint32_t at = position_of(queue, item);
+    memmove(&queue->order[at + 1], &queue->order[at],
+            (queue->order_count - at) * sizeof(queue->order[0]));
+    queue->order[at] = (uint32_t)(item - queue->items);
+    queue->order_count++;
+    queue->prompt_tokens += item->work.prompt_tokens;
+    queue->output_tokens += item->work.output_tokens;
+}
+
+static void
+leave_order(WantQueue *queue, const Item *item)
+{
+    uint32_t at = position_of(queue, item);
+    INVARIANT(QueueItems_Waiting(queue, at) == item);
+    queue->order_count--;
+    memmove(&queue->order[at], &queue->order[at + 1],
+            (queue->order_count - at) * sizeof(queue->order[0]));
+    queue->prompt_tokens -= item->work.prompt_tokens;
+    queue->output_tokens -= item->work.output_tokens;
+}
+
+void
+QueueItems_MakeBusy(WantQueue *queue, Item *item)
+{
+    leave_order(queue, item);
+    queue->busy[queue->busy_count++] = (uint32_t)(item - queue->items);
+}
+
+static void
+leave_busy(WantQueue *queue, const Item *item)
+{
+    uint32_t index = (uint32_t)(item - queue->items);
+    uint32_t at = 0;
+    while (queue->busy[at] != index) {
+        at++;
+        INVARIANT(at < queue->busy_count);
+    }
+    queue->busy[at] = queue->busy[--queue->busy_count];
+    queue->running -= item->state == ITEM_RUNNING;
+}
+
+void
+QueueItems_Drop(WantQueue *queue, Item *item)
+{
+    if (item->state == ITEM_WAITING) {
+        leave_order(queue, item);
+    }
+    else {
+        leave_busy(queue, item);
+    }
+    IdMap_Remove(&queue->ids, item->work.id);
+    queue->unused[queue->unused_count++] = (uint32_t)(item - queue->items);
+}
+
+void
+QueueItems_AddTombstone(WantQueue *queue, RequestId id)
+{
+    uint32_t at = queue->tombstone_next;
+    if (queue->tombstone_count == queue->config.max_tombstones) {
+        IdMap_Remove(&queue->ids, queue->tombstones[at]);
+    }
+    else {
+        queue->tombstone_count++;
+    }
+    queue->tombstones[at] = id;
+    queue->tombstone_next = (at + 1) % queue->config.max_tombstones;
+    IdMap_Put(&queue->ids, id, TOMBSTONE_BIT | at);
+}
+
+void
+QueueItems_Bury(WantQueue *queue, Item *item)
+{
+    RequestId id = item->work.id;
+    QueueItems_Drop(queue, item);
+    QueueItems_AddTombstone(queue, id);
+}
+
+void
+QueueItems_Add(WantQueue *queue, const Work *work, uint64_t owner)
+{
+    INVARIANT(queue->unused_count > 0);
+    uint32_t index = queue->unused[--queue->unused_count];
+    Item *item = &queue->items[index];
+    *item = (Item){
+        .state = ITEM_WAITING,
+        .work = *work,
+        .owner = owner,
+        .sequence = queue->next_sequence++,
+        .cached_blocks =
+            Blocks_Leading(queue->blocks, work, QUEUE_CACHE_HOLDER),
+    };
+    IdMap_Put(&queue->ids, work->id, index);
+    enter_order(queue, item);
+}
--- /dev/null
+++ b/src/sched/queue_items.h
@@ -0,0 +1,96 @@
+/** @file
+ * Storage of the agent's queue, private to it. Requests live in a pool of
+ * items that a hash finds by id; the waiting ones also stand in an array in
+ * grant order, the granted and running ones in an array of busy items.
+ * Refused and ended requests leave only their id, in a ring of tombstones.
+ */
+#ifndef LAURELLIFT_SCHED_QUEUE_ITEMS_H
+#define LAURELLIFT_SCHED_QUEUE_ITEMS_H
+
+#include "sched/blocks.h"
+#include "sched/idmap.h"
+#include "sched/pace.h"
+#include "sched/queue.h"
+
+/** Most slots of an endpoint; more are not used. */
+#define QUEUE_SLOTS_MAX 1024
+/** The endpoint, as holder of its blocks. */
+#define QUEUE_CACHE_HOLDER 1
+
+typedef enum ItemState {
+    ITEM_WAITING,
+    ITEM_GRANTED,
+    ITEM_RUNNING,
+} ItemState;
+
+typedef struct Item {
+    ItemState state;
+    Work work;
+    uint64_t owner;
+    uint64_t sequence; /* order of arrival */
+    uint64_t grant_id;
+    TimeUs until; /* GRANTED: expiry */
+    TimeUs started;
+    TimeUs first_piece;
+    uint32_t cached_blocks; /* known when it started */
+} Item;
+
+struct WantQueue {
+    QueueConfig config;
+    bool leaving;
+    uint64_t next_grant;
+    uint64_t next_sequence;
+    IdMap ids;
+    Item *items;
+    uint32_t *unused; /* stack of free items */
+    uint32_t unused_count;
+    uint32_t *order; /* waiting items in grant order */
+    uint32_t order_count;
+    uint32_t *busy; /* granted and running items */
+    uint32_t busy_count;
+    uint32_t running;
+    RequestId *tombstones; /* ring */
+    uint32_t tombstone_count;
+    uint32_t tombstone_next;
+    QueueAction *actions; /* ring that grows when it is full */
+    uint32_t action_capacity;
+    uint32_t action_head;
+    uint32_t action_count;
+    uint32_t prompt_tokens; /* of waiting items */
+    uint32_t output_tokens;
+    Blocks *blocks;
+    Pace pace;
+    double kept; /* share of wants that are dispatched here */
+    TimeUs planned_at;
+    uint32_t lowest_tier;
+    uint32_t retry_after_ms;
+};
+
+/** Takes in a new waiting request; there must be room. */
+void QueueItems_Add(WantQueue *queue, const Work *work, uint64_t owner);
+
+/** The item of a request that waits, is granted or runs, or NULL. */
+Item *QueueItems_Find(const WantQueue *queue, RequestId id);
+bool QueueItems_IsTombstone(const WantQueue *queue, RequestId id);
+
+/** The waiting item at a position of the grant order. */
+Item *QueueItems_Waiting(const WantQueue *queue, uint32_t position);
+/** The granted or running item at a position; positions change by drops. */
+Item *QueueItems_Busy(const WantQueue *queue, uint32_t position);
+
+/** Whether @p a is granted before @p b. */
+bool QueueItems_GoesBefore(const WantQueue *queue, const Item *a,
+                           const Item *b);
+
+/** Moves a waiting item to the busy ones; the caller sets its state. */
+void QueueItems_MakeBusy(WantQueue *queue, Item *item);
+
+/** Takes the item out; its id is forgotten. */
+void QueueItems_Drop(WantQueue *queue, Item *item);
+/** Takes the item out and leaves a tombstone. */
+void QueueItems_Bury(WantQueue *queue, Item *item);
+void QueueItems_AddTombstone(WantQueue *queue, RequestId id);
+
+void QueueItems_PushAction(WantQueue *queue, const QueueAction *action);
+
+#endif
--- /dev/null
+++ b/test/unit/test_queue.c
@@ -0,0 +1,223 @@
+/** @file
+ * The agent's queue: order, shedding, grants, tombstones and `alone`.
+ */
+#include "unit.h"
+
+#include "sched/queue.h"
+
+#define TTL (500 * US_PER_MS)
+
+static WantQueue *
+new_queue(uint32_t slots)
+{
+    return Queue_New(&(QueueConfig){
+        .max_wants = 8,
+        .max_tombstones = 4,
+        .slots = slots,
+        .grant_ttl = TTL,
+        .decode_tokens_s = 10,
+        .prefill_tokens_s = 1000,
+        .seed = 100,
+    });
+}
+
+static Work
+new_work(uint64_t id, uint32_t tier, TimeUs deadline, uint32_t output)
+{
+    return (Work){
+        .id = {.low = id},
+        .tier = tier,
+        .deadline = deadline,
+        .output_tokens = output,
+    };
+}
+
+static void
+want(WantQueue *queue, uint64_t id, uint32_t tier, TimeUs deadline, TimeUs now)
+{
+    Work work = new_work(id, tier, deadline, 10);
+    Queue_Want(queue, &work, 1, now);
+}
+
+/* The only action that is waiting. */
+static QueueAction
+take(WantQueue *queue)
+{
+    QueueAction actions[2];
+    assert_int_equal(Queue_TakeActions(queue, actions, 2), 1);
+    return actions[0];
+}
+
+static void
+assert_none(WantQueue *queue)
+{
+    QueueAction action;
+    assert_int_equal(Queue_TakeActions(queue, &action, 1), 0);
+}
+
+static void
+assert_granted(WantQueue *queue, uint64_t id, uint64_t *grant_id)
+{
+    QueueAction action = take(queue);
+    assert_int_equal(action.kind, QUEUE_GRANT);
+    assert_int_equal(action.id.low, id);
+    *grant_id = action.grant_id;
+}
+
+static void
+finish(WantQueue *queue, uint64_t id, TimeUs now)
+{
+    Queue_Finished(queue, (RequestId){.low = id}, &(QueueResult){0}, now);
+}
+
+static void
+grants_by_tier_then_deadline(void **state)
+{
+    WantQueue *queue = new_queue(1);
+    uint64_t grant = 0;
+    want(queue, 1, 3, 100 * US_PER_S, 0);
+    assert_granted(queue, 1, &grant);
+    assert_int_equal(Queue_Dispatch(queue, (RequestId){.low = 1}, grant, 1),
+                     REFUSE_NONE);
+    want(queue, 2, 2, 50 * US_PER_S, 2);
+    want(queue, 3, 1, 90 * US_PER_S, 3);
+    want(queue, 4, 1, 80 * US_PER_S, 4);
+    assert_none(queue);
+    uint64_t expected[] = {4, 3, 2};
+    uint64_t running = 1;
+    for (int i = 0; i < 3; i++) {
+        TimeUs now = (i + 1) * US_PER_S;
+        finish(queue, running, now);
+        running = expected[i];
+        assert_granted(queue, running, &grant);
+        assert_int_equal(
+            Queue_Dispatch(queue, (RequestId){.low = running}, grant, now),
+            REFUSE_NONE);
+    }
+    Queue_Free(queue);
+}
+
+static void
+refuses_hopeless_want_at_once(void **state)
+{
+    WantQueue *queue = new_queue(1);
+    uint64_t grant = 0;
+    Work runs = new_work(1, 0, 100 * US_PER_S, 400);
+    Queue_Want(queue, &runs, 1, US_PER_S);
+    assert_granted(queue, 1, &grant);
+    /* The slot frees after 40 s. */
+    want(queue, 2, 0, 20 * US_PER_S, 2 * US_PER_S);
+    QueueAction action = take(queue);
+    assert_int_equal(action.kind, QUEUE_REFUSE);
+    assert_int_equal(action.reason, REFUSE_DEADLINE);
+    assert_in_range(action.retry_after_ms, 21000, 23000);
+    Queue_Free(queue);
+}
+
+static void
+sheds_the_last_in_order_when_full(void **state)
+{
+    WantQueue *queue = new_queue(1);
+    uint64_t grant = 0;
+    want(queue, 1, 0, 1000 * US_PER_S, 0);
+    assert_granted(queue, 1, &grant);
+    for (uint64_t id = 2; id < 10; id++) {
+        want(queue, id, 1, (TimeUs)(900 + id) * US_PER_S, 0);
+    }
+    assert_none(queue);
+    want(queue, 10, 2, 100 * US_PER_S, 0);
+    QueueAction action = take(queue);
+    assert_int_equal(action.id.low, 10);
+    assert_int_equal(action.reason, REFUSE_SHED);
+    want(queue, 11, 0, 999 * US_PER_S, 0);
+    action = take(queue);
+    assert_int_equal(action.id.low, 9);
+    assert_int_equal(action.reason, REFUSE_SHED);
+    Queue_Free(queue);
+}
+
+static void
+lapsed_grant_never_runs(void **state)
+{
+    WantQueue *queue = new_queue(1);
+    uint64_t grant = 0;
+    RequestId id = {.low = 1};
+    want(queue, 1, 0, 100 * US_PER_S, 0);
+    assert_granted(queue, 1, &grant);
+    want(queue, 2, 0, 100 * US_PER_S, 0);
+    assert_int_equal(Queue_NextTimer(queue), 50 * US_PER_MS);
+    Queue_Tick(queue, TTL);
+    assert_int_equal(Queue_Dispatch(queue, id, grant, TTL), REFUSE_DUPLICATE);
+    uint64_t second = 0;
+    assert_granted(queue, 2, &second);
+    assert_int_equal(
+        Queue_Dispatch(queue, (RequestId){.low = 2}, second + 9, TTL + 1),
+        REFUSE_LAPSED);
+    assert_int_equal(
+        Queue_Dispatch(queue, (RequestId){.low = 2}, second, TTL + 2),
+        REFUSE_DUPLICATE);
+    Queue_Free(queue);
+}
+
+static void
+refused_dispatch_of_unknown_id_is_kept(void **state)
+{
+    WantQueue *queue = new_queue(1);
+    RequestId id = {.low = 5};
+    assert_int_equal(Queue_Dispatch(queue, id, 1, 0), REFUSE_LAPSED);
+    want(queue, 5, 0, 100 * US_PER_S, 1);
+    QueueAction action = take(queue);
+    assert_int_equal(action.reason, REFUSE_DUPLICATE);
+    Queue_Free(queue);
+}
+
+static void
+alone_runs_with_nothing_beside_it(void **state)
+{
+    WantQueue *queue = new_queue(4);
+    uint64_t grant = 0;
+    want(queue, 1, 2, 100 * US_PER_S, 0);
+    assert_granted(queue, 1, &grant);
+    Queue_Dispatch(queue, (RequestId){.low = 1}, grant, 0);
+    Work suspect = new_work(2, 0, 100 * US_PER_S, 10);
+    suspect.alone = true;
+    Queue_Want(queue, &suspect, 1, 1);
+    want(queue, 3, 1, 100 * US_PER_S, 2);
+    assert_none(queue);
+    finish(queue, 1, US_PER_S);
+    assert_granted(queue, 2, &grant);
+    Queue_Dispatch(queue, (RequestId){.low = 2}, grant, US_PER_S);
+    finish(queue, 2, 2 * US_PER_S);
+    assert_granted(queue, 3, &grant);
+    Queue_Free(queue);
+}
+
+static void
+leaving_refuses_all_that_waits(void **state)
+{
+    WantQueue *queue = new_queue(1);
+    uint64_t grant = 0;
+    want(queue, 1, 0, 100 * US_PER_S, 0);
+    assert_granted(queue, 1, &grant);
+    want(queue, 2, 0, 100 * US_PER_S, 0);
+    Queue_SetLeaving(queue, true, 1);
+    assert_int_equal(take(queue).reason, REFUSE_LEAVING);
+    assert_int_equal(Queue_Dispatch(queue, (RequestId){.low = 1}, grant, 2),
+                     REFUSE_LEAVING);
+    Queue_Free(queue);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(grants_by_tier_then_deadline),
+        cmocka_unit_test(refuses_hopeless_want_at_once),
+        cmocka_unit_test(sheds_the_last_in_order_when_full),
+        cmocka_unit_test(lapsed_grant_never_runs),
+        cmocka_unit_test(refused_dispatch_of_unknown_id_is_kept),
+        cmocka_unit_test(alone_runs_with_nothing_beside_it),
+        cmocka_unit_test(leaving_refuses_all_that_waits),
+    };
+    return cmocka_run_group_tests_name("queue", tests, NULL, NULL);
+}
