--- /dev/null
+++ b/src/entry/answer.c
@@ -0,0 +1,246 @@
+/** @file
+ * The answer on its way to the caller.
+ *
+ * It is passed on as it comes, in HTTP chunks. It is held until it is whole
+ * when its claim has to be recorded first, and for HTTP/1.0 callers, to whom
+ * a closed connection would look like a whole answer. Bytes are acknowledged
+ * to the agent once they have left for the caller, so that a slow caller
+ * holds back the agent.
+ */
+#include "entry/state.h"
+
+#include <string.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/http_struct.h>
+
+#define ACK_BYTES (64u * 1024)
+#define STATUS_MIN 100
+#define STATUS_MAX 599
+#define STATUS_BAD_GATEWAY 502
+
+static const char too_large_answer[] =
+    "{\"error\": {\"code\": \"answer_too_large\", \"message\": \"The request "
+    "ran; its answer is too large to be kept.\", \"outcome\": \"ran\"}}\n";
+
+static bool
+is_http_10(const struct evhttp_request *http)
+{
+    return http->major < 1 || (http->major == 1 && http->minor == 0);
+}
+
+static void
+send_head(Request *request)
+{
+    request->head_sent = true;
+    evhttp_send_reply_start(request->http, (int)request->answer_status, NULL);
+}
+
+static void
+add_type(Request *request)
+{
+    if (request->answer_type[0] != '\0') {
+        evhttp_add_header(evhttp_request_get_output_headers(request->http),
+                          "Content-Type", request->answer_type);
+    }
+}
+
+void
+EntryAnswer_Head(Request *request, const Wire__AnswerHead *head)
+{
+    bool valid = head->status >= STATUS_MIN && head->status <= STATUS_MAX;
+    request->answer_status = valid ? head->status : STATUS_BAD_GATEWAY;
+    request->answer_type = g_strdup(head->content_type);
+    request->hash = XXH3_createState();
+    XXH3_64bits_reset(request->hash);
+    request->hold_answer =
+        request->idempotency_key != NULL ||
+        (request->http != NULL && is_http_10(request->http));
+    if (request->hold_answer) {
+        request->held = g_byte_array_new();
+        return;
+    }
+    if (request->http != NULL) {
+        add_type(request);
+        send_head(request);
+    }
+}
+
+/* Bytes that the caller's socket has not taken yet. */
+static uint64_t
+backlog(const Request *request)
+{
+    if (request->http == NULL || request->hold_answer) {
+        return 0;
+    }
+    struct evhttp_connection *connection =
+        evhttp_request_get_connection(request->http);
+    if (connection == NULL) {
+        return 0;
+    }
+    struct bufferevent *socket = evhttp_connection_get_bufferevent(connection);
+    return evbuffer_get_length(bufferevent_get_output(socket));
+}
+
+static void
+send_ack(Request *request, uint64_t offset)
+{
+    Peer *peer = EntryPeers_ByNumber(request->entry, request->life.to.agent);
+    if (peer == NULL) {
+        return;
+    }
+    request->acked = offset;
+    Wire__RequestId id = WIRE__REQUEST_ID__INIT;
+    id.high = request->work.id.high;
+    id.low = request->work.id.low;
+    Wire__AnswerAck ack = WIRE__ANSWER_ACK__INIT;
+    ack.id = &id;
+    ack.offset = offset;
+    Wire__Frame frame = WIRE__FRAME__INIT;
+    frame.body_case = WIRE__FRAME__BODY_ANSWER_ACK;
+    frame.answer_ack = &ack;
+    EntryPeers_Send(peer, &frame);
+}
+
+/* Offset up to which bytes have left for the caller. */
+static uint64_t
+passed_on(const Request *request)
+{
+    uint64_t waiting = backlog(request);
+    uint64_t received = request->life.received;
+    return waiting < received ? received - waiting : 0;
+}
+
+static void
+ack_later(Request *request)
+{
+    uint64_t offset = passed_on(request);
+    if (offset >= request->acked + ACK_BYTES) {
+        send_ack(request, offset);
+    }
+    if (!request->ack_due && request->life.received > request->acked) {
+        request->ack_due = true;
+        g_ptr_array_add(request->entry->ack_due, request);
+    }
+}
+
+void
+EntryAnswer_Tick(Entry *entry)
+{
+    GPtrArray *due = entry->ack_due;
+    guint kept = 0;
+    for (guint i = 0; i < due->len; i++) {
+        Request *request = g_ptr_array_index(due, i);
+        uint64_t offset = passed_on(request);
+        if (offset > request->acked) {
+            send_ack(request, offset);
+        }
+        request->ack_due = request->life.received > request->acked;
+        if (request->ack_due) {
+            due->pdata[kept++] = request;
+        }
+    }
+    g_ptr_array_set_size(due, (gint)kept);
+}
+
+/* Keeps a piece; an answer above the bound is replaced by an error. */
+static void
+hold_piece(Request *request, const uint8_t *data, size_t size)
+{
+    if (request->held_overflow) {
+        return;
+    }
+    if (request->held->len + size <= ENTRY_HELD_ANSWER_MAX_BYTES) {
+        g_byte_array_append(request->held, data, (guint)size);
+        return;
+    }
+    request->held_overflow = true;
+    request->answer_status = STATUS_BAD_GATEWAY;
+    g_free(request->answer_type);
+    request->answer_type = g_strdup("application/json");
+    g_byte_array_set_size(request->held, 0);
+    g_byte_array_append(request->held, (const guint8 *)too_large_answer,
+                        strlen(too_large_answer));
+}
+
+void
+EntryAnswer_Piece(Request *request, const Wire__AnswerPiece *piece,
+                  size_t skip)
+{
+    const uint8_t *data = piece->data.data + skip;
+    size_t size = piece->data.len - skip;
+    XXH3_64bits_update(request->hash, data, size);
+    request->pieces++;
+    if (request->hold_answer) {
+        hold_piece(request, data, size);
+    }
+    else if (request->http != NULL) {
+        struct evbuffer *out = evbuffer_new();
+        evbuffer_add(out, data, size);
+        evhttp_send_reply_chunk(request->http, out);
+        evbuffer_free(out);
+    }
+    ack_later(request);
+}
+
+static void
+give_whole(Request *request, uint32_t status, const void *body, size_t size)
+{
+    struct evhttp_request *http = request->http;
+    EntryCaller_Detach(request);
+    struct evbuffer *out = evbuffer_new();
+    evbuffer_add(out, body, size);
+    evhttp_send_reply(http, (int)status, NULL, out);
+    evbuffer_free(out);
+}
+
+void
+EntryAnswer_Finish(Request *request, bool recorded)
+{
+    if (request->http == NULL) {
+        return;
+    }
+    if (request->hold_answer) {
+        add_type(request);
+        if (!recorded) {
+            evhttp_add_header(evhttp_request_get_output_headers(request->http),
+                              "X-Laurellift-Recorded", "false");
+        }
+        give_whole(request, request->answer_status, request->held->data,
+                   request->held->len);
+        return;
+    }
+    struct evhttp_request *http = request->http;
+    EntryCaller_Detach(request);
+    evhttp_send_reply_end(http);
+}
+
+void
+EntryAnswer_Kept(Request *request, const Wire__CommandReply *reply)
+{
+    if (request->http == NULL) {
+        return;
+    }
+    struct evkeyvalq *headers =
+        evhttp_request_get_output_headers(request->http);
+    evhttp_add_header(headers, "Content-Type", reply->content_type);
+    evhttp_add_header(headers, "X-Laurellift-Replayed", "true");
+    give_whole(request, reply->status, reply->answer.data, reply->answer.len);
+}
+
+void
+EntryAnswer_Fail(Request *request, const HttpError *error)
+{
+    struct evhttp_request *http = request->http;
+    if (http == NULL) {
+        return;
+    }
+    EntryCaller_Detach(request);
+    if (!request->head_sent) {
+        Http_ReplyError(http, error);
+        return;
+    }
+    /* No final chunk is sent, so the answer does not look whole. */
+    evhttp_connection_free(evhttp_request_get_connection(http));
+}
--- /dev/null
+++ b/src/entry/claims.c
@@ -0,0 +1,328 @@
+/** @file
+ * Commands about claims. Each is resent under the same command id, to the
+ * leader when one is known and otherwise to each control host in turn, until
+ * it is answered. The number of pending commands is bounded; a claim is only
+ * asked for while there is room for the command that records its outcome.
+ */
+#include "entry/state.h"
+
+#include <string.h>
+
+#include <sodium.h>
+
+#include "kernel/log.h"
+
+#define COMMAND_ID_BYTES 16
+#define COMMAND_RESEND_US (500 * US_PER_MS)
+/* Pause before a command that no leader took is sent again. */
+#define COMMAND_REDIRECT_US (50 * US_PER_MS)
+#define COMMANDS_MAX 8192
+#define COMMANDS_MAX_BYTES (64u * 1024 * 1024)
+/* Longest time that an outcome is resent; control forgets it later anyway. */
+#define COMMAND_GIVE_UP_US (600 * US_PER_S)
+
+struct ClaimCommand {
+    GBytes *id;
+    Wire__CommandKind kind;
+    uint8_t *packed; /* Wire__Command */
+    size_t size;
+    Request *request; /* NULL: it has ended */
+    TimeUs send_at;
+    TimeUs give_up_at;
+    bool redirected; /* send_at is a pause, no missing answer */
+};
+
+struct ClaimBox {
+    Entry *entry;
+    GHashTable *pending; /* command id -> ClaimCommand */
+    uint32_t next_host;  /* index in Entry.hosts */
+    size_t bytes;        /* of the pending commands */
+};
+
+static void
+free_pending(gpointer data)
+{
+    ClaimCommand *pending = data;
+    g_bytes_unref(pending->id);
+    g_free(pending->packed);
+    g_free(pending);
+}
+
+ClaimBox *
+EntryClaims_New(Entry *entry)
+{
+    ClaimBox *box = g_new0(ClaimBox, 1);
+    box->entry = entry;
+    box->pending =
+        g_hash_table_new_full(g_bytes_hash, g_bytes_equal, NULL, free_pending);
+    return box;
+}
+
+void
+EntryClaims_Free(ClaimBox *box)
+{
+    g_hash_table_destroy(box->pending);
+    g_free(box);
+}
+
+uint32_t
+EntryClaims_Pending(const ClaimBox *box)
+{
+    return g_hash_table_size(box->pending);
+}
+
+/* Sends to the host that answered last, or to the next one that is up. */
+static void
+send_pending(ClaimBox *box, ClaimCommand *pending, TimeUs now)
+{
+    pending->send_at = now + COMMAND_RESEND_US;
+    Wire__Command *command =
+        wire__command__unpack(NULL, pending->size, pending->packed);
+    INVARIANT(command != NULL);
+    Wire__Frame frame = WIRE__FRAME__INIT;
+    frame.body_case = WIRE__FRAME__BODY_COMMAND;
+    frame.command = command;
+    GPtrArray *hosts = box->entry->hosts;
+    for (guint i = 0; i < hosts->len; i++) {
+        ControlHost *host =
+            g_ptr_array_index(hosts, box->next_host % hosts->len);
+        if (Link_Send(host->link, &frame) == ERR_OK) {
+            break;
+        }
+        box->next_host++;
+    }
+    wire__command__free_unpacked(command, NULL);
+}
+
+static void
+fill_answer(const Request *request, Wire__Command *command)
+{
+    command->status = request->answer_status;
+    command->content_type =
+        request->answer_type == NULL ? "" : request->answer_type;
+    if (request->held != NULL) {
+        command->answer.data = request->held->data;
+        command->answer.len = request->held->len;
+    }
+}
+
+static void
+add_command(ClaimBox *box, Request *request, Wire__CommandKind kind)
+{
+    uint8_t id[COMMAND_ID_BYTES];
+    randombytes_buf(id, sizeof(id));
+    Wire__Command command = WIRE__COMMAND__INIT;
+    command.command_id.data = id;
+    command.command_id.len = sizeof(id);
+    command.kind = kind;
+    command.account = request->account;
+    command.key = request->idempotency_key;
+    command.body_hash = request->body_hash;
+    command.owner = box->entry->self.incarnation;
+    if (kind == WIRE__COMMAND_KIND__COMMAND_CLAIM_DONE) {
+        fill_answer(request, &command);
+    }
+    TimeUs now = Clock_Now();
+    ClaimCommand *pending = g_new0(ClaimCommand, 1);
+    pending->id = g_bytes_new(id, sizeof(id));
+    pending->kind = kind;
+    pending->size = wire__command__get_packed_size(&command);
+    pending->packed = g_malloc(pending->size);
+    pending->request = request;
+    pending->give_up_at = now + COMMAND_GIVE_UP_US;
+    wire__command__pack(&command, pending->packed);
+    request->command = pending;
+    box->bytes += pending->size;
+    g_hash_table_insert(box->pending, pending->id, pending);
+    send_pending(box, pending, now);
+}
+
+int
+EntryClaims_Ask(ClaimBox *box, Request *request)
+{
+    /* Half of the room is kept for the outcomes of claims that are held. */
+    if (g_hash_table_size(box->pending) >= COMMANDS_MAX / 2) {
+        return ERR_FULL;
+    }
+    add_command(box, request, WIRE__COMMAND_KIND__COMMAND_CLAIM);
+    return ERR_OK;
+}
+
+static Wire__CommandKind
+kind_of(LifeRecord record)
+{
+    switch (record) {
+    case LIFE_RECORD_DONE:
+        return WIRE__COMMAND_KIND__COMMAND_CLAIM_DONE;
+    case LIFE_RECORD_RELEASE:
+        return WIRE__COMMAND_KIND__COMMAND_CLAIM_RELEASE;
+    default:
+        return WIRE__COMMAND_KIND__COMMAND_CLAIM_UNKNOWN;
+    }
+}
+
+void
+EntryClaims_Record(ClaimBox *box, Request *request, LifeRecord record)
+{
+    /* A claim that is still asked for is released once it is granted. */
+    if (request->command != NULL) {
+        return;
+    }
+    if (g_hash_table_size(box->pending) >= COMMANDS_MAX) {
+        LOG_WARN(ENTRY_PART, "Outcome of a claim is not recorded. account=%s",
+                 request->account);
+        return;
+    }
+    bool fits = request->held == NULL ||
+                box->bytes + request->held->len <= COMMANDS_MAX_BYTES;
+    add_command(box, request, kind_of(fits ? record : LIFE_RECORD_UNKNOWN));
+}
+
+void
+EntryClaims_Detach(Request *request)
+{
+    if (request->command != NULL) {
+        request->command->request = NULL;
+        request->command = NULL;
+    }
+}
+
+/* The claim of a request that has ended meanwhile: gives it back. The
+ * command keeps its account, key and owner. */
+static void
+release_granted(ClaimBox *box, const ClaimCommand *claim)
+{
+    Wire__Command *command =
+        wire__command__unpack(NULL, claim->size, claim->packed);
+    INVARIANT(command != NULL);
+    Request ended = {
+        .account = command->account,
+        .idempotency_key = command->key,
+        .body_hash = command->body_hash,
+    };
+    add_command(box, &ended, WIRE__COMMAND_KIND__COMMAND_CLAIM_RELEASE);
+    EntryClaims_Detach(&ended);
+    wire__command__free_unpacked(command, NULL);
+}
+
+static LifeClaim
+claim_result(const Wire__CommandReply *reply)
+{
+    switch (reply->claim) {
+    case WIRE__CLAIM_STATE__CLAIM_GRANTED:
+        return LIFE_CLAIM_GRANTED;
+    case WIRE__CLAIM_STATE__CLAIM_RUNNING:
+        return LIFE_CLAIM_RUNNING;
+    case WIRE__CLAIM_STATE__CLAIM_FINISHED:
+        return LIFE_CLAIM_FINISHED;
+    case WIRE__CLAIM_STATE__CLAIM_LOST:
+        return LIFE_CLAIM_LOST;
+    case WIRE__CLAIM_STATE__CLAIM_MISMATCH:
+        return LIFE_CLAIM_MISMATCH;
+    default:
+        return LIFE_CLAIM_FAILED;
+    }
+}
+
+static void
+point_to_leader(ClaimBox *box, uint32_t leader)
+{
+    GPtrArray *hosts = box->entry->hosts;
+    for (guint i = 0; i < hosts->len; i++) {
+        ControlHost *host = g_ptr_array_index(hosts, i);
+        if (host->id == leader && Link_IsUp(host->link)) {
+            box->next_host = i;
+            return;
+        }
+    }
+    box->next_host++;
+}
+
+static void
+forget(ClaimBox *box, ClaimCommand *pending)
+{
+    if (pending->request != NULL) {
+        pending->request->command = NULL;
+    }
+    box->bytes -= pending->size;
+    g_hash_table_remove(box->pending, pending->id);
+}
+
+static void
+settle(ClaimBox *box, ClaimCommand *pending, const Wire__CommandReply *reply)
+{
+    Request *request = pending->request;
+    bool is_claim = pending->kind == WIRE__COMMAND_KIND__COMMAND_CLAIM;
+    bool granted = reply->claim == WIRE__CLAIM_STATE__CLAIM_GRANTED;
+    if (is_claim && request == NULL && granted) {
+        release_granted(box, pending);
+    }
+    forget(box, pending);
+    if (request == NULL) {
+        return;
+    }
+    if (is_claim) {
+        Request_Claimed(request, claim_result(reply), reply);
+    }
+    else {
+        Request_Recorded(request);
+    }
+}
+
+/* True for a reply that says to try again, here or elsewhere. A full table
+ * ends a claim at once; an outcome waits for room. */
+static bool
+is_not_taken(const ClaimCommand *pending, const Wire__CommandReply *reply)
+{
+    bool is_claim = pending->kind == WIRE__COMMAND_KIND__COMMAND_CLAIM;
+    return reply->code == ERR_UNAVAILABLE || reply->code == ERR_STOPPING ||
+           reply->code == ERR_TIMEOUT ||
+           (reply->code == ERR_FULL && !is_claim);
+}
+
+void
+EntryClaims_OnReply(ClaimBox *box, const Wire__CommandReply *reply)
+{
+    GBytes *id = g_bytes_new(reply->command_id.data, reply->command_id.len);
+    ClaimCommand *pending = g_hash_table_lookup(box->pending, id);
+    g_bytes_unref(id);
+    if (pending == NULL) {
+        return;
+    }
+    if (is_not_taken(pending, reply)) {
+        point_to_leader(box, reply->leader);
+        pending->send_at = Clock_Now() + COMMAND_REDIRECT_US;
+        pending->redirected = true;
+        return;
+    }
+    settle(box, pending, reply);
+}
+
+static void
+resend(ClaimBox *box, ClaimCommand *pending, TimeUs now, bool *moved_on)
+{
+    /* The host that was asked does not answer: ask the next one. */
+    if (!pending->redirected && !*moved_on) {
+        *moved_on = true;
+        box->next_host++;
+    }
+    pending->redirected = false;
+    send_pending(box, pending, now);
+}
+
+void
+EntryClaims_Tick(ClaimBox *box, TimeUs now)
+{
+    bool moved_on = false;
+    GList *all = g_hash_table_get_values(box->pending);
+    for (GList *at = all; at != NULL; at = at->next) {
+        ClaimCommand *pending = at->data;
+        if (now >= pending->give_up_at) {
+            forget(box, pending);
+        }
+        else if (now >= pending->send_at) {
+            resend(box, pending, now, &moved_on);
+        }
+    }
+    g_list_free(all);
+}
--- a/src/entry/control.c
+++ b/src/entry/control.c
@@ -1,21 +1,24 @@
 /** @file
- * The entry's links to control hosts: the rule lease, rules, members, and
- * commands about claims.
+ * The entry's links to control hosts: the rule lease, rules, members and
+ * quarantine.
  */
 #include "entry/state.h"
 
-#include <sodium.h>
+#include <string.h>
 
 #include "kernel/log.h"
 
-#define LEASE_PERIOD_US (500 * US_PER_MS)
-#define COMMAND_ID_BYTES 16
+#define LEASE_PERIOD_US (700 * US_PER_MS)
+/* Shortest pause between two rounds of asking. */
+#define LEASE_RETRY_US (50 * US_PER_MS)
+#define MEMBERS_PERIOD_US (500 * US_PER_MS)
 
 static void
 broadcast(Entry *entry, const Wire__Frame *frame)
 {
-    for (guint i = 0; i < entry->control_links->len; i++) {
-        Link_Send(g_ptr_array_index(entry->control_links, i), frame);
+    for (guint i = 0; i < entry->hosts->len; i++) {
+        ControlHost *host = g_ptr_array_index(entry->hosts, i);
+        Link_Send(host->link, frame);
     }
 }
 
@@ -23,9 +26,9 @@
 ask_lease(Entry *entry, TimeUs now)
 {
     Wire__LeaseRequest request = WIRE__LEASE_REQUEST__INIT;
-    request.sequence = ++entry->lease_sequence;
-    request.have_version = entry->rules_version;
-    entry->lease_asked_at = now;
+    request.sequence = Lease_Ask(&entry->lease, now);
+    request.have_version = entry->lease.version;
+    request.confirm = entry->lease.by_leader;
     Wire__Frame frame = WIRE__FRAME__INIT;
     frame.body_case = WIRE__FRAME__BODY_LEASE_REQUEST;
     frame.lease_request = &request;
@@ -33,68 +36,124 @@
 }
 
 static void
-ask_members(Entry *entry)
+ask_members(ControlHost *host)
 {
     Wire__MembersRequest request = WIRE__MEMBERS_REQUEST__INIT;
-    request.have_version = entry->members_version;
+    request.have_version = host->members_version;
     Wire__Frame frame = WIRE__FRAME__INIT;
     frame.body_case = WIRE__FRAME__BODY_MEMBERS_REQUEST;
     frame.members_request = &request;
+    Link_Send(host->link, &frame);
+}
+
+static void
+ask_rules(Entry *entry, ControlHost *host)
+{
+    Wire__RulesRequest request = WIRE__RULES_REQUEST__INIT;
+    request.have_version = entry->lease.version;
+    Wire__Frame frame = WIRE__FRAME__INIT;
+    frame.body_case = WIRE__FRAME__BODY_RULES_REQUEST;
+    frame.rules_request = &request;
+    Link_Send(host->link, &frame);
+}
+
+static void
+ask_quarantine(Entry *entry, ControlHost *host)
+{
+    Wire__QuarantineRequest request = WIRE__QUARANTINE_REQUEST__INIT;
+    request.have_version = EntrySuspects_Version(entry->suspects);
+    Wire__Frame frame = WIRE__FRAME__INIT;
+    frame.body_case = WIRE__FRAME__BODY_QUARANTINE_REQUEST;
+    frame.quarantine_request = &request;
+    Link_Send(host->link, &frame);
+}
+
+static void
+fill_presence(const Entry *entry, Wire__Presence *presence)
+{
+    presence->role = WIRE__ROLE__ROLE_ENTRY;
+    presence->name = entry->settings->name;
+    presence->incarnation = entry->self.incarnation;
+    presence->address = entry->settings->entry->http;
+    presence->zone = entry->settings->zone;
+    presence->region = entry->settings->region;
+    presence->leaving = entry->draining;
+}
+
+void
+EntryControl_SendPresence(Entry *entry)
+{
+    Wire__Presence presence = WIRE__PRESENCE__INIT;
+    fill_presence(entry, &presence);
+    Wire__Frame frame = WIRE__FRAME__INIT;
+    frame.body_case = WIRE__FRAME__BODY_PRESENCE;
+    frame.presence = &presence;
     broadcast(entry, &frame);
 }
 
 void
 EntryControl_Tick(Entry *entry, TimeUs now)
 {
-    if (now - entry->lease_asked_at >= LEASE_PERIOD_US) {
+    if (now >= entry->lease_due) {
+        entry->lease_due = now + LEASE_PERIOD_US;
         ask_lease(entry, now);
-        ask_members(entry);
+    }
+    if (now < entry->members_due) {
+        return;
+    }
+    entry->members_due = now + MEMBERS_PERIOD_US;
+    for (guint i = 0; i < entry->hosts->len; i++) {
+        ask_members(g_ptr_array_index(entry->hosts, i));
     }
 }
 
 bool
 EntryControl_HasLease(const Entry *entry, TimeUs now)
 {
-    return entry->rules != NULL && now < entry->lease_until;
+    return entry->rules != NULL && now < entry->lease.until;
 }
 
+/* The next round begins soon, but no sooner than LEASE_RETRY_US after the
+ * last one. */
 static void
-ask_rules(Entry *entry, Link *link)
+retry_lease(Entry *entry)
 {
-    Wire__RulesRequest request = WIRE__RULES_REQUEST__INIT;
-    request.have_version = entry->rules_version;
-    Wire__Frame frame = WIRE__FRAME__INIT;
-    frame.body_case = WIRE__FRAME__BODY_RULES_REQUEST;
-    frame.rules_request = &request;
-    Link_Send(link, &frame);
+    TimeUs due = entry->lease.asked_at + LEASE_RETRY_US;
+    entry->lease_due = MIN(entry->lease_due, due);
 }
 
 static void
-on_lease(Entry *entry, Link *link, const Wire__LeaseReply *reply)
+on_lease(Entry *entry, ControlHost *host, const Wire__LeaseReply *reply)
 {
-    if (!reply->granted || reply->sequence != entry->lease_sequence) {
-        return;
+    LeaseView view = {
+        .replica = reply->replica,
+        .granted = reply->granted,
+        .rules_version = reply->rules_version,
+        .pending_version = reply->pending_version,
+        .config_index = reply->config_index,
+        .voter_count = (uint32_t)MIN(reply->n_voters, LEASE_HOSTS_MAX),
+    };
+    memcpy(view.voters, reply->voters,
+           view.voter_count * sizeof(view.voters[0]));
+    if (reply->quarantine_version > EntrySuspects_Version(entry->suspects)) {
+        ask_quarantine(entry, host);
     }
-    if (reply->rules_version != entry->rules_version) {
-        ask_rules(entry, link);
-        return;
+    switch (Lease_TakeReply(&entry->lease, reply->sequence, &view)) {
+    case LEASE_FETCH:
+        ask_rules(entry, host);
+        break;
+    case LEASE_RETRY:
+        retry_lease(entry);
+        break;
+    default:
+        break;
     }
-    TimeUs length = entry->settings->entry->lease_ms * US_PER_MS;
-    entry->lease_until = entry->lease_asked_at + length;
-}
-
-static void
-set_limits(Entry *entry)
-{
-    uint32_t count = Rules_AccountCount(entry->rules);
-    Limits_Free(entry->limits);
-    entry->limits = Limits_New(count);
 }
 
 static void
 on_rules(Entry *entry, const Wire__Rules *message)
 {
-    if (message->version <= entry->rules_version) {
+    if (message->version <= entry->lease.version) {
         return;
     }
     size_t found;
@@ -107,41 +166,32 @@
     }
     Rules_Unref(entry->rules);
     entry->rules = rules;
-    entry->rules_version = message->version;
-    set_limits(entry);
+    Lease_SetVersion(&entry->lease, message->version);
     LOG_INFO(ENTRY_PART, "Rules in force. version=%llu accounts=%u",
              (unsigned long long)message->version, Rules_AccountCount(rules));
     ask_lease(entry, Clock_Now());
 }
 
-static void
-on_command_reply(Entry *entry, const Wire__CommandReply *reply)
-{
-    GBytes *id = g_bytes_new(reply->command_id.data, reply->command_id.len);
-    Request *request = g_hash_table_lookup(entry->commands, id);
-    g_hash_table_remove(entry->commands, id);
-    g_bytes_unref(id);
-    if (request != NULL) {
-        Request_Claimed(request, reply);
-    }
-}
-
 static void
 on_frame(Link *link, const Wire__Frame *frame, void *owner)
 {
-    Entry *entry = owner;
+    ControlHost *host = owner;
+    Entry *entry = host->entry;
     switch (frame->body_case) {
     case WIRE__FRAME__BODY_LEASE_REPLY:
-        on_lease(entry, link, frame->lease_reply);
+        on_lease(entry, host, frame->lease_reply);
         break;
     case WIRE__FRAME__BODY_RULES:
         on_rules(entry, frame->rules);
         break;
     case WIRE__FRAME__BODY_MEMBERS:
-        EntryPeers_Update(entry, frame->members);
+        EntryPeers_Update(entry, host, frame->members);
+        break;
+    case WIRE__FRAME__BODY_QUARANTINE:
+        EntrySuspects_Set(entry->suspects, frame->quarantine);
         break;
     case WIRE__FRAME__BODY_COMMAND_REPLY:
-        on_command_reply(entry, frame->command_reply);
+        EntryClaims_OnReply(entry->claims, frame->command_reply);
         break;
     default:
         break;
@@ -151,9 +201,12 @@
 static void
 on_up(Link *link, void *owner)
 {
-    Entry *entry = owner;
-    ask_lease(entry, Clock_Now());
-    ask_members(entry);
+    ControlHost *host = owner;
+    /* A restarted host numbers its member lists anew. */
+    host->members_version = 0;
+    EntryControl_SendPresence(host->entry);
+    host->entry->lease_due = 0;
+    ask_members(host);
 }
 
 static void
@@ -167,20 +220,37 @@
     .frame = on_frame,
 };
 
+static int
+dial_host(Entry *entry, const SettingsControlHost *setting, Error *err)
+{
+    Address address;
+    int result = Address_Parse(setting->address, &address, err);
+    if (result != ERR_OK) {
+        return result;
+    }
+    ControlHost *host = g_new0(ControlHost, 1);
+    host->entry = entry;
+    host->id = setting->id;
+    host->entries =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    g_ptr_array_add(entry->hosts, host);
+    host->link =
+        Link_Dial(entry->base, &entry->self, &address, &control_ops, host);
+    return ERR_OK;
+}
+
 int
 EntryControl_Open(Entry *entry, Error *err)
 {
     const Settings *settings = entry->settings;
+    entry->lease.length = settings->entry->lease_ms * US_PER_MS;
+    entry->lease.by_leader =
+        settings->entry->lease_mode == SETTINGS_LEASE_LEADER;
     for (unsigned i = 0; i < settings->control_hosts_count; i++) {
-        Address address;
-        int result =
-            Address_Parse(settings->control_hosts[i].address, &address, err);
+        int result = dial_host(entry, &settings->control_hosts[i], err);
         if (result != ERR_OK) {
             return result;
         }
-        g_ptr_array_add(entry->control_links,
-                        Link_Dial(entry->base, &entry->self, &address,
-                                  &control_ops, entry));
     }
     return ERR_OK;
 }
@@ -188,49 +258,11 @@
 void
 EntryControl_Close(Entry *entry)
 {
-    for (guint i = 0; i < entry->control_links->len; i++) {
-        Link_Close(g_ptr_array_index(entry->control_links, i));
-    }
-    g_ptr_array_free(entry->control_links, TRUE);
-    g_hash_table_destroy(entry->commands);
-}
-
-static void
-fill_answer(const Request *request, Wire__Command *command)
-{
-    command->status = request->answer_status;
-    command->content_type =
-        request->answer_type == NULL ? "" : request->answer_type;
-    if (request->kept != NULL) {
-        command->answer.data = request->kept->data;
-        command->answer.len = request->kept->len;
+    for (guint i = 0; i < entry->hosts->len; i++) {
+        ControlHost *host = g_ptr_array_index(entry->hosts, i);
+        Link_Close(host->link);
+        g_hash_table_destroy(host->entries);
+        g_free(host);
     }
-}
-
-int
-EntryControl_SendClaim(Request *request, Wire__CommandKind kind, bool wait)
-{
-    Entry *entry = request->entry;
-    uint8_t id[COMMAND_ID_BYTES];
-    randombytes_buf(id, sizeof(id));
-    Wire__Command command = WIRE__COMMAND__INIT;
-    command.command_id.data = id;
-    command.command_id.len = sizeof(id);
-    command.kind = kind;
-    command.account = request->account;
-    command.key = request->idempotency_key;
-    command.body_hash = request->body_hash;
-    command.owner = entry->self.incarnation;
-    if (kind == WIRE__COMMAND_KIND__COMMAND_CLAIM_DONE) {
-        fill_answer(request, &command);
-    }
-    Wire__Frame frame = WIRE__FRAME__INIT;
-    frame.body_case = WIRE__FRAME__BODY_COMMAND;
-    frame.command = &command;
-    if (wait) {
-        g_hash_table_insert(entry->commands, g_bytes_new(id, sizeof(id)),
-                            request);
-    }
-    broadcast(entry, &frame);
-    return ERR_OK;
+    g_ptr_array_free(entry->hosts, TRUE);
 }
--- /dev/null
+++ b/src/entry/counters.c
@@ -0,0 +1,49 @@
+/** @file
+ * Counters of the entry by tier.
+ */
+#include "entry/state.h"
+
+#include "kernel/counter.h"
+
+#define NAME_MAX_BYTES 128
+
+static void
+count(const char *family, const char *label, const char *value, uint32_t tier,
+      const char *help)
+{
+    char name[NAME_MAX_BYTES];
+    char number[8] = "none";
+    if (tier < WORK_TIERS) {
+        g_snprintf(number, sizeof(number), "%u", tier);
+    }
+    g_snprintf(name, sizeof(name), "%s{%s=\"%s\",tier=\"%s\"}", family, label,
+               value, number);
+    Counter_Add(Counter_Get(name, help), 1);
+}
+
+void
+EntryCounters_Request(uint32_t tier)
+{
+    static Counter *counters[WORK_TIERS];
+    if (counters[tier] == NULL) {
+        char name[NAME_MAX_BYTES];
+        g_snprintf(name, sizeof(name), "entry_requests_total{tier=\"%u\"}",
+                   tier);
+        counters[tier] = Counter_Get(name, "Requests accepted, by tier.");
+    }
+    Counter_Add(counters[tier], 1);
+}
+
+void
+EntryCounters_Refused(const char *reason, uint32_t tier)
+{
+    count("entry_refused_total", "reason", reason, tier,
+          "Requests that were refused and did not run, by reason and tier.");
+}
+
+void
+EntryCounters_Finished(const char *outcome, uint32_t tier)
+{
+    count("entry_finished_total", "outcome", outcome, tier,
+          "Requests that ended, by outcome and tier.");
+}
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -11,13 +11,24 @@
 #define WANTS_PER_REQUEST 2
 #define ZONE_LATENCY_US 1000
 #define REGION_LATENCY_US 30000
+/* Requests that a state dump lists. */
+#define DUMP_REQUESTS_MAX 100
+/* Ticks between two rounds of acks. */
+#define TICKS_PER_ACK 2
 
 static void
 on_tick(evutil_socket_t fd, short events, void *arg)
 {
     Entry *entry = arg;
-    EntryControl_Tick(entry, Clock_Now());
-    if (entry->draining && g_hash_table_size(entry->requests) == 0) {
+    TimeUs now = Clock_Now();
+    EntryControl_Tick(entry, now);
+    EntryClaims_Tick(entry->claims, now);
+    if (++entry->ticks % TICKS_PER_ACK == 0) {
+        EntryAnswer_Tick(entry);
+    }
+    if (entry->draining && g_hash_table_size(entry->requests) == 0 &&
+        EntryClaims_Pending(entry->claims) == 0)
+    {
         Task_Drained(entry->task);
     }
 }
@@ -51,12 +62,12 @@
 {
     Entry *entry = state;
     entry->draining = true;
+    EntryControl_SendPresence(entry);
 }
 
 static void
-stop(TaskHandle self, void *state)
+free_requests(Entry *entry)
 {
-    Entry *entry = state;
     GHashTableIter iter;
     gpointer request;
     g_hash_table_iter_init(&iter, entry->requests);
@@ -64,41 +75,60 @@
         Request_Free(request);
         g_hash_table_iter_init(&iter, entry->requests);
     }
+    g_hash_table_destroy(entry->requests);
+}
+
+static void
+stop(TaskHandle self, void *state)
+{
+    Entry *entry = state;
+    free_requests(entry);
+    entry->requests = g_hash_table_new(NULL, NULL);
     EntryPeers_Close(entry);
     EntryControl_Close(entry);
     if (entry->tick != NULL) {
         event_free(entry->tick);
     }
-    if (entry->http != NULL) {
-        evhttp_free(entry->http);
-    }
+    EntryCaller_Close(entry);
+    EntryClaims_Free(entry->claims);
+    EntrySuspects_Free(entry->suspects);
     Place_Free(entry->places);
-    Limits_Free(entry->limits);
+    EntryAccounts_Free(entry->accounts);
     Rules_Unref(entry->rules);
+    g_ptr_array_free(entry->ack_due, TRUE);
+    g_hash_table_destroy(entry->callers);
     g_hash_table_destroy(entry->requests);
     g_free(entry);
 }
 
+static json_t *
+dump_waiting(const Entry *entry)
+{
+    json_t *waiting = json_array();
+    for (uint32_t tier = 0; tier < WORK_TIERS; tier++) {
+        json_array_append_new(waiting,
+                              json_integer(entry->waiting[tier].length));
+    }
+    return waiting;
+}
+
 static void
 dump(TaskHandle self, void *state, json_t *out)
 {
     Entry *entry = state;
-    json_object_set_new(out, "requests",
-                        json_integer(g_hash_table_size(entry->requests)));
-    json_object_set_new(out, "rules_version",
-                        json_integer((json_int_t)entry->rules_version));
-    json_object_set_new(
-        out, "lease", json_boolean(EntryControl_HasLease(entry, Clock_Now())));
-    json_t *peers = json_array();
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, entry->peers);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        json_t *link = json_object();
-        Link_Dump(((Peer *)value)->link, link);
-        json_array_append_new(peers, link);
-    }
-    json_object_set_new(out, "agents", peers);
+    json_t *part = json_pack(
+        "{s:i, s:o, s:o, s:I, s:b, s:s, s:I, s:I, s:i, s:o, s:b}", "requests",
+        (int)g_hash_table_size(entry->requests), "request_list",
+        Request_Dump(entry, DUMP_REQUESTS_MAX), "waiting_by_tier",
+        dump_waiting(entry), "rules_version", (json_int_t)entry->lease.version,
+        "lease", EntryControl_HasLease(entry, Clock_Now()), "lease_mode",
+        entry->lease.by_leader ? "leader" : "majority", "lease_renewals",
+        (json_int_t)entry->lease.renewals, "lease_retries",
+        (json_int_t)entry->lease.retries, "claim_commands",
+        (int)EntryClaims_Pending(entry->claims), "agents",
+        EntryPeers_Dump(entry), "draining", entry->draining);
+    json_object_update(out, part);
+    json_decref(part);
 }
 
 static const TaskOps entry_ops = {
@@ -131,11 +161,15 @@
     entry->settings = settings;
     entry->self = Self_Make(settings, WIRE__ROLE__ROLE_ENTRY, settings->name);
     entry->peers = g_hash_table_new(g_str_hash, g_str_equal);
+    entry->peers_numbers = g_hash_table_new(g_int64_hash, g_int64_equal);
+    entry->peers_places = g_ptr_array_new();
     entry->requests = g_hash_table_new(hash_id, equal_id);
-    entry->commands = g_hash_table_new_full(
-        g_bytes_hash, g_bytes_equal, (GDestroyNotify)g_bytes_unref, NULL);
-    entry->control_links = g_ptr_array_new();
-    entry->limits = Limits_New(0);
+    entry->callers = g_hash_table_new(NULL, NULL);
+    entry->ack_due = g_ptr_array_new();
+    entry->hosts = g_ptr_array_new();
+    entry->claims = EntryClaims_New(entry);
+    entry->suspects = EntrySuspects_New();
+    entry->accounts = EntryAccounts_New();
     entry->places = Place_New(&(PlaceConfig){
         .capacity = PLACE_CAPACITY,
         .wants = WANTS_PER_REQUEST,
--- /dev/null
+++ b/src/entry/lease.c
@@ -0,0 +1,114 @@
+/** @file
+ * Rule lease: counting of the replies of one round.
+ */
+#include "entry/lease.h"
+
+uint64_t
+Lease_Ask(Lease *lease, TimeUs now)
+{
+    lease->asked_at = now;
+    lease->view_count = 0;
+    return ++lease->sequence;
+}
+
+void
+Lease_SetVersion(Lease *lease, uint64_t version)
+{
+    lease->version = version;
+}
+
+static LeaseVerdict
+renew(Lease *lease)
+{
+    TimeUs until = lease->asked_at + lease->length;
+    lease->until = until > lease->until ? until : lease->until;
+    lease->renewals++;
+    return LEASE_RENEWED;
+}
+
+/* The membership with the highest log index among the replies. */
+static const LeaseView *
+newest_config(const Lease *lease)
+{
+    const LeaseView *newest = &lease->views[0];
+    for (uint32_t i = 1; i < lease->view_count; i++) {
+        if (lease->views[i].config_index > newest->config_index) {
+            newest = &lease->views[i];
+        }
+    }
+    return newest;
+}
+
+static bool
+is_voter(const LeaseView *config, uint32_t replica)
+{
+    for (uint32_t i = 0; i < config->voter_count; i++) {
+        if (config->voters[i] == replica) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static LeaseVerdict
+count_views(Lease *lease)
+{
+    const LeaseView *config = newest_config(lease);
+    uint32_t replied = 0;
+    uint32_t without_newer = 0;
+    for (uint32_t i = 0; i < lease->view_count; i++) {
+        const LeaseView *view = &lease->views[i];
+        if (!is_voter(config, view->replica)) {
+            continue;
+        }
+        replied++;
+        if (view->pending_version <= lease->version) {
+            without_newer++;
+        }
+    }
+    uint32_t majority = config->voter_count / 2 + 1;
+    uint32_t may_hold_newer = config->voter_count - without_newer;
+    if (config->voter_count > 0 && replied >= majority &&
+        may_hold_newer < majority)
+    {
+        return renew(lease);
+    }
+    if (config->voter_count > 0 && replied == config->voter_count) {
+        lease->retries++;
+        return LEASE_RETRY;
+    }
+    return LEASE_WAIT;
+}
+
+static bool
+knows_host(const Lease *lease, uint32_t replica)
+{
+    for (uint32_t i = 0; i < lease->view_count; i++) {
+        if (lease->views[i].replica == replica) {
+            return true;
+        }
+    }
+    return false;
+}
+
+LeaseVerdict
+Lease_TakeReply(Lease *lease, uint64_t sequence, const LeaseView *view)
+{
+    if (view->rules_version > lease->version) {
+        return LEASE_FETCH;
+    }
+    if (sequence != lease->sequence) {
+        return LEASE_WAIT;
+    }
+    if (lease->by_leader) {
+        bool current = view->rules_version == lease->version;
+        return view->granted && current ? renew(lease) : LEASE_WAIT;
+    }
+    if (view->replica == 0 || knows_host(lease, view->replica) ||
+        lease->view_count == LEASE_HOSTS_MAX)
+    {
+        return LEASE_WAIT;
+    }
+    lease->views[lease->view_count++] = *view;
+    return count_views(lease);
+}
--- a/src/entry/peers.c
+++ b/src/entry/peers.c
@@ -1,9 +1,12 @@
 /** @file
- * The entry's links to agents, as the member list names them, and what
- * agents report of themselves.
+ * The entry's links to agents, as control hosts list them, and what agents
+ * report of themselves.
  */
 #include "entry/state.h"
 
+#include <string.h>
+
+#include "kernel/counter.h"
 #include "kernel/log.h"
 
 static void
@@ -22,6 +25,18 @@
     Place_SetTargets(entry->places, peer->place, targets, count);
 }
 
+static void
+take_cache(Entry *entry, Peer *peer, const Wire__AgentState *state)
+{
+    if (state->cache_reset) {
+        Place_CacheReset(entry->places, peer->place);
+    }
+    Place_Cached(entry->places, peer->place, state->cached,
+                 (uint32_t)state->n_cached, true);
+    Place_Cached(entry->places, peer->place, state->evicted,
+                 (uint32_t)state->n_evicted, false);
+}
+
 static void
 on_state(Entry *entry, Peer *peer, const Wire__AgentState *state)
 {
@@ -41,16 +56,41 @@
                      .leaving = state->leaving,
                  },
                  Clock_Now());
-    Place_Cached(entry->places, peer->place, state->cached, state->n_cached,
-                 true);
-    Place_Cached(entry->places, peer->place, state->evicted, state->n_evicted,
-                 false);
+    take_cache(entry, peer, state);
+}
+
+static void
+count_region_bytes(const Peer *peer, const Wire__Frame *frame, bool sent)
+{
+    static Counter *out;
+    static Counter *in;
+    if (!peer->other_region) {
+        return;
+    }
+    if (out == NULL) {
+        out = Counter_Get("entry_region_bytes_total{direction=\"out\"}",
+                          "Bytes of frames to and from other regions.");
+        in = Counter_Get("entry_region_bytes_total{direction=\"in\"}", NULL);
+    }
+    size_t size = wire__frame__get_packed_size(frame) + FRAME_HEADER_BYTES;
+    Counter_Add(sent ? out : in, (int64_t)size);
+}
+
+int
+EntryPeers_Send(Peer *peer, const Wire__Frame *frame)
+{
+    int result = Link_Send(peer->link, frame);
+    if (result == ERR_OK) {
+        count_region_bytes(peer, frame, true);
+    }
+    return result;
 }
 
 static void
 on_frame(Link *link, const Wire__Frame *frame, void *owner)
 {
     Peer *peer = owner;
+    count_region_bytes(peer, frame, false);
     if (frame->body_case == WIRE__FRAME__BODY_AGENT_STATE) {
         on_state(peer->entry, peer, frame->agent_state);
         return;
@@ -62,9 +102,11 @@
 on_up(Link *link, void *owner)
 {
     Peer *peer = owner;
-    peer->incarnation = Link_Peer(link)->incarnation;
+    const Wire__Hello *hello = Link_Peer(link);
+    peer->incarnation = hello->incarnation;
     Place_SetUp(peer->entry->places, peer->place, true);
     LOG_INFO(ENTRY_PART, "Agent joined. agent=%s", peer->name);
+    Request_OnPeer(peer->entry, peer, true);
 }
 
 static void
@@ -72,7 +114,7 @@
 {
     Peer *peer = owner;
     Place_SetUp(peer->entry->places, peer->place, false);
-    Request_OnPeerDown(peer->entry, peer);
+    Request_OnPeer(peer->entry, peer, false);
 }
 
 static const LinkOps agent_ops = {
@@ -84,19 +126,33 @@
 static void
 free_peer(Peer *peer)
 {
-    Request_OnPeerDown(peer->entry, peer);
-    Place_Remove(peer->entry->places, peer->place);
+    Entry *entry = peer->entry;
+    Request_OnPeer(entry, peer, false);
+    g_hash_table_remove(entry->peers_numbers, &peer->number);
+    g_ptr_array_index(entry->peers_places, peer->place.index) = NULL;
+    Place_Remove(entry->places, peer->place);
     Link_Close(peer->link);
     g_free(peer->name);
     g_free(peer);
 }
 
 static void
+remember(Entry *entry, Peer *peer)
+{
+    g_hash_table_insert(entry->peers, peer->name, peer);
+    g_hash_table_insert(entry->peers_numbers, &peer->number, peer);
+    if (peer->place.index >= entry->peers_places->len) {
+        g_ptr_array_set_size(entry->peers_places, (gint)peer->place.index + 1);
+    }
+    g_ptr_array_index(entry->peers_places, peer->place.index) = peer;
+}
+
+static Peer *
 add_peer(Entry *entry, const Wire__Presence *presence)
 {
     Address address;
     if (Address_Parse(presence->address, &address, NULL) != ERR_OK) {
-        return;
+        return NULL;
     }
     PlaceEndpoint endpoint = {
         .name = Work_Target(false, presence->name),
@@ -105,18 +161,22 @@
     };
     PlaceHandle place;
     if (Place_Add(entry->places, &endpoint, Clock_Now(), &place) != ERR_OK) {
-        return;
+        return NULL;
     }
     Peer *peer = g_new0(Peer, 1);
     peer->entry = entry;
+    peer->number = ++entry->next_peer;
     peer->name = g_strdup(presence->name);
     peer->place = place;
-    peer->listed = true;
+    peer->other_region =
+        strcmp(presence->region, entry->settings->region) != 0;
     peer->link =
         Link_Dial(entry->base, &entry->self, &address, &agent_ops, peer);
-    g_hash_table_insert(entry->peers, peer->name, peer);
+    remember(entry, peer);
+    return peer;
 }
 
+/* Forgets agents that no control host lists and whose link is down. */
 static void
 drop_unlisted(Entry *entry)
 {
@@ -125,37 +185,74 @@
     g_hash_table_iter_init(&iter, entry->peers);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         Peer *peer = value;
-        if (!peer->listed && !Link_IsUp(peer->link)) {
+        if (peer->listed_by == 0 && !Link_IsUp(peer->link)) {
             g_hash_table_iter_remove(&iter);
             free_peer(peer);
         }
     }
 }
 
-void
-EntryPeers_Update(Entry *entry, const Wire__Members *members)
+static void
+clear_listing(Entry *entry, ControlHost *host, uint32_t bit)
 {
-    if (members->version == entry->members_version) {
-        return;
-    }
-    entry->members_version = members->version;
+    g_hash_table_remove_all(host->entries);
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, entry->peers);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        ((Peer *)value)->listed = false;
+        ((Peer *)value)->listed_by &= ~bit;
     }
-    for (size_t i = 0; i < members->n_members; i++) {
-        const Wire__Presence *presence = members->members[i];
-        Peer *peer = g_hash_table_lookup(entry->peers, presence->name);
-        if (presence->role != WIRE__ROLE__ROLE_AGENT) {
-            continue;
-        }
-        if (peer != NULL) {
-            peer->listed = true;
-            continue;
+}
+
+static void
+list_member(Entry *entry, ControlHost *host, const Wire__Presence *presence,
+            uint32_t bit)
+{
+    if (presence->role == WIRE__ROLE__ROLE_ENTRY) {
+        if (!presence->leaving) {
+            g_hash_table_add(host->entries, g_strdup(presence->name));
         }
-        add_peer(entry, presence);
+        return;
+    }
+    if (presence->role != WIRE__ROLE__ROLE_AGENT) {
+        return;
+    }
+    Peer *peer = g_hash_table_lookup(entry->peers, presence->name);
+    if (peer == NULL) {
+        peer = add_peer(entry, presence);
+    }
+    if (peer != NULL) {
+        peer->listed_by |= bit;
+    }
+}
+
+static void
+unlist_member(Entry *entry, ControlHost *host, const char *name, uint32_t bit)
+{
+    g_hash_table_remove(host->entries, name);
+    Peer *peer = g_hash_table_lookup(entry->peers, name);
+    if (peer != NULL) {
+        peer->listed_by &= ~bit;
+    }
+}
+
+void
+EntryPeers_Update(Entry *entry, ControlHost *host,
+                  const Wire__Members *members)
+{
+    if (members->version == host->members_version) {
+        return;
+    }
+    host->members_version = members->version;
+    uint32_t bit = 1u << host->id;
+    if (!members->partial) {
+        clear_listing(entry, host, bit);
+    }
+    for (size_t i = 0; i < members->n_gone; i++) {
+        unlist_member(entry, host, members->gone[i], bit);
+    }
+    for (size_t i = 0; i < members->n_members; i++) {
+        list_member(entry, host, members->members[i], bit);
     }
     drop_unlisted(entry);
 }
@@ -171,21 +268,42 @@
         free_peer(value);
     }
     g_hash_table_destroy(entry->peers);
+    g_hash_table_destroy(entry->peers_numbers);
+    g_ptr_array_free(entry->peers_places, TRUE);
 }
 
 Peer *
 EntryPeers_ByPlace(Entry *entry, PlaceHandle place)
 {
+    if (place.index >= entry->peers_places->len) {
+        return NULL;
+    }
+    Peer *peer = g_ptr_array_index(entry->peers_places, place.index);
+    bool same = peer != NULL && peer->place.generation == place.generation;
+    return same ? peer : NULL;
+}
+
+Peer *
+EntryPeers_ByNumber(Entry *entry, uint64_t number)
+{
+    return g_hash_table_lookup(entry->peers_numbers, &number);
+}
+
+json_t *
+EntryPeers_Dump(Entry *entry)
+{
+    json_t *peers = json_array();
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, entry->peers);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         Peer *peer = value;
-        if (peer->place.index == place.index &&
-            peer->place.generation == place.generation)
-        {
-            return peer;
-        }
+        json_t *link = json_object();
+        Link_Dump(peer->link, link);
+        json_object_set_new(link, "name", json_string(peer->name));
+        json_object_set_new(link, "listed",
+                            json_boolean(peer->listed_by != 0));
+        json_array_append_new(peers, link);
     }
-    return NULL;
+    return peers;
 }
--- /dev/null
+++ b/src/entry/reader.c
@@ -0,0 +1,330 @@
+/** @file
+ * Reads a caller's HTTP request: account, route, headers, and what the work
+ * will cost.
+ */
+#include "entry/state.h"
+
+#include <string.h>
+
+#define BEARER "Bearer "
+#define DEFAULT_DEADLINE_MS 60000
+#define MAX_DEADLINE_MS (3600u * 1000)
+#define DEFAULT_OUTPUT_TOKENS 256
+#define MAX_OUTPUT_TOKENS (1u << 20)
+#define BYTES_PER_TOKEN 4
+#define IDEMPOTENCY_KEY_MAX_BYTES 200
+#define REQUEST_ID_MAX_BYTES 128
+
+static const HttpError error_key = {
+    .status = 401,
+    .code = "bad_key",
+    .message = "No account has this API key.",
+    .outcome = "not_run",
+};
+static const HttpError error_route = {
+    .status = 404,
+    .code = "unknown_route",
+    .message = "No rule routes this method and path.",
+    .outcome = "not_run",
+};
+static const HttpError error_header = {
+    .status = 400,
+    .code = "bad_header",
+    .message = "A tier, deadline or request id header is out of range.",
+    .outcome = "not_run",
+};
+static const HttpError error_uri = {
+    .status = 400,
+    .code = "bad_uri",
+    .message = "The request's URI cannot be read.",
+    .outcome = "not_run",
+};
+static const HttpError error_method = {
+    .status = 405,
+    .code = "bad_method",
+    .message = "Expected GET, POST, PUT or DELETE.",
+    .outcome = "not_run",
+};
+static const HttpError error_no_idempotency_key = {
+    .status = 400,
+    .code = "no_idempotency_key",
+    .message = "This route needs an Idempotency-Key of 1 to 200 bytes.",
+    .outcome = "not_run",
+};
+static const HttpError error_json = {
+    .status = 400,
+    .code = "bad_json",
+    .message = "Expected a JSON object with model and messages.",
+    .outcome = "not_run",
+};
+static const HttpError error_model = {
+    .status = 404,
+    .code = "unknown_model",
+    .message = "No rule names this model.",
+    .outcome = "not_run",
+};
+
+static const char *
+header_of(struct evhttp_request *http, const char *name)
+{
+    return evhttp_find_header(evhttp_request_get_input_headers(http), name);
+}
+
+static const char *
+method_name(enum evhttp_cmd_type method)
+{
+    switch (method) {
+    case EVHTTP_REQ_GET:
+        return "GET";
+    case EVHTTP_REQ_POST:
+        return "POST";
+    case EVHTTP_REQ_PUT:
+        return "PUT";
+    case EVHTTP_REQ_DELETE:
+        return "DELETE";
+    default:
+        return NULL;
+    }
+}
+
+/* Reads a whole number from a header; @p value is kept when it is absent. */
+static bool
+read_number(struct evhttp_request *http, const char *name, uint32_t lowest,
+            uint32_t highest, uint32_t *value)
+{
+    const char *text = header_of(http, name);
+    if (text == NULL) {
+        return true;
+    }
+    guint64 number;
+    if (!g_ascii_string_to_unsigned(text, 10, lowest, highest, &number, NULL))
+    {
+        return false;
+    }
+    *value = (uint32_t)number;
+    return true;
+}
+
+static const RulesAccount *
+find_account(const Entry *entry, struct evhttp_request *http)
+{
+    const char *text = header_of(http, "Authorization");
+    if (text == NULL || !g_str_has_prefix(text, BEARER)) {
+        return NULL;
+    }
+    return Rules_AccountByKey(entry->rules, text + strlen(BEARER));
+}
+
+/* Hashes the prompt block by block; each hash covers all before it. */
+static void
+hash_prompt(Work *work, const char *text, size_t length)
+{
+    const size_t block = WORK_BLOCK_TOKENS * BYTES_PER_TOKEN;
+    uint64_t chain = work->target;
+    for (size_t at = 0; at + block <= length; at += block) {
+        if (work->prefix_count == WORK_PREFIX_BLOCKS) {
+            return;
+        }
+        chain = XXH3_64bits_withSeed(text + at, block, chain);
+        work->prefix[work->prefix_count++] = chain;
+    }
+}
+
+static void
+append_text(GString *prompt, const json_t *text)
+{
+    if (json_is_string(text)) {
+        g_string_append_len(prompt, json_string_value(text),
+                            (gssize)json_string_length(text));
+    }
+}
+
+/* Content is one text, or a list of parts of which some are texts. */
+static void
+append_message(GString *prompt, const json_t *message)
+{
+    const json_t *content = json_object_get(message, "content");
+    append_text(prompt, json_object_get(message, "role"));
+    g_string_append_c(prompt, '\n');
+    append_text(prompt, content);
+    size_t index;
+    json_t *part;
+    json_array_foreach(content, index, part)
+    {
+        append_text(prompt, json_object_get(part, "text"));
+    }
+    g_string_append_c(prompt, '\n');
+}
+
+static void
+measure_prompt(Request *request, const json_t *messages, const json_t *body)
+{
+    GString *prompt = g_string_new(NULL);
+    size_t index;
+    json_t *message;
+    json_array_foreach(messages, index, message)
+    {
+        append_message(prompt, message);
+    }
+    Work *work = &request->work;
+    work->prompt_tokens = (uint32_t)(prompt->len / BYTES_PER_TOKEN) + 1;
+    json_int_t most = json_integer_value(json_object_get(body, "max_tokens"));
+    bool stated = most > 0 && most <= MAX_OUTPUT_TOKENS;
+    work->output_tokens = stated ? (uint32_t)most : DEFAULT_OUTPUT_TOKENS;
+    hash_prompt(work, prompt->str, prompt->len);
+    g_string_free(prompt, TRUE);
+}
+
+static const HttpError *
+read_model_work(Request *request)
+{
+    json_t *body = json_loadb(request->body, request->body_length, 0, NULL);
+    const char *model = json_string_value(json_object_get(body, "model"));
+    const json_t *messages = json_object_get(body, "messages");
+    const HttpError *fault = NULL;
+    if (model == NULL || !json_is_array(messages)) {
+        fault = &error_json;
+    }
+    else if (!Rules_HasModel(request->entry->rules, model)) {
+        fault = &error_model;
+    }
+    else {
+        request->model = g_strdup(model);
+        request->work.target = Work_Target(true, model);
+        measure_prompt(request, messages, body);
+    }
+    json_decref(body);
+    return fault;
+}
+
+static const HttpError *
+read_service_work(Request *request, const RulesRoute *route)
+{
+    request->service = g_strdup(route->service);
+    request->work.target = Work_Target(false, route->service);
+    if (route->idempotent) {
+        return NULL;
+    }
+    const char *key = header_of(request->http, "Idempotency-Key");
+    if (key == NULL || key[0] == '\0' ||
+        strlen(key) > IDEMPOTENCY_KEY_MAX_BYTES) {
+        return &error_no_idempotency_key;
+    }
+    request->idempotency_key = g_strdup(key);
+    return NULL;
+}
+
+static const HttpError *
+read_headers(Request *request, const RulesAccount *account)
+{
+    uint32_t tier = account->tier;
+    uint32_t deadline_ms = DEFAULT_DEADLINE_MS;
+    struct evhttp_request *http = request->http;
+    if (!read_number(http, "X-Laurellift-Tier", account->tier, WORK_TIERS - 1,
+                     &tier) ||
+        !read_number(http, "X-Laurellift-Deadline-Ms", 1, MAX_DEADLINE_MS,
+                     &deadline_ms))
+    {
+        return &error_header;
+    }
+    request->work.tier = tier;
+    request->work.deadline = Clock_Now() + deadline_ms * US_PER_MS;
+    return NULL;
+}
+
+static void
+fill_identity(Request *request, const RulesAccount *account)
+{
+    Entry *entry = request->entry;
+    request->account = g_strdup(account->name);
+    uint64_t seed = XXH3_64bits(account->name, strlen(account->name)) ^
+                    XXH3_64bits(request->path, strlen(request->path));
+    request->body_hash =
+        XXH3_64bits_withSeed(request->body, request->body_length, seed);
+    request->work.fingerprint = request->body_hash;
+    request->work.id = (RequestId){
+        .high = entry->self.incarnation,
+        .low = ++entry->next_id,
+    };
+}
+
+static bool
+is_printable(const char *text)
+{
+    size_t length = strlen(text);
+    for (size_t i = 0; i < length; i++) {
+        if (!g_ascii_isgraph(text[i])) {
+            return false;
+        }
+    }
+    return length > 0 && length <= REQUEST_ID_MAX_BYTES;
+}
+
+/* Takes the caller's request id, or makes one, for the answer's header. */
+static const HttpError *
+read_request_id(Request *request)
+{
+    const char *given = header_of(request->http, "X-Request-Id");
+    if (given != NULL && !is_printable(given)) {
+        return &error_header;
+    }
+    request->request_id =
+        given != NULL
+            ? g_strdup(given)
+            : g_strdup_printf("%" G_GINT64_MODIFIER "x-%" G_GINT64_MODIFIER
+                              "x",
+                              request->work.id.high, request->work.id.low);
+    evhttp_add_header(evhttp_request_get_output_headers(request->http),
+                      "X-Request-Id", request->request_id);
+    return NULL;
+}
+
+static const HttpError *
+read_route(Request *request, const RulesRoute **route)
+{
+    struct evhttp_request *http = request->http;
+    const struct evhttp_uri *uri = evhttp_request_get_evhttp_uri(http);
+    const char *path = uri == NULL ? NULL : evhttp_uri_get_path(uri);
+    if (path == NULL) {
+        return &error_uri;
+    }
+    const char *method = method_name(evhttp_request_get_command(http));
+    if (method == NULL) {
+        return &error_method;
+    }
+    *route = Rules_FindRoute(request->entry->rules, method, path);
+    if (*route == NULL) {
+        return &error_route;
+    }
+    request->method = g_strdup(method);
+    request->path = g_strdup(evhttp_request_get_uri(http));
+    return NULL;
+}
+
+const HttpError *
+EntryReader_Read(Request *request)
+{
+    struct evhttp_request *http = request->http;
+    const RulesAccount *account = find_account(request->entry, http);
+    if (account == NULL) {
+        return &error_key;
+    }
+    request->work.tier = account->tier;
+    const RulesRoute *route = NULL;
+    const HttpError *fault = read_route(request, &route);
+    if (fault != NULL) {
+        return fault;
+    }
+    request->content_type = g_strdup(header_of(http, "Content-Type"));
+    request->body = Http_Body(http, &request->body_length);
+    fill_identity(request, account);
+    fault = read_headers(request, account);
+    if (fault == NULL) {
+        fault = read_request_id(request);
+    }
+    if (fault != NULL) {
+        return fault;
+    }
+    return route->is_model ? read_model_work(request)
+                           : read_service_work(request, route);
+}
--- a/src/entry/request.c
+++ b/src/entry/request.c
@@ -1,269 +1,219 @@
 /** @file
- * Life of a request: claim, wants, grant, dispatch, answer, end.
- *
- * Sending dispatch is the commit point. The request is marked spent first,
- * and a spent request is never offered again.
+ * Life of a request: feeds events to its state machine and carries out the
+ * actions.
  */
 #include "entry/state.h"
 
 #include <string.h>
 
-#include <event2/buffer.h>
-#include <event2/bufferevent.h>
-
 #include "kernel/log.h"
 
-static const HttpError error_unknown = {
-    .status = 502,
-    .code = "outcome_unknown",
-    .message = "The endpoint was lost after the request was sent to it.",
-    .outcome = "unknown",
-};
-static const HttpError error_broken = {
-    .status = 502,
-    .code = "endpoint_failed",
-    .message = "The endpoint failed while it ran the request.",
-    .outcome = "unknown",
-};
-static const HttpError error_deadline = {
-    .status = 504,
-    .code = "deadline",
-    .message = "No endpoint could take the request before its deadline.",
-    .outcome = "not_run",
-    .retry_after_ms = 1000,
-};
+#define RETRY_AFTER_MS 1000
 
-static Wire__RequestId
-wire_id(const Request *request)
-{
-    Wire__RequestId id = WIRE__REQUEST_ID__INIT;
-    id.high = request->work.id.high;
-    id.low = request->work.id.low;
-    return id;
-}
+/* What an action may need of the event that led to it. */
+typedef struct Cause {
+    const Wire__Frame *frame;
+    const Wire__CommandReply *reply;
+} Cause;
 
-static uint32_t
-left_ms(const Request *request)
-{
-    TimeUs left = request->work.deadline - Clock_Now();
-    return left <= 0 ? 1 : (uint32_t)(left / US_PER_MS) + 1;
-}
+static const Cause no_cause = {.frame = NULL};
 
-static void
-send_withdraw(Request *request, Peer *peer)
-{
-    Wire__RequestId id = wire_id(request);
-    Wire__Withdraw withdraw = WIRE__WITHDRAW__INIT;
-    withdraw.id = &id;
-    Wire__Frame frame = WIRE__FRAME__INIT;
-    frame.body_case = WIRE__FRAME__BODY_WITHDRAW;
-    frame.withdraw = &withdraw;
-    Link_Send(peer->link, &frame);
-}
+/* An event that an action led to. */
+typedef struct FollowUp {
+    bool due;
+    LifeEvent event;
+    LifeAgent offered[PLACE_WANTS_MAX];
+} FollowUp;
 
-static void
-withdraw_wants(Request *request, const Peer *except)
+static LifeAgent
+life_agent(const Peer *peer)
 {
-    for (uint32_t i = 0; i < request->want_count; i++) {
-        if (request->wants[i] != except) {
-            send_withdraw(request, request->wants[i]);
-        }
-    }
-    request->want_count = 0;
+    return (LifeAgent){
+        .agent = peer->number,
+        .incarnation = peer->incarnation,
+    };
 }
 
+/* Sends wants to the agents that placement chooses, but for those that had
+ * one before. */
 static void
-send_cancel(Request *request)
-{
-    Wire__RequestId id = wire_id(request);
-    Wire__Cancel cancel = WIRE__CANCEL__INIT;
-    cancel.id = &id;
-    Wire__Frame frame = WIRE__FRAME__INIT;
-    frame.body_case = WIRE__FRAME__BODY_CANCEL;
-    frame.cancel = &cancel;
-    Link_Send(request->dispatched_to->link, &frame);
-}
-
-void
-Request_Free(Request *request)
+offer(Request *request, FollowUp *next)
 {
-    g_hash_table_remove(request->entry->requests, &request->work.id);
-    if (request->caller_closed != NULL) {
-        event_free(request->caller_closed);
-    }
-    if (request->deadline != NULL) {
-        event_free(request->deadline);
-    }
-    if (request->hash != NULL) {
-        XXH3_freeState(request->hash);
+    Entry *entry = request->entry;
+    next->due = true;
+    next->event =
+        (LifeEvent){.kind = LIFE_ON_OFFERED, .offered = next->offered};
+    PlacePick pick;
+    if (!Place_Pick(entry->places, &request->work, Clock_Now(), &pick)) {
+        next->event.reason = pick.reason;
+        next->event.retry_after_ms = pick.retry_after_ms;
+        return;
     }
-    if (request->kept != NULL) {
-        g_byte_array_unref(request->kept);
+    for (uint32_t i = 0; i < pick.count; i++) {
+        Peer *peer = EntryPeers_ByPlace(entry, pick.endpoints[i]);
+        if (peer == NULL || Life_Tried(&request->life, peer->number)) {
+            continue;
+        }
+        if (EntrySend_Want(request, peer) == ERR_OK) {
+            next->offered[next->event.offered_count++] = life_agent(peer);
+        }
+        else {
+            next->event.reason = REFUSE_LEAVING;
+        }
     }
-    g_free(request->account);
-    g_free(request->method);
-    g_free(request->path);
-    g_free(request->model);
-    g_free(request->service);
-    g_free(request->content_type);
-    g_free(request->idempotency_key);
-    g_free(request->body);
-    g_free(request->answer_type);
-    g_free(request);
 }
 
-/* Ends an answer that has begun without letting it look whole. */
 static void
-break_answer(Request *request)
-{
-    struct evhttp_connection *connection =
-        evhttp_request_get_connection(request->http);
-    request->http = NULL;
-    evhttp_connection_free(connection);
-}
-
-void
-Request_Fail(Request *request, const HttpError *error)
+dispatch(Request *request, const LifeAction *action, FollowUp *next)
 {
-    withdraw_wants(request, NULL);
-    if (request->http != NULL && request->head_sent) {
-        break_answer(request);
-    }
-    else if (request->http != NULL) {
-        Http_ReplyError(request->http, error);
+    Entry *entry = request->entry;
+    Peer *peer = EntryPeers_ByNumber(entry, action->agent.agent);
+    if (peer == NULL ||
+        EntrySend_Dispatch(request, peer, action->grant_id) != ERR_OK)
+    {
+        next->due = true;
+        next->event = (LifeEvent){.kind = LIFE_ON_DISPATCH_FAILED};
+        return;
     }
-    request->state = REQUEST_ENDED;
-    Request_Free(request);
+    request->dispatched_at = Clock_Now();
+    Place_Dispatched(entry->places, peer->place, &request->work,
+                     request->dispatched_at);
+    /* The body is never needed again: a spent request is not offered. */
+    g_clear_pointer(&request->body, g_free);
 }
 
-/* Records what became of a claimed request before it fails. */
 static void
-fail_spent(Request *request, const HttpError *error)
+ask_claim(Request *request, FollowUp *next)
 {
-    if (request->idempotency_key != NULL) {
-        EntryControl_SendClaim(
-            request, WIRE__COMMAND_KIND__COMMAND_CLAIM_UNKNOWN, false);
-    }
-    Request_Fail(request, error);
+    next->due = EntryClaims_Ask(request->entry->claims, request) != ERR_OK;
+    next->event = (LifeEvent){
+        .kind = LIFE_ON_CLAIM,
+        .claim = LIFE_CLAIM_FAILED,
+    };
 }
 
 static void
-fail_not_run(Request *request, const HttpError *error)
+fail(Request *request, const LifeAction *action)
 {
-    if (request->idempotency_key != NULL && request->state != REQUEST_CLAIMING)
-    {
-        EntryControl_SendClaim(
-            request, WIRE__COMMAND_KIND__COMMAND_CLAIM_RELEASE, false);
+    HttpError error = EntryErrors_Of(action);
+    if (action->not_run) {
+        EntryCounters_Refused(error.code, request->work.tier);
     }
-    Request_Fail(request, error);
+    EntryCounters_Finished(error.outcome, request->work.tier);
+    EntryAnswer_Fail(request, &error);
 }
 
 static void
-on_deadline(evutil_socket_t fd, short events, void *arg)
+perform(Request *request, const LifeAction *action, const Cause *cause,
+        FollowUp *next)
 {
-    Request *request = arg;
-    if (request->state != REQUEST_SPENT) {
-        fail_not_run(request, &error_deadline);
-        return;
+    switch (action->kind) {
+    case LIFE_DO_CLAIM:
+        ask_claim(request, next);
+        break;
+    case LIFE_DO_OFFER:
+        offer(request, next);
+        break;
+    case LIFE_DO_WITHDRAW:
+        EntrySend_Withdraw(request, action->agent);
+        break;
+    case LIFE_DO_DISPATCH:
+        dispatch(request, action, next);
+        break;
+    case LIFE_DO_CANCEL:
+        EntrySend_Cancel(request, action->agent);
+        break;
+    case LIFE_DO_RESUME:
+        EntrySend_Resume(request, action);
+        break;
+    case LIFE_DO_HEAD:
+        INVARIANT(cause->frame != NULL);
+        EntryAnswer_Head(request, cause->frame->answer_head);
+        break;
+    case LIFE_DO_PIECE:
+        INVARIANT(cause->frame != NULL);
+        EntryAnswer_Piece(request, cause->frame->answer_piece, action->offset);
+        break;
+    case LIFE_DO_RECORD:
+        EntryClaims_Record(request->entry->claims, request, action->record);
+        break;
+    case LIFE_DO_FINISH:
+        EntryCounters_Finished("ran", request->work.tier);
+        EntryAnswer_Finish(request, action->recorded);
+        break;
+    case LIFE_DO_KEPT:
+        INVARIANT(cause->reply != NULL);
+        EntryCounters_Finished("kept", request->work.tier);
+        EntryAnswer_Kept(request, cause->reply);
+        break;
+    case LIFE_DO_FAIL:
+        fail(request, action);
+        break;
+    case LIFE_DO_END:
+        break;
     }
-    send_cancel(request);
-    fail_spent(request, &error_unknown);
 }
 
 static void
-on_caller_closed(evutil_socket_t fd, short events, void *arg)
+set_waiting(Request *request, bool waiting)
 {
-    Request *request = arg;
-    /* A non-idempotent request that was sent runs on; its answer is kept. */
-    if (request->state == REQUEST_SPENT && request->idempotency_key != NULL) {
-        event_del(request->caller_closed);
-        struct evhttp_request *http = request->http;
-        request->http = NULL;
-        evhttp_connection_free(evhttp_request_get_connection(http));
+    if (request->is_waiting == waiting) {
         return;
     }
-    if (request->state == REQUEST_SPENT) {
-        send_cancel(request);
+    request->is_waiting = waiting;
+    GQueue *queue = &request->entry->waiting[request->work.tier];
+    if (waiting) {
+        request->waiting = (GList){.data = request};
+        g_queue_push_tail_link(queue, &request->waiting);
     }
-    request->head_sent = true;
-    fail_not_run(request, &error_deadline);
-}
-
-static void
-fill_want(const Request *request, Wire__Want *want)
-{
-    const Work *work = &request->work;
-    want->tier = work->tier;
-    want->deadline_ms = left_ms(request);
-    want->model = request->model == NULL ? "" : request->model;
-    want->service = request->service == NULL ? "" : request->service;
-    want->prompt_tokens = work->prompt_tokens;
-    want->output_tokens = work->output_tokens;
-    want->prefix_hash = (uint64_t *)work->prefix;
-    want->n_prefix_hash = work->prefix_count;
-    want->fingerprint = work->fingerprint;
-    want->alone = work->alone;
-}
-
-static void
-send_want(Request *request, Peer *peer)
-{
-    Wire__RequestId id = wire_id(request);
-    Wire__Want want = WIRE__WANT__INIT;
-    want.id = &id;
-    fill_want(request, &want);
-    Wire__Frame frame = WIRE__FRAME__INIT;
-    frame.body_case = WIRE__FRAME__BODY_WANT;
-    frame.want = &want;
-    if (Link_Send(peer->link, &frame) == ERR_OK) {
-        request->wants[request->want_count++] = peer;
+    else {
+        g_queue_unlink(queue, &request->waiting);
     }
 }
 
 static void
-refuse(Request *request, RefuseReason reason, uint32_t retry_after_ms)
+set_timer(Request *request)
 {
-    HttpError error = {
-        .status = 503,
-        .code = Work_ReasonName(reason),
-        .message = "No endpoint takes this request now.",
-        .outcome = "not_run",
-        .retry_after_ms = retry_after_ms,
+    TimeUs at = request->life.timer_at;
+    if (at == request->timer_set || at == TIME_NEVER) {
+        return;
+    }
+    request->timer_set = at;
+    TimeUs left = MAX(at - Clock_Now(), 0) + 1;
+    struct timeval delay = {
+        .tv_sec = left / US_PER_S,
+        .tv_usec = left % US_PER_S,
     };
-    fail_not_run(request, &error);
+    evtimer_add(&request->timer, &delay);
 }
 
+/* Handles an event and those that its actions lead to. The request may be
+ * gone afterwards. */
 static void
-offer(Request *request)
+run(Request *request, const LifeEvent *event, const Cause *cause)
 {
-    Entry *entry = request->entry;
-    request->state = REQUEST_WANTING;
-    PlacePick pick;
-    if (!Place_Pick(entry->places, &request->work, Clock_Now(), &pick)) {
-        refuse(request, pick.reason, pick.retry_after_ms);
-        return;
-    }
-    for (uint32_t i = 0; i < pick.count; i++) {
-        Peer *peer = EntryPeers_ByPlace(entry, pick.endpoints[i]);
-        if (peer != NULL) {
-            send_want(request, peer);
+    FollowUp next = {.due = true, .event = *event};
+    LifeActions actions;
+    while (next.due) {
+        next.due = false;
+        Life_Step(&request->life, &next.event, Clock_Now(), &actions);
+        set_waiting(request, request->life.state < LIFE_SPENT);
+        set_timer(request);
+        for (uint32_t i = 0; i < actions.count; i++) {
+            perform(request, &actions.list[i], cause, &next);
         }
     }
-    if (request->want_count == 0) {
-        refuse(request, REFUSE_LEAVING, 1000);
+    if (request->life.state == LIFE_ENDED) {
+        Request_Free(request);
     }
 }
 
 static void
-watch_caller(Request *request)
+on_timer(evutil_socket_t fd, short events, void *arg)
 {
-    struct evhttp_connection *connection =
-        evhttp_request_get_connection(request->http);
-    struct bufferevent *socket = evhttp_connection_get_bufferevent(connection);
-    request->caller_closed =
-        event_new(request->entry->base, bufferevent_getfd(socket),
-                  EV_CLOSED | EV_PERSIST, on_caller_closed, request);
-    event_add(request->caller_closed, NULL);
+    Request *request = arg;
+    request->timer_set = TIME_NEVER;
+    run(request, &(LifeEvent){.kind = LIFE_ON_TIMER}, &no_cause);
 }
 
 void
@@ -271,237 +221,160 @@
 {
     Entry *entry = request->entry;
     g_hash_table_insert(entry->requests, &request->work.id, request);
-    request->hash = XXH3_createState();
-    XXH3_64bits_reset(request->hash);
-    watch_caller(request);
-    request->deadline = event_new(entry->base, -1, 0, on_deadline, request);
-    uint32_t left = left_ms(request);
-    struct timeval delay = {
-        .tv_sec = left / 1000,
-        .tv_usec = (left % 1000) * US_PER_MS,
-    };
-    event_add(request->deadline, &delay);
-    if (request->idempotency_key == NULL) {
-        offer(request);
-        return;
-    }
-    request->state = REQUEST_CLAIMING;
-    request->kept = g_byte_array_new();
-    EntryControl_SendClaim(request, WIRE__COMMAND_KIND__COMMAND_CLAIM, true);
-}
-
-static void
-give_kept_answer(Request *request, const Wire__CommandReply *reply)
-{
-    struct evbuffer *out = evbuffer_new();
-    evbuffer_add(out, reply->answer.data, reply->answer.len);
-    struct evkeyvalq *headers =
-        evhttp_request_get_output_headers(request->http);
-    evhttp_add_header(headers, "Content-Type", reply->content_type);
-    evhttp_add_header(headers, "X-Laurellift-Replayed", "true");
-    evhttp_send_reply(request->http, (int)reply->status, NULL, out);
-    evbuffer_free(out);
-    Request_Free(request);
+    EntryCounters_Request(request->work.tier);
+    request->begun = Clock_Now();
+    request->timer_set = TIME_NEVER;
+    evtimer_assign(&request->timer, entry->base, on_timer, request);
+    Life_Init(&request->life, request->idempotency_key != NULL,
+              request->work.deadline);
+    run(request, &(LifeEvent){.kind = LIFE_ON_BEGIN}, &no_cause);
 }
 
 void
-Request_Claimed(Request *request, const Wire__CommandReply *reply)
+Request_Claimed(Request *request, LifeClaim claim,
+                const Wire__CommandReply *reply)
 {
-    if (request->state != REQUEST_CLAIMING) {
-        return;
-    }
-    HttpError error = {.outcome = "not_run"};
-    switch (reply->claim) {
-    case WIRE__CLAIM_STATE__CLAIM_GRANTED:
-        offer(request);
-        return;
-    case WIRE__CLAIM_STATE__CLAIM_FINISHED:
-        give_kept_answer(request, reply);
-        return;
-    case WIRE__CLAIM_STATE__CLAIM_RUNNING:
-        error.status = 409;
-        error.code = "running";
-        error.message = "A request with this key is running.";
-        error.outcome = "unknown";
-        error.retry_after_ms = 1000;
-        break;
-    case WIRE__CLAIM_STATE__CLAIM_LOST:
-        error.status = 409;
-        error.code = "outcome_unknown";
-        error.message = "A request with this key ended with no known outcome.";
-        error.outcome = "unknown";
-        break;
-    case WIRE__CLAIM_STATE__CLAIM_MISMATCH:
-        error.status = 422;
-        error.code = "key_reused";
-        error.message = "This key was used with another body.";
-        break;
-    default:
-        error.status = 503;
-        error.code = "control_unavailable";
-        error.message = "The claim could not be recorded.";
-        error.retry_after_ms = 1000;
-        break;
-    }
-    Request_Fail(request, &error);
+    run(request, &(LifeEvent){.kind = LIFE_ON_CLAIM, .claim = claim},
+        &(Cause){.reply = reply});
 }
 
-static void
-dispatch(Request *request, Peer *peer, const Wire__Grant *grant)
+void
+Request_Recorded(Request *request)
 {
-    /* Commit point: spent before the frame is queued. */
-    request->state = REQUEST_SPENT;
-    request->dispatched_to = peer;
-    request->grant_id = grant->grant_id;
-    request->dispatched_at = Clock_Now();
-    withdraw_wants(request, peer);
-    Wire__RequestId id = wire_id(request);
-    Wire__Header type = WIRE__HEADER__INIT;
-    type.name = "Content-Type";
-    type.value = request->content_type;
-    Wire__Header *headers[] = {&type};
-    Wire__Dispatch message = WIRE__DISPATCH__INIT;
-    message.id = &id;
-    message.grant_id = grant->grant_id;
-    message.deadline_ms = left_ms(request);
-    message.method = request->method;
-    message.path = request->path;
-    message.headers = headers;
-    message.n_headers = request->content_type == NULL ? 0 : 1;
-    message.body.data = (uint8_t *)request->body;
-    message.body.len = request->body_length;
-    message.fingerprint = request->work.fingerprint;
-    Wire__Frame frame = WIRE__FRAME__INIT;
-    frame.body_case = WIRE__FRAME__BODY_DISPATCH;
-    frame.dispatch = &message;
-    int result = Link_Send(peer->link, &frame);
-    if (result != ERR_OK) {
-        /* The frame was never queued, so it cannot have run. */
-        refuse(request, REFUSE_LEAVING, 1000);
-        return;
-    }
-    Place_Dispatched(request->entry->places, peer->place, &request->work,
-                     request->dispatched_at);
+    run(request, &(LifeEvent){.kind = LIFE_ON_RECORDED}, &no_cause);
 }
 
-static void
-on_grant(Request *request, Peer *peer, const Wire__Grant *grant)
+void
+Request_CallerGone(Request *request)
 {
-    if (request->state != REQUEST_WANTING) {
-        send_withdraw(request, peer);
-        return;
-    }
-    dispatch(request, peer, grant);
+    EntryCounters_Finished("caller_gone", request->work.tier);
+    run(request, &(LifeEvent){.kind = LIFE_ON_CALLER_GONE}, &no_cause);
 }
 
-static void
-forget_want(Request *request, const Peer *peer)
+bool
+Request_ShedBelow(Entry *entry, uint32_t tier)
 {
-    for (uint32_t i = 0; i < request->want_count; i++) {
-        if (request->wants[i] == peer) {
-            request->wants[i] = request->wants[--request->want_count];
-            return;
+    for (uint32_t lowest = WORK_TIERS - 1; lowest > tier; lowest--) {
+        for (GList *at = entry->waiting[lowest].tail; at != NULL;
+             at = at->prev) {
+            Request *request = at->data;
+            if (request->life.state == LIFE_WANTING) {
+                run(request,
+                    &(LifeEvent){.kind = LIFE_ON_SHED,
+                                 .retry_after_ms = RETRY_AFTER_MS},
+                    &no_cause);
+                return true;
+            }
         }
     }
+    return false;
 }
 
 static void
-on_refuse(Request *request, Peer *peer, const Wire__Refuse *message)
+read_end(Request *request, const Wire__AnswerEnd *end, LifeEvent *event)
 {
-    RefuseReason reason = (RefuseReason)message->reason;
-    bool of_dispatch = request->state == REQUEST_SPENT &&
-                       request->dispatched_to == peer &&
-                       message->grant_id == request->grant_id;
-    if (of_dispatch) {
-        refuse(request, reason, message->retry_after_ms);
-        return;
+    event->kind = LIFE_ON_END;
+    event->length = end->length;
+    event->end = LIFE_END_BROKEN;
+    if (end->outcome == WIRE__END_OUTCOME__END_COMPLETE) {
+        event->end = LIFE_END_COMPLETE;
     }
-    if (request->state != REQUEST_WANTING) {
-        return;
-    }
-    forget_want(request, peer);
-    if (request->want_count == 0) {
-        refuse(request, reason, message->retry_after_ms);
+    else if (end->outcome == WIRE__END_OUTCOME__END_NOT_RUN) {
+        event->end = LIFE_END_NOT_RUN;
     }
+    event->hash_matches = request->hash != NULL &&
+                          end->hash == XXH3_64bits_digest(request->hash);
 }
 
-static void
-on_head(Request *request, const Wire__AnswerHead *head)
+/* Turns an agent's frame into an event; false for frames of no meaning. */
+static bool
+read_frame(Request *request, Peer *peer, const Wire__Frame *frame,
+           LifeEvent *event)
 {
-    request->answer_status = head->status;
-    request->answer_type = g_strdup(head->content_type);
-    if (request->http == NULL) {
-        return;
-    }
-    struct evkeyvalq *headers =
-        evhttp_request_get_output_headers(request->http);
-    if (head->content_type[0] != '\0') {
-        evhttp_add_header(headers, "Content-Type", head->content_type);
+    switch (frame->body_case) {
+    case WIRE__FRAME__BODY_GRANT:
+        event->kind = LIFE_ON_GRANT;
+        event->grant_id = frame->grant->grant_id;
+        event->grant_until =
+            Link_HeardAt(peer->link) + frame->grant->ttl_ms * US_PER_MS;
+        event->may_start = EntryControl_HasLease(request->entry, Clock_Now());
+        return true;
+    case WIRE__FRAME__BODY_REFUSE:
+        event->kind = LIFE_ON_REFUSE;
+        event->grant_id = frame->refuse->grant_id;
+        event->reason = (RefuseReason)frame->refuse->reason;
+        event->retry_after_ms = frame->refuse->retry_after_ms;
+        return true;
+    case WIRE__FRAME__BODY_ANSWER_HEAD:
+        event->kind = LIFE_ON_HEAD;
+        return true;
+    case WIRE__FRAME__BODY_ANSWER_PIECE:
+        event->kind = LIFE_ON_PIECE;
+        event->offset = frame->answer_piece->offset;
+        event->length = frame->answer_piece->data.len;
+        return true;
+    case WIRE__FRAME__BODY_ANSWER_END:
+        read_end(request, frame->answer_end, event);
+        return true;
+    case WIRE__FRAME__BODY_UNKNOWN:
+        event->kind = LIFE_ON_UNKNOWN;
+        return true;
+    default:
+        return false;
     }
-    request->head_sent = true;
-    evhttp_send_reply_start(request->http, (int)head->status, NULL);
 }
 
+/* A frame for a request that has ended. Ids are never used twice, so it can
+ * harm nothing; what it holds at the agent is given back. */
 static void
-on_piece(Request *request, const Wire__AnswerPiece *piece)
+answer_stray(Peer *peer, const Wire__Frame *frame)
 {
-    if (piece->offset != request->received) {
-        fail_spent(request, &error_unknown);
-        return;
-    }
-    if (request->first_piece == 0) {
-        request->first_piece = Clock_Now();
-    }
-    request->received += piece->data.len;
-    XXH3_64bits_update(request->hash, piece->data.data, piece->data.len);
-    if (request->kept != NULL) {
-        g_byte_array_append(request->kept, piece->data.data,
-                            (guint)piece->data.len);
+    Wire__Frame reply = WIRE__FRAME__INIT;
+    Wire__Withdraw withdraw = WIRE__WITHDRAW__INIT;
+    Wire__Cancel cancel = WIRE__CANCEL__INIT;
+    if (frame->body_case == WIRE__FRAME__BODY_GRANT) {
+        withdraw.id = frame->grant->id;
+        reply.body_case = WIRE__FRAME__BODY_WITHDRAW;
+        reply.withdraw = &withdraw;
+        EntryPeers_Send(peer, &reply);
     }
-    if (request->http == NULL) {
-        return;
+    else if (frame->body_case == WIRE__FRAME__BODY_ANSWER_PIECE) {
+        cancel.id = frame->answer_piece->id;
+        reply.body_case = WIRE__FRAME__BODY_CANCEL;
+        reply.cancel = &cancel;
+        EntryPeers_Send(peer, &reply);
     }
-    struct evbuffer *out = evbuffer_new();
-    evbuffer_add(out, piece->data.data, piece->data.len);
-    evhttp_send_reply_chunk(request->http, out);
-    evbuffer_free(out);
 }
 
 static void
-end_whole(Request *request)
+report_refusal(Request *request, Peer *peer, const LifeEvent *event)
 {
-    if (request->idempotency_key != NULL) {
-        EntryControl_SendClaim(request, WIRE__COMMAND_KIND__COMMAND_CLAIM_DONE,
-                               false);
+    if (event->kind == LIFE_ON_REFUSE && request->life.state == LIFE_WANTING) {
+        Place_Refused(request->entry->places, peer->place, &request->work,
+                      event->reason, event->retry_after_ms, Clock_Now());
     }
-    if (request->http != NULL) {
-        evhttp_send_reply_end(request->http);
-    }
-    request->state = REQUEST_ENDED;
-    Request_Free(request);
 }
 
+/* Tells placement how a dispatched request went. */
 static void
-on_end(Request *request, Peer *peer, const Wire__AnswerEnd *end)
+report_end(Request *request, bool complete, uint32_t cached_tokens)
 {
     Entry *entry = request->entry;
-    bool whole = end->outcome == WIRE__END_OUTCOME__END_COMPLETE &&
-                 end->length == request->received &&
-                 end->hash == XXH3_64bits_digest(request->hash);
-    Place_Finished(entry->places, peer->place, &request->work,
-                   &(PlaceResult){
-                       .started = request->dispatched_at,
-                       .first_piece = request->first_piece,
-                       .ended = Clock_Now(),
-                       .cached_tokens = end->cached_tokens,
-                       .complete = whole,
-                   },
-                   Clock_Now());
-    if (whole) {
-        end_whole(request);
+    Peer *peer = EntryPeers_ByNumber(entry, request->life.to.agent);
+    if (peer == NULL || request->dispatched_at == 0) {
         return;
     }
-    fail_spent(request, &error_broken);
+    PlaceResult result = {
+        .started = request->dispatched_at,
+        .first_piece = request->first_piece,
+        .ended = Clock_Now(),
+        .output_tokens = request->model == NULL ? 0 : request->pieces,
+        .cached_tokens = cached_tokens,
+        .complete = complete,
+    };
+    request->dispatched_at = 0;
+    Place_Finished(entry->places, peer->place, &request->work, &result,
+                   result.ended);
 }
 
 void
@@ -514,49 +387,68 @@
     RequestId id = {.high = wire->high, .low = wire->low};
     Request *request = g_hash_table_lookup(entry->requests, &id);
     if (request == NULL) {
+        answer_stray(peer, frame);
         return;
     }
-    bool answers =
-        request->state == REQUEST_SPENT && request->dispatched_to == peer;
-    if (frame->body_case == WIRE__FRAME__BODY_GRANT) {
-        on_grant(request, peer, frame->grant);
-    }
-    else if (frame->body_case == WIRE__FRAME__BODY_REFUSE) {
-        on_refuse(request, peer, frame->refuse);
-    }
-    else if (answers && frame->body_case == WIRE__FRAME__BODY_ANSWER_HEAD) {
-        on_head(request, frame->answer_head);
-    }
-    else if (answers && frame->body_case == WIRE__FRAME__BODY_ANSWER_PIECE) {
-        on_piece(request, frame->answer_piece);
-    }
-    else if (answers && frame->body_case == WIRE__FRAME__BODY_ANSWER_END) {
-        on_end(request, peer, frame->answer_end);
-    }
-}
-
-static void
-lose_peer(Request *request, const Peer *peer)
-{
-    if (request->state == REQUEST_SPENT && request->dispatched_to == peer) {
-        fail_spent(request, &error_unknown);
+    LifeEvent event = {.agent = life_agent(peer)};
+    if (!read_frame(request, peer, frame, &event)) {
         return;
     }
-    uint32_t before = request->want_count;
-    forget_want(request, peer);
-    if (request->state == REQUEST_WANTING && before > 0 &&
-        request->want_count == 0)
-    {
-        refuse(request, REFUSE_LEAVING, 1000);
+    report_refusal(request, peer, &event);
+    if (event.kind == LIFE_ON_PIECE && request->first_piece == 0) {
+        request->first_piece = Clock_Now();
+    }
+    if (event.kind == LIFE_ON_END && peer->number == request->life.to.agent) {
+        report_end(request, event.end == LIFE_END_COMPLETE,
+                   frame->answer_end->cached_tokens);
     }
+    run(request, &event, &(Cause){.frame = frame});
 }
 
 void
-Request_OnPeerDown(Entry *entry, Peer *peer)
+Request_OnPeer(Entry *entry, Peer *peer, bool up)
 {
+    LifeEvent event = {
+        .kind = up ? LIFE_ON_AGENT_UP : LIFE_ON_AGENT_DOWN,
+        .agent = life_agent(peer),
+    };
+    /* Ending one request frees no other. */
     GList *requests = g_hash_table_get_values(entry->requests);
     for (GList *at = requests; at != NULL; at = at->next) {
-        lose_peer(at->data, peer);
+        run(at->data, &event, &no_cause);
     }
     g_list_free(requests);
 }
+
+void
+Request_Free(Request *request)
+{
+    Entry *entry = request->entry;
+    if (request->begun != 0) {
+        g_hash_table_remove(entry->requests, &request->work.id);
+        evtimer_del(&request->timer);
+        set_waiting(request, false);
+        report_end(request, false, 0);
+        EntryClaims_Detach(request);
+        EntryAccounts_Release(entry, request, Clock_Now());
+    }
+    if (request->ack_due) {
+        g_ptr_array_remove_fast(entry->ack_due, request);
+    }
+    EntryCaller_Detach(request);
+    XXH3_freeState(request->hash);
+    if (request->held != NULL) {
+        g_byte_array_unref(request->held);
+    }
+    g_free(request->request_id);
+    g_free(request->account);
+    g_free(request->method);
+    g_free(request->path);
+    g_free(request->model);
+    g_free(request->service);
+    g_free(request->content_type);
+    g_free(request->idempotency_key);
+    g_free(request->body);
+    g_free(request->answer_type);
+    g_free(request);
+}
--- /dev/null
+++ b/src/entry/suspects.c
@@ -0,0 +1,66 @@
+/** @file
+ * Fingerprints that crashed endpoints, as control lists them: suspects run
+ * alone, quarantined ones do not run.
+ */
+#include "entry/state.h"
+
+struct Suspects {
+    uint64_t version;
+    GHashTable *quarantined; /* set of fingerprints */
+    GHashTable *suspected;
+};
+
+static GHashTable *
+new_set(void)
+{
+    return g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+}
+
+Suspects *
+EntrySuspects_New(void)
+{
+    Suspects *suspects = g_new0(Suspects, 1);
+    suspects->quarantined = new_set();
+    suspects->suspected = new_set();
+    return suspects;
+}
+
+void
+EntrySuspects_Free(Suspects *suspects)
+{
+    g_hash_table_destroy(suspects->quarantined);
+    g_hash_table_destroy(suspects->suspected);
+    g_free(suspects);
+}
+
+uint64_t
+EntrySuspects_Version(const Suspects *suspects)
+{
+    return suspects->version;
+}
+
+void
+EntrySuspects_Set(Suspects *suspects, const Wire__Quarantine *list)
+{
+    if (list->version <= suspects->version) {
+        return;
+    }
+    suspects->version = list->version;
+    g_hash_table_remove_all(suspects->quarantined);
+    g_hash_table_remove_all(suspects->suspected);
+    for (size_t i = 0; i < list->n_entries; i++) {
+        const Wire__QuarantineEntry *item = list->entries[i];
+        GHashTable *set =
+            item->quarantined ? suspects->quarantined : suspects->suspected;
+        g_hash_table_add(
+            set, g_memdup2(&item->fingerprint, sizeof(item->fingerprint)));
+    }
+}
+
+bool
+EntrySuspects_Check(const Suspects *suspects, uint64_t fingerprint,
+                    bool *alone)
+{
+    *alone = g_hash_table_contains(suspects->suspected, &fingerprint);
+    return g_hash_table_contains(suspects->quarantined, &fingerprint);
+}
--- a/src/kernel/settings.c
+++ b/src/kernel/settings.c
@@ -50,11 +50,18 @@
     CYAML_VALUE_MAPPING(CYAML_FLAG_DEFAULT, SettingsOperator, operator_fields),
 };
 
+static const cyaml_strval_t lease_modes[] = {
+    {"leader", SETTINGS_LEASE_LEADER},
+    {"majority", SETTINGS_LEASE_MAJORITY},
+};
+
 static const cyaml_schema_field_t entry_fields[] = {
     TEXT("http", SettingsEntry, http),
     NUMBER("max_body_bytes", SettingsEntry, max_body_bytes),
     NUMBER("max_requests", SettingsEntry, max_requests),
     NUMBER("lease_ms", SettingsEntry, lease_ms),
+    CYAML_FIELD_ENUM("lease_mode", CYAML_FLAG_OPTIONAL, SettingsEntry,
+                     lease_mode, lease_modes, CYAML_ARRAY_LEN(lease_modes)),
     CYAML_FIELD_END,
 };
 
--- a/src/kernel/settings.h
+++ b/src/kernel/settings.h
@@ -23,11 +23,18 @@
     char *key_hash; /**< Hex BLAKE2b-256 of the operator's key. */
 } SettingsOperator;
 
+/** How an entry confirms the rules in force. */
+typedef enum SettingsLeaseMode {
+    SETTINGS_LEASE_LEADER = 0, /**< One host that leads answers. */
+    SETTINGS_LEASE_MAJORITY,   /**< A majority of voters answers. */
+} SettingsLeaseMode;
+
 typedef struct SettingsEntry {
     char *http; /**< IP:PORT for callers. */
     uint32_t max_body_bytes;
     uint32_t max_requests; /**< Requests held at one time. */
     uint32_t lease_ms;     /**< Length of a rule lease. */
+    SettingsLeaseMode lease_mode;
 } SettingsEntry;
 
 typedef struct SettingsAgent {
--- a/src/wire/link.c
+++ b/src/wire/link.c
@@ -83,7 +83,7 @@
 lose_connection(Link *link, const char *why)
 {
     bool was_up = link->hello != NULL;
-    if (was_up) {
+    if (was_up && !link->closed) {
         LOG_INFO(PART, "Connection lost. peer=%s why=\"%s\"",
                  link->hello->hello->name, why);
         link->in_callback = true;
@@ -396,6 +396,12 @@
     return link->hello != NULL;
 }
 
+TimeUs
+Link_HeardAt(const Link *link)
+{
+    return link->heard_at;
+}
+
 const Wire__Hello *
 Link_Peer(const Link *link)
 {
--- a/src/wire/link.h
+++ b/src/wire/link.h
@@ -68,6 +68,9 @@
 
 bool Link_IsUp(const Link *link);
 
+/** When bytes last came in. While a frame is handled: when it was read. */
+TimeUs Link_HeardAt(const Link *link);
+
 /** Hello of the other side; valid while the link is up. */
 const Wire__Hello *Link_Peer(const Link *link);
 
