Entry: fuzz and test the life of a request and its rule lease

Cause: the promises "dispatched at most once", "not run is true" and "no ending that looks whole" had no proof.

Found by the fuzzer and mended: a second begin event offered a dispatched request again; a caller who had been told "unknown" at the deadline was counted as answered twice; a grant by an agent that holds no want any more was used.

--- a/src/entry/life.c
+++ b/src/entry/life.c
@@ -149,6 +149,10 @@
 static void
 on_begin(Step *step)
 {
+    if (step->life->begun) {
+        return;
+    }
+    step->life->begun = true;
     if (step->life->claims) {
         act(step, &(LifeAction){.kind = LIFE_DO_CLAIM});
         /* Until its reply says otherwise the claim may be held. */
@@ -217,6 +221,19 @@
         all_tried ? life->last_retry_after_ms : event->retry_after_ms);
 }
 
+static bool
+wants_from(const Life *life, const LifeAgent *agent)
+{
+    for (uint32_t i = 0; i < life->want_count; i++) {
+        if (life->wants[i].agent == agent->agent &&
+            life->wants[i].incarnation == agent->incarnation)
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
 static bool
 forget_want(Life *life, uint64_t agent)
 {
@@ -268,7 +285,7 @@
 {
     Life *life = step->life;
     const LifeEvent *event = step->event;
-    if (life->state != LIFE_WANTING) {
+    if (life->state != LIFE_WANTING || !wants_from(life, &event->agent)) {
         if (!from_runner(step)) {
             give_back_grant(step);
         }
@@ -362,7 +379,9 @@
 static void
 finish(Step *step, bool recorded)
 {
-    act(step, &(LifeAction){.kind = LIFE_DO_FINISH, .recorded = recorded});
+    if (!step->life->caller_gone) {
+        act(step, &(LifeAction){.kind = LIFE_DO_FINISH, .recorded = recorded});
+    }
     end(step);
 }
 
--- a/src/entry/life.h
+++ b/src/entry/life.h
@@ -153,6 +153,7 @@
 
 typedef struct Life {
     LifeState state;
+    bool begun;
     bool claims; /**< Non-idempotent: needs a claim. */
     bool claim_held;
     bool caller_gone;
--- /dev/null
+++ b/test/fuzz/fuzz_request.c
@@ -0,0 +1,334 @@
+/** @file
+ * Fuzzer of the life of a request: any order of events, checked against what
+ * a caller and an agent may conclude from the actions.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "entry/life.h"
+
+#define AGENTS 3
+#define INCARNATIONS 2
+#define TIME_STEP_US (40 * US_PER_MS)
+#define DEADLINE_US (2 * US_PER_S)
+#define LAST_TIMERS 8
+
+#define CHECK(condition)                                                      \
+    do {                                                                      \
+        if (!(condition)) {                                                   \
+            fprintf(stderr, "%s:%d: broken: %s\n", __FILE__, __LINE__,        \
+                    #condition);                                              \
+            abort();                                                          \
+        }                                                                     \
+    } while (0)
+
+typedef struct Input {
+    const uint8_t *data;
+    size_t size;
+} Input;
+
+/* What is known from outside of the state machine. */
+typedef struct Oracle {
+    Life life;
+    TimeUs now;
+    bool wanted[AGENTS];
+    bool dispatched;
+    bool proven_not_run; /* the last event proves it */
+    LifeAgent to;
+    uint64_t grant_id;
+    bool claim_granted;
+    bool claim_asked;
+    uint32_t records;
+    LifeRecord record;
+    bool recorded;
+    uint64_t passed; /* bytes passed on to the caller */
+    uint32_t answers;
+    bool caller_gone;
+    bool ended;
+} Oracle;
+
+static uint8_t
+take(Input *input)
+{
+    if (input->size == 0) {
+        return 0;
+    }
+    input->size--;
+    return *input->data++;
+}
+
+static void
+check_answer(Oracle *oracle, const LifeAction *action)
+{
+    CHECK(!oracle->caller_gone);
+    CHECK(++oracle->answers == 1);
+    if (action->not_run) {
+        CHECK(!oracle->dispatched || oracle->proven_not_run);
+    }
+}
+
+static void
+check_finish(const Oracle *oracle, const LifeEvent *event,
+             const LifeAction *action)
+{
+    CHECK(oracle->dispatched);
+    if (oracle->claim_granted) {
+        CHECK(oracle->records == 1 && oracle->record == LIFE_RECORD_DONE);
+        CHECK(!action->recorded || oracle->recorded);
+        return;
+    }
+    CHECK(event->kind == LIFE_ON_END && event->hash_matches);
+    CHECK(event->length == oracle->passed);
+}
+
+static void
+check_record(Oracle *oracle, const LifeAction *action)
+{
+    CHECK(++oracle->records == 1);
+    oracle->record = action->record;
+    if (action->record == LIFE_RECORD_RELEASE) {
+        CHECK(!oracle->dispatched || oracle->proven_not_run);
+    }
+}
+
+static void
+check_end(Oracle *oracle)
+{
+    oracle->ended = true;
+    CHECK(oracle->answers == 1 || oracle->caller_gone);
+    CHECK(!oracle->claim_granted || oracle->records == 1);
+    for (uint32_t i = 0; i < AGENTS; i++) {
+        CHECK(!oracle->wanted[i]);
+    }
+}
+
+static void
+check_dispatch(Oracle *oracle, const LifeEvent *event)
+{
+    CHECK(!oracle->dispatched);
+    CHECK(event->kind == LIFE_ON_GRANT && event->may_start);
+    CHECK(oracle->now < oracle->life.deadline);
+    CHECK(oracle->now < event->grant_until);
+    CHECK(!oracle->claim_asked || oracle->claim_granted);
+    CHECK(oracle->life.state == LIFE_SPENT);
+    oracle->dispatched = true;
+    oracle->to = event->agent;
+    oracle->grant_id = event->grant_id;
+    oracle->wanted[event->agent.agent - 1] = false;
+}
+
+static void
+check_action(Oracle *oracle, const LifeEvent *event, const LifeAction *action)
+{
+    CHECK(!oracle->ended);
+    switch (action->kind) {
+    case LIFE_DO_CLAIM:
+        oracle->claim_asked = true;
+        break;
+    case LIFE_DO_WITHDRAW:
+        oracle->wanted[action->agent.agent - 1] = false;
+        break;
+    case LIFE_DO_DISPATCH:
+        check_dispatch(oracle, event);
+        break;
+    case LIFE_DO_PIECE:
+        CHECK(event->offset + action->offset == oracle->passed);
+        oracle->passed = event->offset + event->length;
+        break;
+    case LIFE_DO_RESUME:
+        CHECK(action->offset == oracle->passed);
+        CHECK(event->agent.incarnation == oracle->to.incarnation);
+        break;
+    case LIFE_DO_RECORD:
+        check_record(oracle, action);
+        break;
+    case LIFE_DO_FINISH:
+        check_finish(oracle, event, action);
+        oracle->answers++;
+        break;
+    case LIFE_DO_KEPT:
+        CHECK(!oracle->dispatched);
+        oracle->answers++;
+        break;
+    case LIFE_DO_FAIL:
+        check_answer(oracle, action);
+        break;
+    case LIFE_DO_END:
+        check_end(oracle);
+        break;
+    default:
+        break;
+    }
+}
+
+/* What an event by itself tells the oracle. */
+static void
+note_event(Oracle *oracle, const LifeEvent *event)
+{
+    bool of_runner = oracle->dispatched &&
+                     event->agent.agent == oracle->to.agent &&
+                     event->agent.incarnation == oracle->to.incarnation;
+    bool refused = event->kind == LIFE_ON_REFUSE && of_runner &&
+                   event->grant_id == oracle->grant_id &&
+                   oracle->life.state == LIFE_SPENT;
+    bool not_received = event->kind == LIFE_ON_END && of_runner &&
+                        event->end == LIFE_END_NOT_RUN &&
+                        oracle->life.state == LIFE_SPENT;
+    oracle->proven_not_run =
+        refused || not_received || event->kind == LIFE_ON_DISPATCH_FAILED;
+    oracle->claim_granted =
+        oracle->claim_granted ||
+        (event->kind == LIFE_ON_CLAIM && oracle->life.state == LIFE_CLAIMING &&
+         event->claim == LIFE_CLAIM_GRANTED);
+    if (event->kind == LIFE_ON_RECORDED) {
+        oracle->recorded = true;
+    }
+    if (event->kind == LIFE_ON_CALLER_GONE) {
+        oracle->caller_gone = true;
+    }
+    if (event->kind == LIFE_ON_REFUSE || event->kind == LIFE_ON_AGENT_DOWN) {
+        oracle->wanted[event->agent.agent - 1] = false;
+    }
+}
+
+static void
+step(Oracle *oracle, const LifeEvent *event)
+{
+    LifeActions actions;
+    if (oracle->ended) {
+        Life_Step(&oracle->life, event, oracle->now, &actions);
+        CHECK(actions.count == 0);
+        return;
+    }
+    note_event(oracle, event);
+    Life_Step(&oracle->life, event, oracle->now, &actions);
+    for (uint32_t i = 0; i < actions.count; i++) {
+        check_action(oracle, event, &actions.list[i]);
+    }
+    CHECK(oracle->ended == (oracle->life.state == LIFE_ENDED));
+    CHECK(oracle->ended || oracle->life.timer_at <= oracle->life.deadline +
+                                                        LIFE_GRACE_US +
+                                                        LIFE_RECORD_US);
+}
+
+/* Answers LIFE_DO_OFFER the way the entry does. */
+static void
+offer(Oracle *oracle, Input *input)
+{
+    LifeAgent offered[AGENTS];
+    LifeEvent event = {.kind = LIFE_ON_OFFERED, .offered = offered};
+    uint8_t chosen = take(input);
+    event.reason = chosen & 0x80 ? REFUSE_SHED : REFUSE_NONE;
+    for (uint64_t agent = 1; agent <= AGENTS; agent++) {
+        if ((chosen >> agent & 1) != 0 && !Life_Tried(&oracle->life, agent)) {
+            offered[event.offered_count++] =
+                (LifeAgent){.agent = agent, .incarnation = 1};
+            oracle->wanted[agent - 1] = true;
+        }
+    }
+    step(oracle, &event);
+}
+
+static void
+read_event(Input *input, const Oracle *oracle, LifeEvent *event)
+{
+    *event = (LifeEvent){0};
+    event->kind = (LifeEventKind)(take(input) % (LIFE_ON_SHED + 1));
+    uint8_t who = take(input);
+    event->agent = (LifeAgent){
+        .agent = who % AGENTS + 1,
+        .incarnation = who / AGENTS % 8 == 0 ? INCARNATIONS : 1,
+    };
+    uint8_t detail = take(input);
+    event->grant_id = detail % 3;
+    event->grant_until = oracle->now + (detail % 5) * LIFE_GRANT_MARGIN_US;
+    event->may_start = detail % 7 != 0;
+    event->claim = (LifeClaim)(detail % (LIFE_CLAIM_MISMATCH + 1));
+    event->reason = (RefuseReason)(detail % (REFUSE_QUARANTINED + 1));
+    uint64_t back = detail % 4;
+    event->offset = oracle->passed + 1 - (back <= oracle->passed ? back : 0);
+    event->length = detail / 4 % 8;
+    event->end = (LifeEnd)(detail % (LIFE_END_NOT_RUN + 1));
+    if (event->kind == LIFE_ON_END && detail % 4 != 0) {
+        event->length = oracle->passed;
+    }
+    event->hash_matches = detail % 5 != 0;
+}
+
+/* The event that brings a request on, so that whole lives are common. */
+static void
+natural_event(Input *input, const Oracle *oracle, LifeEvent *event)
+{
+    const Life *life = &oracle->life;
+    read_event(input, oracle, event);
+    event->agent = life->to;
+    event->end = LIFE_END_COMPLETE;
+    event->hash_matches = true;
+    switch (life->state) {
+    case LIFE_CLAIMING:
+        event->kind = LIFE_ON_CLAIM;
+        event->claim = LIFE_CLAIM_GRANTED;
+        break;
+    case LIFE_WANTING:
+        event->kind = LIFE_ON_GRANT;
+        event->agent = life->wants[0];
+        event->grant_until = oracle->now + US_PER_S;
+        break;
+    case LIFE_SPENT:
+        event->kind = LIFE_ON_HEAD;
+        break;
+    case LIFE_STREAMING:
+        event->kind = event->grant_id == 0 ? LIFE_ON_END : LIFE_ON_PIECE;
+        event->offset = oracle->passed;
+        event->length = event->grant_id == 0 ? oracle->passed : 1;
+        break;
+    default:
+        event->kind = LIFE_ON_RECORDED;
+        break;
+    }
+}
+
+static bool
+wants_offer(const Oracle *oracle, uint32_t offers_before)
+{
+    return !oracle->ended && oracle->life.offers != offers_before;
+}
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+
+int
+LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+    Input input = {.data = data, .size = size};
+    Oracle oracle = {.now = US_PER_S};
+    bool claims = take(&input) % 2 == 1;
+    Life_Init(&oracle.life, claims, oracle.now + DEADLINE_US);
+    LifeEvent event = {.kind = LIFE_ON_BEGIN};
+    uint32_t timers = 0;
+    while (!oracle.ended && timers < LAST_TIMERS) {
+        uint32_t offers = oracle.life.offers;
+        step(&oracle, &event);
+        while (wants_offer(&oracle, offers)) {
+            offers = oracle.life.offers;
+            offer(&oracle, &input);
+        }
+        bool drained = input.size == 0;
+        timers += drained ? 1 : 0;
+        oracle.now += (take(&input) % 4) * TIME_STEP_US;
+        if (take(&input) % 2 == 0) {
+            natural_event(&input, &oracle, &event);
+        }
+        else {
+            read_event(&input, &oracle, &event);
+        }
+        if (drained) {
+            /* No more input: the timers alone must end the request. */
+            oracle.now = oracle.life.timer_at;
+            event = (LifeEvent){.kind = LIFE_ON_TIMER};
+        }
+    }
+    CHECK(oracle.ended);
+    step(&oracle, &event);
+    return 0;
+}
--- /dev/null
+++ b/test/unit/test_request_lease.c
@@ -0,0 +1,144 @@
+/** @file
+ * Rule lease: what a majority's replies prove.
+ */
+#include "unit.h"
+
+#include "entry/lease.h"
+
+#define NOW US_PER_S
+#define LENGTH (3 * US_PER_S)
+
+static Lease
+new_lease(bool by_leader)
+{
+    return (Lease){.by_leader = by_leader, .length = LENGTH, .version = 10};
+}
+
+static LeaseVerdict
+reply(Lease *lease, uint32_t replica, uint64_t pending)
+{
+    LeaseView view = {
+        .replica = replica,
+        .rules_version = 10,
+        .pending_version = pending,
+        .config_index = 1,
+        .voter_count = 3,
+        .voters = {1, 2, 3},
+    };
+    return Lease_TakeReply(lease, lease->sequence, &view);
+}
+
+static void
+majority_renews_from_the_ask(void **state)
+{
+    Lease lease = new_lease(false);
+    Lease_Ask(&lease, NOW);
+    assert_int_equal(reply(&lease, 1, 10), LEASE_WAIT);
+    assert_int_equal(reply(&lease, 1, 10), LEASE_WAIT);
+    assert_int_equal(lease.until, 0);
+    assert_int_equal(reply(&lease, 3, 9), LEASE_RENEWED);
+    assert_int_equal(lease.until, NOW + LENGTH);
+}
+
+static void
+newer_pending_on_a_minority_still_renews(void **state)
+{
+    Lease lease = new_lease(false);
+    Lease_Ask(&lease, NOW);
+    assert_int_equal(reply(&lease, 1, 12), LEASE_WAIT);
+    assert_int_equal(reply(&lease, 2, 10), LEASE_WAIT);
+    assert_int_equal(reply(&lease, 3, 10), LEASE_RENEWED);
+}
+
+static void
+newer_pending_on_a_majority_does_not_renew(void **state)
+{
+    Lease lease = new_lease(false);
+    Lease_Ask(&lease, NOW);
+    reply(&lease, 1, 12);
+    reply(&lease, 2, 12);
+    assert_int_equal(reply(&lease, 3, 10), LEASE_RETRY);
+    assert_int_equal(lease.until, 0);
+}
+
+static void
+old_rounds_and_learners_do_not_count(void **state)
+{
+    Lease lease = new_lease(false);
+    uint64_t old = Lease_Ask(&lease, NOW);
+    Lease_Ask(&lease, NOW + 1);
+    LeaseView view = {
+        .replica = 1,
+        .rules_version = 10,
+        .pending_version = 10,
+        .voter_count = 3,
+        .voters = {1, 2, 3},
+    };
+    Lease_TakeReply(&lease, old, &view);
+    assert_int_equal(lease.view_count, 0);
+    reply(&lease, 4, 10);
+    assert_int_equal(reply(&lease, 2, 10), LEASE_WAIT);
+}
+
+static void
+newest_membership_decides(void **state)
+{
+    Lease lease = new_lease(false);
+    Lease_Ask(&lease, NOW);
+    reply(&lease, 1, 10);
+    LeaseView view = {
+        .replica = 2,
+        .rules_version = 10,
+        .pending_version = 10,
+        .config_index = 9,
+        .voter_count = 5,
+        .voters = {1, 2, 3, 4, 5},
+    };
+    assert_int_equal(Lease_TakeReply(&lease, lease.sequence, &view),
+                     LEASE_WAIT);
+    view.replica = 4;
+    assert_int_equal(Lease_TakeReply(&lease, lease.sequence, &view),
+                     LEASE_RENEWED);
+}
+
+static void
+newer_accepted_version_is_fetched(void **state)
+{
+    Lease lease = new_lease(false);
+    Lease_Ask(&lease, NOW);
+    LeaseView view = {.replica = 1, .rules_version = 11};
+    assert_int_equal(Lease_TakeReply(&lease, lease.sequence, &view),
+                     LEASE_FETCH);
+    assert_int_equal(lease.until, 0);
+}
+
+static void
+leader_mode_needs_a_confirmed_leader(void **state)
+{
+    Lease lease = new_lease(true);
+    Lease_Ask(&lease, NOW);
+    LeaseView view = {.rules_version = 10};
+    assert_int_equal(Lease_TakeReply(&lease, lease.sequence, &view),
+                     LEASE_WAIT);
+    view.granted = true;
+    assert_int_equal(Lease_TakeReply(&lease, lease.sequence, &view),
+                     LEASE_RENEWED);
+    view.rules_version = 9;
+    assert_int_equal(Lease_TakeReply(&lease, lease.sequence, &view),
+                     LEASE_WAIT);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(majority_renews_from_the_ask),
+        cmocka_unit_test(newer_pending_on_a_minority_still_renews),
+        cmocka_unit_test(newer_pending_on_a_majority_does_not_renew),
+        cmocka_unit_test(old_rounds_and_learners_do_not_count),
+        cmocka_unit_test(newest_membership_decides),
+        cmocka_unit_test(newer_accepted_version_is_fetched),
+        cmocka_unit_test(leader_mode_needs_a_confirmed_leader),
+    };
+    return cmocka_run_group_tests_name("request lease", tests, NULL, NULL);
+}
--- /dev/null
+++ b/test/unit/test_request_life.c
@@ -0,0 +1,227 @@
+/** @file
+ * Life of a request: rounds of wants, resume, claims, callers that leave.
+ */
+#include "unit.h"
+
+#include "entry/life.h"
+
+#define NOW US_PER_S
+#define DEADLINE (NOW + 5 * US_PER_S)
+
+static const LifeAgent agent_1 = {.agent = 1, .incarnation = 7};
+static const LifeAgent agent_2 = {.agent = 2, .incarnation = 8};
+
+static LifeActions
+step(Life *life, const LifeEvent *event, TimeUs now)
+{
+    LifeActions actions;
+    Life_Step(life, event, now, &actions);
+    return actions;
+}
+
+static LifeActions
+offered(Life *life, const LifeAgent *agents, uint32_t count)
+{
+    return step(life,
+                &(LifeEvent){.kind = LIFE_ON_OFFERED,
+                             .offered = agents,
+                             .offered_count = count},
+                NOW);
+}
+
+static LifeActions
+granted(Life *life, LifeAgent agent)
+{
+    return step(life,
+                &(LifeEvent){.kind = LIFE_ON_GRANT,
+                             .agent = agent,
+                             .grant_id = 5,
+                             .grant_until = NOW + US_PER_S,
+                             .may_start = true},
+                NOW);
+}
+
+static void
+begin(Life *life, bool claims)
+{
+    Life_Init(life, claims, DEADLINE);
+    step(life, &(LifeEvent){.kind = LIFE_ON_BEGIN}, NOW);
+    if (claims) {
+        step(life,
+             &(LifeEvent){.kind = LIFE_ON_CLAIM, .claim = LIFE_CLAIM_GRANTED},
+             NOW);
+    }
+}
+
+static void
+start_stream(Life *life, bool claims)
+{
+    begin(life, claims);
+    offered(life, &agent_1, 1);
+    granted(life, agent_1);
+    step(life, &(LifeEvent){.kind = LIFE_ON_HEAD, .agent = agent_1}, NOW);
+    step(life,
+         &(LifeEvent){.kind = LIFE_ON_PIECE, .agent = agent_1, .length = 10},
+         NOW);
+}
+
+static const LifeAction *
+find(const LifeActions *actions, LifeActionKind kind)
+{
+    for (uint32_t i = 0; i < actions->count; i++) {
+        if (actions->list[i].kind == kind) {
+            return &actions->list[i];
+        }
+    }
+    return NULL;
+}
+
+static void
+offers_again_when_all_refuse(void **state)
+{
+    Life life;
+    begin(&life, false);
+    offered(&life, &agent_1, 1);
+    LifeEvent refuse = {
+        .kind = LIFE_ON_REFUSE,
+        .agent = agent_1,
+        .reason = REFUSE_SHED,
+        .retry_after_ms = 3000,
+    };
+    LifeActions actions = step(&life, &refuse, NOW);
+    assert_non_null(find(&actions, LIFE_DO_OFFER));
+    assert_true(Life_Tried(&life, 1));
+    /* Nobody else is there: the last refusal is the answer, at once. */
+    actions = offered(&life, NULL, 0);
+    const LifeAction *fail = find(&actions, LIFE_DO_FAIL);
+    assert_non_null(fail);
+    assert_true(fail->not_run);
+    assert_int_equal(fail->reason, REFUSE_SHED);
+    assert_int_equal(fail->retry_after_ms, 3000);
+}
+
+static void
+dispatches_once_and_withdraws_the_others(void **state)
+{
+    Life life;
+    begin(&life, false);
+    const LifeAgent both[] = {agent_1, agent_2};
+    offered(&life, both, 2);
+    LifeActions actions = granted(&life, agent_1);
+    assert_non_null(find(&actions, LIFE_DO_DISPATCH));
+    assert_int_equal(find(&actions, LIFE_DO_WITHDRAW)->agent.agent, 2);
+    actions = granted(&life, agent_2);
+    assert_int_equal(actions.count, 1);
+    assert_int_equal(actions.list[0].kind, LIFE_DO_WITHDRAW);
+}
+
+static void
+resumes_with_the_same_incarnation_only(void **state)
+{
+    Life life;
+    start_stream(&life, false);
+    step(&life, &(LifeEvent){.kind = LIFE_ON_AGENT_DOWN, .agent = agent_1},
+         NOW);
+    LifeActions actions = step(
+        &life, &(LifeEvent){.kind = LIFE_ON_AGENT_UP, .agent = agent_1}, NOW);
+    const LifeAction *resume = find(&actions, LIFE_DO_RESUME);
+    assert_non_null(resume);
+    assert_int_equal(resume->offset, 10);
+    assert_true(resume->have_head);
+    LifeAgent restarted = {.agent = 1, .incarnation = 9};
+    actions =
+        step(&life, &(LifeEvent){.kind = LIFE_ON_AGENT_UP, .agent = restarted},
+             NOW);
+    assert_false(find(&actions, LIFE_DO_FAIL)->not_run);
+}
+
+static void
+gives_up_a_lost_agent_in_bounded_time(void **state)
+{
+    Life life;
+    start_stream(&life, false);
+    life.timer_at = life.deadline = NOW + 100 * US_PER_S;
+    step(&life, &(LifeEvent){.kind = LIFE_ON_AGENT_DOWN, .agent = agent_1},
+         NOW);
+    assert_int_equal(life.timer_at, NOW + LIFE_RESUME_US);
+    LifeActions actions =
+        step(&life, &(LifeEvent){.kind = LIFE_ON_TIMER}, life.timer_at);
+    assert_false(find(&actions, LIFE_DO_FAIL)->not_run);
+}
+
+static void
+late_wake_dispatches_nothing(void **state)
+{
+    Life life;
+    begin(&life, false);
+    offered(&life, &agent_1, 1);
+    LifeEvent grant = {
+        .kind = LIFE_ON_GRANT,
+        .agent = agent_1,
+        .grant_id = 5,
+        .grant_until = DEADLINE + US_PER_S,
+        .may_start = true,
+    };
+    LifeActions actions = step(&life, &grant, DEADLINE);
+    assert_null(find(&actions, LIFE_DO_DISPATCH));
+    assert_true(find(&actions, LIFE_DO_FAIL)->not_run);
+}
+
+static void
+deadline_while_claiming_releases(void **state)
+{
+    Life life;
+    Life_Init(&life, true, DEADLINE);
+    step(&life, &(LifeEvent){.kind = LIFE_ON_BEGIN}, NOW);
+    LifeActions actions =
+        step(&life, &(LifeEvent){.kind = LIFE_ON_TIMER}, DEADLINE);
+    assert_int_equal(find(&actions, LIFE_DO_RECORD)->record,
+                     LIFE_RECORD_RELEASE);
+    assert_true(find(&actions, LIFE_DO_FAIL)->not_run);
+}
+
+static void
+non_idempotent_runs_on_without_its_caller(void **state)
+{
+    Life life;
+    start_stream(&life, true);
+    LifeActions actions =
+        step(&life, &(LifeEvent){.kind = LIFE_ON_CALLER_GONE}, NOW);
+    assert_int_equal(actions.count, 0);
+    actions = step(&life,
+                   &(LifeEvent){.kind = LIFE_ON_END,
+                                .agent = agent_1,
+                                .length = 10,
+                                .hash_matches = true},
+                   NOW);
+    assert_int_equal(find(&actions, LIFE_DO_RECORD)->record, LIFE_RECORD_DONE);
+    actions = step(&life, &(LifeEvent){.kind = LIFE_ON_RECORDED}, NOW);
+    assert_non_null(find(&actions, LIFE_DO_END));
+}
+
+static void
+caller_gone_cancels_idempotent_work(void **state)
+{
+    Life life;
+    start_stream(&life, false);
+    LifeActions actions =
+        step(&life, &(LifeEvent){.kind = LIFE_ON_CALLER_GONE}, NOW);
+    assert_non_null(find(&actions, LIFE_DO_CANCEL));
+    assert_non_null(find(&actions, LIFE_DO_END));
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(offers_again_when_all_refuse),
+        cmocka_unit_test(dispatches_once_and_withdraws_the_others),
+        cmocka_unit_test(resumes_with_the_same_incarnation_only),
+        cmocka_unit_test(gives_up_a_lost_agent_in_bounded_time),
+        cmocka_unit_test(late_wake_dispatches_nothing),
+        cmocka_unit_test(deadline_while_claiming_releases),
+        cmocka_unit_test(non_idempotent_runs_on_without_its_caller),
+        cmocka_unit_test(caller_gone_cancels_idempotent_work),
+    };
+    return cmocka_run_group_tests_name("request life", tests, NULL, NULL);
+}
