Log: shorter split votes, forged messages dropped, a bench

Cause: a bench that kills leaders showed 1.6 s and 3.1 s to the next accepted change when two hosts split the vote; a fuzz target that sends any message to one core found an endless loop on an append with previous index 0 and a foreign term; an append from a second leader of the same term ended the process.

Ruled out: shorter election timeouts (a slow disk or the link between the regions would then cost elections for nothing); a shorter wait for every candidate (one with a slow disk would never win).

Change: a candidate that was refused tries again after 1/8 to 5/8 of the election span. The hint of a refused append ends at 0. Commands over 8 MB are refused. bench_log measures changes a second, bytes a change, kill to accepted change, restart; it fails only past wide bounds.

--- a/src/control/log_core.c
+++ b/src/control/log_core.c
@@ -252,6 +252,9 @@
     if (core->role != LOG_LEADER || core->transferee != 0 || core->failed) {
         return ERR_UNAVAILABLE;
     }
+    if (g_bytes_get_size(command) > LOG_COMMAND_MAX_BYTES) {
+        return ERR_TOO_LARGE;
+    }
     uint64_t last = LogEntries_Last(core);
     if (last - core->commit >= LOG_PENDING_MAX) {
         return ERR_FULL;
--- a/src/control/log_core.h
+++ b/src/control/log_core.h
@@ -19,6 +19,8 @@
 
 /** Proposed entries that are not committed yet, at most. */
 #define LOG_PENDING_MAX 8192
+/** Largest command, in bytes. */
+#define LOG_COMMAND_MAX_BYTES (8u * 1024 * 1024)
 /** Entries kept behind the snapshot for followers that lag. */
 #define LOG_TRAILING_ENTRIES 2048
 
@@ -51,7 +53,7 @@
 
 /** Appends an entry of kind command.
  * @return ERR_OK, ERR_UNAVAILABLE when this host does not lead or is handing
- *         over, ERR_FULL. */
+ *         over, ERR_FULL, ERR_TOO_LARGE. */
 int LogCore_Propose(LogCore *core, GBytes *command);
 
 /** Adds a learner (@p address not NULL) or removes a member. @p disk_id may
--- a/src/control/log_election.c
+++ b/src/control/log_election.c
@@ -166,6 +166,17 @@
     reply_vote(core, message, granted);
 }
 
+/* A refused candidate tries again soon: waiting for the whole timeout would
+ * double the time without a leader after a split vote. */
+static void
+retry_soon(LogCore *core, TimeUs now)
+{
+    TimeUs span = core->timing.election;
+    TimeUs pause =
+        span / 8 + g_rand_int_range(core->random, 0, (gint32)(span / 2));
+    core->election_at = MIN(core->election_at, now + pause);
+}
+
 void
 LogElection_OnVoteReply(LogCore *core, const LogMessage *message, TimeUs now)
 {
@@ -173,6 +184,11 @@
         if (message->term > core->term) {
             LogElection_Follow(core, message->term, 0, now);
         }
+        else if (!message->pre_vote && core->role == LOG_CANDIDATE &&
+                 message->term == core->term)
+        {
+            retry_soon(core, now);
+        }
         return;
     }
     if (message->pre_vote && core->role == LOG_PRE_CANDIDATE &&
--- a/src/control/log_follower.c
+++ b/src/control/log_follower.c
@@ -6,11 +6,17 @@
 /* Largest snapshot that is accepted, in bytes. */
 #define SNAPSHOT_MAX_BYTES (128u * 1024 * 1024)
 
+/* Whether the sender cannot be a leader: this host leads in that term. */
+static bool
+is_impossible(const LogCore *core, const LogMessage *message)
+{
+    return core->role == LOG_LEADER && message->term == core->term;
+}
+
 /* Accepts the sender as this term's leader. */
 static void
 hear_leader(LogCore *core, const LogMessage *message, TimeUs now)
 {
-    INVARIANT(core->role != LOG_LEADER || message->term > core->term);
     LogElection_Follow(core, message->term, message->from, now);
     core->heard_leader_at = now;
 }
@@ -25,7 +31,7 @@
         return last;
     }
     uint64_t term = LogEntries_Term(core, index);
-    uint64_t hint = index - 1;
+    uint64_t hint = index == 0 ? 0 : index - 1;
     while (hint > core->commit && LogEntries_Term(core, hint) == term) {
         hint--;
     }
@@ -95,7 +101,7 @@
         reply_append(core, message, false, LogEntries_Last(core), false);
         return;
     }
-    if (!entries_are_valid(message)) {
+    if (is_impossible(core, message) || !entries_are_valid(message)) {
         return;
     }
     hear_leader(core, message, now);
@@ -175,6 +181,9 @@
         reply_append(core, message, false, LogEntries_Last(core), false);
         return;
     }
+    if (is_impossible(core, message)) {
+        return;
+    }
     hear_leader(core, message, now);
     if (message->index <= core->commit) {
         reply_snapshot(core, message, true);
--- a/src/control/replica.h
+++ b/src/control/replica.h
@@ -72,7 +72,8 @@
 /** Proposes a command. Its outcome shows when `apply` receives it; when
  * leadership is lost first, the outcome is open and the proposer asks again
  * with the same command id.
- * @return ERR_OK, ERR_UNAVAILABLE when this host does not lead, ERR_FULL. */
+ * @return ERR_OK, ERR_UNAVAILABLE when this host does not lead, ERR_FULL,
+ *         ERR_TOO_LARGE. */
 int Replica_Propose(Replica *replica, const uint8_t *command, size_t length);
 
 /** Calls @p done with true once a majority has confirmed, after this call,
--- /dev/null
+++ b/test/bench/bench_log.c
@@ -0,0 +1,241 @@
+/** @file
+ * Bench of the replicated log with real folders, real syncs and links on
+ * loopback: accepted changes a second, latency of one change, bytes a
+ * change, time to a new leader after a kill, time to restart. Fails when a
+ * bound is passed.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <sys/stat.h>
+
+#include <glib.h>
+
+#include "../unit/log_host.h"
+#include "kernel/clock.h"
+#include "kernel/log.h"
+
+#define CHANGE_BYTES 200
+#define WINDOW 256 /* proposals in flight in the throughput run */
+#define LIMIT_MS 60000
+
+/* Bounds: far from what was measured, so that only a regression fails. */
+#define MIN_CHANGES_S 500
+#define MAX_ELECTION_MS 3000
+#define MAX_RESTART_MS 5000
+#define MAX_BYTES_CHANGE 600
+
+typedef struct Options {
+    gchar *csv;
+    gboolean brief;
+} Options;
+
+typedef struct Bench {
+    FILE *csv;
+    bool failed;
+} Bench;
+
+static struct event_base *base;
+static LogHost hosts[LOG_HOSTS_MAX];
+
+/* Prints a figure; @p bound fails the bench when @p value passes it. */
+static void
+report(Bench *bench, const char *name, double value, const char *unit,
+       double bound, bool bound_is_lowest)
+{
+    bool bad = bound_is_lowest ? value < bound : value > bound;
+    printf("%-36s %12.2f %s%s\n", name, value, unit,
+           bad ? "  BOUND PASSED" : "");
+    if (bench->csv != NULL) {
+        fprintf(bench->csv, "%s,%.3f,%s\n", name, value, unit);
+    }
+    bench->failed = bench->failed || bad;
+}
+
+static bool
+has_leader(LogHost *group, unsigned count, void *arg)
+{
+    return LogHost_Leader(group, count) != NULL;
+}
+
+static bool
+leader_applied(LogHost *group, unsigned count, void *arg)
+{
+    LogHost *leader = LogHost_Leader(group, count);
+    return leader != NULL && leader->state->len >= *(guint *)arg;
+}
+
+static void
+start_group(unsigned count)
+{
+    LogHost_MakeGroup(base, hosts, count);
+    for (unsigned i = 0; i < count; i++) {
+        Error err = ERROR_INIT;
+        INVARIANT(LogHost_Start(&hosts[i], &err) == ERR_OK);
+    }
+    INVARIANT(LogHost_RunUntil(hosts, count, has_leader, NULL, LIMIT_MS));
+}
+
+/* Proposes @p changes with at most @p window in flight. */
+static double
+run_changes(unsigned count, guint changes, guint window)
+{
+    char text[CHANGE_BYTES + 1];
+    memset(text, 'x', CHANGE_BYTES);
+    text[CHANGE_BYTES] = '\0';
+    LogHost *leader = LogHost_Leader(hosts, count);
+    guint start = leader->state->len;
+    guint proposed = 0;
+    TimeUs began = Clock_Now();
+    while (leader->state->len < start + changes) {
+        while (proposed < changes &&
+               proposed < leader->state->len - start + window) {
+            INVARIANT(LogHost_Propose(hosts, count, text) == ERR_OK);
+            proposed++;
+        }
+        event_base_loop(base, EVLOOP_ONCE);
+    }
+    return (double)(Clock_Now() - began) / (double)US_PER_S;
+}
+
+static double
+folder_bytes(const char *folder)
+{
+    double total = 0;
+    GDir *dir = g_dir_open(folder, 0, NULL);
+    const char *name;
+    while ((name = g_dir_read_name(dir)) != NULL) {
+        char *path = g_build_filename(folder, name, NULL);
+        struct stat status;
+        if (stat(path, &status) == 0) {
+            total += (double)status.st_size;
+        }
+        g_free(path);
+    }
+    g_dir_close(dir);
+    return total;
+}
+
+static void
+measure_changes(Bench *bench, unsigned count, guint changes)
+{
+    char name[64];
+    start_group(count);
+    guint single = MIN(changes, 200);
+    double before = folder_bytes(hosts[0].folder);
+    double seconds = run_changes(count, single, 1);
+    double after = folder_bytes(hosts[0].folder);
+    snprintf(name, sizeof(name), "hosts_%u_one_change", count);
+    report(bench, name, seconds * 1000 / single, "ms", 1000, false);
+    snprintf(name, sizeof(name), "hosts_%u_disk_bytes_a_change", count);
+    report(bench, name, (after - before) / single, "bytes", MAX_BYTES_CHANGE,
+           false);
+    seconds = run_changes(count, changes, WINDOW);
+    snprintf(name, sizeof(name), "hosts_%u_changes_a_second", count);
+    report(bench, name, changes / seconds, "1/s", MIN_CHANGES_S, true);
+    LogHost_FreeGroup(hosts, count);
+}
+
+static int
+compare_doubles(const void *a, const void *b)
+{
+    double left = *(const double *)a;
+    double right = *(const double *)b;
+    return left < right ? -1 : left > right;
+}
+
+/* Kills the leader and waits until a change is accepted again. */
+static void
+measure_elections(Bench *bench, unsigned rounds)
+{
+    double *times = g_new(double, rounds);
+    start_group(3);
+    run_changes(3, 1, 1);
+    for (unsigned i = 0; i < rounds; i++) {
+        LogHost *victim = LogHost_Leader(hosts, 3);
+        TimeUs began = Clock_Now();
+        LogHost_Kill(victim);
+        INVARIANT(LogHost_RunUntil(hosts, 3, has_leader, NULL, LIMIT_MS));
+        run_changes(3, 1, 1);
+        times[i] = (double)(Clock_Now() - began) / (double)US_PER_MS;
+        Error err = ERROR_INIT;
+        INVARIANT(LogHost_Start(victim, &err) == ERR_OK);
+        guint all = LogHost_Leader(hosts, 3)->state->len;
+        TimeUs settle = Clock_Now() + 2 * US_PER_S;
+        while (victim->state->len < all && Clock_Now() < settle) {
+            event_base_loop(base, EVLOOP_ONCE);
+        }
+    }
+    qsort(times, rounds, sizeof(double), compare_doubles);
+    report(bench, "kill_to_accepted_median", times[rounds / 2], "ms",
+           MAX_ELECTION_MS, false);
+    report(bench, "kill_to_accepted_worst", times[rounds - 1], "ms",
+           2 * MAX_ELECTION_MS, false);
+    g_free(times);
+    LogHost_FreeGroup(hosts, 3);
+}
+
+/* Restarts one host after @p changes; until it leads with all applied. */
+static void
+measure_restart(Bench *bench, guint changes)
+{
+    char name[64];
+    start_group(1);
+    run_changes(1, changes, WINDOW);
+    guint all = hosts[0].state->len;
+    LogHost_Kill(&hosts[0]);
+    snprintf(name, sizeof(name), "folder_after_%u_changes", changes);
+    report(bench, name, folder_bytes(hosts[0].folder) / 1024, "KiB", 1e9,
+           false);
+    TimeUs began = Clock_Now();
+    Error err = ERROR_INIT;
+    INVARIANT(LogHost_Start(&hosts[0], &err) == ERR_OK);
+    INVARIANT(LogHost_RunUntil(hosts, 1, leader_applied, &all, LIMIT_MS));
+    double ms = (double)(Clock_Now() - began) / (double)US_PER_MS;
+    snprintf(name, sizeof(name), "restart_after_%u_changes", changes);
+    report(bench, name, ms, "ms", MAX_RESTART_MS, false);
+    LogHost_FreeGroup(hosts, 1);
+}
+
+static void
+run_all(Bench *bench, bool brief)
+{
+    measure_changes(bench, 1, brief ? 2000 : 20000);
+    measure_changes(bench, 3, brief ? 2000 : 20000);
+    measure_elections(bench, brief ? 3 : 15);
+    measure_restart(bench, 1000);
+    if (!brief) {
+        measure_restart(bench, 100000);
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    Options options = {.csv = NULL};
+    GOptionEntry entries[] = {
+        {"csv", 0, 0, G_OPTION_ARG_FILENAME, &options.csv,
+         "Write the figures to this file", "FILE"},
+        {"short", 0, 0, G_OPTION_ARG_NONE, &options.brief, "Run less", NULL},
+        {NULL},
+    };
+    GOptionContext *context = g_option_context_new("- bench of the log");
+    g_option_context_add_main_entries(context, entries, NULL);
+    if (!g_option_context_parse(context, &argc, &argv, NULL)) {
+        return EXIT_FAILURE;
+    }
+    g_option_context_free(context);
+    Log_SetLevel(LOG_LEVEL_ERROR);
+    base = event_base_new();
+    Bench bench = {
+        .csv = options.csv == NULL ? NULL : fopen(options.csv, "we"),
+    };
+    run_all(&bench, options.brief);
+    if (bench.csv != NULL) {
+        (void)fclose(bench.csv);
+    }
+    event_base_free(base);
+    g_free(options.csv);
+    return bench.failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- /dev/null
+++ b/test/fuzz/fuzz_log_input.c
@@ -0,0 +1,152 @@
+/** @file
+ * Fuzz target: one log core that receives any message from any sender, true
+ * or not, and raw bytes as frames. No input may stop the process.
+ */
+#include "fuzz.h"
+
+#include "control/log_core.h"
+#include "control/replica_wire.h"
+#include "wire/frame.h"
+
+#define EVENTS_PER_RUN 200
+#define VOTERS 3
+#define SMALL 6
+
+static LogCore *
+new_core(void)
+{
+    LogConfig config = {.count = VOTERS};
+    for (unsigned i = 0; i < VOTERS; i++) {
+        config.members[i] = (LogMember){.id = i + 1, .disk_id = i + 1};
+    }
+    StoreImage image = {.term = 1, .entries = StoreEntry_NewArray()};
+    StoreEntry entry = {
+        .index = 1,
+        .term = 1,
+        .kind = LOG_ENTRY_MEMBERS,
+        .data = LogConfig_Pack(&config),
+    };
+    StoreEntry_Append(image.entries, &entry);
+    g_bytes_unref(entry.data);
+    LogCoreSpec spec = {
+        .id = 1,
+        .disk_id = 1,
+        .timing = {.heartbeat = 100 * US_PER_MS,
+                   .election = 500 * US_PER_MS,
+                   .replace = US_PER_S},
+        .image = &image,
+    };
+    Error err = ERROR_INIT;
+    LogCore *core = LogCore_New(&spec, &err);
+    StoreImage_Clear(&image);
+    return core;
+}
+
+static void
+settle(LogCore *core, TimeUs now)
+{
+    StoreBatch batch;
+    LogCore_Flush(core, now);
+    while (LogCore_TakeBatch(core, &batch)) {
+        LogCore_Saved(core, batch.sequence, now);
+        StoreBatch_Clear(&batch);
+    }
+    LogMessage message;
+    while (LogCore_TakeMessage(core, &message)) {
+        LogMessage_Clear(&message);
+    }
+    const StoreEntry *entry;
+    const StoreSnapshot *snapshot;
+    while (LogCore_NextApply(core, &entry, &snapshot) != LOG_APPLY_NONE) {
+    }
+}
+
+static GArray *
+some_entries(FuzzInput *input, uint64_t index)
+{
+    GArray *entries = StoreEntry_NewArray();
+    for (unsigned left = fuzz_pick(input, 4); left > 0; left--) {
+        uint8_t byte = fuzz_byte(input);
+        StoreEntry entry = {
+            .index = ++index,
+            .term = fuzz_pick(input, SMALL),
+            .kind = fuzz_pick(input, 3),
+            .data = g_bytes_new(&byte, 1),
+        };
+        StoreEntry_Append(entries, &entry);
+        g_bytes_unref(entry.data);
+    }
+    return entries;
+}
+
+static void
+receive_any(LogCore *core, FuzzInput *input, TimeUs now)
+{
+    LogMessage message = {
+        .type = (LogMessageType)fuzz_pick(input, LOG_TIMEOUT_NOW + 1),
+        .from = 1 + fuzz_pick(input, VOTERS + 1),
+        .to = 1,
+        .to_disk = 1,
+        .term = fuzz_pick(input, SMALL),
+        .index = fuzz_pick(input, SMALL),
+        .log_term = fuzz_pick(input, SMALL),
+        .commit = fuzz_pick(input, SMALL),
+        .round = fuzz_pick(input, SMALL),
+        .offset = fuzz_pick(input, 2),
+    };
+    LogView view;
+    LogCore_View(core, &view);
+    if (fuzz_byte(input) & 1) {
+        message.term = view.term + fuzz_pick(input, 2);
+        message.index = view.last_index + 1 - fuzz_pick(input, 3);
+    }
+    message.from_disk = message.from;
+    unsigned flags = fuzz_byte(input);
+    message.pre_vote = flags & 1;
+    message.transfer = flags & 2;
+    message.success = flags & 4;
+    message.done = flags & 8;
+    message.entries = some_entries(input, message.index);
+    message.data = g_bytes_new(&flags, 1);
+    LogCore_Receive(core, &message, now);
+    LogMessage_Clear(&message);
+}
+
+static void
+read_frames(LogCore *core, const uint8_t *bytes, size_t length)
+{
+    struct evbuffer *in = evbuffer_new();
+    evbuffer_add(in, bytes, length);
+    Wire__Frame *frame = NULL;
+    Error err = ERROR_INIT;
+    while (Frame_Read(in, &frame, &err) == ERR_OK && frame != NULL) {
+        LogMessage message = {.type = LOG_VOTE};
+        if (ReplicaWire_Read(frame, &message)) {
+            message.from = 2;
+            message.from_disk = 2;
+            LogCore_Receive(core, &message, 0);
+            LogMessage_Clear(&message);
+        }
+        wire__frame__free_unpacked(frame, NULL);
+    }
+    evbuffer_free(in);
+}
+
+int
+LLVMFuzzerTestOneInput(const uint8_t *bytes, size_t length)
+{
+    FuzzInput input = fuzz_input(bytes, length);
+    LogCore *core = new_core();
+    read_frames(core, bytes, length);
+    TimeUs now = 0;
+    for (unsigned i = 0; i < EVENTS_PER_RUN; i++) {
+        now += fuzz_pick(&input, 4) * 50 * US_PER_MS;
+        if (fuzz_pick(&input, 4) == 0) {
+            LogCore_Tick(core, now);
+        }
+        receive_any(core, &input, now);
+        settle(core, now);
+    }
+    LogCore_Free(core);
+    return 0;
+}
