--- a/Makefile
+++ b/Makefile
@@ -48,6 +48,7 @@
 .PHONY: generate
 generate: ## Regenerates the protobuf-c code from the schema.
 	@cd src/wire && protoc-c --c_out=generated wire.proto
+	@cd src/control && protoc-c --c_out=generated state.proto
 
 .PHONY: clean
 clean: ## Removes the build folder.
--- /dev/null
+++ b/src/control/admin.c
@@ -0,0 +1,348 @@
+/** @file
+ * Administration API: keys, routes, the redirect to the leader, and errors.
+ */
+#include "control/admin.h"
+
+#include <string.h>
+
+#include <event2/buffer.h>
+#include <sodium.h>
+#include <sys/queue.h>
+
+#include "kernel/log.h"
+#include "rules/rules.h"
+#include "wire/http.h"
+
+#define BEARER "Bearer "
+#define BODY_MAX_BYTES (RULES_TEXT_MAX_BYTES + 4096)
+#define HEADERS_MAX_BYTES (16 * 1024)
+
+static void
+free_call(AdminCall *call)
+{
+    evhttp_clear_headers(&call->query);
+    g_free(call->name);
+    g_free(call);
+}
+
+void
+Admin_Reply(AdminCall *call, int status, json_t *body)
+{
+    Http_ReplyJson(call->request, status, body);
+    free_call(call);
+}
+
+static void
+reply_error(struct evhttp_request *request, int status, const char *code,
+            const char *text, const char *outcome)
+{
+    Http_ReplyError(
+        request,
+        &(HttpError){
+            .status = status,
+            .code = code,
+            .message = text,
+            .outcome = outcome,
+            .retry_after_ms = status == 503 ? CONTROL_RETRY_AFTER_MS : 0,
+        });
+}
+
+void
+Admin_Fail(AdminCall *call, int status, int code, const char *text,
+           const char *outcome)
+{
+    reply_error(call->request, status, Error_Name(code), text, outcome);
+    free_call(call);
+}
+
+void
+Admin_FailCommand(AdminCall *call, int code, const char *text)
+{
+    const char *outcome = code == ERR_TIMEOUT ? "unknown" : "not_run";
+    int status = 503;
+    switch (code) {
+    case ERR_INVALID:
+    case ERR_CORRUPT:
+    case ERR_TOO_LARGE:
+        status = 422;
+        break;
+    case ERR_NOT_FOUND:
+        status = 404;
+        break;
+    case ERR_CONFLICT:
+    case ERR_DUPLICATE:
+        status = 409;
+        break;
+    case ERR_DENIED:
+        status = 403;
+        break;
+    case ERR_TIMEOUT:
+        status = 504;
+        break;
+    default:
+        break;
+    }
+    Admin_Fail(call, status, code, text, outcome);
+}
+
+Wire__Command
+Admin_Command(AdminCall *call, Wire__CommandKind kind)
+{
+    Wire__Command command = WIRE__COMMAND__INIT;
+    command.command_id.data = call->command_id;
+    command.command_id.len = COMMAND_ID_BYTES;
+    command.kind = kind;
+    command.author = (char *)call->author;
+    return command;
+}
+
+json_t *
+Admin_Time(uint64_t wall_ms)
+{
+    GDateTime *time = g_date_time_new_from_unix_utc((gint64)(wall_ms / 1000));
+    char *text = time == NULL ? g_strdup("")
+                              : g_date_time_format(time, "%Y-%m-%dT%H:%M:%SZ");
+    json_t *out = json_string(text);
+    g_free(text);
+    if (time != NULL) {
+        g_date_time_unref(time);
+    }
+    return out;
+}
+
+/* Name of the operator whose key the request carries, or NULL. Every known
+ * hash is compared, in constant time each. */
+static const char *
+find_operator(const Control *control, struct evhttp_request *request)
+{
+    const char *header = evhttp_find_header(
+        evhttp_request_get_input_headers(request), "Authorization");
+    if (header == NULL || !g_str_has_prefix(header, BEARER)) {
+        return NULL;
+    }
+    char hex[2 * RULES_KEY_HASH_BYTES + 1];
+    Rules_HashKey(header + strlen(BEARER), hex);
+    const SettingsControl *own = control->settings->control;
+    const char *found = NULL;
+    for (unsigned i = 0; i < own->operators_count; i++) {
+        const SettingsOperator *operator= & own->operators[i];
+        if (strlen(operator->key_hash) == sizeof(hex) - 1 &&
+            sodium_memcmp(operator->key_hash, hex, sizeof(hex) - 1) == 0)
+        {
+            found = operator->name;
+        }
+    }
+    return found;
+}
+
+/* Matches `/v1/endpoints/(star)/drain`: what stands for the star goes to
+ * @p name. */
+static bool
+path_matches(const char *pattern, const char *path, char **name)
+{
+    const char *star = strchr(pattern, '*');
+    if (star == NULL) {
+        return strcmp(pattern, path) == 0;
+    }
+    size_t before = (size_t)(star - pattern);
+    size_t after = strlen(star + 1);
+    size_t length = strlen(path);
+    if (length <= before + after || strncmp(pattern, path, before) != 0 ||
+        strcmp(star + 1, path + length - after) != 0)
+    {
+        return false;
+    }
+    const char *start = path + before;
+    size_t size = length - before - after;
+    if (memchr(start, '/', size) != NULL) {
+        return false;
+    }
+    char *encoded = g_strndup(start, size);
+    *name = evhttp_uridecode(encoded, 0, NULL);
+    g_free(encoded);
+    return *name != NULL;
+}
+
+typedef struct RouteTable {
+    const AdminRoute *routes;
+    size_t count;
+} RouteTable;
+
+/* @param known_path  set when the path exists under another method. */
+static const AdminRoute *
+find_route(struct evhttp_request *request, const char *path, char **name,
+           bool *known_path)
+{
+    const RouteTable tables[] = {
+        {admin_rules_routes, admin_rules_routes_count},
+        {admin_fleet_routes, admin_fleet_routes_count},
+    };
+    enum evhttp_cmd_type method = evhttp_request_get_command(request);
+    for (size_t t = 0; t < G_N_ELEMENTS(tables); t++) {
+        for (size_t i = 0; i < tables[t].count; i++) {
+            const AdminRoute *route = &tables[t].routes[i];
+            char *found = NULL;
+            if (!path_matches(route->path, path, &found)) {
+                continue;
+            }
+            *known_path = true;
+            if (route->method == method) {
+                *name = found;
+                return route;
+            }
+            free(found);
+        }
+    }
+    return NULL;
+}
+
+const SettingsControlHost *
+Control_HostOf(const Control *control, uint32_t id)
+{
+    const Settings *settings = control->settings;
+    for (unsigned i = 0; i < settings->control_hosts_count; i++) {
+        if (settings->control_hosts[i].id == id) {
+            return &settings->control_hosts[i];
+        }
+    }
+    return NULL;
+}
+
+/* Sends the caller to the leader, or tells it to wait for one. */
+static void
+redirect(AdminCall *call)
+{
+    ReplicaStatus status;
+    Replica_Status(call->control->replica, &status);
+    const SettingsControlHost *host =
+        status.leads ? NULL : Control_HostOf(call->control, status.leader);
+    if (host == NULL) {
+        Admin_Fail(call, 503, ERR_UNAVAILABLE, "No leader is known now.",
+                   "not_run");
+        return;
+    }
+    char *location = g_strdup_printf("http://%s%s", host->admin,
+                                     evhttp_request_get_uri(call->request));
+    evhttp_add_header(evhttp_request_get_output_headers(call->request),
+                      "Location", location);
+    g_free(location);
+    Admin_Fail(call, 307, ERR_UNAVAILABLE, "Another control host leads.",
+               "not_run");
+}
+
+static void
+on_confirmed(void *arg, bool leads)
+{
+    AdminCall *call = arg;
+    ReplicaStatus status;
+    Replica_Status(call->control->replica, &status);
+    if (!leads || status.applied < status.commit) {
+        Admin_Fail(call, 503, ERR_UNAVAILABLE,
+                   "This host could not confirm that it leads.", "not_run");
+        return;
+    }
+    call->handle(call);
+}
+
+static void
+dispatch(AdminCall *call, const AdminRoute *route)
+{
+    if (!route->leader) {
+        route->handle(call);
+        return;
+    }
+    if (!call->control->leads) {
+        redirect(call);
+        return;
+    }
+    call->handle = route->handle;
+    Replica_ConfirmLeads(call->control->replica, on_confirmed, call);
+}
+
+/* The caller's command id, or a new one. */
+static bool
+read_command_id(struct evhttp_request *request, uint8_t id[COMMAND_ID_BYTES])
+{
+    const char *hex = evhttp_find_header(
+        evhttp_request_get_input_headers(request), "Command-Id");
+    if (hex == NULL) {
+        randombytes_buf(id, COMMAND_ID_BYTES);
+        return true;
+    }
+    size_t length = 0;
+    const char *end = hex;
+    return sodium_hex2bin(id, COMMAND_ID_BYTES, hex, strlen(hex), NULL,
+                          &length, &end) == 0 &&
+           *end == '\0' && length == COMMAND_ID_BYTES;
+}
+
+static void
+start_call(Control *control, struct evhttp_request *request,
+           const AdminRoute *route, const char *author, char *name)
+{
+    AdminCall *call = g_new0(AdminCall, 1);
+    call->control = control;
+    call->request = request;
+    call->author = author;
+    call->name = g_strdup(name);
+    free(name);
+    const char *query =
+        evhttp_uri_get_query(evhttp_request_get_evhttp_uri(request));
+    TAILQ_INIT(&call->query);
+    if (query != NULL) {
+        evhttp_parse_query_str(query, &call->query);
+    }
+    if (!read_command_id(request, call->command_id)) {
+        Admin_Fail(call, 400, ERR_INVALID, "Command-Id is 32 hex digits.",
+                   "not_run");
+        return;
+    }
+    dispatch(call, route);
+}
+
+static void
+on_request(struct evhttp_request *request, void *arg)
+{
+    Control *control = arg;
+    const char *author = find_operator(control, request);
+    if (author == NULL) {
+        reply_error(request, 401, "denied", "An operator's key is needed.",
+                    "not_run");
+        return;
+    }
+    const char *path =
+        evhttp_uri_get_path(evhttp_request_get_evhttp_uri(request));
+    char *name = NULL;
+    bool known_path = false;
+    const AdminRoute *route =
+        find_route(request, path == NULL ? "/" : path, &name, &known_path);
+    if (route == NULL) {
+        int status = known_path ? 405 : 404;
+        reply_error(request, status, "not_found",
+                    "There is no such operation.", "not_run");
+        return;
+    }
+    start_call(control, request, route, author, name);
+}
+
+int
+Admin_Open(Control *control, const Address *address, Error *err)
+{
+    control->http = Http_Listen(control->base, address, NULL, NULL, err);
+    if (control->http == NULL) {
+        return err->code;
+    }
+    evhttp_set_max_body_size(control->http, BODY_MAX_BYTES);
+    evhttp_set_max_headers_size(control->http, HEADERS_MAX_BYTES);
+    evhttp_set_gencb(control->http, on_request, control);
+    return ERR_OK;
+}
+
+void
+Admin_Close(Control *control)
+{
+    if (control->http != NULL) {
+        evhttp_free(control->http);
+        control->http = NULL;
+    }
+}
--- /dev/null
+++ b/src/control/commands.c
@@ -0,0 +1,275 @@
+/** @file
+ * Commands: proposes them to the replicated log and tells their outcomes.
+ */
+#include <string.h>
+
+#include "control/replies.h"
+#include "control/service.h"
+#include "kernel/log.h"
+
+/* One who waits for the outcome of a command. */
+typedef struct Waiter {
+    CommandDone done;
+    void *arg;
+    Link *link; /* set when the reply goes to a link */
+    TimeUs deadline;
+    struct Waiter *next;
+} Waiter;
+
+uint64_t
+Commands_ClockMs(const Control *control)
+{
+    TimeUs led = Clock_Now() - control->clock_base_at;
+    return control->clock_base_ms + (uint64_t)(led / US_PER_MS);
+}
+
+static void
+fail(const Control *control, const Wire__Command *command, int code,
+     const char *text, CommandDone done, void *arg)
+{
+    ReplicaStatus status;
+    Replica_Status(control->replica, &status);
+    Wire__CommandReply reply = WIRE__COMMAND_REPLY__INIT;
+    reply.command_id = command->command_id;
+    reply.code = code;
+    reply.text = (char *)text;
+    reply.leader = status.leads ? 0 : status.leader;
+    reply.retry_after_ms = CONTROL_RETRY_AFTER_MS;
+    done(arg, &reply);
+}
+
+/* Packs the command with the leader's stamps. */
+static uint8_t *
+pack_stamped(const Control *control, const Wire__Command *command,
+             size_t *length)
+{
+    Wire__Command stamped = *command;
+    Wire__RulesDelta delta;
+    stamped.wall_ms = (uint64_t)Clock_WallMs();
+    stamped.clock_ms = Commands_ClockMs(control);
+    stamped.retention_ms =
+        (uint64_t)control->settings->control->claim_retention_s * 1000;
+    stamped.delta = NULL;
+    if (stamped.kind == WIRE__COMMAND_KIND__COMMAND_APPLY_RULES) {
+        Rulebook_Compress(State_Rulebook(control->state), &stamped, &delta);
+    }
+    *length = wire__command__get_packed_size(&stamped);
+    uint8_t *bytes = g_malloc(*length);
+    wire__command__pack(&stamped, bytes);
+    return bytes;
+}
+
+static int
+propose(Control *control, const Wire__Command *command)
+{
+    size_t length;
+    uint8_t *bytes = pack_stamped(control, command, &length);
+    int result = Replica_Propose(control->replica, bytes, length);
+    g_free(bytes);
+    return result;
+}
+
+static void
+add_waiter(Control *control, GBytes *id, CommandDone done, void *arg,
+           Link *link)
+{
+    Waiter *waiter = g_new0(Waiter, 1);
+    waiter->done = done;
+    waiter->arg = arg;
+    waiter->link = link;
+    waiter->deadline = Clock_Now() + CONTROL_COMMAND_TIMEOUT_MS * US_PER_MS;
+    waiter->next = g_hash_table_lookup(control->waiters, id);
+    g_hash_table_insert(control->waiters, g_bytes_ref(id), waiter);
+}
+
+/* Takes the newest waiter for @p id off the table. */
+static void
+drop_newest_waiter(Control *control, GBytes *id)
+{
+    Waiter *waiter = g_hash_table_lookup(control->waiters, id);
+    if (waiter->next == NULL) {
+        g_hash_table_remove(control->waiters, id);
+    }
+    else {
+        g_hash_table_insert(control->waiters, g_bytes_ref(id), waiter->next);
+    }
+    g_free(waiter);
+}
+
+static const char *
+why_refused(int code)
+{
+    return code == ERR_FULL ? "Too many commands wait."
+                            : "This control host does not lead.";
+}
+
+/* The waiter is added first: a log of one host may apply the command before
+ * Replica_Propose returns. */
+static void
+submit(Control *control, const Wire__Command *command, CommandDone done,
+       void *arg, Link *link)
+{
+    if (command->command_id.len != COMMAND_ID_BYTES) {
+        fail(control, command, ERR_INVALID, "A command id has 16 bytes.", done,
+             arg);
+        return;
+    }
+    GBytes *id =
+        g_bytes_new(command->command_id.data, command->command_id.len);
+    bool in_flight = g_hash_table_contains(control->waiters, id);
+    add_waiter(control, id, done, arg, link);
+    int result = in_flight ? ERR_OK : propose(control, command);
+    if (result != ERR_OK) {
+        drop_newest_waiter(control, id);
+        fail(control, command, result, why_refused(result), done, arg);
+    }
+    g_bytes_unref(id);
+}
+
+void
+Commands_Submit(Control *control, const Wire__Command *command,
+                CommandDone done, void *arg)
+{
+    submit(control, command, done, arg, NULL);
+}
+
+static void
+finish_all(Waiter *waiter, const Wire__CommandReply *reply)
+{
+    while (waiter != NULL) {
+        Waiter *next = waiter->next;
+        waiter->done(waiter->arg, reply);
+        g_free(waiter);
+        waiter = next;
+    }
+}
+
+void
+Commands_Applied(Control *control, const Wire__CommandReply *reply)
+{
+    GBytes *id = g_bytes_new(reply->command_id.data, reply->command_id.len);
+    gpointer known_id;
+    gpointer waiters;
+    if (g_hash_table_steal_extended(control->waiters, id, &known_id, &waiters))
+    {
+        g_bytes_unref(known_id);
+        finish_all(waiters, reply);
+    }
+    g_bytes_unref(id);
+}
+
+static void
+fail_waiters(Control *control, GBytes *id, Waiter *waiters, int code,
+             const char *text)
+{
+    gsize length;
+    Wire__CommandReply reply = WIRE__COMMAND_REPLY__INIT;
+    reply.command_id.data = (uint8_t *)g_bytes_get_data(id, &length);
+    reply.command_id.len = length;
+    reply.code = code;
+    reply.text = (char *)text;
+    reply.retry_after_ms = CONTROL_RETRY_AFTER_MS;
+    finish_all(waiters, &reply);
+}
+
+void
+Commands_FailAll(Control *control, int code, const char *text)
+{
+    GHashTable *waiters = control->waiters;
+    control->waiters = g_hash_table_new_full(
+        g_bytes_hash, g_bytes_equal, (GDestroyNotify)g_bytes_unref, NULL);
+    GHashTableIter iter;
+    gpointer id;
+    gpointer waiter;
+    g_hash_table_iter_init(&iter, waiters);
+    while (g_hash_table_iter_next(&iter, &id, &waiter)) {
+        fail_waiters(control, id, waiter, code, text);
+    }
+    g_hash_table_destroy(waiters);
+}
+
+void
+Commands_Tick(Control *control, TimeUs now)
+{
+    GHashTableIter iter;
+    gpointer id;
+    gpointer waiter;
+    GPtrArray *late = g_ptr_array_new();
+    g_hash_table_iter_init(&iter, control->waiters);
+    while (g_hash_table_iter_next(&iter, &id, &waiter)) {
+        if (now >= ((Waiter *)waiter)->deadline) {
+            g_ptr_array_add(late, id);
+        }
+    }
+    for (guint i = 0; i < late->len; i++) {
+        g_hash_table_steal_extended(control->waiters,
+                                    g_ptr_array_index(late, i), &id, &waiter);
+        fail_waiters(control, id, waiter, ERR_TIMEOUT,
+                     "No majority accepted the command in time; ask again "
+                     "with the same command id.");
+        g_bytes_unref(id);
+    }
+    g_ptr_array_free(late, TRUE);
+}
+
+static void
+reply_to_link(void *arg, const Wire__CommandReply *reply)
+{
+    Wire__Frame frame = WIRE__FRAME__INIT;
+    frame.body_case = WIRE__FRAME__BODY_COMMAND_REPLY;
+    frame.command_reply = (Wire__CommandReply *)reply;
+    if (arg != NULL) {
+        Link_Send(arg, &frame);
+    }
+}
+
+/* Kinds of commands that a role may send over its link. */
+static bool
+is_allowed(Wire__Role role, Wire__CommandKind kind)
+{
+    switch (kind) {
+    case WIRE__COMMAND_KIND__COMMAND_CLAIM:
+    case WIRE__COMMAND_KIND__COMMAND_CLAIM_RELEASE:
+    case WIRE__COMMAND_KIND__COMMAND_CLAIM_DONE:
+    case WIRE__COMMAND_KIND__COMMAND_CLAIM_UNKNOWN:
+        return role == WIRE__ROLE__ROLE_ENTRY;
+    case WIRE__COMMAND_KIND__COMMAND_CRASH:
+    case WIRE__COMMAND_KIND__COMMAND_SUSPECT_CLEAR:
+        return role == WIRE__ROLE__ROLE_ENTRY ||
+               role == WIRE__ROLE__ROLE_AGENT;
+    default:
+        return false;
+    }
+}
+
+void
+Commands_OnFrame(Control *control, Link *link, const Wire__Command *command)
+{
+    const Wire__Hello *peer = Link_Peer(link);
+    if (!is_allowed(peer->role, command->kind)) {
+        fail(control, command, ERR_DENIED,
+             "This role may not send this command.", reply_to_link, link);
+        return;
+    }
+    Wire__Command owned = *command;
+    if (owned.owner == 0) {
+        owned.owner = peer->incarnation;
+    }
+    submit(control, &owned, reply_to_link, link, link);
+}
+
+void
+Commands_LinkDown(Control *control, Link *link)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, control->waiters);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        for (Waiter *waiter = value; waiter != NULL; waiter = waiter->next) {
+            if (waiter->link == link) {
+                waiter->link = NULL;
+                waiter->arg = NULL;
+            }
+        }
+    }
+}
--- a/src/control/control.c
+++ b/src/control/control.c
@@ -1,233 +1,219 @@
 /** @file
- * Control task: answers leases, rules, members and claims over links.
+ * Control task: joins the replica, the state machine, the links of entries,
+ * agents and other control hosts, and the administration API.
  */
 #include "control/control.h"
 
 #include <string.h>
 
-#include <event2/http.h>
-#include <glib.h>
+#include <sodium.h>
 
-#include "kernel/clock.h"
+#include "control/replies.h"
+#include "control/service.h"
 #include "kernel/log.h"
-#include "wire/http.h"
-#include "wire/link.h"
 #include "wire/self.h"
 
-#define PART "control"
-
-typedef struct Claim {
-    uint64_t body_hash;
-    Wire__ClaimState state; /* RUNNING, FINISHED or LOST */
-    uint32_t status;
-    char *content_type;
-    GBytes *answer;
-} Claim;
-
-typedef struct Control {
-    const Settings *settings;
-    LinkSelf self;
-    LinkServer *links;
-    struct evhttp *http;
-    char *rules_text;
-    uint64_t rules_version;
-    uint64_t members_version;
-    GHashTable *members; /* Link -> packed Presence (GBytes) */
-    GHashTable *claims;  /* "account\nkey" -> Claim */
-} Control;
+#define BOOTSTRAP_AUTHOR "bootstrap"
 
-static void
-free_claim(gpointer data)
+uint64_t
+Control_LinkSerial(const Control *control, const Link *link)
 {
-    Claim *claim = data;
-    g_free(claim->content_type);
-    if (claim->answer != NULL) {
-        g_bytes_unref(claim->answer);
-    }
-    g_free(claim);
+    const uint64_t *serial = g_hash_table_lookup(control->open_links, link);
+    return serial == NULL ? 0 : *serial;
 }
 
-static void
-on_lease(Control *control, Link *link, const Wire__LeaseRequest *request)
+bool
+Control_HasPeer(const Control *control, uint64_t incarnation)
 {
-    Wire__LeaseReply reply = WIRE__LEASE_REPLY__INIT;
-    reply.sequence = request->sequence;
-    reply.granted = true;
-    reply.rules_version = control->rules_version;
-    Wire__Frame frame = WIRE__FRAME__INIT;
-    frame.body_case = WIRE__FRAME__BODY_LEASE_REPLY;
-    frame.lease_reply = &reply;
-    Link_Send(link, &frame);
+    GHashTableIter iter;
+    gpointer link;
+    g_hash_table_iter_init(&iter, control->open_links);
+    while (g_hash_table_iter_next(&iter, &link, NULL)) {
+        const Wire__Hello *peer = Link_Peer(link);
+        if (peer != NULL && peer->incarnation == incarnation) {
+            return true;
+        }
+    }
+    return false;
 }
 
-static void
-on_rules(Control *control, Link *link)
-{
-    Wire__Rules rules = WIRE__RULES__INIT;
-    rules.version = control->rules_version;
-    rules.text = control->rules_text;
-    Wire__Frame frame = WIRE__FRAME__INIT;
-    frame.body_case = WIRE__FRAME__BODY_RULES;
-    frame.rules = &rules;
-    Link_Send(link, &frame);
-}
+/* ---- The replica's calls ---- */
 
 static void
-on_presence(Control *control, Link *link, const Wire__Presence *presence)
+on_apply(void *owner, uint64_t index, const uint8_t *bytes, size_t length)
 {
-    size_t size = wire__presence__get_packed_size(presence);
-    uint8_t *bytes = g_malloc(size);
-    wire__presence__pack(presence, bytes);
-    GBytes *packed = g_bytes_new_take(bytes, size);
-    GBytes *known = g_hash_table_lookup(control->members, link);
-    if (known != NULL && g_bytes_equal(known, packed)) {
-        g_bytes_unref(packed);
+    Control *control = owner;
+    Wire__Command *command = wire__command__unpack(NULL, length, bytes);
+    if (command == NULL) {
+        LOG_ERROR(CONTROL_PART, "Command cannot be decoded. index=%llu",
+                  (unsigned long long)index);
         return;
     }
-    g_hash_table_insert(control->members, link, packed);
-    control->members_version++;
+    Wire__CommandReply reply;
+    State_Apply(control->state, index, command, &reply);
+    Leases_Applied(control, index);
+    Commands_Applied(control, &reply);
+    wire__command__free_unpacked(command, NULL);
 }
 
 static void
-on_members(Control *control, Link *link, const Wire__MembersRequest *request)
+on_appended(void *owner, uint64_t index, const uint8_t *bytes, size_t length)
 {
-    Wire__Members members = WIRE__MEMBERS__INIT;
-    members.version = control->members_version;
-    guint count = g_hash_table_size(control->members);
-    members.members = g_new0(Wire__Presence *, count);
-    GHashTableIter iter;
-    gpointer packed;
-    g_hash_table_iter_init(&iter, control->members);
-    while (request->have_version != members.version &&
-           g_hash_table_iter_next(&iter, NULL, &packed))
-    {
-        size_t size;
-        const uint8_t *bytes = g_bytes_get_data(packed, &size);
-        members.members[members.n_members++] =
-            wire__presence__unpack(NULL, size, bytes);
+    Wire__Command *command = wire__command__unpack(NULL, length, bytes);
+    if (command != NULL) {
+        Leases_Appended(owner, index, command);
+        wire__command__free_unpacked(command, NULL);
     }
-    Wire__Frame frame = WIRE__FRAME__INIT;
-    frame.body_case = WIRE__FRAME__BODY_MEMBERS;
-    frame.members = &members;
-    Link_Send(link, &frame);
-    for (size_t i = 0; i < members.n_members; i++) {
-        wire__presence__free_unpacked(members.members[i], NULL);
-    }
-    g_free(members.members);
 }
 
 static void
-fill_claim(const Claim *claim, const Wire__Command *command,
-           Wire__CommandReply *reply)
+on_truncated(void *owner, uint64_t index)
 {
-    reply->claim = claim->state;
-    if (claim->body_hash != command->body_hash) {
-        reply->claim = WIRE__CLAIM_STATE__CLAIM_MISMATCH;
-        return;
-    }
-    if (claim->state == WIRE__CLAIM_STATE__CLAIM_FINISHED) {
-        reply->status = claim->status;
-        reply->content_type = claim->content_type;
-        gsize size;
-        const void *bytes = g_bytes_get_data(claim->answer, &size);
-        reply->answer.data = (uint8_t *)bytes;
-        reply->answer.len = size;
+    Leases_Truncated(owner, index);
+}
+
+static GBytes *
+on_snapshot(void *owner)
+{
+    const Control *control = owner;
+    return State_Save(control->state);
+}
+
+static int
+on_restore(void *owner, const uint8_t *bytes, size_t length, Error *err)
+{
+    Control *control = owner;
+    State *state = State_Load(&state_limits, bytes, length, err);
+    if (state == NULL) {
+        return ERR_CORRUPT;
     }
+    State_Free(control->state);
+    control->state = state;
+    return ERR_OK;
 }
 
 static void
-finish_claim(Claim *claim, const Wire__Command *command)
+on_bootstrapped(void *arg, const Wire__CommandReply *reply)
 {
-    claim->state = WIRE__CLAIM_STATE__CLAIM_FINISHED;
-    claim->status = command->status;
-    claim->content_type = g_strdup(command->content_type);
-    claim->answer = g_bytes_new(command->answer.data, command->answer.len);
+    if (reply->code != ERR_OK && reply->code != ERR_CONFLICT) {
+        LOG_ERROR(CONTROL_PART, "First rules refused. why=\"%s\"",
+                  reply->text);
+    }
 }
 
+/* The first leader of an empty cluster applies the rule file of its
+ * settings. Where rules exist, the base version 0 conflicts. */
 static void
-apply_claim(Control *control, const Wire__Command *command,
-            Wire__CommandReply *reply)
+apply_first_rules(Control *control)
 {
-    char *name = g_strdup_printf("%s\n%s", command->account, command->key);
-    Claim *claim = g_hash_table_lookup(control->claims, name);
-    switch (command->kind) {
-    case WIRE__COMMAND_KIND__COMMAND_CLAIM:
-        if (claim != NULL) {
-            fill_claim(claim, command, reply);
-            break;
-        }
-        claim = g_new0(Claim, 1);
-        claim->body_hash = command->body_hash;
-        claim->state = WIRE__CLAIM_STATE__CLAIM_RUNNING;
-        g_hash_table_insert(control->claims, g_strdup(name), claim);
-        reply->claim = WIRE__CLAIM_STATE__CLAIM_GRANTED;
-        break;
-    case WIRE__COMMAND_KIND__COMMAND_CLAIM_RELEASE:
-        g_hash_table_remove(control->claims, name);
-        break;
-    case WIRE__COMMAND_KIND__COMMAND_CLAIM_DONE:
-        if (claim != NULL) {
-            finish_claim(claim, command);
-        }
-        break;
-    case WIRE__COMMAND_KIND__COMMAND_CLAIM_UNKNOWN:
-        if (claim != NULL) {
-            claim->state = WIRE__CLAIM_STATE__CLAIM_LOST;
-        }
-        break;
-    default:
-        reply->code = ERR_INVALID;
-        break;
+    const char *path = control->settings->control->rules;
+    if (Rulebook_Version(State_Rulebook(control->state)) != 0 ||
+        path == NULL || path[0] == '\0')
+    {
+        return;
+    }
+    char *text;
+    if (!g_file_get_contents(path, &text, NULL, NULL)) {
+        LOG_ERROR(CONTROL_PART, "Cannot read rule file. path=%s", path);
+        return;
     }
-    g_free(name);
+    uint8_t id[COMMAND_ID_BYTES];
+    randombytes_buf(id, sizeof(id));
+    Wire__Command command = WIRE__COMMAND__INIT;
+    command.command_id.data = id;
+    command.command_id.len = sizeof(id);
+    command.kind = WIRE__COMMAND_KIND__COMMAND_APPLY_RULES;
+    command.author = BOOTSTRAP_AUTHOR;
+    command.text = text;
+    Commands_Submit(control, &command, on_bootstrapped, NULL);
+    g_free(text);
 }
 
 static void
-on_command(Control *control, Link *link, const Wire__Command *command)
+on_leadership(void *owner, bool leads)
 {
-    Wire__CommandReply reply = WIRE__COMMAND_REPLY__INIT;
-    reply.command_id = command->command_id;
-    apply_claim(control, command, &reply);
-    Wire__Frame frame = WIRE__FRAME__INIT;
-    frame.body_case = WIRE__FRAME__BODY_COMMAND_REPLY;
-    frame.command_reply = &reply;
-    Link_Send(link, &frame);
+    Control *control = owner;
+    control->leads = leads;
+    control->clock_base_at = Clock_Now();
+    control->clock_base_ms = State_ClockMs(control->state);
+    Sweep_Reset(control);
+    if (!leads) {
+        Commands_FailAll(control, ERR_TIMEOUT,
+                         "Leadership moved; ask again with the same command "
+                         "id.");
+        LOG_INFO(CONTROL_PART, "Leads no longer.");
+        return;
+    }
+    LOG_INFO(CONTROL_PART, "Leads.");
+    apply_first_rules(control);
 }
 
+static const ReplicaOps replica_ops = {
+    .apply = on_apply,
+    .appended = on_appended,
+    .truncated = on_truncated,
+    .snapshot = on_snapshot,
+    .restore = on_restore,
+    .leadership = on_leadership,
+};
+
+/* ---- Links ---- */
+
 static void
 on_link_up(Link *link, void *owner)
 {
-    LOG_INFO(PART, "Peer joined. peer=%s", Link_Peer(link)->name);
+    Control *control = owner;
+    uint64_t serial = ++control->link_serial;
+    g_hash_table_insert(control->open_links, link,
+                        g_memdup2(&serial, sizeof(serial)));
+    LOG_INFO(CONTROL_PART, "Peer joined. peer=%s", Link_Peer(link)->name);
 }
 
 static void
 on_link_down(Link *link, void *owner)
 {
     Control *control = owner;
-    if (g_hash_table_remove(control->members, link)) {
-        control->members_version++;
+    g_hash_table_remove(control->open_links, link);
+    Members_LinkDown(control->members, link, Clock_Now());
+    Commands_LinkDown(control, link);
+    Leases_LinkDown(control, link);
+    Replica_OnLinkDown(control->replica, link);
+}
+
+static void
+on_presence(Control *control, Link *link, const Wire__Presence *presence)
+{
+    const Wire__Hello *peer = Link_Peer(link);
+    if (presence->role != peer->role ||
+        presence->incarnation != peer->incarnation) {
+        return;
     }
+    Members_Update(control->members, link, presence);
 }
 
 static void
 on_frame(Link *link, const Wire__Frame *frame, void *owner)
 {
     Control *control = owner;
+    if (Link_Peer(link)->role == WIRE__ROLE__ROLE_CONTROL) {
+        Replica_OnFrame(control->replica, link, frame);
+        return;
+    }
+    if (Queries_OnFrame(control, link, frame)) {
+        return;
+    }
     switch (frame->body_case) {
     case WIRE__FRAME__BODY_LEASE_REQUEST:
-        on_lease(control, link, frame->lease_request);
-        break;
-    case WIRE__FRAME__BODY_RULES_REQUEST:
-        on_rules(control, link);
+        Leases_OnFrame(control, link, frame->lease_request);
         break;
     case WIRE__FRAME__BODY_PRESENCE:
         on_presence(control, link, frame->presence);
         break;
-    case WIRE__FRAME__BODY_MEMBERS_REQUEST:
-        on_members(control, link, frame->members_request);
-        break;
     case WIRE__FRAME__BODY_COMMAND:
-        on_command(control, link, frame->command);
+        Commands_OnFrame(control, link, frame->command);
+        break;
+    case WIRE__FRAME__BODY_ORDER_REPLY:
+        Orders_OnReply(control, frame->order_reply);
         break;
     default:
         break;
@@ -240,39 +226,65 @@
     .frame = on_frame,
 };
 
-static const SettingsControlHost *
-own_host(const Settings *settings)
+/* ---- The task ---- */
+
+static void
+on_tick(evutil_socket_t fd, short events, void *arg)
 {
-    for (unsigned i = 0; i < settings->control_hosts_count; i++) {
-        if (settings->control_hosts[i].id == settings->control->id) {
-            return &settings->control_hosts[i];
-        }
+    Control *control = arg;
+    TimeUs now = Clock_Now();
+    ReplicaStatus status;
+    Replica_Status(control->replica, &status);
+    Leases_Applied(control, status.applied);
+    Members_Tick(control->members, now);
+    Commands_Tick(control, now);
+    Orders_Tick(control, now);
+    Sweep_Tick(control, now);
+    if (control->draining && !status.leads) {
+        Task_Drained(control->task);
     }
-    return NULL;
 }
 
 static int
-start(TaskHandle self, void *state, Error *err)
+open_listeners(Control *control, Error *err)
 {
-    Control *control = state;
-    const SettingsControlHost *host = own_host(control->settings);
+    const SettingsControlHost *host =
+        Control_HostOf(control, control->settings->control->id);
+    INVARIANT(host != NULL);
     Address address;
-    struct event_base *base = Task_Base(self);
     int result = Address_Parse(host->address, &address, err);
     if (result != ERR_OK) {
         return result;
     }
-    control->links =
-        Link_Listen(base, &control->self, &address, &link_ops, control, err);
+    control->links = Link_Listen(control->base, &control->self, &address,
+                                 &link_ops, control, err);
     if (control->links == NULL) {
         return err->code;
     }
     result = Address_Parse(host->admin, &address, err);
+    return result == ERR_OK ? Admin_Open(control, &address, err) : result;
+}
+
+static int
+start(TaskHandle self, void *state, Error *err)
+{
+    Control *control = state;
+    control->task = self;
+    control->base = Task_Base(self);
+    control->replica =
+        Replica_Open(control->base, control->settings, &control->self,
+                     &replica_ops, control, err);
+    if (control->replica == NULL) {
+        return err->code;
+    }
+    int result = open_listeners(control, err);
     if (result != ERR_OK) {
         return result;
     }
-    control->http = Http_Listen(base, &address, NULL, NULL, err);
-    return control->http == NULL ? err->code : ERR_OK;
+    control->tick = event_new(control->base, -1, EV_PERSIST, on_tick, control);
+    struct timeval period = {.tv_usec = CONTROL_TICK_MS * US_PER_MS};
+    event_add(control->tick, &period);
+    return ERR_OK;
 }
 
 static void
@@ -280,67 +292,134 @@
 {
 }
 
+/* A leader hands over first; the tick reports when it has. */
 static void
-stop(TaskHandle self, void *state)
+drain(TaskHandle self, void *state)
 {
     Control *control = state;
-    if (control->http != NULL) {
-        evhttp_free(control->http);
+    ReplicaStatus status;
+    Replica_Status(control->replica, &status);
+    control->draining = true;
+    if (status.leads && status.voter_count > 1) {
+        Replica_HandOver(control->replica);
+        return;
     }
+    Task_Drained(self);
+}
+
+static void
+close_all(Control *control)
+{
+    if (control->tick != NULL) {
+        event_free(control->tick);
+    }
+    Commands_FailAll(control, ERR_TIMEOUT,
+                     "This host stops; ask again with the same command id.");
+    Orders_FailAll(control);
+    if (control->replica != NULL) {
+        Replica_Close(control->replica);
+    }
+    Admin_Close(control);
     if (control->links != NULL) {
         Link_CloseServer(control->links);
     }
-    g_hash_table_destroy(control->members);
-    g_hash_table_destroy(control->claims);
-    g_free(control->rules_text);
+}
+
+static void
+stop(TaskHandle self, void *state)
+{
+    Control *control = state;
+    close_all(control);
+    State_Free(control->state);
+    Members_Free(control->members);
+    g_array_free(control->pending_rules, TRUE);
+    g_array_free(control->lease_waiting, TRUE);
+    g_array_free(control->lease_asked, TRUE);
+    g_hash_table_destroy(control->waiters);
+    g_hash_table_destroy(control->orders);
+    g_hash_table_destroy(control->absent);
+    g_hash_table_destroy(control->open_links);
     g_free(control);
 }
 
+static json_t *
+links_to_json(const Control *control)
+{
+    json_t *links = json_array();
+    GHashTableIter iter;
+    gpointer link;
+    g_hash_table_iter_init(&iter, control->open_links);
+    while (g_hash_table_iter_next(&iter, &link, NULL)) {
+        json_t *one = json_object();
+        Link_Dump(link, one);
+        json_array_append_new(links, one);
+    }
+    return links;
+}
+
 static void
 dump(TaskHandle self, void *state, json_t *out)
 {
     Control *control = state;
-    json_object_set_new(out, "rules_version",
-                        json_integer((json_int_t)control->rules_version));
-    json_object_set_new(out, "members",
-                        json_integer(g_hash_table_size(control->members)));
-    json_object_set_new(out, "claims",
-                        json_integer(g_hash_table_size(control->claims)));
+    const Claims *claims = State_Claims(control->state);
+    json_t *replica = json_object();
+    Replica_Dump(control->replica, replica);
+    json_t *values = json_pack(
+        "{s:o, s:b, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:o, s:o, s:o}",
+        "replica", replica, "leads", control->leads, "clock_ms",
+        (json_int_t)State_ClockMs(control->state), "rules_version",
+        (json_int_t)Rulebook_Version(State_Rulebook(control->state)),
+        "rules_pending_version", (json_int_t)Leases_PendingVersion(control),
+        "claims", (json_int_t)Claims_Count(claims), "claims_running",
+        (json_int_t)Claims_RunningCount(claims), "claim_answer_bytes",
+        (json_int_t)Claims_AnswerBytes(claims), "commands_waiting",
+        (json_int_t)g_hash_table_size(control->waiters), "quarantine",
+        (json_int_t)Quarantine_Count(State_Quarantine(control->state)),
+        "entries", Members_ToJson(control->members, WIRE__ROLE__ROLE_ENTRY),
+        "agents", Members_ToJson(control->members, WIRE__ROLE__ROLE_AGENT),
+        "links", links_to_json(control));
+    json_object_update(out, values);
+    json_decref(values);
 }
 
 static const TaskOps control_ops = {
     .start = start,
     .receive = receive,
+    .drain = drain,
     .stop = stop,
     .dump = dump,
 };
 
-int
-Control_AddTask(Kernel *kernel, const Settings *settings, Error *err)
+static Control *
+new_control(const Settings *settings)
 {
     Control *control = g_new0(Control, 1);
     control->settings = settings;
     control->self =
         Self_Make(settings, WIRE__ROLE__ROLE_CONTROL, settings->name);
+    control->state = State_New(&state_limits);
     control->members =
-        g_hash_table_new_full(NULL, NULL, NULL, (GDestroyNotify)g_bytes_unref);
-    control->claims =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_claim);
-    const char *path = settings->control->rules;
-    if (path != NULL && path[0] != '\0' &&
-        !g_file_get_contents(path, &control->rules_text, NULL, NULL))
-    {
-        g_free(control);
-        return Error_Set(err, ERR_IO, "Cannot read rule file %s.", path);
-    }
-    control->rules_version = 1;
-    if (control->rules_text == NULL) {
-        control->rules_text = g_strdup("");
-    }
+        Members_New((uint32_t)control->self.incarnation & 0xffffffu);
+    control->pending_rules = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    control->lease_waiting = g_array_new(FALSE, FALSE, sizeof(LeaseAsk));
+    control->lease_asked = g_array_new(FALSE, FALSE, sizeof(LeaseAsk));
+    control->waiters = g_hash_table_new_full(
+        g_bytes_hash, g_bytes_equal, (GDestroyNotify)g_bytes_unref, NULL);
+    control->orders = g_hash_table_new_full(
+        g_bytes_hash, g_bytes_equal, (GDestroyNotify)g_bytes_unref, NULL);
+    control->absent =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+    control->open_links = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+    return control;
+}
+
+int
+Control_AddTask(Kernel *kernel, const Settings *settings, Error *err)
+{
     Kernel_AddTask(kernel, &(TaskSpec){
                                .name = "control",
                                .ops = &control_ops,
-                               .state = control,
+                               .state = new_control(settings),
                            });
     return ERR_OK;
 }
--- /dev/null
+++ b/src/control/members.c
@@ -0,0 +1,326 @@
+/** @file
+ * Members: a table by role and name, and a bounded list of changes.
+ */
+#include "control/members.h"
+
+#include <string.h>
+
+#include "kernel/error.h"
+
+#define EPOCH_SHIFT 40
+
+typedef struct Member {
+    char *id; /* role digit, then the name */
+    Wire__Presence *presence;
+    GBytes *packed;     /* to see whether an update changes anything */
+    const void *source; /* NULL while the link is away */
+    TimeUs lapses_at;   /* TIME_NEVER while the link is there */
+} Member;
+
+typedef struct Change {
+    uint64_t version;
+    char *id;
+} Change;
+
+struct Members {
+    uint64_t version;
+    GHashTable *by_id;
+    GQueue changes; /* of Change, oldest first */
+};
+
+static void
+free_member(gpointer data)
+{
+    Member *member = data;
+    g_free(member->id);
+    wire__presence__free_unpacked(member->presence, NULL);
+    g_bytes_unref(member->packed);
+    g_free(member);
+}
+
+static void
+free_change(gpointer data)
+{
+    Change *change = data;
+    g_free(change->id);
+    g_free(change);
+}
+
+Members *
+Members_New(uint32_t epoch)
+{
+    Members *members = g_new0(Members, 1);
+    members->version = ((uint64_t)epoch << EPOCH_SHIFT) + 1;
+    members->by_id =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_member);
+    g_queue_init(&members->changes);
+    return members;
+}
+
+void
+Members_Free(Members *members)
+{
+    g_hash_table_destroy(members->by_id);
+    g_queue_clear_full(&members->changes, free_change);
+    g_free(members);
+}
+
+static char *
+make_id(Wire__Role role, const char *name)
+{
+    return g_strdup_printf("%d%s", (int)role, name);
+}
+
+static void
+note_change(Members *members, const char *id)
+{
+    if (members->changes.length == MEMBERS_CHANGES_MAX) {
+        free_change(g_queue_pop_head(&members->changes));
+    }
+    Change *change = g_new(Change, 1);
+    change->version = ++members->version;
+    change->id = g_strdup(id);
+    g_queue_push_tail(&members->changes, change);
+}
+
+static GBytes *
+pack(const Wire__Presence *presence)
+{
+    size_t size = wire__presence__get_packed_size(presence);
+    uint8_t *bytes = g_malloc(size);
+    wire__presence__pack(presence, bytes);
+    return g_bytes_new_take(bytes, size);
+}
+
+static Wire__Presence *
+unpack(GBytes *packed)
+{
+    gsize size;
+    const uint8_t *bytes = g_bytes_get_data(packed, &size);
+    Wire__Presence *presence = wire__presence__unpack(NULL, size, bytes);
+    INVARIANT(presence != NULL);
+    return presence;
+}
+
+/* Takes over @p packed. */
+static void
+replace_presence(Members *members, Member *member, GBytes *packed)
+{
+    if (member->packed != NULL) {
+        g_bytes_unref(member->packed);
+        wire__presence__free_unpacked(member->presence, NULL);
+    }
+    member->packed = packed;
+    member->presence = unpack(packed);
+    note_change(members, member->id);
+}
+
+bool
+Members_Update(Members *members, const void *source,
+               const Wire__Presence *presence)
+{
+    char *id = make_id(presence->role, presence->name);
+    Member *member = g_hash_table_lookup(members->by_id, id);
+    if (member == NULL) {
+        member = g_new0(Member, 1);
+        member->id = g_strdup(id);
+        g_hash_table_insert(members->by_id, member->id, member);
+    }
+    g_free(id);
+    if (member->source != NULL && member->source != source &&
+        presence->incarnation < member->presence->incarnation)
+    {
+        return false;
+    }
+    member->source = source;
+    member->lapses_at = TIME_NEVER;
+    GBytes *packed = pack(presence);
+    if (member->packed != NULL && g_bytes_equal(member->packed, packed)) {
+        g_bytes_unref(packed);
+        return false;
+    }
+    replace_presence(members, member, packed);
+    return true;
+}
+
+void
+Members_LinkDown(Members *members, const void *source, TimeUs now)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, members->by_id);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        Member *member = value;
+        if (member->source == source) {
+            member->source = NULL;
+            member->lapses_at = now + MEMBERS_LAPSE_MS * US_PER_MS;
+        }
+    }
+}
+
+bool
+Members_Tick(Members *members, TimeUs now)
+{
+    bool changed = false;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, members->by_id);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        Member *member = value;
+        if (now >= member->lapses_at) {
+            note_change(members, member->id);
+            g_hash_table_iter_remove(&iter);
+            changed = true;
+        }
+    }
+    return changed;
+}
+
+static void
+fill_all(const Members *members, Wire__Members *out)
+{
+    out->members = g_new0(Wire__Presence *, g_hash_table_size(members->by_id));
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, members->by_id);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        Member *member = value;
+        out->members[out->n_members++] = member->presence;
+    }
+}
+
+/* True when every change after @p version is still in the list. */
+static bool
+covers(const Members *members, uint64_t version)
+{
+    const Change *oldest = g_queue_peek_head((GQueue *)&members->changes);
+    return oldest != NULL && version + 1 >= oldest->version &&
+           version <= members->version;
+}
+
+static void
+fill_changes(const Members *members, uint64_t have_version, Wire__Members *out)
+{
+    guint most = members->changes.length;
+    GHashTable *seen = g_hash_table_new(g_str_hash, g_str_equal);
+    out->partial = true;
+    out->members = g_new0(Wire__Presence *, most);
+    out->gone = g_new0(char *, most);
+    for (GList *at = members->changes.tail; at != NULL; at = at->prev) {
+        const Change *change = at->data;
+        if (change->version <= have_version) {
+            break;
+        }
+        if (!g_hash_table_add(seen, change->id)) {
+            continue;
+        }
+        Member *member = g_hash_table_lookup(members->by_id, change->id);
+        if (member != NULL) {
+            out->members[out->n_members++] = member->presence;
+        }
+        else {
+            out->gone[out->n_gone++] = change->id + 1;
+        }
+    }
+    g_hash_table_destroy(seen);
+}
+
+void
+Members_Fill(const Members *members, uint64_t have_version, Wire__Members *out)
+{
+    out->version = members->version;
+    if (have_version == members->version) {
+        out->partial = true;
+        return;
+    }
+    if (covers(members, have_version)) {
+        fill_changes(members, have_version, out);
+        return;
+    }
+    fill_all(members, out);
+}
+
+const void *
+Members_LinkOf(const Members *members, Wire__Role role, const char *name)
+{
+    char *id = make_id(role, name);
+    const Member *member = g_hash_table_lookup(members->by_id, id);
+    g_free(id);
+    return member == NULL ? NULL : member->source;
+}
+
+bool
+Members_HasIncarnation(const Members *members, uint64_t incarnation)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, members->by_id);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const Member *member = value;
+        if (member->presence->incarnation == incarnation) {
+            return true;
+        }
+    }
+    return false;
+}
+
+size_t
+Members_Count(const Members *members, Wire__Role role)
+{
+    size_t count = 0;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, members->by_id);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const Member *member = value;
+        count += member->presence->role == role;
+    }
+    return count;
+}
+
+uint64_t
+Members_Version(const Members *members)
+{
+    return members->version;
+}
+
+static json_t *
+member_to_json(const Member *member)
+{
+    const Wire__Presence *presence = member->presence;
+    json_t *models = json_array();
+    for (size_t i = 0; i < presence->n_models; i++) {
+        json_array_append_new(models, json_string(presence->models[i]));
+    }
+    return json_pack("{s:s, s:I, s:s, s:s, s:s, s:s, s:s, s:o, s:b, s:b}",
+                     "name", presence->name, "incarnation",
+                     (json_int_t)presence->incarnation, "address",
+                     presence->address, "zone", presence->zone, "region",
+                     presence->region, "kind", presence->kind, "service",
+                     presence->service, "models", models, "leaving",
+                     presence->leaving, "linked", member->source != NULL);
+}
+
+static gint
+compare_members(gconstpointer a, gconstpointer b)
+{
+    const Member *first = a;
+    const Member *second = b;
+    return strcmp(first->id, second->id);
+}
+
+json_t *
+Members_ToJson(const Members *members, Wire__Role role)
+{
+    json_t *out = json_array();
+    GList *all = g_hash_table_get_values(members->by_id);
+    all = g_list_sort(all, compare_members);
+    for (GList *at = all; at != NULL; at = at->next) {
+        const Member *member = at->data;
+        if (member->presence->role == role) {
+            json_array_append_new(out, member_to_json(member));
+        }
+    }
+    g_list_free(all);
+    return out;
+}
--- /dev/null
+++ b/src/control/rulebook.c
@@ -0,0 +1,302 @@
+/** @file
+ * Rule book: accepted rule files by version.
+ */
+#include "control/rulebook.h"
+
+#include <string.h>
+
+#include <glib.h>
+
+#include "kernel/error.h"
+#include "rules/delta.h"
+#include "rules/rules.h"
+
+typedef struct Text {
+    uint64_t version;
+    char *text;
+    size_t length;
+} Text;
+
+struct Rulebook {
+    GArray *history; /* of RulebookChange, oldest first */
+    GQueue texts;    /* of Text, oldest first; the last is in force */
+    size_t text_bytes;
+    char sentence[320]; /* text of the last reply */
+};
+
+static void
+free_text(gpointer data)
+{
+    Text *text = data;
+    g_free(text->text);
+    g_free(text);
+}
+
+Rulebook *
+Rulebook_New(void)
+{
+    Rulebook *book = g_new0(Rulebook, 1);
+    book->history = g_array_new(FALSE, FALSE, sizeof(RulebookChange));
+    g_queue_init(&book->texts);
+    return book;
+}
+
+void
+Rulebook_Free(Rulebook *book)
+{
+    g_queue_clear_full(&book->texts, free_text);
+    g_array_free(book->history, TRUE);
+    g_free(book);
+}
+
+static const Text *
+in_force(const Rulebook *book)
+{
+    return book->texts.tail == NULL ? NULL : book->texts.tail->data;
+}
+
+uint64_t
+Rulebook_Version(const Rulebook *book)
+{
+    const Text *text = in_force(book);
+    return text == NULL ? 0 : text->version;
+}
+
+const char *
+Rulebook_Text(const Rulebook *book)
+{
+    const Text *text = in_force(book);
+    return text == NULL ? "" : text->text;
+}
+
+const char *
+Rulebook_TextOf(const Rulebook *book, uint64_t version)
+{
+    for (GList *at = book->texts.tail; at != NULL; at = at->prev) {
+        const Text *text = at->data;
+        if (text->version == version) {
+            return text->text;
+        }
+    }
+    return NULL;
+}
+
+size_t
+Rulebook_HistoryCount(const Rulebook *book)
+{
+    return book->history->len;
+}
+
+const RulebookChange *
+Rulebook_ChangeAt(const Rulebook *book, size_t position)
+{
+    INVARIANT(position < book->history->len);
+    return &g_array_index(book->history, RulebookChange, position);
+}
+
+static void
+add_text(Rulebook *book, uint64_t version, char *text)
+{
+    Text *added = g_new(Text, 1);
+    added->version = version;
+    added->text = text;
+    added->length = strlen(text);
+    g_queue_push_tail(&book->texts, added);
+    book->text_bytes += added->length;
+    while (book->texts.length > 1 &&
+           (book->texts.length > RULEBOOK_TEXTS_MAX + 1 ||
+            book->text_bytes - added->length > RULEBOOK_TEXTS_MAX_BYTES))
+    {
+        Text *oldest = g_queue_pop_head(&book->texts);
+        book->text_bytes -= oldest->length;
+        free_text(oldest);
+    }
+}
+
+static void
+add_change(Rulebook *book, const RulebookChange *change)
+{
+    if (book->history->len == RULEBOOK_HISTORY_MAX) {
+        g_array_remove_index(book->history, 0);
+    }
+    g_array_append_val(book->history, *change);
+}
+
+static void
+refuse(Rulebook *book, Wire__CommandReply *reply, int code)
+{
+    reply->code = code;
+    reply->text = book->sentence;
+}
+
+static void
+refuse_conflict(Rulebook *book, const Wire__Command *command,
+                Wire__CommandReply *reply)
+{
+    const char *winner = "nobody";
+    if (book->history->len > 0) {
+        winner = Rulebook_ChangeAt(book, book->history->len - 1)->author;
+    }
+    g_snprintf(book->sentence, sizeof(book->sentence),
+               "Version %" G_GUINT64_FORMAT
+               " by %s is in force; this change was based on version "
+               "%" G_GUINT64_FORMAT ".",
+               Rulebook_Version(book), winner, command->base_version);
+    refuse(book, reply, ERR_CONFLICT);
+    reply->version = Rulebook_Version(book);
+}
+
+/* Whole text of the command, to be freed, or NULL for a delta that fails. */
+static char *
+whole_text(const Rulebook *book, const Wire__Command *command)
+{
+    const Wire__RulesDelta *wire = command->delta;
+    if (wire == NULL) {
+        return g_strdup(command->text);
+    }
+    RulesDelta delta = {
+        .prefix = wire->prefix,
+        .suffix = wire->suffix,
+        .middle = (const char *)wire->middle.data,
+        .middle_length = wire->middle.len,
+        .hash = wire->hash,
+    };
+    return RulesDelta_Apply(Rulebook_Text(book), &delta);
+}
+
+/* Checks the text; fills the reply when it is refused. */
+static bool
+is_acceptable(Rulebook *book, const Wire__Command *command, const char *text,
+              Wire__CommandReply *reply)
+{
+    size_t author = strlen(command->author);
+    if (author == 0 || author > RULEBOOK_AUTHOR_MAX_BYTES) {
+        g_snprintf(book->sentence, sizeof(book->sentence),
+                   "A change of the rules needs an author of 64 bytes.");
+        refuse(book, reply, ERR_INVALID);
+        return false;
+    }
+    if (text == NULL) {
+        g_snprintf(book->sentence, sizeof(book->sentence),
+                   "The change does not fit its base version.");
+        refuse(book, reply, ERR_CORRUPT);
+        return false;
+    }
+    RulesFault fault;
+    size_t found;
+    Rules *rules = Rules_Parse(text, strlen(text), &fault, 1, &found);
+    if (rules == NULL) {
+        g_snprintf(book->sentence, sizeof(book->sentence), "%u:%u: %s",
+                   fault.line, fault.column, fault.text);
+        refuse(book, reply, ERR_INVALID);
+        return false;
+    }
+    Rules_Unref(rules);
+    return true;
+}
+
+static void
+accept(Rulebook *book, uint64_t index, const Wire__Command *command,
+       char *text)
+{
+    RulebookChange change = {
+        .version = index,
+        .wall_ms = command->wall_ms,
+        .bytes = strlen(text),
+    };
+    g_strlcpy(change.author, command->author, sizeof(change.author));
+    add_change(book, &change);
+    add_text(book, index, text);
+}
+
+void
+Rulebook_Apply(Rulebook *book, uint64_t index, const Wire__Command *command,
+               Wire__CommandReply *reply)
+{
+    if (command->base_version != Rulebook_Version(book)) {
+        refuse_conflict(book, command, reply);
+        return;
+    }
+    char *text = whole_text(book, command);
+    if (!is_acceptable(book, command, text, reply)) {
+        g_free(text);
+        return;
+    }
+    accept(book, index, command, text);
+    reply->version = index;
+}
+
+void
+Rulebook_Compress(const Rulebook *book, Wire__Command *command,
+                  Wire__RulesDelta *delta)
+{
+    if (command->base_version == 0 ||
+        command->base_version != Rulebook_Version(book))
+    {
+        return;
+    }
+    RulesDelta made = RulesDelta_Make(Rulebook_Text(book), command->text);
+    wire__rules_delta__init(delta);
+    delta->prefix = made.prefix;
+    delta->suffix = made.suffix;
+    delta->middle.data = (uint8_t *)made.middle;
+    delta->middle.len = made.middle_length;
+    delta->hash = made.hash;
+    command->delta = delta;
+    command->text = "";
+}
+
+static void
+save_history(const Rulebook *book, State__Snapshot *snapshot)
+{
+    snapshot->n_history = book->history->len;
+    snapshot->history = g_new0(State__Change *, book->history->len);
+    for (guint i = 0; i < book->history->len; i++) {
+        const RulebookChange *change = Rulebook_ChangeAt(book, i);
+        State__Change *record = g_new(State__Change, 1);
+        state__change__init(record);
+        record->version = change->version;
+        record->author = (char *)change->author;
+        record->wall_ms = change->wall_ms;
+        record->bytes = change->bytes;
+        snapshot->history[i] = record;
+    }
+}
+
+void
+Rulebook_Save(const Rulebook *book, State__Snapshot *snapshot)
+{
+    save_history(book, snapshot);
+    snapshot->texts = g_new0(State__RuleText *, book->texts.length);
+    for (GList *at = book->texts.head; at != NULL; at = at->next) {
+        const Text *text = at->data;
+        State__RuleText *record = g_new(State__RuleText, 1);
+        state__rule_text__init(record);
+        record->version = text->version;
+        record->text = text->text;
+        snapshot->texts[snapshot->n_texts++] = record;
+    }
+}
+
+int
+Rulebook_Load(Rulebook *book, const State__Snapshot *snapshot)
+{
+    for (size_t i = 0; i < snapshot->n_history; i++) {
+        const State__Change *record = snapshot->history[i];
+        RulebookChange change = {
+            .version = record->version,
+            .wall_ms = record->wall_ms,
+            .bytes = record->bytes,
+        };
+        g_strlcpy(change.author, record->author, sizeof(change.author));
+        add_change(book, &change);
+    }
+    for (size_t i = 0; i < snapshot->n_texts; i++) {
+        const State__RuleText *record = snapshot->texts[i];
+        if (record->version <= Rulebook_Version(book)) {
+            return ERR_CORRUPT;
+        }
+        add_text(book, record->version, g_strdup(record->text));
+    }
+    return ERR_OK;
+}
