--- a/test/bench/bench_rules.c
+++ b/test/bench/bench_rules.c
@@ -79,7 +79,7 @@
 {
     char *changed = g_strdup(text);
     char *at = strstr(changed + strlen(changed) / 2, "concurrent=16");
-    memcpy(at, "concurrent=32", strlen("concurrent=32"));
+    at[strlen("concurrent=")] = '3';
     RulesDelta delta = RulesDelta_Make(text, changed);
     size_t size = delta.middle_length;
     largest_delta = MAX(largest_delta, size);
--- /dev/null
+++ b/test/functional/faults-two.sh
@@ -0,0 +1,17 @@
+# Two faults together: a control host is killed while an entry is frozen,
+# and an agent right after.
+. "$(dirname "${BASH_SOURCE[0]}")/lib.sh"
+start_cluster
+load_cluster 9 &
+LOAD=$!
+sleep 1.5
+kill -STOP "$(pid entry-1)"
+stop control-1 KILL
+sleep 1
+stop agent-2 KILL
+daemon agent-2
+sleep 2
+kill -CONT "$(pid entry-1)"
+daemon control-1
+wait $LOAD
+check_cluster
--- a/test/functional/lib.sh
+++ b/test/functional/lib.sh
@@ -86,6 +86,7 @@
 
 # Settings of one process: control_settings NAME ID LINK ADMIN, and so on.
 settings_head() {
+    local i
     cat <<EOF
 name: $1
 region: west
--- a/test/fuzz/fuzz_state.c
+++ b/test/fuzz/fuzz_state.c
@@ -188,12 +188,11 @@
             suspect->crashes++;
             suspect->last_ms = run->clock_ms;
         }
-        else if (sent->kind == WIRE__COMMAND_KIND__COMMAND_SUSPECT_CLEAR &&
-                 suspect->crashes == 1)
-        {
-            suspect->crashes = 0;
-        }
-        else if (sent->kind == WIRE__COMMAND_KIND__COMMAND_QUARANTINE_LIFT) {
+        bool cleared =
+            sent->kind == WIRE__COMMAND_KIND__COMMAND_SUSPECT_CLEAR &&
+            suspect->crashes == 1;
+        if (cleared ||
+            sent->kind == WIRE__COMMAND_KIND__COMMAND_QUARANTINE_LIFT) {
             suspect->crashes = 0;
         }
     }
