Fake peer: words that a command lacks are NULL

Cause: AddressSanitizer found a read past the words of a short command. The run of the planned stop now lasts longer than the wait for acknowledgements; before, the mutation 'stop does not wait for runs' passed.

--- a/test/fakes/fake_peer.c
+++ b/test/fakes/fake_peer.c
@@ -354,13 +354,18 @@
 static void
 run_line(Peer *peer, const char *line)
 {
-    char **words = g_strsplit(line, " ", WORDS_MAX);
+    char **split = g_strsplit(line, " ", WORDS_MAX);
+    /* Words that the line does not have are NULL. */
+    char *words[WORDS_MAX + 1] = {NULL};
+    for (size_t i = 0; split[i] != NULL; i++) {
+        words[i] = split[i];
+    }
     for (size_t i = 0; words[0] != NULL && i < G_N_ELEMENTS(commands); i++) {
         if (strcmp(words[0], commands[i].name) == 0) {
             commands[i].run(peer, words);
         }
     }
-    g_strfreev(words);
+    g_strfreev(split);
 }
 
 static void
--- a/test/functional/agent-stop.sh
+++ b/test/functional/agent-stop.sh
@@ -8,7 +8,7 @@
 sees control "up agent"
 works
 granted entry 1
-tell entry dispatch 1 20000 1 /v1/chat/completions '{"max_tokens":50,"stream":true}'
+tell entry dispatch 1 20000 1 /v1/chat/completions '{"max_tokens":150,"stream":true}'
 sees entry "piece 1"
 kill -TERM "$(cat agent.pid)"
 until_true agent_value .leaving true
