--- a/test/fakes/fake_engine.c
+++ b/test/fakes/fake_engine.c
@@ -31,6 +31,7 @@
     int prompt_tokens;
     int cached_tokens;
     GString *text;
+    char *first_word; /* NULL: word0 */
 } Stream;
 
 static void
@@ -38,6 +39,7 @@
 {
     stream->engine->running--;
     event_free(stream->next);
+    g_free(stream->first_word);
     event_free(stream->cut);
     g_string_free(stream->text, TRUE);
     g_free(stream);
@@ -61,6 +63,16 @@
     event_add(event, &delay);
 }
 
+static void
+write_word(const Stream *stream, char *word, size_t size)
+{
+    if (stream->sent == 0 && stream->first_word != NULL) {
+        g_strlcpy(word, stream->first_word, size);
+        return;
+    }
+    g_snprintf(word, size, "word%d", stream->sent);
+}
+
 static void
 on_cut(evutil_socket_t fd, short events, void *arg)
 {
@@ -99,11 +111,13 @@
 send_token(Stream *stream)
 {
     struct evbuffer *out = evbuffer_new();
+    char word[64];
+    write_word(stream, word, sizeof(word));
     evbuffer_add_printf(
         out,
         "data: {\"object\":\"chat.completion.chunk\",\"choices\":[{"
-        "\"index\":0,\"delta\":{\"content\":\"word%d \"}}]}\n\n",
-        stream->sent);
+        "\"index\":0,\"delta\":{\"content\":\"%s \"}}]}\n\n",
+        word);
     bool more = send_part(stream, out);
     evbuffer_free(out);
     return more;
@@ -193,7 +207,9 @@
     if (stream->streamed && !send_token(stream)) {
         return;
     }
-    g_string_append_printf(stream->text, "word%d ", stream->sent);
+    char word[64];
+    write_word(stream, word, sizeof(word));
+    g_string_append_printf(stream->text, "%s ", word);
     stream->sent++;
     if (stream->sent != stream->engine->silent_after) {
         schedule(stream->next, stream->engine->token_ms);
@@ -237,6 +253,20 @@
     return engine->prefill_ms + tokens * 1000 / engine->prefill_tokens_s;
 }
 
+/* First word of the first message's content; free with g_free. */
+static char *
+first_word_of(const json_t *body)
+{
+    const json_t *messages = json_object_get(body, "messages");
+    const json_t *content =
+        json_object_get(json_array_get(messages, 0), "content");
+    const char *text = json_string_value(content);
+    if (text == NULL) {
+        return NULL;
+    }
+    return g_strndup(text, strcspn(text, " \n"));
+}
+
 static void
 start_stream(Engine *engine, struct evhttp_request *request,
              const json_t *body, size_t length)
@@ -251,6 +281,9 @@
     json_int_t most = json_integer_value(json_object_get(body, "max_tokens"));
     stream->tokens = most > 0 ? (int)most : DEFAULT_TOKENS;
     stream->text = g_string_new(NULL);
+    if (engine->echo) {
+        stream->first_word = first_word_of(body);
+    }
     stream->next = event_new(engine->fake.base, -1, 0, on_token, stream);
     stream->cut = event_new(engine->fake.base, -1, 0, on_cut, stream);
     use_cache(stream, length);
@@ -345,6 +378,8 @@
          "Least time to the first token", "MS"},
         {"prefill-tokens-s", 0, 0, G_OPTION_ARG_INT, &engine->prefill_tokens_s,
          "Speed of prefill", "N"},
+        {"echo", 0, 0, G_OPTION_ARG_NONE, &engine->echo,
+         "The first word is the prompt's first word", NULL},
         {"crash-on", 0, 0, G_OPTION_ARG_STRING, &engine->crash_on,
          "Crash on prompts with this text", "TEXT"},
         {"cut-after", 0, 0, G_OPTION_ARG_INT, &engine->cut_after,
--- a/test/fakes/fake_engine.h
+++ b/test/fakes/fake_engine.h
@@ -13,6 +13,7 @@
     gint token_ms;         /**< Decode time of one token. */
     gint prefill_ms;       /**< Least time to the first token. */
     gint prefill_tokens_s; /**< Speed of prefill; 0: prefill_ms alone. */
+    gboolean echo;         /**< The first word is the prompt's first word. */
     gchar *crash_on;       /**< A prompt with this text kills the engine. */
     gint cut_after;        /**< Closes after so many body bytes; 0: never. */
     gint silent_after;     /**< Sends no token after so many; 0: never. */
