--- a/test/functional/lib.sh
+++ b/test/functional/lib.sh
@@ -221,3 +221,36 @@
 
 # pid NAME: process id of a started process.
 pid() { cat "$1.pid"; }
+
+# operator ARGS...: the operators' command line against all control hosts.
+operator() {
+    local admins=() port
+    for port in "${ADMIN_PORTS[@]}"; do
+        admins+=(--admin "127.0.0.1:$port")
+    done
+    echo operator-key >operator.key
+    "$LL_BUILD/src/cli/laurellift" "$@" "${admins[@]}" --key-file operator.key
+}
+
+# start_control N: N control hosts named control-1 and up, without a rule
+# file. Ports: 10 and up for links, 20 and up for administration.
+start_control() {
+    CONTROL_PORTS=()
+    ADMIN_PORTS=()
+    for i in $(seq "$1"); do
+        CONTROL_PORTS+=("$(port $((9 + i)))")
+        ADMIN_PORTS+=("$(port $((19 + i)))")
+    done
+    for i in $(seq "$1"); do
+        control_settings "control-$i" "$i" | grep -v '^  rules:' >"control-$i.yaml"
+        daemon "control-$i"
+    done
+    until_true has_leader
+}
+
+has_leader() { operator rules history --timeout 1; }
+
+# leader: number of the control host that leads.
+leader() {
+    operator status --json | jq -r '[.[] | select(.leads) | .replica] | max // empty'
+}
--- /dev/null
+++ b/test/fuzz/fuzz_state.c
@@ -0,0 +1,413 @@
+/** @file
+ * State machine against a simple oracle: claims, rules, fencing numbers,
+ * quarantine and resends, with snapshots taken and restored in between. A
+ * twin that is never restored must end with the same bytes.
+ */
+#include "fuzz.h"
+
+#include <string.h>
+
+#include "control/replies.h"
+#include "control/state.h"
+
+#define ACCOUNTS 2
+#define KEYS 3
+#define OWNERS 3
+#define SUBJECTS 2
+#define FINGERPRINTS 4
+#define COMMANDS_MAX 200
+#define RETENTION_MS 1000
+#define ANSWER_BYTES 300
+
+static const StateLimits limits = {
+    .claims = {.claims = 100, .answer_bytes = 4 * ANSWER_BYTES},
+    .operator_replies = COMMANDS_MAX,
+    .claim_replies = COMMANDS_MAX,
+};
+
+static const char *const accounts[ACCOUNTS] = {"sahil", "milk"};
+static const char *const keys[KEYS] = {"k", "l", "m"};
+static const char *const subjects[SUBJECTS] = {"engine-1", "engine-2"};
+static const char *const texts[] = {
+    "model a # asked by X\n", "model b # asked by X\n",
+    "model a # asked by X\nmodel c # asked by Y\n", "model\n"};
+
+/* What the oracle knows of a claim. */
+typedef struct OracleClaim {
+    Wire__ClaimState state; /* NONE, RUNNING, FINISHED or LOST */
+    uint64_t owner;
+    uint64_t body_hash;
+    uint64_t expires_ms;
+    uint8_t answer; /* its first byte; all are alike */
+} OracleClaim;
+
+typedef struct OracleSuspect {
+    unsigned crashes;
+    uint64_t last_ms;
+} OracleSuspect;
+
+/* A command as it was first sent, and what it was told. */
+typedef struct Sent {
+    unsigned kind;
+    unsigned account;
+    unsigned key;
+    unsigned owner;
+    unsigned body;
+    unsigned subject;
+    unsigned text;
+    uint64_t base_version;
+    uint64_t fingerprints[2];
+    int code;
+    uint64_t version;
+    unsigned claim;
+    uint64_t fence;
+} Sent;
+
+typedef struct Run {
+    State *state;
+    State *twin;
+    uint64_t index;
+    uint64_t clock_ms;
+    OracleClaim claims[ACCOUNTS][KEYS];
+    OracleSuspect suspects[FINGERPRINTS];
+    uint64_t fences[SUBJECTS];
+    uint64_t rules_version;
+    unsigned rules_text;
+    Sent sent[COMMANDS_MAX];
+    unsigned sent_count;
+    uint8_t answer[ANSWER_BYTES];
+} Run;
+
+/* ---- The oracle ---- */
+
+static void
+expire(Run *run)
+{
+    for (unsigned i = 0; i < ACCOUNTS * KEYS; i++) {
+        OracleClaim *claim = &run->claims[i / KEYS][i % KEYS];
+        if (claim->state != WIRE__CLAIM_STATE__CLAIM_NONE &&
+            claim->state != WIRE__CLAIM_STATE__CLAIM_RUNNING &&
+            claim->expires_ms <= run->clock_ms)
+        {
+            claim->state = WIRE__CLAIM_STATE__CLAIM_NONE;
+        }
+    }
+    for (unsigned i = 0; i < FINGERPRINTS; i++) {
+        OracleSuspect *suspect = &run->suspects[i];
+        uint64_t hold =
+            suspect->crashes > 1 ? QUARANTINE_HOLD_MS : QUARANTINE_SUSPECT_MS;
+        if (suspect->last_ms + hold <= run->clock_ms) {
+            suspect->crashes = 0;
+        }
+    }
+}
+
+static void
+expect_take(OracleClaim *claim, Sent *sent)
+{
+    if (claim->state == WIRE__CLAIM_STATE__CLAIM_NONE) {
+        claim->state = WIRE__CLAIM_STATE__CLAIM_RUNNING;
+        claim->owner = sent->owner;
+        claim->body_hash = sent->body;
+        sent->claim = WIRE__CLAIM_STATE__CLAIM_GRANTED;
+        return;
+    }
+    sent->claim = claim->body_hash == sent->body
+                      ? claim->state
+                      : WIRE__CLAIM_STATE__CLAIM_MISMATCH;
+}
+
+static void
+expect_end(const Run *run, OracleClaim *claim, Sent *sent)
+{
+    bool done = sent->kind == WIRE__COMMAND_KIND__COMMAND_CLAIM_DONE;
+    bool runs = claim->state == WIRE__CLAIM_STATE__CLAIM_RUNNING;
+    bool lost = claim->state == WIRE__CLAIM_STATE__CLAIM_LOST;
+    sent->claim = claim->state;
+    if (claim->state == WIRE__CLAIM_STATE__CLAIM_NONE) {
+        sent->code = ERR_NOT_FOUND;
+        return;
+    }
+    if (claim->owner != sent->owner || !(runs || (lost && done))) {
+        sent->code = ERR_CONFLICT;
+        return;
+    }
+    claim->expires_ms = run->clock_ms + RETENTION_MS;
+    claim->state = WIRE__CLAIM_STATE__CLAIM_LOST;
+    if (done) {
+        claim->state = WIRE__CLAIM_STATE__CLAIM_FINISHED;
+        claim->answer = (uint8_t)sent->text;
+    }
+    if (sent->kind == WIRE__COMMAND_KIND__COMMAND_CLAIM_RELEASE) {
+        claim->state = WIRE__CLAIM_STATE__CLAIM_NONE;
+    }
+    sent->claim = claim->state;
+}
+
+static void
+expect_lost(Run *run, const Sent *sent)
+{
+    for (unsigned i = 0; i < ACCOUNTS * KEYS; i++) {
+        OracleClaim *claim = &run->claims[i / KEYS][i % KEYS];
+        if (claim->state == WIRE__CLAIM_STATE__CLAIM_RUNNING &&
+            claim->owner == sent->owner)
+        {
+            claim->state = WIRE__CLAIM_STATE__CLAIM_LOST;
+            claim->expires_ms = run->clock_ms + RETENTION_MS;
+        }
+    }
+}
+
+static void
+expect_rules(Run *run, Sent *sent)
+{
+    sent->version = run->rules_version;
+    if (sent->base_version != run->rules_version) {
+        sent->code = ERR_CONFLICT;
+        return;
+    }
+    if (sent->text == G_N_ELEMENTS(texts) - 1) {
+        sent->code = ERR_INVALID;
+        sent->version = 0;
+        return;
+    }
+    run->rules_version = run->index;
+    run->rules_text = sent->text;
+    sent->version = run->index;
+}
+
+static void
+expect_fingerprints(Run *run, Sent *sent)
+{
+    bool found = false;
+    for (unsigned i = 0; i < 2; i++) {
+        OracleSuspect *suspect = &run->suspects[sent->fingerprints[i]];
+        bool again = i == 1 && sent->fingerprints[0] == sent->fingerprints[1];
+        found = found || suspect->crashes > 0;
+        if (sent->kind == WIRE__COMMAND_KIND__COMMAND_CRASH && !again) {
+            suspect->crashes++;
+            suspect->last_ms = run->clock_ms;
+        }
+        else if (sent->kind == WIRE__COMMAND_KIND__COMMAND_SUSPECT_CLEAR &&
+                 suspect->crashes == 1)
+        {
+            suspect->crashes = 0;
+        }
+        else if (sent->kind == WIRE__COMMAND_KIND__COMMAND_QUARANTINE_LIFT) {
+            suspect->crashes = 0;
+        }
+    }
+    if (sent->kind == WIRE__COMMAND_KIND__COMMAND_QUARANTINE_LIFT && !found) {
+        sent->code = ERR_NOT_FOUND;
+    }
+}
+
+/* Moves the oracle on and notes what the command must be told. */
+static void
+expect(Run *run, Sent *sent)
+{
+    OracleClaim *claim = &run->claims[sent->account][sent->key];
+    switch (sent->kind) {
+    case WIRE__COMMAND_KIND__COMMAND_APPLY_RULES:
+        expect_rules(run, sent);
+        break;
+    case WIRE__COMMAND_KIND__COMMAND_CLAIM:
+        expect_take(claim, sent);
+        break;
+    case WIRE__COMMAND_KIND__COMMAND_CLAIM_RELEASE:
+    case WIRE__COMMAND_KIND__COMMAND_CLAIM_DONE:
+    case WIRE__COMMAND_KIND__COMMAND_CLAIM_UNKNOWN:
+        expect_end(run, claim, sent);
+        break;
+    case WIRE__COMMAND_KIND__COMMAND_CLAIMS_LOST:
+        expect_lost(run, sent);
+        break;
+    case WIRE__COMMAND_KIND__COMMAND_FENCE:
+        sent->fence = ++run->fences[sent->subject];
+        break;
+    default:
+        expect_fingerprints(run, sent);
+        break;
+    }
+}
+
+/* ---- The machine ---- */
+
+static void
+fill(const Run *run, const Sent *sent, uint64_t *owner, Wire__Command *command)
+{
+    wire__command__init(command);
+    command->kind = sent->kind;
+    command->author = "ana";
+    command->base_version = sent->base_version;
+    command->text = (char *)texts[sent->text];
+    command->account = (char *)accounts[sent->account];
+    command->key = (char *)keys[sent->key];
+    command->body_hash = sent->body;
+    command->owner = *owner = sent->owner;
+    command->owners = owner;
+    command->n_owners = 1;
+    command->subject = (char *)subjects[sent->subject];
+    command->fingerprints = (uint64_t *)sent->fingerprints;
+    command->n_fingerprints = 2;
+    command->retention_ms = RETENTION_MS;
+    command->clock_ms = run->clock_ms;
+    command->status = 201;
+    command->answer.data = (uint8_t *)run->answer;
+    command->answer.len = ANSWER_BYTES;
+}
+
+static void
+check_answer(const Run *run, const Sent *sent, const Wire__CommandReply *reply)
+{
+    const OracleClaim *claim = &run->claims[sent->account][sent->key];
+    if (sent->kind != WIRE__COMMAND_KIND__COMMAND_CLAIM ||
+        sent->claim != WIRE__CLAIM_STATE__CLAIM_FINISHED)
+    {
+        FUZZ_CHECK(reply->answer.len == 0, "answer to another command");
+        return;
+    }
+    if (reply->answer.len == 0) {
+        FUZZ_CHECK(reply->answer_dropped, "answer missing, not said so");
+        return;
+    }
+    FUZZ_CHECK(reply->answer.len == ANSWER_BYTES, "answer cut");
+    FUZZ_CHECK(claim->state == WIRE__CLAIM_STATE__CLAIM_FINISHED &&
+                   claim->body_hash == sent->body,
+               "answer of another body");
+    FUZZ_CHECK(reply->answer.data[0] == claim->answer, "another answer");
+}
+
+static void
+apply(Run *run, State *state, const Sent *sent, unsigned number)
+{
+    uint8_t id[COMMAND_ID_BYTES] = {(uint8_t)number, 1};
+    uint64_t owner;
+    Wire__Command command;
+    Wire__CommandReply reply;
+    fill(run, sent, &owner, &command);
+    command.command_id.data = id;
+    command.command_id.len = sizeof(id);
+    memset(run->answer, (int)sent->text, ANSWER_BYTES);
+    State_Apply(state, run->index, &command, &reply);
+    FUZZ_CHECK(reply.code == sent->code, "kind %u: code %d, expected %d",
+               sent->kind, reply.code, sent->code);
+    FUZZ_CHECK(reply.claim == sent->claim, "kind %u: claim %u, expected %u",
+               sent->kind, reply.claim, sent->claim);
+    FUZZ_CHECK(reply.version == sent->version, "version differs");
+    FUZZ_CHECK(reply.fence == sent->fence, "fencing number differs");
+    check_answer(run, sent, &reply);
+}
+
+/* Sends a new command, or an earlier one again. */
+static void
+send(Run *run, FuzzInput *input)
+{
+    bool again = run->sent_count > 0 && fuzz_pick(input, 4) == 0;
+    run->index++;
+    expire(run);
+    if (again) {
+        unsigned number = fuzz_pick(input, run->sent_count);
+        apply(run, run->state, &run->sent[number], number);
+        apply(run, run->twin, &run->sent[number], number);
+        return;
+    }
+    static const unsigned kinds[] = {1, 2, 2, 2, 3, 4,  4,
+                                     5, 6, 7, 7, 8, 11, 12};
+    unsigned number = run->sent_count++;
+    Sent *sent = &run->sent[number];
+    sent->kind = kinds[fuzz_pick(input, G_N_ELEMENTS(kinds))];
+    unsigned choice = fuzz_byte(input);
+    sent->account = choice % ACCOUNTS;
+    sent->key = choice / ACCOUNTS % KEYS;
+    sent->owner = 1 + choice / (ACCOUNTS * KEYS) % OWNERS;
+    sent->body = choice % 5 == 0;
+    sent->subject = choice % SUBJECTS;
+    sent->text = fuzz_pick(input, G_N_ELEMENTS(texts));
+    sent->base_version = choice % 4 == 0 ? run->index / 2 : run->rules_version;
+    sent->fingerprints[0] = choice % FINGERPRINTS;
+    sent->fingerprints[1] = choice / FINGERPRINTS % FINGERPRINTS;
+    expect(run, sent);
+    apply(run, run->state, sent, number);
+    apply(run, run->twin, sent, number);
+}
+
+static void
+restore(Run *run)
+{
+    GBytes *bytes = State_Save(run->state);
+    Error err = ERROR_INIT;
+    State *copy = State_Load(&limits, g_bytes_get_data(bytes, NULL),
+                             g_bytes_get_size(bytes), &err);
+    FUZZ_CHECK(copy != NULL, "snapshot refused: %s", err.text);
+    State_Free(run->state);
+    run->state = copy;
+    g_bytes_unref(bytes);
+}
+
+static void
+check_tables(const Run *run)
+{
+    size_t claims = 0;
+    for (unsigned i = 0; i < ACCOUNTS * KEYS; i++) {
+        claims += run->claims[i / KEYS][i % KEYS].state !=
+                  WIRE__CLAIM_STATE__CLAIM_NONE;
+    }
+    const Claims *table = State_Claims(run->state);
+    FUZZ_CHECK(Claims_Count(table) >= claims, "a claim was forgotten");
+    FUZZ_CHECK(Claims_AnswerBytes(table) <= limits.claims.answer_bytes,
+               "answers above the bound");
+    const Rulebook *book = State_Rulebook(run->state);
+    FUZZ_CHECK(Rulebook_Version(book) == run->rules_version, "rules reverted");
+    FUZZ_CHECK(run->rules_version == 0 ||
+                   strcmp(Rulebook_Text(book), texts[run->rules_text]) == 0,
+               "another rule text");
+}
+
+static void
+check_twin(const Run *run)
+{
+    GBytes *bytes = State_Save(run->state);
+    GBytes *twin = State_Save(run->twin);
+    FUZZ_CHECK(g_bytes_equal(bytes, twin), "the twin differs");
+    g_bytes_unref(bytes);
+    g_bytes_unref(twin);
+}
+
+static void
+step(Run *run, FuzzInput *input)
+{
+    switch (fuzz_pick(input, 12)) {
+    case 0:
+        restore(run);
+        break;
+    case 1:
+        run->clock_ms += 100u * (1 + fuzz_pick(input, 12));
+        break;
+    case 2:
+        run->clock_ms +=
+            fuzz_pick(input, 2) ? QUARANTINE_SUSPECT_MS : QUARANTINE_HOLD_MS;
+        break;
+    default:
+        send(run, input);
+        check_tables(run);
+        break;
+    }
+}
+
+int
+LLVMFuzzerTestOneInput(const uint8_t *bytes, size_t length)
+{
+    FuzzInput input = {.bytes = bytes, .length = length};
+    Run *run = g_new0(Run, 1);
+    run->state = State_New(&limits);
+    run->twin = State_New(&limits);
+    while (input.at < input.length && run->sent_count < COMMANDS_MAX) {
+        step(run, &input);
+    }
+    check_twin(run);
+    State_Free(run->state);
+    State_Free(run->twin);
+    g_free(run);
+    return 0;
+}
