Placement by predicted wait, cached prefix and measured pace

Cause: every endpoint was scanned with a guess from the last report; a prefix, a slow endpoint or a lost one played no part, and three idle agents granted at once, so that the nearest one won instead of the best. Change: index by target, bounded candidates, a bounded record of cached blocks where a deep block stands for those before it, home endpoint by rendezvous hashing, penalties for failures and the region link, probes, one want where a slot is free, another choice after refusals. The queue leaves a margin that follows the 98th percentile of its error, and keeps the engine's prompts ahead short. Mutations that test_place catches: no affinity, waits of all tiers, refused ones offered again, no penalty for failures or region, stale handles.

--- a/src/sched/blocks.c
+++ b/src/sched/blocks.c
@@ -96,11 +96,9 @@
 uint32_t
 Blocks_Leading(const Blocks *blocks, const Work *work, uint64_t holder)
 {
-    uint32_t count = 0;
-    while (count < work->prefix_count &&
-           Blocks_Has(blocks, work->prefix[count], holder))
-    {
-        count++;
+    uint32_t count = work->prefix_count;
+    while (count > 0 && !Blocks_Has(blocks, work->prefix[count - 1], holder)) {
+        count--;
     }
     return count;
 }
--- a/src/sched/blocks.h
+++ b/src/sched/blocks.h
@@ -24,7 +24,8 @@
 void Blocks_Remove(Blocks *blocks, uint64_t block, uint64_t holder);
 bool Blocks_Has(const Blocks *blocks, uint64_t block, uint64_t holder);
 
-/** Leading blocks of the prompt that the holder has. */
+/** Leading blocks of the prompt that the holder has, up to the deepest known
+ * one: its hash covers those before it, whose events may have been lost. */
 uint32_t Blocks_Leading(const Blocks *blocks, const Work *work,
                         uint64_t holder);
 
--- a/src/sched/pace.h
+++ b/src/sched/pace.h
@@ -13,10 +13,16 @@
     double seconds;
 } PaceSpeed;
 
+/** Decaying sums of a straight line through points; see Pace_Line. */
+typedef struct PaceLine {
+    double n, x, y, xx, xy;
+} PaceLine;
+
 typedef struct Pace {
     PaceSpeed prefill;
-    PaceSpeed decode; /**< Of one stream. */
-    PaceSpeed runs;   /**< Runs, not tokens. */
+    PaceLine first_piece; /**< Seconds to the first piece, by tokens. */
+    PaceSpeed decode;     /**< Of one stream. */
+    PaceSpeed runs;       /**< Runs, not tokens. */
 } Pace;
 
 /** Starts from guesses in tokens a second; 0 is unknown. */
--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -1,25 +1,17 @@
 /** @file
- * Placement by predicted finish over a table of endpoints.
+ * Placement: the table of endpoints and what is learned of them.
  */
-#include "sched/place.h"
+#include <string.h>
 
 #include <glib.h>
-#include <string.h>
 
-typedef struct Slot {
-    bool used;
-    bool up;
-    uint32_t generation;
-    PlaceEndpoint endpoint;
-    PlaceReport report;
-    uint32_t outstanding; /* dispatched by this entry, not ended */
-} Slot;
-
-struct PlaceTable {
-    PlaceConfig config;
-    uint32_t used; /* slots ever used */
-    Slot slots[];
-};
+#include "sched/place_state.h"
+
+/* Prefix blocks remembered of each endpoint. */
+#define PAIRS_PER_ENDPOINT 2048
+#define PAIRS_MIN 16384
+#define PAIRS_MAX (1U << 20)
+#define BYTES_PER_TOKEN 4.0
 
 PlaceTable *
 Place_New(const PlaceConfig *config)
@@ -27,12 +19,19 @@
     size_t size = sizeof(PlaceTable) + config->capacity * sizeof(Slot);
     PlaceTable *table = g_malloc0(size);
     table->config = *config;
+    table->config.wants = CLAMP(config->wants, 1, PLACE_WANTS_MAX);
+    table->random = config->zone * 2 + 1;
+    table->region_bytes = config->region_bytes_s;
+    uint32_t pairs = config->capacity * PAIRS_PER_ENDPOINT;
+    table->blocks = Blocks_New(CLAMP(pairs, PAIRS_MIN, PAIRS_MAX));
     return table;
 }
 
 void
 Place_Free(PlaceTable *table)
 {
+    Targets_Clear(&table->targets);
+    Blocks_Free(table->blocks);
     g_free(table);
 }
 
@@ -57,6 +56,28 @@
     return index;
 }
 
+static void
+reset_cache(PlaceTable *table, Slot *slot)
+{
+    uint64_t index = (uint64_t)(slot - table->slots);
+    slot->cache_holder = ++table->next_holder << 32 | index;
+}
+
+static void
+index_targets(PlaceTable *table, const Slot *slot, bool add)
+{
+    uint32_t index = (uint32_t)(slot - table->slots);
+    for (uint32_t i = 0; i < slot->endpoint.target_count; i++) {
+        uint64_t target = slot->endpoint.targets[i];
+        if (add) {
+            Targets_Add(&table->targets, target, index);
+        }
+        else {
+            Targets_Remove(&table->targets, target, index);
+        }
+    }
+}
+
 int
 Place_Add(PlaceTable *table, const PlaceEndpoint *endpoint, TimeUs now,
           PlaceHandle *handle)
@@ -75,7 +96,10 @@
         .generation = generation,
         .endpoint = *endpoint,
         .report = {.slots = 1, .lowest_tier = WORK_TIERS - 1},
+        .observed_at = now,
     };
+    reset_cache(table, slot);
+    index_targets(table, slot, true);
     *handle = (PlaceHandle){.index = index, .generation = generation};
     return ERR_OK;
 }
@@ -85,6 +109,7 @@
 {
     Slot *slot = slot_of(table, handle);
     if (slot != NULL) {
+        index_targets(table, slot, false);
         slot->used = false;
     }
 }
@@ -97,8 +122,16 @@
     if (slot == NULL || count > PLACE_TARGETS_MAX) {
         return;
     }
-    memcpy(slot->endpoint.targets, targets, count * sizeof(targets[0]));
+    size_t size = count * sizeof(targets[0]);
+    if (slot->endpoint.target_count == count &&
+        memcmp(slot->endpoint.targets, targets, size) == 0)
+    {
+        return;
+    }
+    index_targets(table, slot, false);
+    memcpy(slot->endpoint.targets, targets, size);
     slot->endpoint.target_count = count;
+    index_targets(table, slot, true);
 }
 
 void
@@ -111,6 +144,28 @@
     }
 }
 
+void
+PlaceState_AddDecaying(double *value, TimeUs *at, double half_life, double add,
+                       TimeUs now)
+{
+    double halves = (double)(now - *at) / half_life;
+    *value = halves > 20 ? add : *value / (1 + halves) + add;
+    *at = now;
+}
+
+double
+PlaceState_Decayed(double value, TimeUs at, double half_life, TimeUs now)
+{
+    return value / (1 + (double)(now - at) / half_life);
+}
+
+static void
+add_failure(Slot *slot, TimeUs now)
+{
+    PlaceState_AddDecaying(&slot->failures, &slot->failures_at,
+                           FAILURE_HALF_LIFE, 1, now);
+}
+
 void
 Place_SetUp(PlaceTable *table, PlaceHandle handle, bool up)
 {
@@ -125,114 +180,68 @@
 Place_Cached(PlaceTable *table, PlaceHandle handle, const uint64_t *blocks,
              uint32_t count, bool cached)
 {
-}
-
-void
-Place_CacheReset(PlaceTable *table, PlaceHandle handle)
-{
-}
-
-static bool
-serves(const Slot *slot, uint64_t target)
-{
-    for (uint32_t i = 0; i < slot->endpoint.target_count; i++) {
-        if (slot->endpoint.targets[i] == target) {
-            return true;
+    const Slot *slot = slot_of(table, handle);
+    for (uint32_t i = 0; slot != NULL && i < count; i++) {
+        if (cached) {
+            Blocks_Add(table->blocks, blocks[i], slot->cache_holder);
+        }
+        else {
+            Blocks_Remove(table->blocks, blocks[i], slot->cache_holder);
         }
     }
-    return false;
 }
 
-static TimeUs
-predict(const PlaceTable *table, const Slot *slot, const Work *work,
-        TimeUs now)
+void
+Place_CacheReset(PlaceTable *table, PlaceHandle handle)
 {
-    const PlaceReport *report = &slot->report;
-    double seconds = 0;
-    if (report->prefill_tokens_s > 0) {
-        double tokens = work->prompt_tokens + report->queued_prompt_tokens;
-        seconds += tokens / report->prefill_tokens_s;
-    }
-    if (report->decode_tokens_s > 0) {
-        seconds += work->output_tokens / report->decode_tokens_s;
-    }
-    uint32_t busy = report->running + report->queued;
-    if (report->slots > 0 && busy >= report->slots) {
-        seconds += (double)(busy - report->slots + 1) / report->slots;
-    }
-    TimeUs latency = 0;
-    if (slot->endpoint.region != table->config.region) {
-        latency = table->config.region_latency;
-    }
-    else if (slot->endpoint.zone != table->config.zone) {
-        latency = table->config.zone_latency;
+    Slot *slot = slot_of(table, handle);
+    if (slot != NULL) {
+        reset_cache(table, slot);
     }
-    return now + 2 * latency + (TimeUs)(seconds * US_PER_S) +
-           slot->outstanding * US_PER_MS;
 }
 
-/* Keeps the best `wants` endpoints in finish order. */
-static void
-insert_best(PlacePick *pick, TimeUs *finishes, uint32_t wants,
-            PlaceHandle handle, TimeUs finish)
+void
+Place_Dispatched(PlaceTable *table, PlaceHandle handle, const Work *work,
+                 TimeUs now)
 {
-    uint32_t at = pick->count < wants ? pick->count++ : wants - 1;
-    if (at == wants - 1 && pick->count == wants && finishes[at] <= finish &&
-        pick->endpoints[at].generation != 0)
-    {
+    Slot *slot = slot_of(table, handle);
+    if (slot == NULL) {
         return;
     }
-    while (at > 0 && finishes[at - 1] > finish) {
-        finishes[at] = finishes[at - 1];
-        pick->endpoints[at] = pick->endpoints[at - 1];
-        at--;
+    slot->outstanding++;
+    for (uint32_t i = 0; i < work->prefix_count; i++) {
+        Blocks_Add(table->blocks, work->prefix[i], slot->cache_holder);
     }
-    finishes[at] = finish;
-    pick->endpoints[at] = handle;
-}
-
-bool
-Place_Pick(PlaceTable *table, const Work *work, TimeUs now, PlacePick *pick)
-{
-    *pick = (PlacePick){.reason = REFUSE_UNFIT, .retry_after_ms = 1000};
-    TimeUs finishes[PLACE_WANTS_MAX] = {0};
-    uint32_t wants = table->config.wants;
-    for (uint32_t i = 0; i < table->used; i++) {
-        Slot *slot = &table->slots[i];
-        if (!slot->used || !serves(slot, work->target)) {
-            continue;
-        }
-        pick->known_target = true;
-        if (!slot->up || slot->report.leaving) {
-            continue;
-        }
-        if (work->tier > slot->report.lowest_tier) {
-            pick->reason = REFUSE_SHED;
-            pick->retry_after_ms = slot->report.retry_after_ms;
-            continue;
-        }
-        PlaceHandle handle = {.index = i, .generation = slot->generation};
-        insert_best(pick, finishes, wants, handle,
-                    predict(table, slot, work, now));
+    if (slot->endpoint.region != table->config.region) {
+        table->region_bytes -=
+            (work->prompt_tokens + work->output_tokens) * BYTES_PER_TOKEN;
     }
-    pick->finish = finishes[0];
-    return pick->count > 0;
 }
 
 void
-Place_Dispatched(PlaceTable *table, PlaceHandle handle, const Work *work,
-                 TimeUs now)
+Place_Refused(PlaceTable *table, PlaceHandle handle, const Work *work,
+              RefuseReason reason, uint32_t retry_after_ms, TimeUs now)
 {
     Slot *slot = slot_of(table, handle);
-    if (slot != NULL) {
-        slot->outstanding++;
+    if (slot != NULL && reason == REFUSE_LEAVING) {
+        slot->report.leaving = true;
     }
 }
 
-void
-Place_Refused(PlaceTable *table, PlaceHandle handle, const Work *work,
-              RefuseReason reason, uint32_t retry_after_ms, TimeUs now)
+static void
+observe(Pace *pace, const Work *work, const PlaceResult *result)
 {
+    uint32_t tokens = result->output_tokens > 0 ? result->output_tokens
+                                                : work->output_tokens;
+    Pace_Ran(pace, result->ended - result->started);
+    if (result->first_piece == 0) {
+        return;
+    }
+    if (work->prompt_tokens > result->cached_tokens) {
+        Pace_FirstPiece(pace, work->prompt_tokens - result->cached_tokens,
+                        result->first_piece - result->started);
+    }
+    Pace_Decoded(pace, tokens, result->ended - result->first_piece);
 }
 
 void
@@ -240,7 +249,16 @@
                const PlaceResult *result, TimeUs now)
 {
     Slot *slot = slot_of(table, handle);
-    if (slot != NULL && slot->outstanding > 0) {
+    if (slot == NULL) {
+        return;
+    }
+    if (slot->outstanding > 0) {
         slot->outstanding--;
     }
+    if (!result->complete) {
+        add_failure(slot, now);
+        return;
+    }
+    observe(&slot->pace, work, result);
+    observe(&table->pace, work, result);
 }
--- a/src/sched/place.h
+++ b/src/sched/place.h
@@ -51,6 +51,8 @@
     uint32_t slots;
     uint32_t running;
     uint32_t queued;
+    /** Of them, by tier. All 0: not known, each may be ahead. */
+    uint32_t queued_by_tier[WORK_TIERS];
     uint32_t queued_prompt_tokens;
     uint32_t queued_output_tokens;
     double prefill_tokens_s;
@@ -108,6 +110,12 @@
 bool Place_Pick(PlaceTable *table, const Work *work, TimeUs now,
                 PlacePick *pick);
 
+/** Chooses again after all wants of a request were refused.
+ * @param refused  endpoints that refused it; they are left out. */
+bool Place_PickAgain(PlaceTable *table, const Work *work, TimeUs now,
+                     const PlaceHandle *refused, uint32_t refused_count,
+                     PlacePick *pick);
+
 /** Feedback of one request: dispatched there, refused there, ended there. */
 void Place_Dispatched(PlaceTable *table, PlaceHandle handle, const Work *work,
                       TimeUs now);
--- a/src/sched/queue.c
+++ b/src/sched/queue.c
@@ -3,6 +3,8 @@
  */
 #include "sched/queue.h"
 
+#include <string.h>
+
 #include <glib.h>
 
 #include "sched/plan.h"
@@ -14,6 +16,13 @@
 #define SHED_WAIT (30 * US_PER_S)
 /* Weight of one sample in the share of wants that are dispatched here. */
 #define KEPT_WEIGHT 0.05
+/* Prompts that the engine has ahead before it gets more: both are reached. */
+#define STARTING_PROMPTS 2
+#define STARTING_TOKENS 2048
+/* The margin on predicted run times follows this quantile of their error. */
+#define MARGIN_QUANTILE 0.98
+#define MARGIN_STEP 0.1
+#define MARGIN_MAX 3
 #define RETRY_MIN_MS 100
 #define RETRY_MAX_MS 60000
 
@@ -48,6 +57,13 @@
     return Pace_RunTime(&queue->pace, &item->work, item->cached_blocks);
 }
 
+/* Run time that is rarely exceeded. */
+static TimeUs
+safe_run_time(const WantQueue *queue, const Item *item)
+{
+    return (TimeUs)((double)run_time(queue, item) * queue->margin);
+}
+
 static void
 refuse_waiting(WantQueue *queue, Item *item, RefuseReason reason, TimeUs wait)
 {
@@ -80,6 +96,24 @@
     return queue->busy_count == 1 && QueueItems_Busy(queue, 0)->work.alone;
 }
 
+/* Whether the engine has prompts enough to compute. Engines compute them in
+ * order of arrival, so more of them would only wait there without priority. */
+static bool
+prefill_is_full(const WantQueue *queue)
+{
+    uint32_t prompts = 0;
+    uint32_t tokens = 0;
+    for (uint32_t i = 0; i < queue->busy_count; i++) {
+        const Item *item = QueueItems_Busy(queue, i);
+        uint32_t cached = item->cached_blocks * WORK_BLOCK_TOKENS;
+        if (item->first_piece == 0 && item->work.prompt_tokens > cached) {
+            prompts++;
+            tokens += item->work.prompt_tokens - cached;
+        }
+    }
+    return prompts >= STARTING_PROMPTS && tokens >= STARTING_TOKENS;
+}
+
 static void
 grant_free_slots(WantQueue *queue, TimeUs now)
 {
@@ -87,7 +121,7 @@
            queue->busy_count < queue->config.slots && !held_alone(queue))
     {
         Item *item = QueueItems_Waiting(queue, 0);
-        TimeUs finish = now + run_time(queue, item);
+        TimeUs finish = now + safe_run_time(queue, item);
         if (!queue->config.no_deadline && finish > item->work.deadline) {
             refuse_waiting(queue, item, REFUSE_DEADLINE,
                            finish - item->work.deadline);
@@ -96,6 +130,9 @@
         if (item->work.alone && queue->busy_count > 0) {
             return;
         }
+        if (prefill_is_full(queue)) {
+            return;
+        }
         grant(queue, item, now);
     }
 }
@@ -128,7 +165,7 @@
         Item *item = QueueItems_Waiting(queue, at);
         TimeUs start = Plan_Next(&plan);
         TimeUs span = run_time(queue, item);
-        TimeUs late = start + span - item->work.deadline;
+        TimeUs late = start + safe_run_time(queue, item) - item->work.deadline;
         if (late > 0) {
             refuse_waiting(queue, item, REFUSE_DEADLINE, late);
             continue;
@@ -239,6 +276,7 @@
     item->state = ITEM_RUNNING;
     item->started = now;
     item->cached_blocks = cached_blocks(queue, &item->work);
+    item->predicted = run_time(queue, item);
     queue->running++;
     count_kept(queue, true);
     return REFUSE_NONE;
@@ -260,6 +298,7 @@
                         now - item->started);
     }
     Queue_Cached(queue, work->prefix, work->prefix_count, true);
+    update(queue, now);
 }
 
 static void
@@ -270,6 +309,13 @@
         return;
     }
     Pace_Ran(&queue->pace, now - item->started);
+    if (item->predicted > 0) {
+        double took = (double)(now - item->started);
+        bool longer = took > queue->margin * (double)item->predicted;
+        queue->margin +=
+            MARGIN_STEP * (longer ? MARGIN_QUANTILE : MARGIN_QUANTILE - 1);
+        queue->margin = CLAMP(queue->margin, 1, MARGIN_MAX);
+    }
     uint32_t tokens = result->output_tokens > 0 ? result->output_tokens
                                                 : item->work.output_tokens;
     if (item->first_piece != 0) {
@@ -393,4 +439,6 @@
         .retry_after_ms = MAX(queue->retry_after_ms, RETRY_MIN_MS),
         .leaving = queue->leaving,
     };
+    memcpy(state->queued_by_tier, queue->waiting_by_tier,
+           sizeof(state->queued_by_tier));
 }
--- a/src/sched/queue.h
+++ b/src/sched/queue.h
@@ -54,6 +54,7 @@
     uint32_t running;
     uint32_t granted;
     uint32_t queued;
+    uint32_t queued_by_tier[WORK_TIERS];
     uint32_t queued_prompt_tokens;
     uint32_t queued_output_tokens;
     double prefill_tokens_s;
--- a/src/sched/queue_items.c
+++ b/src/sched/queue_items.c
@@ -35,6 +35,7 @@
     queue->blocks = Blocks_New(CACHE_PAIRS);
     Pace_Init(&queue->pace, config->prefill_tokens_s, config->decode_tokens_s);
     queue->kept = 1;
+    queue->margin = 1;
     queue->lowest_tier = WORK_TIERS - 1;
     return queue;
 }
@@ -153,6 +154,7 @@
             (queue->order_count - at) * sizeof(queue->order[0]));
     queue->order[at] = (uint32_t)(item - queue->items);
     queue->order_count++;
+    queue->waiting_by_tier[item->work.tier]++;
     queue->prompt_tokens += item->work.prompt_tokens;
     queue->output_tokens += item->work.output_tokens;
 }
@@ -165,6 +167,7 @@
     queue->order_count--;
     memmove(&queue->order[at], &queue->order[at + 1],
             (queue->order_count - at) * sizeof(queue->order[0]));
+    queue->waiting_by_tier[item->work.tier]--;
     queue->prompt_tokens -= item->work.prompt_tokens;
     queue->output_tokens -= item->work.output_tokens;
 }
--- a/src/sched/queue_items.h
+++ b/src/sched/queue_items.h
@@ -32,6 +32,7 @@
     TimeUs until; /* GRANTED: expiry */
     TimeUs started;
     TimeUs first_piece;
+    TimeUs predicted;       /* run time, when it started */
     uint32_t cached_blocks; /* known when it started */
 } Item;
 
@@ -56,11 +57,13 @@
     uint32_t action_capacity;
     uint32_t action_head;
     uint32_t action_count;
+    uint32_t waiting_by_tier[WORK_TIERS];
     uint32_t prompt_tokens; /* of waiting items */
     uint32_t output_tokens;
     Blocks *blocks;
     Pace pace;
-    double kept; /* share of wants that are dispatched here */
+    double margin; /* factor that predicted run times rarely exceed */
+    double kept;   /* share of wants that are dispatched here */
     TimeUs planned_at;
     uint32_t lowest_tier;
     uint32_t retry_after_ms;
--- /dev/null
+++ b/src/sched/targets.c
@@ -0,0 +1,65 @@
+/** @file
+ * Linear probing by target; a target that lost its last endpoint keeps its
+ * cell.
+ */
+#include "sched/targets.h"
+
+#include <glib.h>
+
+#define CELLS (TARGETS_MAX * 2)
+
+void
+Targets_Clear(Targets *targets)
+{
+    for (uint32_t i = 0; i < CELLS; i++) {
+        g_free(targets->cells[i].members);
+    }
+}
+
+static uint32_t
+probe(const Targets *targets, uint64_t target)
+{
+    uint32_t at = (uint32_t)(target % CELLS);
+    while (targets->cells[at].target != 0 &&
+           targets->cells[at].target != target) {
+        at = (at + 1) % CELLS;
+    }
+    return at;
+}
+
+const TargetMembers *
+Targets_Find(const Targets *targets, uint64_t target)
+{
+    const TargetMembers *cell = &targets->cells[probe(targets, target)];
+    return cell->target == target ? cell : NULL;
+}
+
+void
+Targets_Add(Targets *targets, uint64_t target, uint32_t member)
+{
+    TargetMembers *cell = &targets->cells[probe(targets, target)];
+    if (cell->target == 0) {
+        if (targets->used == TARGETS_MAX) {
+            return;
+        }
+        targets->used++;
+        cell->target = target;
+    }
+    if (cell->count == cell->capacity) {
+        cell->capacity = MAX(cell->capacity * 2, 4);
+        cell->members = g_renew(uint32_t, cell->members, cell->capacity);
+    }
+    cell->members[cell->count++] = member;
+}
+
+void
+Targets_Remove(Targets *targets, uint64_t target, uint32_t member)
+{
+    TargetMembers *cell = &targets->cells[probe(targets, target)];
+    for (uint32_t i = 0; i < cell->count; i++) {
+        if (cell->members[i] == member) {
+            cell->members[i] = cell->members[--cell->count];
+            return;
+        }
+    }
+}
--- a/test/bench/policy_model.h
+++ b/test/bench/policy_model.h
@@ -13,8 +13,10 @@
 #define SERVERS_MAX 24
 /** Requests that arrive before this are not measured. */
 #define WARM_UP (40 * US_PER_S)
+/** Requests that arrive from this on are not measured. */
+#define COOL_DOWN (220 * US_PER_S)
 /** Requests arrive until this. */
-#define RUN_END (240 * US_PER_S)
+#define RUN_END (320 * US_PER_S)
 
 typedef enum Office {
     OFFICE_SAHIL,
@@ -76,12 +78,14 @@
     uint32_t sparable;  /**< Those that some engine had cached. */
     uint32_t cached;
     uint32_t wants; /**< Bit set of servers. */
+    uint32_t tried; /**< Servers that ever got a want. */
 } BenchRequest;
 
 typedef struct TierResult {
     uint32_t offered;
     uint32_t good;
     uint32_t refused;
+    uint32_t late;
     uint32_t lost;
     double possible; /**< Requests that full knowledge finishes. */
     double demand;   /**< Share of the capacity. */
--- a/test/bench/policy_server.c
+++ b/test/bench/policy_server.c
@@ -180,6 +180,8 @@
         .retry_after_ms = state.retry_after_ms,
         .leaving = state.leaving,
     };
+    memcpy(report->state.queued_by_tier, state.queued_by_tier,
+           sizeof(state.queued_by_tier));
     report->cached = g_array_new(FALSE, FALSE, sizeof(uint64_t));
     report->dropped = g_array_new(FALSE, FALSE, sizeof(uint64_t));
     Engine_TakeCacheEvents(server->engine, report->cached, report->dropped);
