--- a/src/kernel/settings.h
+++ b/src/kernel/settings.h
@@ -23,11 +23,18 @@
     char *key_hash; /**< Hex BLAKE2b-256 of the operator's key. */
 } SettingsOperator;
 
+/** How an entry confirms the rules in force. */
+typedef enum SettingsLeaseMode {
+    SETTINGS_LEASE_LEADER = 0, /**< One host that leads answers. */
+    SETTINGS_LEASE_MAJORITY,   /**< A majority of voters answers. */
+} SettingsLeaseMode;
+
 typedef struct SettingsEntry {
     char *http; /**< IP:PORT for callers. */
     uint32_t max_body_bytes;
     uint32_t max_requests; /**< Requests held at one time. */
     uint32_t lease_ms;     /**< Length of a rule lease. */
+    SettingsLeaseMode lease_mode;
 } SettingsEntry;
 
 typedef struct SettingsAgent {
@@ -37,6 +44,9 @@
     char *endpoint;       /**< IP:PORT where the endpoint takes requests. */
     uint32_t grant_ms;    /**< Life of a grant. */
     uint32_t announce_ms; /**< Longest silence of the endpoint. */
+    uint32_t idle_ms;     /**< Longest silence of a running request. */
+    uint32_t resume_ms;   /**< How long a lost entry may come back. */
+    uint32_t keep_ms;     /**< How long an answer waits for its entry. */
 } SettingsAgent;
 
 typedef struct SettingsControl {
