Waits by tier in the agent's report; another choice after refusals

Cause: an entry could not see that an agent's queue holds only lower tiers, and its second choice named agents that had refused already. Change: AgentState carries queued_by_tier; the entry passes the agents that had a want to Place_PickAgain. A prompt counts as starting for 2 s at most, as an engine that does not stream has a late first piece.

--- a/src/agent/links.c
+++ b/src/agent/links.c
@@ -95,12 +95,13 @@
 }
 
 static void
-free_models(Wire__AgentState *state)
+free_state(Wire__AgentState *state)
 {
     for (size_t i = 0; i < state->n_models; i++) {
         g_free(state->models[i]);
     }
     g_free(state->models);
+    g_free(state->queued_by_tier);
 }
 
 static void
@@ -115,6 +116,9 @@
     state->slots = queue.slots;
     state->running = queue.running + queue.granted;
     state->queued = queue.queued;
+    state->queued_by_tier =
+        g_memdup2(queue.queued_by_tier, sizeof(queue.queued_by_tier));
+    state->n_queued_by_tier = WORK_TIERS;
     state->queued_prompt_tokens = queue.queued_prompt_tokens;
     state->queued_output_tokens = queue.queued_output_tokens;
     state->prefill_tokens_s = (float)queue.prefill_tokens_s;
@@ -165,7 +169,7 @@
     while (g_hash_table_iter_next(&iter, NULL, &link)) {
         Link_Send(link, &frame);
     }
-    free_models(&state);
+    free_state(&state);
     g_array_free(cached, TRUE);
     g_array_free(evicted, TRUE);
 }
@@ -185,7 +189,7 @@
     frame.body_case = WIRE__FRAME__BODY_AGENT_STATE;
     frame.agent_state = &state;
     Link_Send(link, &frame);
-    free_models(&state);
+    free_state(&state);
     g_array_free(cached, TRUE);
     g_array_free(evicted, TRUE);
 }
--- a/src/entry/peers.c
+++ b/src/entry/peers.c
@@ -41,21 +41,23 @@
 on_state(Entry *entry, Peer *peer, const Wire__AgentState *state)
 {
     take_models(entry, peer, state);
-    Place_Report(entry->places, peer->place,
-                 &(PlaceReport){
-                     .sequence = state->sequence,
-                     .slots = state->slots,
-                     .running = state->running,
-                     .queued = state->queued,
-                     .queued_prompt_tokens = state->queued_prompt_tokens,
-                     .queued_output_tokens = state->queued_output_tokens,
-                     .prefill_tokens_s = state->prefill_tokens_s,
-                     .decode_tokens_s = state->decode_tokens_s,
-                     .lowest_tier = state->lowest_tier,
-                     .retry_after_ms = state->retry_after_ms,
-                     .leaving = state->leaving,
-                 },
-                 Clock_Now());
+    PlaceReport report = {
+        .sequence = state->sequence,
+        .slots = state->slots,
+        .running = state->running,
+        .queued = state->queued,
+        .queued_prompt_tokens = state->queued_prompt_tokens,
+        .queued_output_tokens = state->queued_output_tokens,
+        .prefill_tokens_s = state->prefill_tokens_s,
+        .decode_tokens_s = state->decode_tokens_s,
+        .lowest_tier = state->lowest_tier,
+        .retry_after_ms = state->retry_after_ms,
+        .leaving = state->leaving,
+    };
+    for (size_t i = 0; i < state->n_queued_by_tier && i < WORK_TIERS; i++) {
+        report.queued_by_tier[i] = state->queued_by_tier[i];
+    }
+    Place_Report(entry->places, peer->place, &report, Clock_Now());
     take_cache(entry, peer, state);
 }
 
--- a/src/entry/request.c
+++ b/src/entry/request.c
@@ -34,6 +34,21 @@
     };
 }
 
+/* Where the agents that had a want for the request stand in placement. */
+static uint32_t
+tried_places(const Request *request, PlaceHandle *places)
+{
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < request->life.tried_count; i++) {
+        const Peer *peer =
+            EntryPeers_ByNumber(request->entry, request->life.tried[i]);
+        if (peer != NULL) {
+            places[count++] = peer->place;
+        }
+    }
+    return count;
+}
+
 /* Sends wants to the agents that placement chooses, but for those that had
  * one before. */
 static void
@@ -44,8 +59,13 @@
     next->event =
         (LifeEvent){.kind = LIFE_ON_OFFERED, .offered = next->offered};
     PlacePick pick;
-    if (!Place_Pick(entry->places, &request->work, Clock_Now(), &pick)) {
-        next->event.reason = pick.reason;
+    PlaceHandle tried[LIFE_AGENTS_MAX];
+    uint32_t tried_count = tried_places(request, tried);
+    if (!Place_PickAgain(entry->places, &request->work, Clock_Now(), tried,
+                         tried_count, &pick))
+    {
+        bool all_tried = tried_count > 0 && pick.reason == REFUSE_UNFIT;
+        next->event.reason = all_tried ? REFUSE_NONE : pick.reason;
         next->event.retry_after_ms = pick.retry_after_ms;
         return;
     }
--- a/src/sched/queue.c
+++ b/src/sched/queue.c
@@ -19,6 +19,9 @@
 /* Prompts that the engine has ahead before it gets more: both are reached. */
 #define STARTING_PROMPTS 2
 #define STARTING_TOKENS 2048
+/* An engine that does not stream sends its first piece at the end; its
+ * prompt counts as computed after this. */
+#define STARTING_MAX (2 * US_PER_S)
 /* The margin on predicted run times follows this quantile of their error. */
 #define MARGIN_QUANTILE 0.98
 #define MARGIN_STEP 0.1
@@ -99,14 +102,16 @@
 /* Whether the engine has prompts enough to compute. Engines compute them in
  * order of arrival, so more of them would only wait there without priority. */
 static bool
-prefill_is_full(const WantQueue *queue)
+prefill_is_full(const WantQueue *queue, TimeUs now)
 {
     uint32_t prompts = 0;
     uint32_t tokens = 0;
     for (uint32_t i = 0; i < queue->busy_count; i++) {
         const Item *item = QueueItems_Busy(queue, i);
         uint32_t cached = item->cached_blocks * WORK_BLOCK_TOKENS;
-        if (item->first_piece == 0 && item->work.prompt_tokens > cached) {
+        bool starting =
+            item->first_piece == 0 && now < item->started + STARTING_MAX;
+        if (starting && item->work.prompt_tokens > cached) {
             prompts++;
             tokens += item->work.prompt_tokens - cached;
         }
@@ -130,7 +135,7 @@
         if (item->work.alone && queue->busy_count > 0) {
             return;
         }
-        if (prefill_is_full(queue)) {
+        if (prefill_is_full(queue, now)) {
             return;
         }
         grant(queue, item, now);
