--- /dev/null
+++ b/test/functional/rules-race.sh
@@ -0,0 +1,39 @@
+# Operators who change the rules at once, and a resent command.
+. "$(dirname "${BASH_SOURCE[0]}")/lib.sh"
+start_control 1
+
+rules() { echo "model $1 # asked by both offices"; }
+rules first >first.rules
+rules second >second.rules
+
+echo "-- two operators from version 0 at once: one wins, the other is told"
+operator rules apply first.rules --base 0 >first.out 2>&1 &
+one=$!
+operator rules apply second.rules --base 0 >second.out 2>&1 &
+two=$!
+wait $one
+first_status=$?
+wait $two
+second_status=$?
+printf '%s\n' "$first_status" "$second_status" | sort
+sed -E 's/version [0-9]+/version N/g; s/Version [0-9]+/Version N/' first.out second.out | sort
+
+echo "-- the winner's rules are in force, once"
+winner=$([ $first_status -eq 0 ] && echo first || echo second)
+operator rules show | diff - "$winner.rules" && echo same
+operator rules history | wc -l
+
+echo "-- a resent command gets its first answer, though its base has passed"
+id=00112233445566778899aabbccddeeff
+base=$(operator rules show --json | jq .version)
+rules third >third.rules
+a=$(operator rules apply third.rules --base "$base" --command-id $id)
+b=$(operator rules apply third.rules --base "$base" --command-id $id)
+[ "$a" = "$b" ] && echo "same answer"
+operator rules history | wc -l
+
+echo "-- a faulty file changes nothing"
+echo "model" >faulty.rules
+operator rules apply faulty.rules
+echo "exit $?"
+operator rules history | wc -l
