--- a/src/rules/line.c
+++ b/src/rules/line.c
@@ -12,6 +12,7 @@
 #define WORDS_MAX 12
 #define LINE_MAX_BYTES 1024
 #define ASKED_BY "asked by "
+#define REPEATED_OPTION "This option stands twice."
 
 typedef struct Word {
     char *text;
@@ -121,6 +122,22 @@
     return NULL;
 }
 
+/* True when an earlier word, from @p first on, has the same option. */
+static bool
+is_repeated(const Words *words, unsigned first, unsigned at)
+{
+    const char *word = words->words[at].text;
+    size_t length = strcspn(word, "=");
+    for (unsigned i = first; i < at; i++) {
+        const char *earlier = words->words[i].text;
+        if (strcspn(earlier, "=") == length &&
+            strncmp(earlier, word, length) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static const char *
 parse_account_option(const char *word, RulesAccount *account, bool *has_key)
 {
@@ -169,6 +186,9 @@
     bool has_key = false;
     for (unsigned i = 2; i < words->count; i++) {
         *column = words->words[i].column;
+        if (is_repeated(words, 2, i)) {
+            return REPEATED_OPTION;
+        }
         const char *fault =
             parse_account_option(words->words[i].text, account, &has_key);
         if (fault != NULL) {
@@ -202,6 +222,9 @@
     for (unsigned i = 3; i < words->count; i++) {
         const char *word = words->words[i].text;
         *column = words->words[i].column;
+        if (is_repeated(words, 3, i)) {
+            return REPEATED_OPTION;
+        }
         const char *name = option_value(word, "service");
         const char *idempotent = option_value(word, "idempotent");
         if (name != NULL && is_name(name)) {
--- a/src/rules/rules.h
+++ b/src/rules/rules.h
@@ -2,10 +2,11 @@
  * Rule file: a rule a line, each followed by a comment that names who asked
  * for it. A parsed set of rules is immutable and shared by reference.
  *
- *     account NAME key=HASH tier=0 [requests_s=N] [tokens_s=N] [concurrent=N]
- * # asked by OFFICE model NAME # asked by OFFICE route METHOD PATH model #
- * asked by OFFICE route METHOD PATH service=NAME idempotent=yes|no # asked by
- * OFFICE
+ * - `account NAME key=HASH tier=0 [requests_s=N] [tokens_s=N]
+ *   [concurrent=N] # asked by OFFICE`
+ * - `model NAME # asked by OFFICE`
+ * - `route METHOD PATH model # asked by OFFICE`
+ * - `route METHOD PATH service=NAME idempotent=yes|no # asked by OFFICE`
  *
  * PATH ends with `*` to match a prefix; the longest match wins. HASH is the
  * hex BLAKE2b-256 of the account's API key. `tier` is the highest tier
--- a/test/bench/bench_rules.c
+++ b/test/bench/bench_rules.c
@@ -78,8 +78,9 @@
 delta_bytes(const char *text)
 {
     char *changed = g_strdup(text);
-    char *at = strstr(changed + strlen(changed) / 2, "concurrent=16");
-    memcpy(at, "concurrent=32", strlen("concurrent=32"));
+    char *number = strstr(changed + strlen(changed) / 2, "=16 ");
+    number[1] = '3';
+    number[2] = '2';
     RulesDelta delta = RulesDelta_Make(text, changed);
     size_t size = delta.middle_length;
     largest_delta = MAX(largest_delta, size);
--- a/test/fuzz/fuzz_state.c
+++ b/test/fuzz/fuzz_state.c
@@ -20,7 +20,7 @@
 #define ANSWER_BYTES 300
 
 static const StateLimits limits = {
-    .claims = {.claims = 100, .answer_bytes = 4 * ANSWER_BYTES},
+    .claims = {.claims = 100, .answer_bytes = 2 * ANSWER_BYTES},
     .operator_replies = COMMANDS_MAX,
     .claim_replies = COMMANDS_MAX,
 };
@@ -180,24 +180,21 @@
 expect_fingerprints(Run *run, Sent *sent)
 {
     bool found = false;
+    bool crash = sent->kind == WIRE__COMMAND_KIND__COMMAND_CRASH;
+    bool lift = sent->kind == WIRE__COMMAND_KIND__COMMAND_QUARANTINE_LIFT;
     for (unsigned i = 0; i < 2; i++) {
         OracleSuspect *suspect = &run->suspects[sent->fingerprints[i]];
         bool again = i == 1 && sent->fingerprints[0] == sent->fingerprints[1];
         found = found || suspect->crashes > 0;
-        if (sent->kind == WIRE__COMMAND_KIND__COMMAND_CRASH && !again) {
+        if (crash && !again) {
             suspect->crashes++;
             suspect->last_ms = run->clock_ms;
         }
-        else if (sent->kind == WIRE__COMMAND_KIND__COMMAND_SUSPECT_CLEAR &&
-                 suspect->crashes == 1)
-        {
-            suspect->crashes = 0;
-        }
-        else if (sent->kind == WIRE__COMMAND_KIND__COMMAND_QUARANTINE_LIFT) {
+        if (lift || (!crash && suspect->crashes == 1)) {
             suspect->crashes = 0;
         }
     }
-    if (sent->kind == WIRE__COMMAND_KIND__COMMAND_QUARANTINE_LIFT && !found) {
+    if (lift && !found) {
         sent->code = ERR_NOT_FOUND;
     }
 }
--- a/test/unit/test_rules.c
+++ b/test/unit/test_rules.c
@@ -76,6 +76,47 @@
     assert_int_equal(fault.column, 8);
 }
 
+static void
+contradictions_are_refused(void **state)
+{
+    char hex[2 * RULES_KEY_HASH_BYTES + 1];
+    Rules_HashKey("secret", hex);
+    char text[512];
+    snprintf(text, sizeof(text),
+             "account a key=%s tier=1 # asked by X\n"
+             "account a key=%.63s0 tier=1 # asked by X\n"
+             "account b key=%s tier=1 # asked by X\n",
+             hex, hex, hex);
+    RulesFault faults[4];
+    size_t found;
+    assert_null(Rules_Parse(text, strlen(text), faults, 4, &found));
+    assert_int_equal(found, 2);
+    assert_int_equal(faults[0].line, 2);
+    assert_int_equal(faults[1].line, 3);
+    snprintf(text, sizeof(text),
+             "account a key=%s tier=1 tier=2 # asked by X\n", hex);
+    assert_null(Rules_Parse(text, strlen(text), faults, 4, &found));
+    assert_int_equal(found, 1);
+    assert_string_equal(faults[0].text, "This option stands twice.");
+    assert_int_equal(faults[0].column, strstr(text, "tier=2") - text + 1);
+    const char *route =
+        "route GET /a service=x service=y idempotent=no # asked by X";
+    assert_null(Rules_Parse(route, strlen(route), faults, 4, &found));
+    assert_int_equal(faults[0].column, 24);
+}
+
+static void
+long_line_is_refused(void **state)
+{
+    char text[2048];
+    memset(text, 'a', sizeof(text));
+    RulesFault fault;
+    size_t found;
+    assert_null(Rules_Parse(text, sizeof(text), &fault, 1, &found));
+    assert_int_equal(found, 1);
+    assert_int_equal(fault.column, 1024);
+}
+
 int
 main(void)
 {
@@ -84,6 +125,8 @@
         cmocka_unit_test(longest_route_wins),
         cmocka_unit_test(reports_line_and_column),
         cmocka_unit_test(author_is_required),
+        cmocka_unit_test(contradictions_are_refused),
+        cmocka_unit_test(long_line_is_refused),
     };
     return cmocka_run_group_tests_name("rules", tests, NULL, NULL);
 }
