--- a/src/kernel/settings.c
+++ b/src/kernel/settings.c
@@ -18,6 +18,9 @@
 #define DEFAULT_LEASE_MS 3000
 #define DEFAULT_GRANT_MS 1000
 #define DEFAULT_ANNOUNCE_MS 2500
+#define DEFAULT_IDLE_MS 120000
+#define DEFAULT_RESUME_MS 5000
+#define DEFAULT_KEEP_MS 30000
 #define DEFAULT_CLAIM_RETENTION_S (7u * 24 * 3600)
 
 #define TEXT(key, type, member)                                               \
@@ -50,11 +53,18 @@
     CYAML_VALUE_MAPPING(CYAML_FLAG_DEFAULT, SettingsOperator, operator_fields),
 };
 
+static const cyaml_strval_t lease_modes[] = {
+    {"leader", SETTINGS_LEASE_LEADER},
+    {"majority", SETTINGS_LEASE_MAJORITY},
+};
+
 static const cyaml_schema_field_t entry_fields[] = {
     TEXT("http", SettingsEntry, http),
     NUMBER("max_body_bytes", SettingsEntry, max_body_bytes),
     NUMBER("max_requests", SettingsEntry, max_requests),
     NUMBER("lease_ms", SettingsEntry, lease_ms),
+    CYAML_FIELD_ENUM("lease_mode", CYAML_FLAG_OPTIONAL, SettingsEntry,
+                     lease_mode, lease_modes, CYAML_ARRAY_LEN(lease_modes)),
     CYAML_FIELD_END,
 };
 
@@ -65,6 +75,9 @@
     TEXT("endpoint", SettingsAgent, endpoint),
     NUMBER("grant_ms", SettingsAgent, grant_ms),
     NUMBER("announce_ms", SettingsAgent, announce_ms),
+    NUMBER("idle_ms", SettingsAgent, idle_ms),
+    NUMBER("resume_ms", SettingsAgent, resume_ms),
+    NUMBER("keep_ms", SettingsAgent, keep_ms),
     CYAML_FIELD_END,
 };
 
@@ -175,6 +188,9 @@
         SettingsAgent *agent = &settings->agents[i];
         set_default(&agent->grant_ms, DEFAULT_GRANT_MS);
         set_default(&agent->announce_ms, DEFAULT_ANNOUNCE_MS);
+        set_default(&agent->idle_ms, DEFAULT_IDLE_MS);
+        set_default(&agent->resume_ms, DEFAULT_RESUME_MS);
+        set_default(&agent->keep_ms, DEFAULT_KEEP_MS);
     }
     if (settings->control != NULL) {
         set_default(&settings->control->claim_retention_s,
