--- a/test/functional/lib.sh
+++ b/test/functional/lib.sh
@@ -188,10 +188,14 @@
     cluster_ready
 }
 
-# start_endpoint I KIND: starts endpoint I of the cluster.
+# start_endpoint I KIND: starts endpoint I of the cluster. Services take
+# SERVICE_MS for a request, so that a fault always meets some that run.
+SERVICE_MS=150
 start_endpoint() {
     local first=$((20 + $1 * 3))
-    "$2" "endpoint-$1" --echo --listen "127.0.0.1:$(port $((first + 2)))" \
+    local delay=()
+    [ "$2" = engine ] || delay=(--delay-ms $SERVICE_MS)
+    "$2" "endpoint-$1" "${delay[@]}" --echo --listen "127.0.0.1:$(port $((first + 2)))" \
         --agent "127.0.0.1:$(port $((first + 1)))" --record "endpoint-$1.record"
 }
 
@@ -211,7 +215,7 @@
     local seconds=$1
     shift
     "$LL_BUILD/test/fakes/load" --entry "127.0.0.1:$(port 0)" --entry "127.0.0.1:$(port 1)" \
-        --rate 60 --seconds "$seconds" --record callers.record "$@" >load.out
+        --rate 60 --drafts 40 --filings 40 --tokens 40 --seconds "$seconds" --record callers.record "$@" >load.out
 }
 
 # check_cluster: prints the number of broken promises.
