--- a/src/cli/cmd_fleet.c
+++ b/src/cli/cmd_fleet.c
@@ -247,8 +247,8 @@
         .args = "",
         .summary = "One line for each control host of --admin.",
         .details = "Exits 3 when a host does not answer.\n\n"
-                   "  laurellift status --admin 10.0.0.1:7101 --admin "
-                   "10.0.0.2:7101",
+                   "  laurellift status --admin 10.0.0.1:7401 --admin "
+                   "10.0.0.2:7401",
         .run = run_status,
     },
     {
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -178,7 +178,7 @@
     const char *hosts = g_getenv(ENV_ADMIN);
     if (cli->admins == NULL) {
         cli->admins =
-            g_strsplit(hosts == NULL ? "127.0.0.1:7101" : hosts, ",", -1);
+            g_strsplit(hosts == NULL ? "127.0.0.1:7401" : hosts, ",", -1);
     }
 }
 
