--- a/src/sched/place_pick.c
+++ b/src/sched/place_pick.c
@@ -18,7 +18,7 @@
 #define WARM_MAX 16
 #define CANDIDATES_MAX (SAMPLED + WARM_MAX)
 /* Weight of prefill time: a prompt computed twice costs others as well. */
-#define PREFILL_WEIGHT 10
+#define PREFILL_WEIGHT 15
 /* Weight of the run time: a slow engine in time is as good as a fast one,
  * and leaves the fast one to urgent requests. */
 #define RUN_WEIGHT 0.2
@@ -30,9 +30,9 @@
  * while the others are not better by more than this. */
 #define HOME_SPREAD (3 * US_PER_S)
 /* Time added for each recent failure of an endpoint. */
-#define FAILURE_PENALTY (5 * US_PER_S)
+#define FAILURE_PENALTY (10 * US_PER_S)
 /* Score within which several endpoints get wants for a request. */
-#define WANT_MARGIN (2 * US_PER_S)
+#define WANT_MARGIN (10 * US_PER_S)
 /* An endpoint from which nothing was heard for so long gets one more want. */
 #define PROBE_PERIOD (5 * US_PER_S)
 #define RETRY_UNKNOWN_MS 1000
--- a/src/sched/queue.c
+++ b/src/sched/queue.c
@@ -220,10 +220,6 @@
 void
 Queue_Want(WantQueue *queue, const Work *work, uint64_t owner, TimeUs now)
 {
-    if (queue->leaving) {
-        refuse(queue, work->id, owner, REFUSE_LEAVING, RETRY_MIN_MS);
-        return;
-    }
     if (QueueItems_IsTombstone(queue, work->id)) {
         refuse(queue, work->id, owner, REFUSE_DUPLICATE, RETRY_MIN_MS);
         return;
@@ -231,6 +227,10 @@
     if (QueueItems_Find(queue, work->id) != NULL) {
         return;
     }
+    if (queue->leaving) {
+        refuse(queue, work->id, owner, REFUSE_LEAVING, RETRY_MIN_MS);
+        return;
+    }
     if (!make_room(queue, work)) {
         refuse(queue, work->id, owner, REFUSE_SHED,
                clamp_retry(queue->retry_after_ms * US_PER_MS));
