Bench of decision cost

Ruled out: a bound on nanoseconds; machines differ. The bounds are on growth (at most 3 times from 100 to 3,700 endpoints) and on heap growth on the hot path (none). Change: test/bench/bench_decision.

--- /dev/null
+++ b/test/bench/bench_decision.c
@@ -0,0 +1,243 @@
+/** @file
+ * Cost of the decisions: nanoseconds of a placement by endpoints, of a want
+ * through the queue by wants waiting, and of an account check by accounts;
+ * memory of each table; allocations on the hot path.
+ *
+ * bench_decision [--csv FILE]
+ * The bounds are on growth and allocations, not on time.
+ */
+#include <malloc.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "sched/limits.h"
+#include "sched/place.h"
+#include "sched/queue.h"
+
+#define SEED 20261203
+#define ROUNDS 20000
+#define TARGETS 11
+/* Cost at 3,700 endpoints over cost at 100, both being sampled. */
+#define MAX_GROWTH 3.0
+
+static FILE *csv;
+
+static double
+now_ns(void)
+{
+    return (double)g_get_monotonic_time() * 1000;
+}
+
+static size_t
+heap_bytes(void)
+{
+    struct mallinfo2 info = mallinfo2();
+    return info.uordblks + info.hblkhd;
+}
+
+static void
+print_cost(const char *what, uint32_t size, double ns, size_t bytes)
+{
+    printf("%-16s %8u %10.0f ns %12zu bytes\n", what, size, ns, bytes);
+    if (csv != NULL) {
+        fprintf(csv, "%s,%u,%.0f,%zu\n", what, size, ns, bytes);
+    }
+}
+
+static Work
+new_work(GRand *rand, uint32_t number)
+{
+    Work work = {
+        .id = {.low = number + 1},
+        .target = 1 + g_rand_int(rand) % TARGETS,
+        .tier = g_rand_int(rand) % WORK_TIERS,
+        .deadline = 1000 * US_PER_S,
+        .prompt_tokens = 3000,
+        .output_tokens = 300,
+        .prefix_count = 24,
+    };
+    uint64_t group = g_rand_int(rand) % 500;
+    for (uint32_t i = 0; i < work.prefix_count; i++) {
+        work.prefix[i] = (group << 8 | i) * 0x9e3779b97f4a7c15U;
+    }
+    return work;
+}
+
+static PlaceTable *
+new_places(uint32_t endpoints)
+{
+    PlaceTable *table = Place_New(&(PlaceConfig){
+        .capacity = endpoints,
+        .wants = 3,
+        .zone = 1,
+        .region = 1,
+        .zone_latency = 500,
+        .region_latency = 30 * US_PER_MS,
+    });
+    for (uint32_t i = 0; i < endpoints; i++) {
+        PlaceEndpoint endpoint = {
+            .name = i + 1,
+            .zone = i % 5 + 1,
+            .region = i % 2 + 1,
+            .target_count = 2,
+            .targets = {1 + i % TARGETS, 1 + (i + 1) % TARGETS},
+        };
+        PlaceHandle handle;
+        Place_Add(table, &endpoint, 0, &handle);
+        Place_SetUp(table, handle, true);
+        PlaceReport report = {
+            .sequence = 1,
+            .slots = 16,
+            .running = i % 16,
+            .prefill_tokens_s = 4000,
+            .decode_tokens_s = 30,
+            .lowest_tier = WORK_TIERS - 1,
+        };
+        Place_Report(table, handle, &report, 0);
+    }
+    return table;
+}
+
+/* Returns nanoseconds a decision; counts allocations in @p leaked. */
+static double
+measure_place(uint32_t endpoints, size_t *leaked)
+{
+    size_t before = heap_bytes();
+    PlaceTable *table = new_places(endpoints);
+    size_t bytes = heap_bytes() - before;
+    GRand *rand = g_rand_new_with_seed(SEED);
+    Work *works = g_new(Work, ROUNDS);
+    for (uint32_t i = 0; i < ROUNDS; i++) {
+        works[i] = new_work(rand, i);
+    }
+    size_t held = heap_bytes();
+    double start = now_ns();
+    for (uint32_t i = 0; i < ROUNDS; i++) {
+        PlacePick pick;
+        TimeUs now = i * 100;
+        if (Place_Pick(table, &works[i], now, &pick)) {
+            PlaceHandle best = pick.endpoints[0];
+            Place_Dispatched(table, best, &works[i], now);
+            Place_Finished(table, best, &works[i],
+                           &(PlaceResult){
+                               .started = now,
+                               .first_piece = now + 1,
+                               .ended = now + 2,
+                               .complete = true,
+                           },
+                           now + 2);
+        }
+    }
+    double ns = (now_ns() - start) / ROUNDS;
+    *leaked += heap_bytes() - held;
+    g_free(works);
+    g_rand_free(rand);
+    Place_Free(table);
+    print_cost("place", endpoints, ns, bytes);
+    return ns;
+}
+
+static void
+take_all(WantQueue *queue)
+{
+    QueueAction actions[64];
+    while (Queue_TakeActions(queue, actions, 64) > 0) {
+    }
+}
+
+static void
+measure_queue(uint32_t waiting, size_t *leaked)
+{
+    size_t before = heap_bytes();
+    WantQueue *queue = Queue_New(&(QueueConfig){
+        .max_wants = 4096,
+        .max_tombstones = 8192,
+        .slots = 16,
+        .grant_ttl = US_PER_S,
+    });
+    size_t bytes = heap_bytes() - before;
+    GRand *rand = g_rand_new_with_seed(SEED);
+    for (uint32_t i = 0; i < waiting; i++) {
+        Work work = new_work(rand, i);
+        Queue_Want(queue, &work, 1, 0);
+        take_all(queue);
+    }
+    size_t held = heap_bytes();
+    double start = now_ns();
+    for (uint32_t i = 0; i < ROUNDS; i++) {
+        Work work = new_work(rand, waiting + i);
+        TimeUs now = i * 100;
+        Queue_Want(queue, &work, 1, now);
+        Queue_Withdraw(queue, work.id, 1, now);
+        take_all(queue);
+    }
+    double ns = (now_ns() - start) / ROUNDS;
+    *leaked += heap_bytes() - held;
+    g_rand_free(rand);
+    Queue_Free(queue);
+    print_cost("queue", waiting, ns, bytes);
+}
+
+static void
+measure_limits(uint32_t accounts, size_t *leaked)
+{
+    size_t before = heap_bytes();
+    LimitTable *table = Limits_New(accounts);
+    size_t bytes = heap_bytes() - before;
+    AccountLimits limits = {
+        .requests_s = 100,
+        .tokens_s = 100000,
+        .concurrent = 50,
+    };
+    for (uint32_t i = 0; i < accounts; i++) {
+        Limits_Set(table, i, &limits, 0);
+    }
+    GRand *rand = g_rand_new_with_seed(SEED);
+    size_t held = heap_bytes();
+    double start = now_ns();
+    for (uint32_t i = 0; i < ROUNDS; i++) {
+        uint32_t account = g_rand_int(rand) % accounts;
+        uint32_t retry;
+        if (Limits_Admit(table, account, 500, i * 100, &retry)) {
+            Limits_Release(table, account, 500, 400, i * 100 + 50);
+        }
+    }
+    double ns = (now_ns() - start) / ROUNDS;
+    *leaked += heap_bytes() - held;
+    g_rand_free(rand);
+    Limits_Free(table);
+    print_cost("limits", accounts, ns, bytes);
+}
+
+int
+main(int argc, char **argv)
+{
+    for (int i = 1; i + 1 < argc; i++) {
+        if (strcmp(argv[i], "--csv") == 0) {
+            csv = fopen(argv[i + 1], "w");
+        }
+    }
+    if (csv != NULL) {
+        fprintf(csv, "what,size,ns,bytes\n");
+    }
+    size_t leaked = 0;
+    measure_place(12, &leaked);
+    double small = measure_place(100, &leaked);
+    measure_place(1000, &leaked);
+    double large = measure_place(3700, &leaked);
+    for (uint32_t waiting = 0; waiting <= 1024; waiting += 256) {
+        measure_queue(waiting, &leaked);
+    }
+    measure_limits(5, &leaked);
+    measure_limits(1000, &leaked);
+    measure_limits(30000, &leaked);
+    if (csv != NULL) {
+        fclose(csv);
+    }
+    printf("growth of place from 100 to 3,700 endpoints: %.2f (bound %.1f)\n",
+           large / small, MAX_GROWTH);
+    printf("heap grown on the hot path: %zu bytes (bound 0)\n", leaked);
+    return large / small > MAX_GROWTH || leaked > 0;
+}
