Tests of account limits

Cause: the limits had no test of their own. Ruled out: shares by demand now; entries do not learn each other's demand, so an account's limit is split evenly (entry/accounts.c). Change: test_limits: rate and burst, share, debt, concurrency, demand. Mutations that it catches: share ignored, concurrency ignored, tokens not charged, demand not counted. No change of behaviour.

--- a/test/bench/bench_decision.c
+++ b/test/bench/bench_decision.c
@@ -198,7 +198,7 @@
     size_t held = heap_bytes();
     double start = now_ns();
     for (uint32_t i = 0; i < ROUNDS; i++) {
-        uint32_t account = g_rand_int(rand) % accounts;
+        uint32_t account = (uint32_t)g_rand_int_range(rand, 0, (int)accounts);
         uint32_t retry;
         if (Limits_Admit(table, account, 500, i * 100, &retry)) {
             Limits_Release(table, account, 500, 400, i * 100 + 50);
--- /dev/null
+++ b/test/unit/test_limits.c
@@ -0,0 +1,98 @@
+/** @file
+ * Account limits: rates, bursts, debt, concurrency and shares.
+ */
+#include "unit.h"
+
+#include "sched/limits.h"
+
+static LimitTable *
+new_table(const AccountLimits *limits)
+{
+    LimitTable *table = Limits_New(2);
+    Limits_Set(table, 0, limits, US_PER_S);
+    return table;
+}
+
+/* Requests admitted in ten seconds that ask @p rate times a second. */
+static uint32_t
+admitted(LimitTable *table, uint32_t rate)
+{
+    uint32_t count = 0;
+    uint32_t retry;
+    for (uint32_t i = 0; i < rate * 10; i++) {
+        TimeUs now = US_PER_S + i * US_PER_S / rate;
+        if (Limits_Admit(table, 0, 10, now, &retry)) {
+            count++;
+            Limits_Release(table, 0, 10, 10, now);
+        }
+    }
+    return count;
+}
+
+static void
+keeps_the_rate_and_one_burst(void **state)
+{
+    LimitTable *table = new_table(&(AccountLimits){.requests_s = 20});
+    /* Ten seconds' worth and the full bucket at the start. */
+    assert_in_range(admitted(table, 200), 20 * 10, 20 * 11 + 1);
+    Limits_Free(table);
+}
+
+static void
+applies_its_share(void **state)
+{
+    LimitTable *table = new_table(&(AccountLimits){.tokens_s = 4000});
+    Limits_SetShare(table, 0, 0.25);
+    /* 1,000 tokens a second at 10 each, and the bucket filled before. */
+    assert_in_range(admitted(table, 1000), 1000, 1200);
+    Limits_Free(table);
+}
+
+static void
+long_prompt_leaves_a_debt(void **state)
+{
+    LimitTable *table = new_table(&(AccountLimits){.tokens_s = 1000});
+    uint32_t retry = 0;
+    assert_true(Limits_Admit(table, 0, 5000, US_PER_S, &retry));
+    assert_false(Limits_Admit(table, 0, 10, 2 * US_PER_S, &retry));
+    assert_in_range(retry, 2900, 3100);
+    assert_true(Limits_Admit(table, 0, 10, 6 * US_PER_S, &retry));
+    Limits_Free(table);
+}
+
+static void
+bounds_what_runs_at_once(void **state)
+{
+    LimitTable *table = new_table(&(AccountLimits){.concurrent = 2});
+    uint32_t retry;
+    assert_true(Limits_Admit(table, 0, 1, US_PER_S, &retry));
+    assert_true(Limits_Admit(table, 0, 1, US_PER_S, &retry));
+    assert_false(Limits_Admit(table, 0, 1, US_PER_S, &retry));
+    assert_true(Limits_Admit(table, 1, 1, US_PER_S, &retry));
+    Limits_Release(table, 0, 1, 1, US_PER_S);
+    assert_true(Limits_Admit(table, 0, 1, US_PER_S, &retry));
+    Limits_Free(table);
+}
+
+static void
+measures_demand_with_refusals(void **state)
+{
+    LimitTable *table = new_table(&(AccountLimits){.requests_s = 1});
+    admitted(table, 100);
+    double demand = Limits_Demand(table, 0, 11 * US_PER_S);
+    assert_in_range((uint32_t)demand, 70, 100);
+    Limits_Free(table);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(keeps_the_rate_and_one_burst),
+        cmocka_unit_test(applies_its_share),
+        cmocka_unit_test(long_prompt_leaves_a_debt),
+        cmocka_unit_test(bounds_what_runs_at_once),
+        cmocka_unit_test(measures_demand_with_refusals),
+    };
+    return cmocka_run_group_tests_name("limits", tests, NULL, NULL);
+}
