--- a/src/wire/link.c
+++ b/src/wire/link.c
@@ -4,6 +4,8 @@
 #include "wire/link.h"
 
 #include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
@@ -16,6 +18,7 @@
 #define LINK_SOCKET_BACKLOG_BYTES (64u * 1024)
 /* Bytes allowed before the hello has come. */
 #define LINK_HELLO_MAX_BYTES 4096
+#define LINK_SILENT_US (LINK_SILENT_HEARTBEATS * LINK_HEARTBEAT_MS * US_PER_MS)
 
 struct Link {
     struct event_base *base;
@@ -31,9 +34,12 @@
     struct evbuffer *control; /* packed control frames */
     struct evbuffer *bulk;    /* packed bulk frames */
     Wire__Frame *hello;       /* of the other side; NULL: not up */
+    TimeUs opened_at;
     TimeUs heard_at;
+    uint64_t connections; /* opened so far */
     uint64_t bytes_in;
     uint64_t bytes_out;
+    bool warned;      /* of a peer whose hello does not fit */
     bool in_callback; /* a close waits until the callback returns */
     bool closed;
 };
@@ -79,11 +85,25 @@
     }
 }
 
+/* Half to one and a half times LINK_REDIAL_MS, so that the links which one
+ * failure has cut do not all dial at the same moment. */
+static void
+dial_later(Link *link)
+{
+    int32_t least = LINK_REDIAL_MS / 2;
+    int32_t delay_ms = g_random_int_range(least, 3 * least);
+    struct timeval delay = {.tv_usec = delay_ms * US_PER_MS};
+    event_add(link->redial, &delay);
+}
+
 static void
 lose_connection(Link *link, const char *why)
 {
     bool was_up = link->hello != NULL;
-    if (was_up && !link->closed) {
+    if (!was_up) {
+        LOG_DEBUG(PART, "Connection not made. why=\"%s\"", why);
+    }
+    else if (!link->closed) {
         LOG_INFO(PART, "Connection lost. peer=%s why=\"%s\"",
                  link->hello->hello->name, why);
         link->in_callback = true;
@@ -95,8 +115,7 @@
         free_link(link);
         return;
     }
-    struct timeval delay = {.tv_usec = LINK_REDIAL_MS * US_PER_MS};
-    event_add(link->redial, &delay);
+    dial_later(link);
 }
 
 /* Moves queued frames to the socket: all control frames, then bulk ones
@@ -107,7 +126,9 @@
     struct evbuffer *socket = bufferevent_get_output(link->connection);
     link->bytes_out += evbuffer_get_length(link->control);
     evbuffer_add_buffer(socket, link->control);
-    while (evbuffer_get_length(socket) < LINK_SOCKET_BACKLOG_BYTES) {
+    while (evbuffer_get_length(link->bulk) > 0 &&
+           evbuffer_get_length(socket) < LINK_SOCKET_BACKLOG_BYTES)
+    {
         uint32_t header;
         if (evbuffer_copyout(link->bulk, &header, sizeof(header)) <
             (ev_ssize_t)sizeof(header))
@@ -145,14 +166,27 @@
         return Error_Set(err, ERR_INVALID, "First frame is no hello.");
     }
     if (frame->hello->version != LINK_PROTOCOL_VERSION) {
+        uint32_t version = frame->hello->version;
         wire__frame__free_unpacked(frame, NULL);
-        return Error_Set(err, ERR_INVALID, "Protocol version differs.");
+        return Error_Set(err, ERR_INVALID, "Protocol version %u; expected %u.",
+                         version, LINK_PROTOCOL_VERSION);
     }
     link->hello = frame;
+    link->warned = false;
     link->ops->up(link, link->owner);
     return ERR_OK;
 }
 
+/* Once for each peer that does not fit: a dialled link goes on trying. */
+static void
+warn_refused(Link *link, const char *why)
+{
+    if (!link->warned) {
+        LOG_WARN(PART, "Connection refused. why=\"%s\"", why);
+        link->warned = true;
+    }
+}
+
 static int
 take_frame(Link *link, Wire__Frame *frame, Error *err)
 {
@@ -206,6 +240,9 @@
     int result = take_frames(link, in, &err);
     link->in_callback = false;
     link->bytes_in += before - evbuffer_get_length(in);
+    if (result != ERR_OK && link->hello == NULL) {
+        warn_refused(link, err.text);
+    }
     if (result != ERR_OK || link->closed) {
         lose_connection(link, link->closed ? "closed here" : err.text);
     }
@@ -217,12 +254,22 @@
     flush_queues(arg);
 }
 
+/* Small frames are sent at once: wants and grants are round trips. */
+static void
+disable_nagle(Link *link)
+{
+    int on = 1;
+    setsockopt(bufferevent_getfd(link->connection), IPPROTO_TCP, TCP_NODELAY,
+               &on, sizeof(on));
+}
+
 static void
 on_event(struct bufferevent *connection, short events, void *arg)
 {
     Link *link = arg;
     if (events & BEV_EVENT_CONNECTED) {
         link->heard_at = Clock_Now();
+        disable_nagle(link);
         send_hello(link);
         return;
     }
@@ -234,11 +281,15 @@
 on_heartbeat(evutil_socket_t fd, short events, void *arg)
 {
     Link *link = arg;
-    TimeUs silent_us = LINK_SILENT_HEARTBEATS * LINK_HEARTBEAT_MS * US_PER_MS;
-    if (Clock_Now() - link->heard_at > silent_us) {
+    TimeUs now = Clock_Now();
+    if (now - link->heard_at > LINK_SILENT_US) {
         lose_connection(link, "silent");
         return;
     }
+    if (link->hello == NULL && now - link->opened_at > LINK_SILENT_US) {
+        lose_connection(link, "no hello");
+        return;
+    }
     Wire__Heartbeat heartbeat = WIRE__HEARTBEAT__INIT;
     Wire__Frame frame = WIRE__FRAME__INIT;
     frame.body_case = WIRE__FRAME__BODY_HEARTBEAT;
@@ -278,7 +329,9 @@
     bufferevent_setwatermark(link->connection, EV_WRITE,
                              LINK_SOCKET_BACKLOG_BYTES / 2, 0);
     bufferevent_enable(link->connection, EV_READ | EV_WRITE);
-    link->heard_at = Clock_Now();
+    link->connections++;
+    link->opened_at = Clock_Now();
+    link->heard_at = link->opened_at;
     struct timeval period = {.tv_usec = LINK_HEARTBEAT_MS * US_PER_MS};
     event_add(link->heartbeat, &period);
 }
@@ -316,6 +369,7 @@
     link->server = server;
     g_hash_table_add(server->links, link);
     open_connection(link, fd);
+    disable_nagle(link);
     send_hello(link);
 }
 
@@ -426,6 +480,8 @@
     const Wire__Hello *peer = Link_Peer(link);
     json_object_set_new(out, "peer", json_string(peer ? peer->name : ""));
     json_object_set_new(out, "up", json_boolean(peer != NULL));
+    json_object_set_new(out, "connections",
+                        json_integer((json_int_t)link->connections));
     json_object_set_new(out, "bytes_in",
                         json_integer((json_int_t)link->bytes_in));
     json_object_set_new(out, "bytes_out",
--- /dev/null
+++ b/test/fakes/relay.c
@@ -0,0 +1,300 @@
+/** @file
+ * Fake network between two processes: a TCP relay that can go silent, cut
+ * one way or both, close, and delay. It is driven over HTTP:
+ *
+ *     /freeze?way=up|down|both   open connections go silent for good; new
+ *                                ones work
+ *     /cut?way=up|down|both      all connections, old and new, are silent
+ *     /heal                      new connections work again
+ *     /close                     all connections are closed
+ *     /delay?ms=N                every byte is delayed
+ *     /state                     {"connections": N, "accepted": N}
+ *
+ * "up" is from the dialling side to the listening side.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/keyvalq_struct.h>
+#include <event2/listener.h>
+#include <glib.h>
+
+#include "fake.h"
+#include "kernel/clock.h"
+#include "wire/http.h"
+
+enum { UP, DOWN, WAYS };
+
+typedef struct Relay {
+    Fake fake; /* `listen` is the relay's own address */
+    gchar *to;
+    gchar *control;
+    Address target;
+    GHashTable *pairs; /* set of Pair */
+    unsigned accepted;
+    bool cut[WAYS];
+    int delay_ms;
+} Relay;
+
+/* Bytes on their way, in the order they came. */
+typedef struct Delayed {
+    TimeUs due;
+    struct evbuffer *bytes;
+} Delayed;
+
+typedef struct Way {
+    struct Pair *pair;
+    struct bufferevent *from;
+    struct bufferevent *to;
+    bool frozen;
+    GQueue delayed;
+    struct event *timer;
+} Way;
+
+typedef struct Pair {
+    Relay *relay;
+    struct bufferevent *ends[WAYS]; /* the dialling and the listening side */
+    Way ways[WAYS];
+} Pair;
+
+static void
+free_pair(Pair *pair)
+{
+    g_hash_table_remove(pair->relay->pairs, pair);
+    for (int way = 0; way < WAYS; way++) {
+        Delayed *delayed;
+        while ((delayed = g_queue_pop_head(&pair->ways[way].delayed)) != NULL)
+        {
+            evbuffer_free(delayed->bytes);
+            g_free(delayed);
+        }
+        event_free(pair->ways[way].timer);
+        if (pair->ends[way] != NULL) {
+            bufferevent_free(pair->ends[way]);
+        }
+    }
+    g_free(pair);
+}
+
+static bool
+is_silent(const Way *way)
+{
+    const Pair *pair = way->pair;
+    return way->frozen || pair->relay->cut[way - pair->ways];
+}
+
+static void
+set_timer(Way *way)
+{
+    const Delayed *first = g_queue_peek_head(&way->delayed);
+    if (first == NULL) {
+        return;
+    }
+    TimeUs left = MAX(first->due - Clock_Now(), 0);
+    struct timeval delay = {
+        .tv_sec = left / US_PER_S,
+        .tv_usec = left % US_PER_S,
+    };
+    event_add(way->timer, &delay);
+}
+
+static void
+on_due(evutil_socket_t fd, short events, void *arg)
+{
+    Way *way = arg;
+    Delayed *first = g_queue_pop_head(&way->delayed);
+    if (first != NULL) {
+        if (way->to != NULL && !is_silent(way)) {
+            bufferevent_write_buffer(way->to, first->bytes);
+        }
+        evbuffer_free(first->bytes);
+        g_free(first);
+    }
+    set_timer(way);
+}
+
+static Way *
+way_from(Pair *pair, const struct bufferevent *from)
+{
+    return &pair->ways[from == pair->ends[UP] ? UP : DOWN];
+}
+
+static void
+on_read(struct bufferevent *from, void *arg)
+{
+    Pair *pair = arg;
+    Way *way = way_from(pair, from);
+    struct evbuffer *in = bufferevent_get_input(from);
+    if (is_silent(way) || way->to == NULL) {
+        way->frozen = true;
+        evbuffer_drain(in, evbuffer_get_length(in));
+        return;
+    }
+    if (pair->relay->delay_ms == 0 && g_queue_is_empty(&way->delayed)) {
+        bufferevent_write_buffer(way->to, in);
+        return;
+    }
+    Delayed *delayed = g_new0(Delayed, 1);
+    delayed->due = Clock_Now() + pair->relay->delay_ms * US_PER_MS;
+    delayed->bytes = evbuffer_new();
+    evbuffer_add_buffer(delayed->bytes, in);
+    g_queue_push_tail(&way->delayed, delayed);
+    set_timer(way);
+}
+
+/* One end is gone. The other learns of it unless the way is silent. */
+static void
+on_event(struct bufferevent *end, short events, void *arg)
+{
+    Pair *pair = arg;
+    if (events & BEV_EVENT_CONNECTED) {
+        return;
+    }
+    Way *way = way_from(pair, end);
+    if (!is_silent(way) || way->to == NULL) {
+        free_pair(pair);
+        return;
+    }
+    way->frozen = true;
+    pair->ends[way - pair->ways] = NULL;
+    pair->ways[way == &pair->ways[UP] ? DOWN : UP].to = NULL;
+    way->from = NULL;
+    bufferevent_free(end);
+}
+
+static void
+on_accept(struct evconnlistener *listener, evutil_socket_t fd,
+          struct sockaddr *from, int length, void *arg)
+{
+    Relay *relay = arg;
+    struct event_base *base = relay->fake.base;
+    Pair *pair = g_new0(Pair, 1);
+    pair->relay = relay;
+    relay->accepted++;
+    pair->ends[UP] = bufferevent_socket_new(base, fd, BEV_OPT_CLOSE_ON_FREE);
+    pair->ends[DOWN] = bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
+    for (int way = 0; way < WAYS; way++) {
+        Way *one = &pair->ways[way];
+        one->pair = pair;
+        one->from = pair->ends[way];
+        one->to = pair->ends[1 - way];
+        one->timer = event_new(base, -1, 0, on_due, one);
+        bufferevent_setcb(one->from, on_read, NULL, on_event, pair);
+    }
+    g_hash_table_add(relay->pairs, pair);
+    const struct sockaddr *to = (const void *)&relay->target.storage;
+    bufferevent_socket_connect(pair->ends[DOWN], to,
+                               (int)relay->target.length);
+    bufferevent_enable(pair->ends[UP], EV_READ | EV_WRITE);
+    bufferevent_enable(pair->ends[DOWN], EV_READ | EV_WRITE);
+}
+
+static const char *
+parameter(struct evhttp_request *request, const char *name,
+          struct evkeyvalq *values)
+{
+    const char *query =
+        evhttp_uri_get_query(evhttp_request_get_evhttp_uri(request));
+    evhttp_parse_query_str(query == NULL ? "" : query, values);
+    const char *value = evhttp_find_header(values, name);
+    return value == NULL ? "" : value;
+}
+
+static bool
+names_way(const char *text, int way)
+{
+    return strcmp(text, "both") == 0 ||
+           strcmp(text, way == UP ? "up" : "down") == 0;
+}
+
+static void
+freeze(Relay *relay, const char *text)
+{
+    GHashTableIter iter;
+    gpointer key;
+    g_hash_table_iter_init(&iter, relay->pairs);
+    while (g_hash_table_iter_next(&iter, &key, NULL)) {
+        Pair *pair = key;
+        for (int way = 0; way < WAYS; way++) {
+            pair->ways[way].frozen |= names_way(text, way);
+        }
+    }
+}
+
+static void
+close_all(Relay *relay)
+{
+    GList *pairs = g_hash_table_get_keys(relay->pairs);
+    g_list_free_full(pairs, (GDestroyNotify)free_pair);
+}
+
+static void
+on_command(struct evhttp_request *request, void *arg)
+{
+    Relay *relay = arg;
+    const char *path =
+        evhttp_uri_get_path(evhttp_request_get_evhttp_uri(request));
+    struct evkeyvalq values = {0};
+    const char *way = parameter(request, "way", &values);
+    if (strcmp(path, "/freeze") == 0) {
+        freeze(relay, way);
+    }
+    else if (strcmp(path, "/cut") == 0) {
+        relay->cut[UP] = names_way(way, UP);
+        relay->cut[DOWN] = names_way(way, DOWN);
+        freeze(relay, way);
+    }
+    else if (strcmp(path, "/heal") == 0) {
+        relay->cut[UP] = relay->cut[DOWN] = false;
+    }
+    else if (strcmp(path, "/close") == 0) {
+        close_all(relay);
+    }
+    else if (strcmp(path, "/delay") == 0) {
+        const char *ms = evhttp_find_header(&values, "ms");
+        relay->delay_ms = ms == NULL ? 0 : atoi(ms);
+    }
+    evhttp_clear_headers(&values);
+    Http_ReplyJson(request, 200,
+                   json_pack("{s:i, s:i}", "connections",
+                             (int)g_hash_table_size(relay->pairs), "accepted",
+                             (int)relay->accepted));
+}
+
+int
+main(int argc, char **argv)
+{
+    Relay relay = {0};
+    const GOptionEntry own[] = {
+        {"to", 0, 0, G_OPTION_ARG_STRING, &relay.to, "Where bytes go",
+         "IP:PORT"},
+        {"control", 0, 0, G_OPTION_ARG_STRING, &relay.control,
+         "Where commands come", "IP:PORT"},
+        {NULL},
+    };
+    Fake_ReadOptions(&relay.fake, argc, argv, own);
+    Address from;
+    if (relay.to == NULL || relay.control == NULL ||
+        Address_Parse(relay.to, &relay.target, NULL) != ERR_OK ||
+        Address_Parse(relay.fake.listen, &from, NULL) != ERR_OK)
+    {
+        fprintf(stderr, "relay: expected --listen, --to and --control\n");
+        return 2;
+    }
+    relay.pairs = g_hash_table_new(NULL, NULL);
+    relay.fake.listen = relay.control;
+    Fake_Start(&relay.fake, NULL);
+    evhttp_set_gencb(relay.fake.http, on_command, &relay);
+    unsigned flags = LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE;
+    struct evconnlistener *listener = evconnlistener_new_bind(
+        relay.fake.base, on_accept, &relay, flags, -1,
+        (const struct sockaddr *)&from.storage, (int)from.length);
+    if (listener == NULL) {
+        fprintf(stderr, "relay: cannot listen\n");
+        return 1;
+    }
+    return Fake_Run(&relay.fake);
+}
--- /dev/null
+++ b/test/functional/caller-bad-input.sh
@@ -0,0 +1,46 @@
+# Bad requests get a clear 4xx, nothing runs, and the entry is unharmed.
+. "$(dirname "${BASH_SOURCE[0]}")/lib.sh"
+start_path
+
+# brief: status, error code and outcome of the last answer.
+brief() { head -n 1 reply; jq -r '.error | "\(.code) \(.outcome)"' body 2>/dev/null || echo "no JSON"; }
+try() { echo "-- $1"; shift; call "$@" >reply; brief; }
+raw() { printf "$1" | timeout 5 curl -s --max-time 5 telnet://127.0.0.1:"$(port 0)" | head -n 1 | tr -d '\r'; }
+
+CHAT=/v1/chat/completions
+KEY=nobody try "unknown account" GET /orders/1
+try "unknown route" GET /nowhere
+try "wrong method" PATCH /orders/1
+try "broken JSON" POST $CHAT -d '{"model":'
+try "no messages" POST $CHAT -d '{"model":"draft-large"}'
+try "unknown model" POST $CHAT -d '{"model":"other","messages":[]}'
+try "tier out of range" GET /orders/1 -H 'X-Laurellift-Tier: 9'
+KEY=milk-key try "tier above the account's" GET /orders/1 -H 'X-Laurellift-Tier: 0'
+try "deadline is no number" GET /orders/1 -H 'X-Laurellift-Deadline-Ms: soon'
+try "request id of odd bytes" GET /orders/1 -H 'X-Request-Id: a b'
+try "no idempotency key" POST /orders -d 'x'
+try "idempotency key too long" POST /orders -H "Idempotency-Key: $(printf 'k%.0s' $(seq 300))" -d 'x'
+echo "-- body too large"
+head -c 5000000 /dev/zero | curl -s -o body -w '%{http_code}\n' -X POST -H 'Authorization: Bearer sahil-key' \
+    -H 'Expect:' --data-binary @- "http://127.0.0.1:$(port 0)$CHAT"
+echo "-- headers too large"
+curl -s -o body -w '%{http_code}\n' -H "X-Long: $(printf 'x%.0s' $(seq 100000))" "http://127.0.0.1:$(port 0)/orders/1"
+echo "-- no HTTP at all"
+raw 'hello there\r\n\r\n'
+echo "-- a caller that stops in the middle of its request"
+exec 7<>"/dev/tcp/127.0.0.1/$(port 0)"
+printf 'POST /orders HTTP/1.1\r\nContent-Length: 100\r\n\r\nhalf' >&7
+exec 7>&-
+echo "-- two requests in one write"
+exec 8<>"/dev/tcp/127.0.0.1/$(port 0)"
+HEAD='Host: entry\r\nAuthorization: Bearer sahil-key\r\n'
+printf "GET /orders/5 HTTP/1.1\r\n$HEAD\r\nGET /orders/6 HTTP/1.1\r\n${HEAD}Connection: close\r\n\r\n" >&8
+timeout 10 cat <&8 | grep -aoE '^HTTP/1.1 [0-9]+|"number":[0-9]+'
+exec 8>&-
+echo "-- request id is echoed"
+curl -s -o body -D headers -H 'X-Request-Id: order-17' -H 'Authorization: Bearer sahil-key' "http://127.0.0.1:$(port 0)/orders/7"
+grep -i x-request-id headers | tr -d '\r'
+echo "-- refused by reason"
+curl -s "http://127.0.0.1:$(port 0)/metrics" | grep -E '^laurellift_entry_(refused|requests)_total' | sort
+echo "-- what ran"
+cat engine.record service.record 2>/dev/null
--- /dev/null
+++ b/test/unit/test_link.c
@@ -0,0 +1,355 @@
+/** @file
+ * Links over loopback: hello, silence, bounds, and control before bulk.
+ */
+#include "unit.h"
+
+#include <string.h>
+
+#include <arpa/inet.h>
+#include <event2/bufferevent.h>
+#include <glib.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "kernel/clock.h"
+#include "wire/link.h"
+
+/* Guard against a test that never ends; no verdict depends on it. */
+#define GIVE_UP_US (60 * US_PER_S)
+#define BULK_BYTES (256u * 1024)
+
+/* One end of a link and what it was told. */
+typedef struct End {
+    struct event_base *base;
+    Link *link; /* the one that is up, or NULL */
+    unsigned ups;
+    unsigned downs;
+    unsigned bulk_frames;
+    unsigned bulk_before_control; /* bulk frames before the first control */
+    bool control_came;
+} End;
+
+static void
+on_up(Link *link, void *owner)
+{
+    End *end = owner;
+    end->link = link;
+    end->ups++;
+}
+
+static void
+on_down(Link *link, void *owner)
+{
+    End *end = owner;
+    end->link = NULL;
+    end->downs++;
+}
+
+static void
+on_frame(Link *link, const Wire__Frame *frame, void *owner)
+{
+    End *end = owner;
+    if (frame->body_case == WIRE__FRAME__BODY_CANCEL && !end->control_came) {
+        end->control_came = true;
+        end->bulk_before_control = end->bulk_frames;
+    }
+    if (frame->body_case == WIRE__FRAME__BODY_ANSWER_PIECE) {
+        end->bulk_frames++;
+    }
+}
+
+static const LinkOps ops = {.up = on_up, .down = on_down, .frame = on_frame};
+
+static const LinkSelf self = {
+    .role = WIRE__ROLE__ROLE_ENTRY,
+    .name = "test",
+    .incarnation = 3,
+    .zone = "west-1",
+    .region = "west",
+};
+
+typedef struct Fixture {
+    struct event_base *base;
+    Address address;
+    LinkServer *server;
+    End listening;
+    End dialling;
+} Fixture;
+
+/* A port that is free now. */
+static void
+choose_port(Address *address)
+{
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    struct sockaddr_in from = {
+        .sin_family = AF_INET,
+        .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+    };
+    socklen_t length = sizeof(from);
+    assert_int_equal(bind(fd, (struct sockaddr *)&from, length), 0);
+    getsockname(fd, (struct sockaddr *)&from, &length);
+    close(fd);
+    char text[ADDRESS_TEXT_BYTES];
+    g_snprintf(text, sizeof(text), "127.0.0.1:%u", ntohs(from.sin_port));
+    assert_int_equal(Address_Parse(text, address, NULL), ERR_OK);
+}
+
+static int
+set_up(void **state)
+{
+    Fixture *fixture = g_new0(Fixture, 1);
+    fixture->base = event_base_new();
+    choose_port(&fixture->address);
+    *state = fixture;
+    return 0;
+}
+
+static int
+tear_down(void **state)
+{
+    Fixture *fixture = *state;
+    if (fixture->server != NULL) {
+        Link_CloseServer(fixture->server);
+    }
+    event_base_free(fixture->base);
+    g_free(fixture);
+    return 0;
+}
+
+static void
+listen_here(Fixture *fixture)
+{
+    Error err = ERROR_INIT;
+    fixture->server = Link_Listen(fixture->base, &self, &fixture->address,
+                                  &ops, &fixture->listening, &err);
+    assert_non_null(fixture->server);
+}
+
+/* Runs the loop until @p value has reached @p wanted. */
+static void
+run_until(Fixture *fixture, const unsigned *value, unsigned wanted)
+{
+    TimeUs give_up = Clock_Now() + GIVE_UP_US;
+    while (*value < wanted && Clock_Now() < give_up) {
+        event_base_loop(fixture->base, EVLOOP_ONCE);
+    }
+    assert_true(*value >= wanted);
+}
+
+static int
+send_piece(Link *link, uint8_t *data, size_t size)
+{
+    Wire__RequestId id = WIRE__REQUEST_ID__INIT;
+    Wire__AnswerPiece piece = WIRE__ANSWER_PIECE__INIT;
+    piece.id = &id;
+    piece.data.data = data;
+    piece.data.len = size;
+    Wire__Frame frame = WIRE__FRAME__INIT;
+    frame.body_case = WIRE__FRAME__BODY_ANSWER_PIECE;
+    frame.answer_piece = &piece;
+    return Link_Send(link, &frame);
+}
+
+static int
+send_cancel(Link *link)
+{
+    Wire__RequestId id = WIRE__REQUEST_ID__INIT;
+    Wire__Cancel cancel = WIRE__CANCEL__INIT;
+    cancel.id = &id;
+    Wire__Frame frame = WIRE__FRAME__INIT;
+    frame.body_case = WIRE__FRAME__BODY_CANCEL;
+    frame.cancel = &cancel;
+    return Link_Send(link, &frame);
+}
+
+static void
+sends_control_before_bulk(void **state)
+{
+    Fixture *fixture = *state;
+    listen_here(fixture);
+    Link *link = Link_Dial(fixture->base, &self, &fixture->address, &ops,
+                           &fixture->dialling);
+    run_until(fixture, &fixture->dialling.ups, 1);
+    run_until(fixture, &fixture->listening.ups, 1);
+    static uint8_t data[BULK_BYTES];
+    const unsigned pieces = 32;
+    for (unsigned i = 0; i < pieces; i++) {
+        assert_int_equal(send_piece(link, data, sizeof(data)), ERR_OK);
+    }
+    assert_int_equal(send_cancel(link), ERR_OK);
+    run_until(fixture, &fixture->listening.bulk_frames, pieces);
+    assert_true(fixture->listening.control_came);
+    /* Only the piece that was already handed to the socket comes first. */
+    assert_true(fixture->listening.bulk_before_control <= 1);
+    Link_Close(link);
+}
+
+static void
+bounds_its_queue(void **state)
+{
+    Fixture *fixture = *state;
+    listen_here(fixture);
+    Link *link = Link_Dial(fixture->base, &self, &fixture->address, &ops,
+                           &fixture->dialling);
+    assert_int_equal(send_cancel(link), ERR_UNAVAILABLE);
+    run_until(fixture, &fixture->dialling.ups, 1);
+    static uint8_t data[BULK_BYTES];
+    size_t sent = 0;
+    while (send_piece(link, data, sizeof(data)) == ERR_OK) {
+        sent += sizeof(data);
+        assert_true(sent <= LINK_QUEUE_MAX_BYTES + 2 * sizeof(data));
+    }
+    assert_int_equal(send_piece(link, data, sizeof(data)), ERR_FULL);
+    Link_Close(link);
+}
+
+static void
+write_hello(int fd, uint32_t version)
+{
+    Wire__Hello hello = WIRE__HELLO__INIT;
+    hello.version = version;
+    hello.name = "raw";
+    Wire__Frame frame = WIRE__FRAME__INIT;
+    frame.body_case = WIRE__FRAME__BODY_HELLO;
+    frame.hello = &hello;
+    struct evbuffer *out = evbuffer_new();
+    assert_int_equal(Frame_Write(out, &frame), ERR_OK);
+    assert_true(evbuffer_write(out, fd) > 0);
+    evbuffer_free(out);
+}
+
+static int
+connect_raw(const Fixture *fixture)
+{
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    const struct sockaddr *to = (const void *)&fixture->address.storage;
+    assert_int_equal(connect(fd, to, fixture->address.length), 0);
+    return fd;
+}
+
+/* Runs the loop until the other side has closed @p fd. */
+static void
+wait_closed(const Fixture *fixture, int fd)
+{
+    char bytes[256];
+    ssize_t count = 1;
+    TimeUs give_up = Clock_Now() + GIVE_UP_US;
+    while (count != 0 && Clock_Now() < give_up) {
+        event_base_loop(fixture->base, EVLOOP_ONCE | EVLOOP_NONBLOCK);
+        count = recv(fd, bytes, sizeof(bytes), MSG_DONTWAIT);
+    }
+    assert_int_equal(count, 0);
+    close(fd);
+}
+
+static void
+refuses_another_version(void **state)
+{
+    Fixture *fixture = *state;
+    listen_here(fixture);
+    int fd = connect_raw(fixture);
+    write_hello(fd, LINK_PROTOCOL_VERSION + 1);
+    wait_closed(fixture, fd);
+    assert_int_equal(fixture->listening.ups, 0);
+}
+
+static void
+refuses_what_is_no_frame(void **state)
+{
+    Fixture *fixture = *state;
+    listen_here(fixture);
+    int fd = connect_raw(fixture);
+    assert_int_equal(write(fd, "GET / HTTP/1.1\r\n\r\n", 18), 18);
+    wait_closed(fixture, fd);
+    assert_int_equal(fixture->listening.ups, 0);
+}
+
+static void
+drops_an_accepted_link_that_is_silent(void **state)
+{
+    Fixture *fixture = *state;
+    listen_here(fixture);
+    int fd = connect_raw(fixture);
+    write_hello(fd, LINK_PROTOCOL_VERSION);
+    run_until(fixture, &fixture->listening.ups, 1);
+    run_until(fixture, &fixture->listening.downs, 1);
+    wait_closed(fixture, fd);
+}
+
+static void
+drops_a_connection_without_hello(void **state)
+{
+    Fixture *fixture = *state;
+    listen_here(fixture);
+    int fd = connect_raw(fixture);
+    /* A hello that comes a byte at a time, and never ends in time. */
+    assert_int_equal(send(fd, "\x00\x00\x0f\xa0", 4, MSG_NOSIGNAL), 4);
+    TimeUs give_up = Clock_Now() + GIVE_UP_US;
+    char bytes[256];
+    ssize_t count = 1;
+    while (count != 0 && Clock_Now() < give_up) {
+        (void)!send(fd, "\0", 1, MSG_NOSIGNAL | MSG_DONTWAIT);
+        g_usleep(10 * 1000);
+        event_base_loop(fixture->base, EVLOOP_ONCE | EVLOOP_NONBLOCK);
+        count = recv(fd, bytes, sizeof(bytes), MSG_DONTWAIT);
+        if (count < 0 && errno == ECONNRESET) {
+            count = 0;
+        }
+    }
+    assert_int_equal(count, 0);
+    close(fd);
+}
+
+static int
+accept_raw(const Fixture *fixture, int server)
+{
+    int fd = -1;
+    TimeUs give_up = Clock_Now() + GIVE_UP_US;
+    while (fd < 0 && Clock_Now() < give_up) {
+        event_base_loop(fixture->base, EVLOOP_ONCE);
+        fd = accept(server, NULL, NULL);
+    }
+    assert_true(fd >= 0);
+    return fd;
+}
+
+static void
+replaces_a_dialled_connection_that_is_silent(void **state)
+{
+    Fixture *fixture = *state;
+    int server = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+    const struct sockaddr *at = (const void *)&fixture->address.storage;
+    assert_int_equal(bind(server, at, fixture->address.length), 0);
+    assert_int_equal(listen(server, 4), 0);
+    Link *link = Link_Dial(fixture->base, &self, &fixture->address, &ops,
+                           &fixture->dialling);
+    int first = accept_raw(fixture, server);
+    write_hello(first, LINK_PROTOCOL_VERSION);
+    run_until(fixture, &fixture->dialling.downs, 1);
+    /* It dials again, though the first connection was never closed. */
+    int second = accept_raw(fixture, server);
+    write_hello(second, LINK_PROTOCOL_VERSION);
+    run_until(fixture, &fixture->dialling.ups, 2);
+    Link_Close(link);
+    close(first);
+    close(second);
+    close(server);
+}
+
+#define LINK_TEST(name)                                                       \
+    cmocka_unit_test_setup_teardown(name, set_up, tear_down)
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        LINK_TEST(sends_control_before_bulk),
+        LINK_TEST(bounds_its_queue),
+        LINK_TEST(refuses_another_version),
+        LINK_TEST(refuses_what_is_no_frame),
+        LINK_TEST(drops_an_accepted_link_that_is_silent),
+        LINK_TEST(drops_a_connection_without_hello),
+        LINK_TEST(replaces_a_dialled_connection_that_is_silent),
+    };
+    return cmocka_run_group_tests_name("link", tests, NULL, NULL);
+}
