--- a/src/entry/lease.c
+++ b/src/entry/lease.c
@@ -104,7 +104,8 @@
         bool current = view->rules_version == lease->version;
         return view->granted && current ? renew(lease) : LEASE_WAIT;
     }
-    if (view->replica == 0 || knows_host(lease, view->replica) ||
+    if (!view->granted || view->replica == 0 ||
+        knows_host(lease, view->replica) ||
         lease->view_count == LEASE_HOSTS_MAX)
     {
         return LEASE_WAIT;
--- a/src/entry/send.c
+++ b/src/entry/send.c
@@ -114,3 +114,15 @@
     frame.dispatch = &message;
     return EntryPeers_Send(peer, &frame);
 }
+
+void
+EntrySend_LastAck(Peer *peer, const Wire__AnswerEnd *end)
+{
+    Wire__AnswerAck ack = WIRE__ANSWER_ACK__INIT;
+    ack.id = end->id;
+    ack.offset = end->length;
+    Wire__Frame frame = WIRE__FRAME__INIT;
+    frame.body_case = WIRE__FRAME__BODY_ANSWER_ACK;
+    frame.answer_ack = &ack;
+    EntryPeers_Send(peer, &frame);
+}
