--- /dev/null
+++ b/test/functional/rules-in-force.sh
@@ -0,0 +1,41 @@
+# An accepted change is in force on every entry within its lease, on one that
+# is cut off from control too: it then starts nothing, and says so.
+. "$(dirname "${BASH_SOURCE[0]}")/lib.sh"
+start_cluster
+KEY=milk-key
+
+# Entry 1 reaches control through relays. Ports: 32-34 relays, 35-37 theirs.
+stop entry-1
+for n in 0 1 2; do
+    spawn "relay-$n" "$LL_BUILD/test/fakes/relay" --listen "127.0.0.1:$(port $((32 + n)))" \
+        --to "127.0.0.1:$(port $((10 + n)))" --control "127.0.0.1:$(port $((35 + n)))"
+    sed -i "s/127.0.0.1:$(port $((10 + n)))/127.0.0.1:$(port $((32 + n)))/" entry-1.yaml
+done
+daemon entry-1
+cluster_ready
+
+# ask ENTRY: status and error code of a lookup by the milk office's account.
+ask() {
+    curl -s -o "body-$1" -w '%{http_code} ' -H "Authorization: Bearer $KEY" \
+        "http://127.0.0.1:$(port "$1")/orders/1"
+    jq -r '.error.code // "served"' "body-$1"
+}
+is_told() { [ "$(ask "$1")" = "$2" ]; }
+
+echo "-- before: both entries serve the account"
+ask 0
+ask 1
+
+echo "-- entry 1 is cut off from control; the account is removed"
+for n in 0 1 2; do curl -s "http://127.0.0.1:$(port $((35 + n)))/cut?way=both" >/dev/null; done
+grep -v "^account milk" rules >changed.rules
+operator rules apply changed.rules --base "$(operator rules show --json | jq .version)" >/dev/null && echo accepted
+until_true is_told 0 "401 bad_key" && ask 0
+
+echo "-- entry 1 starts nothing once its lease is over"
+until_true is_told 1 "503 no_rule_lease" && ask 1
+jq -r .error.outcome body-1
+
+echo "-- the cut heals: the change is in force there as well"
+for n in 0 1 2; do curl -s "http://127.0.0.1:$(port $((35 + n)))/heal" >/dev/null; done
+until_true is_told 1 "401 bad_key" && ask 1
