Agent: a suspect that ran alone to its end is cleared

Cause: every request in flight at a crash becomes a suspect and then runs alone; without a way back an innocent one would run alone for good.

Change: the agent sends COMMAND_SUSPECT_CLEAR, resent like a crash until it is recorded; the state dump names the suspects.

--- a/src/agent/control.c
+++ b/src/agent/control.c
@@ -12,6 +12,7 @@
 } SuspectFlag;
 
 #define QUARANTINE_ASK_MS 1000
+#define DUMP_SUSPECTS_MAX 64
 
 void
 AgentControl_SendAll(Agent *agent, const Wire__Frame *frame)
@@ -95,6 +96,29 @@
     AgentControl_SendAll(agent, &frame);
 }
 
+void
+AgentControl_Dump(const Agent *agent, json_t *out)
+{
+    json_t *list = json_array();
+    GHashTableIter iter;
+    gpointer key;
+    gpointer flags;
+    g_hash_table_iter_init(&iter, agent->suspects);
+    while (json_array_size(list) < DUMP_SUSPECTS_MAX &&
+           g_hash_table_iter_next(&iter, &key, &flags))
+    {
+        char name[20];
+        uint64_t fingerprint = GPOINTER_TO_SIZE(key);
+        bool quarantined = GPOINTER_TO_INT(flags) & SUSPECT_QUARANTINED;
+        g_snprintf(name, sizeof(name), "%016" G_GINT64_MODIFIER "x",
+                   fingerprint);
+        json_array_append_new(list,
+                              json_pack("{s:s, s:b}", "fingerprint", name,
+                                        "quarantined", (int)quarantined));
+    }
+    json_object_set_new(out, "suspected", list);
+}
+
 void
 AgentControl_Tick(Agent *agent)
 {
--- a/src/agent/crash.c
+++ b/src/agent/crash.c
@@ -1,8 +1,8 @@
 /** @file
- * Crashes of the endpoint. When runs break, their fingerprints are held
- * until it is known whether the endpoint died: it refuses a connection,
- * announces another boot id, or falls silent. They are then reported to
- * control. An announcement with the same boot id clears them.
+ * Crashes of the endpoint, and suspects that are cleared. When runs break,
+ * their fingerprints are held until it is known whether the endpoint died: it
+ * refuses a connection, announces another boot id, or falls silent. They are
+ * then reported to control. An announcement with the same boot id clears them.
  */
 #include "agent/state.h"
 
@@ -23,6 +23,7 @@
 
 /* A report that no control host has recorded yet. */
 typedef struct CrashReport {
+    Wire__CommandKind kind;
     uint8_t id[COMMAND_ID_BYTES];
     GArray *fingerprints; /* uint64_t */
 } CrashReport;
@@ -61,7 +62,7 @@
     Wire__Command command = WIRE__COMMAND__INIT;
     command.command_id.data = (uint8_t *)report->id;
     command.command_id.len = COMMAND_ID_BYTES;
-    command.kind = WIRE__COMMAND_KIND__COMMAND_CRASH;
+    command.kind = report->kind;
     command.author = watch->agent->own->name;
     command.subject = watch->agent->own->name;
     command.fingerprints = (uint64_t *)report->fingerprints->data;
@@ -72,6 +73,21 @@
     AgentControl_SendAll(watch->agent, &frame);
 }
 
+/* Sends a report and keeps it until it is recorded. Takes @p fingerprints. */
+static void
+add_report(CrashWatch *watch, Wire__CommandKind kind, GArray *fingerprints)
+{
+    if (watch->reports->len == REPORTS_MAX) {
+        g_ptr_array_remove_index(watch->reports, 0);
+    }
+    CrashReport *report = g_new0(CrashReport, 1);
+    report->kind = kind;
+    report->fingerprints = fingerprints;
+    randombytes_buf(report->id, sizeof(report->id));
+    g_ptr_array_add(watch->reports, report);
+    send_report(watch, report);
+}
+
 static void
 report_crash(CrashWatch *watch, const char *why)
 {
@@ -86,15 +102,17 @@
     Counter_Add(Counter_Get("agent_crashes_total",
                             "Crashes of endpoints with requests in flight."),
                 1);
-    if (watch->reports->len == REPORTS_MAX) {
-        g_ptr_array_remove_index(watch->reports, 0);
-    }
-    CrashReport *report = g_new0(CrashReport, 1);
-    randombytes_buf(report->id, sizeof(report->id));
-    report->fingerprints = watch->suspects;
+    GArray *fingerprints = watch->suspects;
     watch->suspects = g_array_new(FALSE, FALSE, sizeof(uint64_t));
-    g_ptr_array_add(watch->reports, report);
-    send_report(watch, report);
+    add_report(watch, WIRE__COMMAND_KIND__COMMAND_CRASH, fingerprints);
+}
+
+void
+AgentCrash_RanAlone(CrashWatch *watch, uint64_t fingerprint)
+{
+    GArray *fingerprints = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    g_array_append_val(fingerprints, fingerprint);
+    add_report(watch, WIRE__COMMAND_KIND__COMMAND_SUSPECT_CLEAR, fingerprints);
 }
 
 static void
@@ -196,7 +214,7 @@
 AgentCrash_Dump(const CrashWatch *watch, json_t *out)
 {
     json_object_set_new(out, "suspects", json_integer(watch->suspects->len));
-    json_object_set_new(out, "unrecorded_crashes",
+    json_object_set_new(out, "unrecorded_reports",
                         json_integer(watch->reports->len));
 }
 
--- a/src/agent/dump.c
+++ b/src/agent/dump.c
@@ -114,6 +114,7 @@
     };
     Wants_ForEach(agent->wants, dump_want, &wants);
     json_object_set_new(out, "wants", wants.out);
+    AgentControl_Dump(agent, out);
     AgentOrders_Dump(agent->orders, out);
     AgentCrash_Dump(agent->crashes, out);
 }
--- a/src/agent/run.c
+++ b/src/agent/run.c
@@ -113,6 +113,11 @@
         AgentReport_Learn(agent, &run->work, run->expected,
                           tokens.cached_stated ? (int64_t)tokens.cached : -1);
     }
+    if (complete && run->known && run->work.alone &&
+        AgentControl_Suspected(agent, run->fingerprint))
+    {
+        AgentCrash_RanAlone(agent->crashes, run->fingerprint);
+    }
     if (ran) {
         count_tokens(run, &tokens, complete);
     }
--- a/src/agent/state.h
+++ b/src/agent/state.h
@@ -115,6 +115,8 @@
 void AgentControl_SendAll(Agent *agent, const Wire__Frame *frame);
 /** True when control has quarantined the fingerprint. */
 bool AgentControl_Quarantined(const Agent *agent, uint64_t fingerprint);
+/** Adds the suspects that control named to a dump. */
+void AgentControl_Dump(const Agent *agent, json_t *out);
 /** True when the fingerprint was in flight at a crash. */
 bool AgentControl_Suspected(const Agent *agent, uint64_t fingerprint);
 
@@ -183,6 +185,8 @@
 void AgentCrash_Free(CrashWatch *watch);
 /** A run's connection broke after the endpoint had the request. */
 void AgentCrash_Suspect(CrashWatch *watch, uint64_t fingerprint);
+/** A suspect ran alone to its end: control is told to clear it. */
+void AgentCrash_RanAlone(CrashWatch *watch, uint64_t fingerprint);
 /** The endpoint refused a connection. */
 void AgentCrash_Refused(CrashWatch *watch);
 /** The endpoint announced itself. @p restarted: with another boot id. */
--- a/test/functional/crash-report.sh
+++ b/test/functional/crash-report.sh
@@ -30,7 +30,7 @@
 sees control "command 7"
 until_true eval '[ $(grep -c "^command 7" control.out) -ge 3 ]'
 tell control answer 0
-until_true agent_value .unrecorded_crashes 0
+until_true agent_value .unrecorded_reports 0
 sort -u control.out
 
 echo "-- quarantined"
