--- a/test/unit/test_request_lease.c
+++ b/test/unit/test_request_lease.c
@@ -19,6 +19,7 @@
 {
     LeaseView view = {
         .replica = replica,
+        .granted = true,
         .rules_version = 10,
         .pending_version = pending,
         .config_index = 1,
@@ -69,6 +70,7 @@
     Lease_Ask(&lease, NOW + 1);
     LeaseView view = {
         .replica = 1,
+        .granted = true,
         .rules_version = 10,
         .pending_version = 10,
         .voter_count = 3,
@@ -77,6 +79,8 @@
     Lease_TakeReply(&lease, old, &view);
     assert_int_equal(lease.view_count, 0);
     reply(&lease, 4, 10);
+    view.granted = false;
+    Lease_TakeReply(&lease, lease.sequence, &view);
     assert_int_equal(reply(&lease, 2, 10), LEASE_WAIT);
 }
 
@@ -88,6 +92,7 @@
     reply(&lease, 1, 10);
     LeaseView view = {
         .replica = 2,
+        .granted = true,
         .rules_version = 10,
         .pending_version = 10,
         .config_index = 9,
