Agent: a want of a request that runs cannot lead to a false refusal

Cause: a repeated want of a running request was remembered as one that waits; a repeated dispatch of it was then refused, which says "not run". No correct entry sends this; the promise holds for whatever frames come.

Change: a want of a request whose answer is held is not remembered. The queue still decides on it.

Seen: agent-dispatch printed "refuse 8 reason 5 dispatch" while request 8 ran; after the change it prints the answer alone.

--- a/src/agent/links.c
+++ b/src/agent/links.c
@@ -253,7 +253,10 @@
                            });
         return;
     }
-    Wants_Add(agent->wants, &work, AgentLinks_Token(link), now);
+    /* One that was dispatched here must not look like one that waits. */
+    if (!g_hash_table_contains(agent->answers, &work.id)) {
+        Wants_Add(agent->wants, &work, AgentLinks_Token(link), now);
+    }
     Queue_Want(agent->queue, &work, AgentLinks_Token(link), now);
 }
 
--- a/test/functional/agent-dispatch.sh
+++ b/test/functional/agent-dispatch.sh
@@ -20,6 +20,14 @@
 tell entry want 2 0 5000
 sees entry "refuse 2"
 
+echo "-- a want and a dispatch of a request that runs change nothing"
+granted entry 8
+tell entry dispatch 8 5000 0 /v1/chat/completions '{"max_tokens":31}'
+until_true agent_value .running 1
+tell entry want 8 0 5000
+tell entry dispatch 8 5000 0 /v1/chat/completions '{"max_tokens":31}'
+sees entry "end 8"
+
 echo "-- a path that cannot stand in a request line"
 granted entry 3
 tell entry dispatch 3 5000 1 path
