--- a/src/agent/links.c
+++ b/src/agent/links.c
@@ -289,7 +289,7 @@
         on_withdraw(agent, link, id);
         break;
     case WIRE__FRAME__BODY_DISPATCH:
-        AgentRun_Start(agent, link, frame->dispatch);
+        AgentDispatch_Take(agent, link, frame->dispatch);
         break;
     case WIRE__FRAME__BODY_CANCEL:
         AgentAnswer_OnCancel(agent, link, id);
--- a/src/agent/state.h
+++ b/src/agent/state.h
@@ -120,8 +120,13 @@
 /** True when the fingerprint was in flight at a crash. */
 bool AgentControl_Suspected(const Agent *agent, uint64_t fingerprint);
 
+/** Runs a dispatch that the queue granted, or says why not. */
+void AgentDispatch_Take(Agent *agent, Link *link,
+                        const Wire__Dispatch *dispatch);
+
 /** Runs: requests on the endpoint. */
-void AgentRun_Start(Agent *agent, Link *link, const Wire__Dispatch *dispatch);
+void AgentRun_Start(Agent *agent, Link *link, const Wire__Dispatch *dispatch,
+                    enum evhttp_cmd_type method);
 void AgentRun_Cancel(Run *run, const char *why);
 void AgentRun_SetReading(Run *run, bool reading);
 void AgentRun_Tick(Agent *agent, TimeUs now);
