Agent: a forgotten request is unknown, not refused

Cause: the queue forgets the oldest of 8,192 tombstones and then takes a repeated dispatch for one that it never saw; the agent refused it, which says "not run" although it ran.

Change: the agent counts grants and dispatches, which bound the burials. Once a tombstone may have been dropped, only a request that is known not to have run is refused; others are answered Unknown.

Ruled out: remembering more ids. Any bound is reached at some time.

Mutation: with the bound taken as never reached, agent-forget prints "refuse 1 reason 5 dispatch" and fails.

--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -9,7 +9,6 @@
 #define TICK_MS 20
 #define REPORT_MS 250
 #define DEFAULT_SLOTS 1
-#define MAX_TOMBSTONES 8192
 #define CACHE_BLOCKS 8192
 /* A loop that comes back later than this handles expiry before frames. */
 #define LATE_TICK_MS 100
@@ -210,7 +209,7 @@
     agent->orders = AgentOrders_New(agent);
     agent->queue = Queue_New(&(QueueConfig){
         .max_wants = AGENT_WANTS_MAX,
-        .max_tombstones = MAX_TOMBSTONES,
+        .max_tombstones = AGENT_TOMBSTONES_MAX,
         .slots = DEFAULT_SLOTS,
         .grant_ttl = own->grant_ms * US_PER_MS,
         .seed = agent->self.incarnation << 20,
--- a/src/agent/dispatch.c
+++ b/src/agent/dispatch.c
@@ -62,14 +62,27 @@
     Link_Send(link, &frame);
 }
 
-/* Answers a dispatch of a request that the queue has seen before. Only when
- * it provably did not run may it be refused: a refusal says so. */
+/* True when the request provably did not run here. As long as the queue has
+ * forgotten no tombstone, a request that it does not know has not run. */
+static bool
+did_not_run(const Agent *agent, RequestId id, RefuseReason reason)
+{
+    bool queue_knows_all = agent->burials < AGENT_TOMBSTONES_MAX;
+    return Wants_DidNotRun(agent->wants, id) ||
+           (reason != REFUSE_DUPLICATE && queue_knows_all);
+}
+
+/* Answers a dispatch that the queue did not take. */
 static void
-answer_repeated(Agent *agent, Link *link, const Wire__Dispatch *dispatch)
+answer_untaken(Agent *agent, Link *link, const Wire__Dispatch *dispatch,
+               RefuseReason reason)
 {
     RequestId id = {dispatch->id->high, dispatch->id->low};
-    if (Wants_DidNotRun(agent->wants, id)) {
-        refuse(agent, link, dispatch, REFUSE_LAPSED);
+    if (did_not_run(agent, id, reason)) {
+        Wants_Remove(agent->wants, id);
+        Wants_NoteNotRun(agent->wants, id);
+        refuse(agent, link, dispatch,
+               reason == REFUSE_DUPLICATE ? REFUSE_LAPSED : reason);
     }
     else if (g_hash_table_lookup(agent->answers, &id) == NULL) {
         AgentAnswer_SendUnknown(link, id);
@@ -100,21 +113,17 @@
     TimeUs now = Clock_Now();
     RefuseReason reason =
         Queue_Dispatch(agent->queue, id, dispatch->grant_id, now);
-    if (reason == REFUSE_DUPLICATE) {
-        answer_repeated(agent, link, dispatch);
+    agent->burials++;
+    if (reason != REFUSE_NONE) {
+        answer_untaken(agent, link, dispatch, reason);
         return;
     }
     const Method *method = find_method(dispatch->method);
-    bool took_slot = reason == REFUSE_NONE;
-    if (took_slot) {
-        reason = check_dispatch(agent, dispatch, method);
-    }
+    reason = check_dispatch(agent, dispatch, method);
     if (reason != REFUSE_NONE) {
-        if (took_slot) {
-            /* The queue keeps a tombstone: it never runs here. */
-            QueueResult nothing = {.complete = false};
-            Queue_Finished(agent->queue, id, &nothing, now);
-        }
+        /* The queue keeps a tombstone: it never runs here. */
+        QueueResult nothing = {.complete = false};
+        Queue_Finished(agent->queue, id, &nothing, now);
         Wants_Remove(agent->wants, id);
         Wants_NoteNotRun(agent->wants, id);
         refuse(agent, link, dispatch, reason);
--- a/src/agent/links.c
+++ b/src/agent/links.c
@@ -27,6 +27,7 @@
 send_grant(Agent *agent, const QueueAction *action)
 {
     Counter_Add(Counter_Get("agent_granted_total", "Grants sent."), 1);
+    agent->burials++;
     WantInfo *info = Wants_Find(agent->wants, action->id);
     if (info != NULL) {
         info->granted = Clock_Now();
--- a/src/agent/state.h
+++ b/src/agent/state.h
@@ -62,7 +62,8 @@
     WantQueue *queue;
     WantTable *wants;
     PrefixCache *cache;
-    GHashTable *runs;     /**< RequestId -> Run */
+    uint64_t burials; /**< Grants and dispatches: at least the tombstones. */
+    GHashTable *runs; /**< RequestId -> Run */
     GHashTable *answers;  /**< RequestId -> Answer */
     GQueue ended_answers; /**< of Answer, oldest first */
     size_t kept_bytes;    /**< Unacknowledged, of all answers. */
@@ -90,6 +91,8 @@
 
 /** Largest number of wants that wait at one time. */
 #define AGENT_WANTS_MAX 4096
+/** Refused and ended requests that the queue remembers. */
+#define AGENT_TOMBSTONES_MAX 8192
 
 /** Links to entries. */
 int AgentLinks_Open(Agent *agent, Error *err);
