--- a/test/bench/bench_state.c
+++ b/test/bench/bench_state.c
@@ -27,7 +27,7 @@
 static void
 apply(State *state, Wire__Command *command)
 {
-    uint8_t id[COMMAND_ID_BYTES] = {0};
+    static uint8_t id[COMMAND_ID_BYTES];
     uint64_t index = ++next_index;
     memcpy(id, &index, sizeof(index));
     command->command_id.data = id;
