--- a/test/functional/control-survive.sh
+++ b/test/functional/control-survive.sh
@@ -60,6 +60,8 @@
 change 303 && in_force
 ADMIN_PORTS=("${all[@]}")
 # Asked while it is frozen, answered when it wakes: it must not say m302.
+# This does not show that reads are confirmed by a majority: the woken host
+# mostly notices its lost lead before it reads the question.
 curl -s -m 20 -H 'Authorization: Bearer operator-key' \
     "http://127.0.0.1:${ADMIN_PORTS[old - 1]}/v1/rules" >frozen.out &
 asked=$!
