Placement weighs waits at the mean pace

Change: own pace decides whether a deadline can be met and how late the finish is; waits and prompts are weighed at the mean. Late binding gives fast engines more by itself.

--- a/src/sched/place_pick.c
+++ b/src/sched/place_pick.c
@@ -165,12 +165,17 @@
     bool far = slot->endpoint.zone != config->zone;
     TimeUs latency =
         remote ? config->region_latency : (far ? config->zone_latency : 0);
-    TimeUs wait = wait_of(slot, work, run_time, now);
+    /* Waits and prompts are weighed at the mean pace: whichever agent has a
+     * free slot first grants first, so that a fast engine takes more by
+     * itself, and urgent wants stand in the queues of slow ones too. */
+    const Pace *mean = table->pace.decode.tokens > 0 ? &table->pace : &pace;
+    TimeUs mean_run_time = Pace_RunTime(mean, work, cached);
+    TimeUs wait = wait_of(slot, work, mean_run_time, now);
     TimeUs finish = now + 4 * latency + run_time + wait;
     double failures = PlaceState_Decayed(slot->failures, slot->failures_at,
                                          FAILURE_HALF_LIFE, now);
     double uncached = work->prompt_tokens - (double)cached * WORK_BLOCK_TOKENS;
-    double prefill = Pace_Speed(&pace.prefill);
+    double prefill = Pace_Speed(&mean->prefill);
     double seconds = prefill > 0 ? uncached / prefill : 0;
     return (Candidate){
         .index = index,
--- a/test/bench/policy_entry.c
+++ b/test/bench/policy_entry.c
@@ -279,7 +279,7 @@
 }
 
 /* The link to a server is gone: what was sent there has no known outcome,
- * and what waited there only is refused. */
+ * and what waited there only is offered to others. */
 static void
 lose_server(Sim *sim, uint32_t zone, uint32_t server)
 {
@@ -296,7 +296,8 @@
             report_end(sim, request, false);
         }
         else if (request->wants == 1U << server) {
-            end(sim, request, OUTCOME_REFUSED);
+            request->wants = 0;
+            offer(sim, request);
         }
         request->wants &= ~(1U << server);
     }
