--- a/src/kernel/settings.h
+++ b/src/kernel/settings.h
@@ -25,8 +25,8 @@
 
 /** How an entry confirms the rules in force. */
 typedef enum SettingsLeaseMode {
-    SETTINGS_LEASE_LEADER = 0, /**< One host that leads answers. */
-    SETTINGS_LEASE_MAJORITY,   /**< A majority of voters answers. */
+    SETTINGS_LEASE_MAJORITY = 0, /**< A majority of voters answers. */
+    SETTINGS_LEASE_LEADER,       /**< One host that leads answers. */
 } SettingsLeaseMode;
 
 typedef struct SettingsEntry {
