--- a/src/agent/control.c
+++ b/src/agent/control.c
@@ -28,7 +28,8 @@
     presence.role = WIRE__ROLE__ROLE_AGENT;
     presence.name = agent->own->name;
     presence.incarnation = agent->self.incarnation;
-    presence.address = agent->own->listen;
+    presence.address = agent->own->advertise != NULL ? agent->own->advertise
+                                                     : agent->own->listen;
     presence.zone = agent->settings->zone;
     presence.region = agent->settings->region;
     presence.kind = agent->endpoint.is_engine ? "engine" : "service";
--- a/src/kernel/settings.c
+++ b/src/kernel/settings.c
@@ -71,6 +71,7 @@
 static const cyaml_schema_field_t agent_fields[] = {
     TEXT("name", SettingsAgent, name),
     TEXT("listen", SettingsAgent, listen),
+    TEXT_OPTIONAL("advertise", SettingsAgent, advertise),
     TEXT("http", SettingsAgent, http),
     TEXT("endpoint", SettingsAgent, endpoint),
     NUMBER("grant_ms", SettingsAgent, grant_ms),
--- a/src/kernel/settings.h
+++ b/src/kernel/settings.h
@@ -40,6 +40,7 @@
 typedef struct SettingsAgent {
     char *name;           /**< Name of the endpoint. */
     char *listen;         /**< IP:PORT for links from entries. */
+    char *advertise;      /**< IP:PORT that entries dial; NULL: listen. */
     char *http;           /**< IP:PORT where the endpoint announces itself. */
     char *endpoint;       /**< IP:PORT where the endpoint takes requests. */
     uint32_t grant_ms;    /**< Life of a grant. */
--- a/src/kernel/settings_check.c
+++ b/src/kernel/settings_check.c
@@ -77,6 +77,9 @@
 check_agent(const char *path, const SettingsAgent *agent, Error *err)
 {
     int result = check_address(path, "listen", agent->listen, err);
+    if (result == ERR_OK && agent->advertise != NULL) {
+        result = check_address(path, "advertise", agent->advertise, err);
+    }
     if (result == ERR_OK) {
         result = check_address(path, "http", agent->http, err);
     }
--- /dev/null
+++ b/test/functional/link-silent.sh
@@ -0,0 +1,27 @@
+# A stream goes on, with nothing lost or doubled, when the connection between
+# entry and agent goes silent, is cut one way, or is closed. New connections
+# work at once.
+export ENGINE_OPTIONS="--token-ms 25"
+. "$(dirname "${BASH_SOURCE[0]}")/relay.inc"
+start_relayed_path
+
+TOKENS=120
+# Starts a draft, and breaks the connection once the answer has begun.
+draft() {
+    rm -f draft.out
+    curl -sN -o draft.out -w '%{http_code} %{exitcode}\n' -H 'Authorization: Bearer sahil-key' \
+        -d "{\"model\":\"draft-large\",\"stream\":true,\"max_tokens\":$TOKENS,\"messages\":[]}" \
+        "http://127.0.0.1:$(port 0)/v1/chat/completions" >draft.status &
+    local curl_pid=$!
+    until_true grep -q word3 draft.out
+    agent_net "$1"
+    wait $curl_pid
+    cat draft.status
+    echo "words $(grep -o 'word[0-9]*' draft.out | sort -u | wc -l) of $TOKENS, lines $(grep -c word draft.out), done $(grep -c DONE draft.out)"
+}
+echo "-- silent both ways"; draft 'freeze?way=both'
+echo "-- silent from agent to entry"; draft 'freeze?way=down'
+echo "-- silent from entry to agent"; draft 'freeze?way=up'
+echo "-- closed"; draft close
+echo "-- what ran"
+grep -c '^ran' engine.record
