Bench of the path against a bare relay; admission and planned stop tested

Cause: no figure said what entry and agent cost, and limits, shedding by tier and the planned stop had no run.

Change: bench_path starts the processes, measures an idle entry with 12 agents, then closed-loop lookups against baseline_relay in the same run. functional/entry-admission: 429 for an account at its limit, the lowest tier shed when the entry is full, a stop that finishes what runs and refuses the rest as not run.

Control bytes a second and streamed pieces a second are not measured.

--- /dev/null
+++ b/test/bench/baseline_relay.c
@@ -0,0 +1,79 @@
+/** @file
+ * Bare HTTP relay, the baseline of bench_path: evhttp in, evhttp out, over
+ * connections that are kept open, and nothing else.
+ */
+#include "fake.h"
+
+#include <event2/buffer.h>
+#include <stdio.h>
+
+typedef struct Relay {
+    Fake fake;
+    gchar *to;
+    Address target;
+    GQueue idle; /* connections to the target */
+} Relay;
+
+typedef struct Call {
+    Relay *relay;
+    struct evhttp_request *caller;
+    struct evhttp_connection *connection;
+} Call;
+
+static void
+on_answer(struct evhttp_request *answer, void *arg)
+{
+    Call *call = arg;
+    if (answer == NULL || evhttp_request_get_response_code(answer) == 0) {
+        evhttp_send_error(call->caller, HTTP_SERVUNAVAIL, NULL);
+    }
+    else {
+        evhttp_send_reply(call->caller,
+                          evhttp_request_get_response_code(answer), NULL,
+                          evhttp_request_get_input_buffer(answer));
+    }
+    g_queue_push_tail(&call->relay->idle, call->connection);
+    g_free(call);
+}
+
+static void
+on_request(struct evhttp_request *request, void *arg)
+{
+    Relay *relay = arg;
+    Call *call = g_new0(Call, 1);
+    call->relay = relay;
+    call->caller = request;
+    call->connection = g_queue_pop_head(&relay->idle);
+    if (call->connection == NULL) {
+        call->connection = evhttp_connection_base_new(
+            relay->fake.base, NULL, relay->target.host, relay->target.port);
+    }
+    struct evhttp_request *out = evhttp_request_new(on_answer, call);
+    evhttp_add_header(evhttp_request_get_output_headers(out), "Host",
+                      relay->to);
+    evbuffer_add_buffer(evhttp_request_get_output_buffer(out),
+                        evhttp_request_get_input_buffer(request));
+    evhttp_make_request(call->connection, out,
+                        evhttp_request_get_command(request),
+                        evhttp_request_get_uri(request));
+}
+
+int
+main(int argc, char **argv)
+{
+    Relay relay = {0};
+    const GOptionEntry own[] = {
+        {"to", 0, 0, G_OPTION_ARG_STRING, &relay.to, "Where requests go",
+         "IP:PORT"},
+        {NULL},
+    };
+    Fake_ReadOptions(&relay.fake, argc, argv, own);
+    if (relay.to == NULL ||
+        Address_Parse(relay.to, &relay.target, NULL) != ERR_OK) {
+        fprintf(stderr, "baseline_relay: expected --to IP:PORT\n");
+        return 2;
+    }
+    Fake_Start(&relay.fake, NULL);
+    evhttp_set_gencb(relay.fake.http, on_request, &relay);
+    return Fake_Run(&relay.fake);
+}
--- /dev/null
+++ b/test/bench/bench_path.c
@@ -0,0 +1,356 @@
+/** @file
+ * Bench of the whole path on loopback: an entry and an agent against a bare
+ * relay, in one run, and what an idle entry with 12 agents costs. Starts the
+ * processes it needs and ends them.
+ */
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <glib.h>
+#include <glib/gstdio.h>
+
+#include "kernel/clock.h"
+#include "rules/rules.h"
+
+#define HOST "127.0.0.1"
+#define KEY "bench-key"
+#define AGENTS 12
+#define CONNECTIONS 32
+#define REQUESTS 20000
+#define LIGHT_REQUESTS 2000
+#define ROUNDS 3
+#define IDLE_S 3
+#define START_LIMIT_US (20 * US_PER_S)
+#define MIN_RATIO 0.5
+#define MAX_ADDED_MS 1.0
+#define MAX_IDLE_CORE 0.024
+#define MAX_IDLE_MB 128.0
+
+/* Ports from the first one on. */
+enum {
+    PORT_ENTRY,
+    PORT_CONTROL,
+    PORT_ADMIN,
+    PORT_SERVICE,
+    PORT_RELAY,
+    PORT_AGENTS,
+};
+
+typedef struct Bench {
+    char *build;
+    char *folder;
+    unsigned first_port;
+    GArray *children;
+    struct event_base *base;
+} Bench;
+
+/* One closed-loop run against one port. */
+typedef struct Run {
+    struct event_base *base;
+    unsigned port;
+    unsigned left;
+    unsigned open;
+    unsigned failed;
+    GArray *latency_us;
+} Run;
+
+typedef struct Caller {
+    Run *run;
+    struct evhttp_connection *connection;
+    TimeUs sent;
+} Caller;
+
+static void send_request(Caller *caller);
+
+static void
+on_answer(struct evhttp_request *answer, void *arg)
+{
+    Caller *caller = arg;
+    Run *run = caller->run;
+    bool good =
+        answer != NULL && evhttp_request_get_response_code(answer) == 200;
+    run->failed += good ? 0 : 1;
+    TimeUs took = Clock_Now() - caller->sent;
+    g_array_append_val(run->latency_us, took);
+    send_request(caller);
+}
+
+static void
+send_request(Caller *caller)
+{
+    Run *run = caller->run;
+    if (run->left == 0) {
+        if (--run->open == 0) {
+            event_base_loopbreak(run->base);
+        }
+        return;
+    }
+    run->left--;
+    caller->sent = Clock_Now();
+    struct evhttp_request *request = evhttp_request_new(on_answer, caller);
+    struct evkeyvalq *headers = evhttp_request_get_output_headers(request);
+    evhttp_add_header(headers, "Host", HOST);
+    evhttp_add_header(headers, "Authorization", "Bearer " KEY);
+    evhttp_make_request(caller->connection, request, EVHTTP_REQ_GET,
+                        "/orders/1");
+}
+
+static gint
+compare_times(gconstpointer a, gconstpointer b)
+{
+    TimeUs first = *(const TimeUs *)a;
+    TimeUs second = *(const TimeUs *)b;
+    return first < second ? -1 : first > second;
+}
+
+/* Requests a second; @p median_ms and @p failed are set. */
+static double
+measure(const Bench *bench, unsigned port, unsigned connections,
+        unsigned requests, double *median_ms, unsigned *failed)
+{
+    Run run = {
+        .base = bench->base,
+        .port = bench->first_port + port,
+        .left = requests,
+        .open = connections,
+        .latency_us = g_array_new(FALSE, FALSE, sizeof(TimeUs)),
+    };
+    Caller *callers = g_new0(Caller, connections);
+    TimeUs started = Clock_Now();
+    for (unsigned i = 0; i < connections; i++) {
+        callers[i].run = &run;
+        callers[i].connection = evhttp_connection_base_new(
+            bench->base, NULL, HOST, (uint16_t)run.port);
+        send_request(&callers[i]);
+    }
+    event_base_dispatch(bench->base);
+    double seconds = (double)(Clock_Now() - started) / US_PER_S;
+    g_array_sort(run.latency_us, compare_times);
+    TimeUs median =
+        g_array_index(run.latency_us, TimeUs, run.latency_us->len / 2);
+    *median_ms = (double)median / US_PER_MS;
+    *failed = run.failed;
+    for (unsigned i = 0; i < connections; i++) {
+        evhttp_connection_free(callers[i].connection);
+    }
+    g_free(callers);
+    g_array_free(run.latency_us, TRUE);
+    return requests / seconds;
+}
+
+static GPid
+start(Bench *bench, const char *program, const char *arguments)
+{
+    char *line = g_strdup_printf("%s/%s %s", bench->build, program, arguments);
+    char **argv = NULL;
+    GPid pid = 0;
+    GError *fault = NULL;
+    g_shell_parse_argv(line, NULL, &argv, NULL);
+    if (!g_spawn_async(bench->folder, argv, NULL,
+                       G_SPAWN_STDOUT_TO_DEV_NULL | G_SPAWN_STDERR_TO_DEV_NULL,
+                       NULL, NULL, &pid, &fault))
+    {
+        fprintf(stderr, "bench_path: %s\n", fault->message);
+        exit(2);
+    }
+    g_array_append_val(bench->children, pid);
+    g_strfreev(argv);
+    g_free(line);
+    return pid;
+}
+
+static void
+write_file(const Bench *bench, const char *name, const GString *text)
+{
+    char *path = g_build_filename(bench->folder, name, NULL);
+    g_file_set_contents(path, text->str, (gssize)text->len, NULL);
+    g_free(path);
+}
+
+static GString *
+settings_head(const Bench *bench, const char *name)
+{
+    GString *text = g_string_new(NULL);
+    g_string_printf(text,
+                    "name: %s\nregion: west\nzone: west-1\ncontrol_hosts:\n"
+                    "  - { id: 1, address: \"" HOST ":%u\", admin: \"" HOST
+                    ":%u\" }\n",
+                    name, bench->first_port + PORT_CONTROL,
+                    bench->first_port + PORT_ADMIN);
+    return text;
+}
+
+static void
+write_settings(const Bench *bench)
+{
+    char hash[2 * RULES_KEY_HASH_BYTES + 1];
+    Rules_HashKey(KEY, hash);
+    GString *text = g_string_new(NULL);
+    g_string_printf(text,
+                    "account bench key=%s tier=0 # asked by bench\n"
+                    "route GET /orders/* service=register idempotent=yes "
+                    "# asked by bench\n",
+                    hash);
+    write_file(bench, "rules", text);
+    text = settings_head(bench, "control");
+    g_string_append(text, "control: { id: 1, data_dir: data, bootstrap: true, "
+                          "rules: rules }\n");
+    write_file(bench, "control.yaml", text);
+    text = settings_head(bench, "entry");
+    g_string_append_printf(text, "entry: { http: \"" HOST ":%u\" }\n",
+                           bench->first_port + PORT_ENTRY);
+    write_file(bench, "entry.yaml", text);
+    text = settings_head(bench, "agents");
+    g_string_append(text, "agents:\n");
+    for (unsigned i = 0; i < AGENTS; i++) {
+        unsigned port = bench->first_port + PORT_AGENTS + 2 * i;
+        g_string_append_printf(
+            text,
+            "  - { name: agent-%u, listen: \"" HOST ":%u\", http: \"" HOST
+            ":%u\", endpoint: \"" HOST ":%u\" }\n",
+            i, port, port + 1, bench->first_port + PORT_SERVICE);
+    }
+    write_file(bench, "agents.yaml", text);
+}
+
+static GPid
+start_all(Bench *bench)
+{
+    write_settings(bench);
+    char *arguments = g_strdup_printf(
+        "--listen " HOST ":%u --agent " HOST ":%u --slots 64 --delay-ms 0",
+        bench->first_port + PORT_SERVICE, bench->first_port + PORT_AGENTS + 1);
+    start(bench, "test/fakes/fake_service", arguments);
+    g_free(arguments);
+    arguments = g_strdup_printf("--listen " HOST ":%u --to " HOST ":%u",
+                                bench->first_port + PORT_RELAY,
+                                bench->first_port + PORT_SERVICE);
+    start(bench, "test/bench/baseline_relay", arguments);
+    g_free(arguments);
+    start(bench, "src/daemon/laurelliftd", "control.yaml");
+    start(bench, "src/daemon/laurelliftd", "agents.yaml");
+    return start(bench, "src/daemon/laurelliftd", "entry.yaml");
+}
+
+static bool
+wait_for_answers(const Bench *bench)
+{
+    TimeUs limit = Clock_Now() + START_LIMIT_US;
+    unsigned failed = 1;
+    double median_ms;
+    while (failed > 0 && Clock_Now() < limit) {
+        g_usleep(200 * 1000);
+        measure(bench, PORT_ENTRY, 1, 20, &median_ms, &failed);
+    }
+    return failed == 0;
+}
+
+/* Processor time in seconds, and resident megabytes, of a process. */
+static void
+read_usage(GPid pid, double *cpu_s, double *megabytes)
+{
+    char *path = g_strdup_printf("/proc/%d/stat", pid);
+    char *text = NULL;
+    unsigned long user = 0;
+    unsigned long kernel = 0;
+    long pages = 0;
+    if (g_file_get_contents(path, &text, NULL, NULL)) {
+        sscanf(strrchr(text, ')') + 2,
+               "%*c %*d %*d %*d %*d %*d %*u %*u %*u %*u %*u %lu %lu %*d %*d "
+               "%*d %*d %*d %*d %*u %*u %ld",
+               &user, &kernel, &pages);
+    }
+    *cpu_s = (double)(user + kernel) / (double)sysconf(_SC_CLK_TCK);
+    *megabytes = (double)pages * (double)sysconf(_SC_PAGESIZE) / 1e6;
+    g_free(text);
+    g_free(path);
+}
+
+static bool
+check(const char *what, double value, double bound, bool at_most)
+{
+    bool kept = at_most ? value <= bound : value >= bound;
+    printf("%-34s %10.3f  bound %s %.3f%s\n", what, value,
+           at_most ? "<=" : ">=", bound, kept ? "" : "  MISSED");
+    return kept;
+}
+
+static bool
+bench_idle(GPid entry)
+{
+    double before;
+    double after;
+    double megabytes;
+    read_usage(entry, &before, &megabytes);
+    g_usleep(IDLE_S * US_PER_S);
+    read_usage(entry, &after, &megabytes);
+    bool kept = check("idle entry, 12 agents: cores",
+                      (after - before) / IDLE_S, MAX_IDLE_CORE, true);
+    return check("idle entry, 12 agents: MB", megabytes, MAX_IDLE_MB, true) &&
+           kept;
+}
+
+static bool
+bench_load(const Bench *bench)
+{
+    double bare_ms;
+    double own_ms;
+    unsigned failed;
+    measure(bench, PORT_RELAY, 1, LIGHT_REQUESTS, &bare_ms, &failed);
+    measure(bench, PORT_ENTRY, 1, LIGHT_REQUESTS, &own_ms, &failed);
+    bool kept = check("added median latency, ms", own_ms - bare_ms,
+                      MAX_ADDED_MS, true);
+    double best_bare = 0;
+    double best_own = 0;
+    for (unsigned i = 0; i < ROUNDS; i++) {
+        double unused;
+        double bare = measure(bench, PORT_RELAY, CONNECTIONS, REQUESTS,
+                              &unused, &failed);
+        kept = kept && failed == 0;
+        double own = measure(bench, PORT_ENTRY, CONNECTIONS, REQUESTS, &unused,
+                             &failed);
+        kept = kept && failed == 0;
+        best_bare = MAX(best_bare, bare);
+        best_own = MAX(best_own, own);
+    }
+    printf("bare relay %.0f/s, entry and agent %.0f/s, failed %u\n", best_bare,
+           best_own, failed);
+    return check("requests a second, ratio", best_own / best_bare, MIN_RATIO,
+                 false) &&
+           kept;
+}
+
+int
+main(int argc, char **argv)
+{
+    char *program = realpath(argv[0], NULL);
+    char *here = g_path_get_dirname(program);
+    const char *ports = g_getenv("LL_BENCH_PORTS");
+    Bench bench = {
+        .build = g_build_filename(here, "..", "..", NULL),
+        .folder = g_dir_make_tmp("bench-path-XXXXXX", NULL),
+        .first_port = ports == NULL ? 17000 : (unsigned)atoi(ports),
+        .children = g_array_new(FALSE, FALSE, sizeof(GPid)),
+        .base = event_base_new(),
+    };
+    signal(SIGPIPE, SIG_IGN);
+    GPid entry = start_all(&bench);
+    bool kept = wait_for_answers(&bench);
+    if (!kept) {
+        printf("the path did not start\n");
+    }
+    else {
+        kept = bench_idle(entry);
+        kept = bench_load(&bench) && kept;
+    }
+    for (guint i = 0; i < bench.children->len; i++) {
+        kill(g_array_index(bench.children, GPid, i), SIGKILL);
+    }
+    return kept ? 0 : 1;
+}
--- /dev/null
+++ b/test/functional/entry-admission.sh
@@ -0,0 +1,46 @@
+# Account limits, room by tier, and a planned stop of the entry.
+export ENGINE_OPTIONS="--slots 1 --token-ms 40"
+. "$(dirname "${BASH_SOURCE[0]}")/lib.sh"
+eval "plain_$(declare -f rule_file)"
+eval "plain_$(declare -f entry_settings)"
+rule_file() {
+    plain_rule_file
+    echo "account small key=$("$LL_BUILD/src/cli/laurellift" hash-key small-key) tier=1 concurrent=1  # asked by both offices"
+}
+entry_settings() { plain_entry_settings "$@" | sed 's/entry: {/& max_requests: 2,/'; }
+start_path
+
+# draft NAME KEY TOKENS: starts a draft; its status goes to NAME.status.
+draft() {
+    curl -s -D "$1.headers" -o "$1.out" -w '%{http_code}\n' -H "Authorization: Bearer $2" \
+        -d "{\"model\":\"draft-large\",\"stream\":true,\"max_tokens\":$3,\"messages\":[]}" \
+        "http://127.0.0.1:$(port 0)/v1/chat/completions" >"$1.status" &
+    DRAFT=$!
+}
+holds() { [ "$(state "$(port 0)" .entry.requests)" = "$1" ]; }
+says() { cat "$1.status"; jq -r '.error | "\(.code) \(.outcome)"' "$1.out"; grep -ci '^retry-after' "$1.headers"; }
+
+echo "-- one at a time for this account"
+draft first small-key 60; first=$DRAFT
+until_true grep -q word1 first.out
+draft second small-key 1; wait $DRAFT
+says second
+echo "-- what a waiting request waits for"
+draft low milk-key 1; low=$DRAFT
+until_true holds 2
+state "$(port 0)" '.entry.request_list[] | select(.state == "wanting") | "tier \(.tier) waits for \(.waits_for): \(.agents | join(" "))"'
+echo "-- no room: the lower tier is shed, the higher one waits"
+draft high sahil-key 1; high=$DRAFT
+wait $low; says low
+wait $first; cat first.status; grep -c word first.out
+wait $high; cat high.status
+
+echo "-- planned stop"
+draft last sahil-key 60; last=$DRAFT
+until_true grep -q word1 last.out
+kill -TERM "$(cat entry.pid)"
+refuses() { [ "$(curl -s -o /dev/null -w '%{http_code}' "http://127.0.0.1:$(port 0)/readyz")" = 503 ]; }
+until_true refuses && echo "not ready"
+call GET /orders/1 | sed 's/"message": "[^"]*", //'
+wait $last; cat last.status; grep -c word last.out
+wait "$(cat entry.pid)"; echo "exit $?"
