--- a/src/agent/links.c
+++ b/src/agent/links.c
@@ -27,6 +27,7 @@
 send_grant(Agent *agent, const QueueAction *action)
 {
     Counter_Add(Counter_Get("agent_granted_total", "Grants sent."), 1);
+    agent->burials++;
     WantInfo *info = Wants_Find(agent->wants, action->id);
     if (info != NULL) {
         info->granted = Clock_Now();
@@ -253,7 +254,10 @@
                            });
         return;
     }
-    Wants_Add(agent->wants, &work, AgentLinks_Token(link), now);
+    /* One that was dispatched here must not look like one that waits. */
+    if (!g_hash_table_contains(agent->answers, &work.id)) {
+        Wants_Add(agent->wants, &work, AgentLinks_Token(link), now);
+    }
     Queue_Want(agent->queue, &work, AgentLinks_Token(link), now);
 }
 
@@ -286,7 +290,7 @@
         on_withdraw(agent, link, id);
         break;
     case WIRE__FRAME__BODY_DISPATCH:
-        AgentRun_Start(agent, link, frame->dispatch);
+        AgentDispatch_Take(agent, link, frame->dispatch);
         break;
     case WIRE__FRAME__BODY_CANCEL:
         AgentAnswer_OnCancel(agent, link, id);
