Scripted runs: write the operator's key file whole

Ruled out: a fault of the daemon; it refused an empty key, as it must.

Change: the file is written beside its name and moved there, once.

--- a/test/functional/lib.sh
+++ b/test/functional/lib.sh
@@ -233,7 +233,11 @@
     for port in "${ADMIN_PORTS[@]}"; do
         admins+=(--admin "127.0.0.1:$port")
     done
-    echo operator-key >operator.key
+    # Whole or not at all: calls may run at once.
+    if [ ! -e operator.key ]; then
+        echo operator-key >"operator.key.$BASHPID"
+        mv "operator.key.$BASHPID" operator.key
+    fi
     "$LL_BUILD/src/cli/laurellift" "$@" "${admins[@]}" --key-file operator.key
 }
 
