--- a/src/agent/state.h
+++ b/src/agent/state.h
@@ -62,7 +62,8 @@
     WantQueue *queue;
     WantTable *wants;
     PrefixCache *cache;
-    GHashTable *runs;     /**< RequestId -> Run */
+    uint64_t burials; /**< Grants and dispatches: at least the tombstones. */
+    GHashTable *runs; /**< RequestId -> Run */
     GHashTable *answers;  /**< RequestId -> Answer */
     GQueue ended_answers; /**< of Answer, oldest first */
     size_t kept_bytes;    /**< Unacknowledged, of all answers. */
@@ -90,6 +91,8 @@
 
 /** Largest number of wants that wait at one time. */
 #define AGENT_WANTS_MAX 4096
+/** Refused and ended requests that the queue remembers. */
+#define AGENT_TOMBSTONES_MAX 8192
 
 /** Links to entries. */
 int AgentLinks_Open(Agent *agent, Error *err);
@@ -115,11 +118,18 @@
 void AgentControl_SendAll(Agent *agent, const Wire__Frame *frame);
 /** True when control has quarantined the fingerprint. */
 bool AgentControl_Quarantined(const Agent *agent, uint64_t fingerprint);
+/** Adds the suspects that control named to a dump. */
+void AgentControl_Dump(const Agent *agent, json_t *out);
 /** True when the fingerprint was in flight at a crash. */
 bool AgentControl_Suspected(const Agent *agent, uint64_t fingerprint);
 
+/** Runs a dispatch that the queue granted, or says why not. */
+void AgentDispatch_Take(Agent *agent, Link *link,
+                        const Wire__Dispatch *dispatch);
+
 /** Runs: requests on the endpoint. */
-void AgentRun_Start(Agent *agent, Link *link, const Wire__Dispatch *dispatch);
+void AgentRun_Start(Agent *agent, Link *link, const Wire__Dispatch *dispatch,
+                    enum evhttp_cmd_type method);
 void AgentRun_Cancel(Run *run, const char *why);
 void AgentRun_SetReading(Run *run, bool reading);
 void AgentRun_Tick(Agent *agent, TimeUs now);
@@ -183,6 +193,8 @@
 void AgentCrash_Free(CrashWatch *watch);
 /** A run's connection broke after the endpoint had the request. */
 void AgentCrash_Suspect(CrashWatch *watch, uint64_t fingerprint);
+/** A suspect ran alone to its end: control is told to clear it. */
+void AgentCrash_RanAlone(CrashWatch *watch, uint64_t fingerprint);
 /** The endpoint refused a connection. */
 void AgentCrash_Refused(CrashWatch *watch);
 /** The endpoint announced itself. @p restarted: with another boot id. */
