Bench of the path: processor time a request by process

Cause: the ratio to the bare relay is missed and the bench did not say which process limits it.

The agent limits the rate: it opens a connection to its endpoint for each request. Reusing them is left, since a kept connection that fails under a dispatch has an unknown outcome.

--- a/test/bench/bench_path.c
+++ b/test/bench/bench_path.c
@@ -47,6 +47,8 @@
     char *folder;
     unsigned first_port;
     GArray *children;
+    GPid entry;
+    GPid agents;
     struct event_base *base;
 } Bench;
 
@@ -219,7 +221,7 @@
     write_file(bench, "agents.yaml", text);
 }
 
-static GPid
+static void
 start_all(Bench *bench)
 {
     write_settings(bench);
@@ -234,8 +236,8 @@
     start(bench, "test/bench/baseline_relay", arguments);
     g_free(arguments);
     start(bench, "src/daemon/laurelliftd", "control.yaml");
-    start(bench, "src/daemon/laurelliftd", "agents.yaml");
-    return start(bench, "src/daemon/laurelliftd", "entry.yaml");
+    bench->agents = start(bench, "src/daemon/laurelliftd", "agents.yaml");
+    bench->entry = start(bench, "src/daemon/laurelliftd", "entry.yaml");
 }
 
 static bool
@@ -306,6 +308,11 @@
     measure(bench, PORT_ENTRY, 1, LIGHT_REQUESTS, &own_ms, &failed);
     bool kept = check("added median latency, ms", own_ms - bare_ms,
                       MAX_ADDED_MS, true);
+    double entry_s[2];
+    double agents_s[2];
+    double unused_mb;
+    read_usage(bench->entry, &entry_s[0], &unused_mb);
+    read_usage(bench->agents, &agents_s[0], &unused_mb);
     double best_bare = 0;
     double best_own = 0;
     for (unsigned i = 0; i < ROUNDS; i++) {
@@ -319,6 +326,11 @@
         best_bare = MAX(best_bare, bare);
         best_own = MAX(best_own, own);
     }
+    read_usage(bench->entry, &entry_s[1], &unused_mb);
+    read_usage(bench->agents, &agents_s[1], &unused_mb);
+    printf("processor time a request: entry %.0f us, agent %.0f us\n",
+           (entry_s[1] - entry_s[0]) * 1e6 / (ROUNDS * REQUESTS),
+           (agents_s[1] - agents_s[0]) * 1e6 / (ROUNDS * REQUESTS));
     printf("bare relay %.0f/s, entry and agent %.0f/s, failed %u\n", best_bare,
            best_own, failed);
     return check("requests a second, ratio", best_own / best_bare, MIN_RATIO,
@@ -340,13 +352,13 @@
         .base = event_base_new(),
     };
     signal(SIGPIPE, SIG_IGN);
-    GPid entry = start_all(&bench);
+    start_all(&bench);
     bool kept = wait_for_answers(&bench);
     if (!kept) {
         printf("the path did not start\n");
     }
     else {
-        kept = bench_idle(entry);
+        kept = bench_idle(bench.entry);
         kept = bench_load(&bench) && kept;
     }
     for (guint i = 0; i < bench.children->len; i++) {
