Agent: a report that says nothing new is sent once a second

Cause: an idle link cost 192 bytes a second, nearly all of it the state report sent four times a second though nothing had changed; at 12 KB a second that allows 64 links. Ruled out: heartbeats (24 bytes a second of the 192). Change: a report goes out when its content or the cache changed, otherwise after one second.

--- a/src/agent/links.c
+++ b/src/agent/links.c
@@ -4,9 +4,13 @@
  */
 #include "agent/state.h"
 
+#include <xxhash.h>
+
 #include "kernel/counter.h"
 #include "kernel/log.h"
 
+/* A report that says nothing new is sent this often. */
+#define REPORT_UNCHANGED_US US_PER_S
 #define ACTIONS_AT_ONCE 64
 
 uint64_t
@@ -110,7 +114,6 @@
 {
     QueueState queue;
     Queue_State(agent->queue, Clock_Now(), &queue);
-    state->sequence = ++agent->report_sequence;
     state->kind = agent->endpoint.is_engine ? "engine" : "service";
     state->service = agent->endpoint.service;
     state->leaving = queue.leaving;
@@ -151,6 +154,41 @@
                  false);
 }
 
+/* True when the report differs from the last one, or that one is old. The
+ * sequence number is not set yet and does not count. */
+static bool
+is_due(Agent *agent, const Wire__AgentState *state, TimeUs now)
+{
+    size_t size = wire__agent_state__get_packed_size(state);
+    uint8_t *bytes = g_malloc(size);
+    wire__agent_state__pack(state, bytes);
+    uint64_t hash = XXH3_64bits(bytes, size);
+    g_free(bytes);
+    if (hash == agent->report_hash &&
+        now - agent->reported_at < REPORT_UNCHANGED_US)
+    {
+        return false;
+    }
+    agent->report_hash = hash;
+    agent->reported_at = now;
+    return true;
+}
+
+static void
+send_to_entries(Agent *agent, Wire__AgentState *state)
+{
+    state->sequence = ++agent->report_sequence;
+    Wire__Frame frame = WIRE__FRAME__INIT;
+    frame.body_case = WIRE__FRAME__BODY_AGENT_STATE;
+    frame.agent_state = state;
+    GHashTableIter iter;
+    gpointer link;
+    g_hash_table_iter_init(&iter, agent->entry_links);
+    while (g_hash_table_iter_next(&iter, NULL, &link)) {
+        Link_Send(link, &frame);
+    }
+}
+
 void
 AgentLinks_SendState(Agent *agent)
 {
@@ -161,14 +199,8 @@
     state.cache_reset = Cache_TakeChanges(agent->cache, cached, evicted);
     fill_blocks(&state, cached, evicted);
     tell_queue(agent, &state);
-    Wire__Frame frame = WIRE__FRAME__INIT;
-    frame.body_case = WIRE__FRAME__BODY_AGENT_STATE;
-    frame.agent_state = &state;
-    GHashTableIter iter;
-    gpointer link;
-    g_hash_table_iter_init(&iter, agent->entry_links);
-    while (g_hash_table_iter_next(&iter, NULL, &link)) {
-        Link_Send(link, &frame);
+    if (is_due(agent, &state, Clock_Now())) {
+        send_to_entries(agent, &state);
     }
     free_state(&state);
     g_array_free(cached, TRUE);
@@ -181,6 +213,7 @@
 {
     Wire__AgentState state = WIRE__AGENT_STATE__INIT;
     fill_state(agent, &state);
+    state.sequence = ++agent->report_sequence;
     GArray *cached = g_array_new(FALSE, FALSE, sizeof(uint64_t));
     GArray *evicted = g_array_new(FALSE, FALSE, sizeof(uint64_t));
     Cache_List(agent->cache, cached);
--- a/src/agent/state.h
+++ b/src/agent/state.h
@@ -78,6 +78,8 @@
     TimeUs ticked_at;
     TimeUs idle_since; /**< While draining: when the last run ended. */
     uint64_t report_sequence;
+    uint64_t report_hash; /**< Of the last report, without its sequence. */
+    TimeUs reported_at;
     bool leaving;      /**< No new work is granted. */
     bool draining;     /**< A planned stop has begun. */
     bool said_goodbye; /**< The planned stop is all but over. */
