Agent: presence goes to control once a second

Cause: an agent told each control host of itself four times a second; it is held as absent only after 3 s.

--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -8,6 +8,7 @@
 
 #define TICK_MS 20
 #define REPORT_MS 250
+#define PRESENCE_US US_PER_S
 #define DEFAULT_SLOTS 1
 #define CACHE_BLOCKS 8192
 /* A loop that comes back later than this handles expiry before frames. */
@@ -92,7 +93,9 @@
     Agent *agent = arg;
     Wants_Expire(agent->wants, Clock_Now(), agent->own->grant_ms * US_PER_MS);
     AgentLinks_SendState(agent);
-    AgentControl_SendPresence(agent);
+    if (Clock_Now() - agent->presence_at >= PRESENCE_US) {
+        AgentControl_SendPresence(agent);
+    }
 }
 
 static struct event *
--- a/src/agent/control.c
+++ b/src/agent/control.c
@@ -42,6 +42,7 @@
     frame.body_case = WIRE__FRAME__BODY_PRESENCE;
     frame.presence = &presence;
     AgentControl_SendAll(agent, &frame);
+    agent->presence_at = Clock_Now();
 }
 
 static gpointer
--- a/src/agent/state.h
+++ b/src/agent/state.h
@@ -80,9 +80,10 @@
     uint64_t report_sequence;
     uint64_t report_hash; /**< Of the last report, without its sequence. */
     TimeUs reported_at;
-    bool leaving;      /**< No new work is granted. */
-    bool draining;     /**< A planned stop has begun. */
-    bool said_goodbye; /**< The planned stop is all but over. */
+    TimeUs presence_at; /**< When control was last told. */
+    bool leaving;       /**< No new work is granted. */
+    bool draining;      /**< A planned stop has begun. */
+    bool said_goodbye;  /**< The planned stop is all but over. */
     bool drained_by_order;
 } Agent;
 
