One hash of request ids, one place that sends acknowledgements

The same hash and equality of request ids stood in the entry and the agent; they are Work_HashId and Work_EqualId now. The entry's frames to agents are all built in send.c. No change of behaviour; link-silent, agent-resume, faults-entry-kill, path and the unit tests of the agent and requests pass.

--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -201,8 +201,8 @@
     agent->self = Self_Make(settings, WIRE__ROLE__ROLE_AGENT, own->name);
     agent->endpoint.models = g_ptr_array_new_with_free_func(g_free);
     agent->endpoint.kv_free = -1;
-    agent->runs = g_hash_table_new(Wants_HashId, Wants_EqualId);
-    agent->answers = g_hash_table_new_full(Wants_HashId, Wants_EqualId, NULL,
+    agent->runs = g_hash_table_new(Work_HashId, Work_EqualId);
+    agent->answers = g_hash_table_new_full(Work_HashId, Work_EqualId, NULL,
                                            AgentAnswer_Free);
     agent->suspects = g_hash_table_new(NULL, NULL);
     agent->entry_links = g_hash_table_new(NULL, NULL);
--- a/src/agent/wants.c
+++ b/src/agent/wants.c
@@ -10,29 +10,14 @@
     GQueue lapsed;       /* of RequestId, oldest first */
 };
 
-guint
-Wants_HashId(gconstpointer id)
-{
-    const RequestId *request = id;
-    return (guint)(request->high ^ request->low);
-}
-
-gboolean
-Wants_EqualId(gconstpointer a, gconstpointer b)
-{
-    const RequestId *first = a;
-    const RequestId *second = b;
-    return work_same_id(*first, *second);
-}
-
 WantTable *
 Wants_New(uint32_t capacity)
 {
     WantTable *wants = g_new0(WantTable, 1);
     wants->capacity = capacity;
     wants->infos =
-        g_hash_table_new_full(Wants_HashId, Wants_EqualId, NULL, g_free);
-    wants->not_run = g_hash_table_new(Wants_HashId, Wants_EqualId);
+        g_hash_table_new_full(Work_HashId, Work_EqualId, NULL, g_free);
+    wants->not_run = g_hash_table_new(Work_HashId, Work_EqualId);
     g_queue_init(&wants->lapsed);
     return wants;
 }
--- a/src/agent/wants.h
+++ b/src/agent/wants.h
@@ -53,8 +53,4 @@
 void Wants_ForEach(WantTable *wants,
                    void (*visit)(const WantInfo *info, void *arg), void *arg);
 
-/** Hash and equality of RequestId keys. */
-guint Wants_HashId(gconstpointer id);
-gboolean Wants_EqualId(gconstpointer a, gconstpointer b);
-
 #endif
--- a/src/entry/answer.c
+++ b/src/entry/answer.c
@@ -83,26 +83,6 @@
     return evbuffer_get_length(bufferevent_get_output(socket));
 }
 
-static void
-send_ack(Request *request, uint64_t offset)
-{
-    Peer *peer = EntryPeers_ByNumber(request->entry, request->life.to.agent);
-    if (peer == NULL) {
-        return;
-    }
-    request->acked = offset;
-    Wire__RequestId id = WIRE__REQUEST_ID__INIT;
-    id.high = request->work.id.high;
-    id.low = request->work.id.low;
-    Wire__AnswerAck ack = WIRE__ANSWER_ACK__INIT;
-    ack.id = &id;
-    ack.offset = offset;
-    Wire__Frame frame = WIRE__FRAME__INIT;
-    frame.body_case = WIRE__FRAME__BODY_ANSWER_ACK;
-    frame.answer_ack = &ack;
-    EntryPeers_Send(peer, &frame);
-}
-
 /* Offset up to which bytes have left for the caller. */
 static uint64_t
 passed_on(const Request *request)
@@ -117,7 +97,7 @@
 {
     uint64_t offset = passed_on(request);
     if (offset >= request->acked + ACK_BYTES) {
-        send_ack(request, offset);
+        EntrySend_Ack(request, offset);
     }
     if (!request->ack_due && request->life.received > request->acked) {
         request->ack_due = true;
@@ -134,7 +114,7 @@
         Request *request = g_ptr_array_index(due, i);
         uint64_t offset = passed_on(request);
         if (offset > request->acked) {
-            send_ack(request, offset);
+            EntrySend_Ack(request, offset);
         }
         request->ack_due = request->life.received > request->acked;
         if (request->ack_due) {
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -139,21 +139,6 @@
     .dump = dump,
 };
 
-static guint
-hash_id(gconstpointer id)
-{
-    const RequestId *request = id;
-    return (guint)(request->high ^ request->low);
-}
-
-static gboolean
-equal_id(gconstpointer a, gconstpointer b)
-{
-    const RequestId *first = a;
-    const RequestId *second = b;
-    return work_same_id(*first, *second);
-}
-
 int
 Entry_AddTask(Kernel *kernel, const Settings *settings, Error *err)
 {
@@ -163,7 +148,7 @@
     entry->peers = g_hash_table_new(g_str_hash, g_str_equal);
     entry->peers_numbers = g_hash_table_new(g_int64_hash, g_int64_equal);
     entry->peers_places = g_ptr_array_new();
-    entry->requests = g_hash_table_new(hash_id, equal_id);
+    entry->requests = g_hash_table_new(Work_HashId, Work_EqualId);
     entry->callers = g_hash_table_new(NULL, NULL);
     entry->ack_due = g_ptr_array_new();
     entry->hosts = g_ptr_array_new();
--- a/src/entry/send.c
+++ b/src/entry/send.c
@@ -115,6 +115,24 @@
     return EntryPeers_Send(peer, &frame);
 }
 
+void
+EntrySend_Ack(Request *request, uint64_t offset)
+{
+    Peer *peer = EntryPeers_ByNumber(request->entry, request->life.to.agent);
+    if (peer == NULL) {
+        return;
+    }
+    request->acked = offset;
+    Wire__RequestId id = wire_id(request);
+    Wire__AnswerAck ack = WIRE__ANSWER_ACK__INIT;
+    ack.id = &id;
+    ack.offset = offset;
+    Wire__Frame frame = WIRE__FRAME__INIT;
+    frame.body_case = WIRE__FRAME__BODY_ANSWER_ACK;
+    frame.answer_ack = &ack;
+    EntryPeers_Send(peer, &frame);
+}
+
 void
 EntrySend_LastAck(Peer *peer, const Wire__AnswerEnd *end)
 {
--- a/src/entry/state.h
+++ b/src/entry/state.h
@@ -212,6 +212,8 @@
 int EntrySend_Dispatch(Request *request, Peer *peer, uint64_t grant_id);
 void EntrySend_Withdraw(Request *request, LifeAgent agent);
 void EntrySend_Cancel(Request *request, LifeAgent agent);
+/** Tells the runner that all bytes before @p offset have been passed on. */
+void EntrySend_Ack(Request *request, uint64_t offset);
 /** The end of the answer has come: the agent may forget it. */
 void EntrySend_LastAck(Peer *peer, const Wire__AnswerEnd *end);
 void EntrySend_Resume(Request *request, const LifeAction *action);
--- a/src/sched/work.c
+++ b/src/sched/work.c
@@ -26,3 +26,18 @@
 {
     return XXH3_64bits_withSeed(name, strlen(name), is_model ? 1 : 2);
 }
+
+unsigned
+Work_HashId(const void *id)
+{
+    const RequestId *request = id;
+    return (unsigned)(request->high ^ request->low);
+}
+
+int
+Work_EqualId(const void *a, const void *b)
+{
+    const RequestId *first = a;
+    const RequestId *second = b;
+    return work_same_id(*first, *second);
+}
--- a/src/sched/work.h
+++ b/src/sched/work.h
@@ -54,6 +54,10 @@
 /** Identity of a model or a service in decisions. */
 uint64_t Work_Target(bool is_model, const char *name);
 
+/** Hash and equality of RequestId keys, for GLib's hash tables. */
+unsigned Work_HashId(const void *id);
+int Work_EqualId(const void *a, const void *b);
+
 static inline bool
 work_same_id(RequestId a, RequestId b)
 {
