Life of a request in four modules

The shared step, the part up to the dispatch and the part after it stand in files of their own; no behaviour changed. fuzz/request, the unit tests, faults-entry-* and claims-* pass; lint is clean.

--- /dev/null
+++ b/src/entry/life_answer.c
@@ -0,0 +1,116 @@
+/** @file
+ * Life of a request after its dispatch: the answer, and links that are lost
+ * and come back.
+ */
+#include "entry/life_step.h"
+
+void
+LifeAnswer_OnHead(LifeStep *step)
+{
+    Life *life = step->life;
+    if (!LifeStep_FromRunner(step) || life->have_head) {
+        return;
+    }
+    life->have_head = true;
+    life->state = LIFE_STREAMING;
+    LifeStep_Act(step, &(LifeAction){.kind = LIFE_DO_HEAD});
+}
+
+void
+LifeAnswer_OnPiece(LifeStep *step)
+{
+    Life *life = step->life;
+    const LifeEvent *event = step->event;
+    if (!LifeStep_FromRunner(step)) {
+        return;
+    }
+    if (!life->have_head || event->offset > life->received) {
+        LifeStep_Cancel(step);
+        LifeStep_FailUnknown(step, LIFE_FAIL_BROKEN);
+        return;
+    }
+    uint64_t known = life->received - event->offset;
+    if (known >= event->length) {
+        return;
+    }
+    life->received = event->offset + event->length;
+    LifeStep_Act(step, &(LifeAction){.kind = LIFE_DO_PIECE, .offset = known});
+}
+
+void
+LifeAnswer_Finish(LifeStep *step, bool recorded)
+{
+    if (!step->life->caller_gone) {
+        LifeStep_Act(
+            step, &(LifeAction){.kind = LIFE_DO_FINISH, .recorded = recorded});
+    }
+    LifeStep_End(step);
+}
+
+void
+LifeAnswer_OnEnd(LifeStep *step)
+{
+    Life *life = step->life;
+    const LifeEvent *event = step->event;
+    if (!LifeStep_FromRunner(step)) {
+        return;
+    }
+    if (event->end == LIFE_END_NOT_RUN && !life->have_head) {
+        LifeOffer_FailDispatch(step, REFUSE_LEAVING, LIFE_RETRY_AFTER_MS);
+        return;
+    }
+    bool whole = event->end == LIFE_END_COMPLETE && life->have_head &&
+                 event->length == life->received && event->hash_matches;
+    if (!whole) {
+        LifeStep_FailUnknown(step, LIFE_FAIL_BROKEN);
+        return;
+    }
+    if (!life->claim_held) {
+        LifeAnswer_Finish(step, true);
+        return;
+    }
+    life->state = LIFE_RECORDING;
+    life->timer_at = step->now + LIFE_RECORD_US;
+    LifeStep_Record(step, LIFE_RECORD_DONE);
+}
+
+void
+LifeAnswer_OnAgentDown(LifeStep *step)
+{
+    Life *life = step->life;
+    if (life->state == LIFE_WANTING) {
+        LifeOffer_LoseWant(step, REFUSE_LEAVING, LIFE_RETRY_AFTER_MS);
+        return;
+    }
+    bool runner =
+        LifeStep_IsRunning(life) && step->event->agent.agent == life->to.agent;
+    if (!runner || life->link_down) {
+        return;
+    }
+    life->link_down = true;
+    TimeUs until = step->now + LIFE_RESUME_US;
+    life->timer_at = until < life->timer_at ? until : life->timer_at;
+}
+
+void
+LifeAnswer_OnAgentUp(LifeStep *step)
+{
+    Life *life = step->life;
+    if (!LifeStep_IsRunning(life) ||
+        step->event->agent.agent != life->to.agent) {
+        return;
+    }
+    if (step->event->agent.incarnation != life->to.incarnation) {
+        LifeStep_FailUnknown(step, LIFE_FAIL_LOST);
+        return;
+    }
+    life->link_down = false;
+    life->timer_at =
+        life->caller_gone ? life->deadline + LIFE_GRACE_US : life->deadline;
+    LifeStep_Act(step, &(LifeAction){
+                           .kind = LIFE_DO_RESUME,
+                           .agent = life->to,
+                           .offset = life->received,
+                           .have_head = life->have_head,
+                       });
+}
--- /dev/null
+++ b/src/entry/life_offer.c
@@ -0,0 +1,203 @@
+/** @file
+ * Life of a request up to its dispatch: claim, wants, grant, refusals.
+ */
+#include "entry/life_step.h"
+
+void
+LifeOffer_OnBegin(LifeStep *step)
+{
+    if (step->life->begun) {
+        return;
+    }
+    step->life->begun = true;
+    if (step->life->claims) {
+        LifeStep_Act(step, &(LifeAction){.kind = LIFE_DO_CLAIM});
+        /* Until its reply says otherwise the claim may be held. */
+        step->life->claim_held = true;
+        return;
+    }
+    LifeStep_Offer(step);
+}
+
+void
+LifeOffer_OnClaim(LifeStep *step)
+{
+    Life *life = step->life;
+    if (life->state != LIFE_CLAIMING) {
+        return;
+    }
+    LifeFailure failure = LIFE_FAIL_CONTROL;
+    uint32_t retry_after_ms = LIFE_RETRY_AFTER_MS;
+    life->claim_held = step->event->claim == LIFE_CLAIM_GRANTED;
+    switch (step->event->claim) {
+    case LIFE_CLAIM_GRANTED:
+        LifeStep_Offer(step);
+        return;
+    case LIFE_CLAIM_FINISHED:
+        LifeStep_Act(step, &(LifeAction){.kind = LIFE_DO_KEPT});
+        LifeStep_End(step);
+        return;
+    case LIFE_CLAIM_RUNNING:
+        failure = LIFE_FAIL_CLAIM_RUNNING;
+        break;
+    case LIFE_CLAIM_LOST:
+        failure = LIFE_FAIL_CLAIM_LOST;
+        retry_after_ms = 0;
+        break;
+    case LIFE_CLAIM_MISMATCH:
+        failure = LIFE_FAIL_CLAIM_MISMATCH;
+        retry_after_ms = 0;
+        break;
+    case LIFE_CLAIM_FAILED:
+        break;
+    }
+    LifeStep_FailNotRun(step, failure, REFUSE_NONE, retry_after_ms);
+}
+
+void
+LifeOffer_OnOffered(LifeStep *step)
+{
+    Life *life = step->life;
+    const LifeEvent *event = step->event;
+    if (life->state != LIFE_WANTING) {
+        return;
+    }
+    for (uint32_t i = 0; i < event->offered_count; i++) {
+        if (life->tried_count == LIFE_AGENTS_MAX) {
+            break;
+        }
+        life->wants[life->want_count++] = event->offered[i];
+        life->tried[life->tried_count++] = event->offered[i].agent;
+    }
+    if (life->want_count > 0) {
+        return;
+    }
+    bool all_tried = event->reason == REFUSE_NONE;
+    LifeStep_FailNotRun(
+        step, LIFE_FAIL_REFUSED, all_tried ? life->last_reason : event->reason,
+        all_tried ? life->last_retry_after_ms : event->retry_after_ms);
+}
+
+static bool
+wants_from(const Life *life, const LifeAgent *agent)
+{
+    for (uint32_t i = 0; i < life->want_count; i++) {
+        if (life->wants[i].agent == agent->agent &&
+            life->wants[i].incarnation == agent->incarnation)
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+forget_want(Life *life, uint64_t agent)
+{
+    for (uint32_t i = 0; i < life->want_count; i++) {
+        if (life->wants[i].agent == agent) {
+            life->wants[i] = life->wants[--life->want_count];
+            return true;
+        }
+    }
+    return false;
+}
+
+/* One want less. Offers the request anew when none is left, as long as the
+ * budget of rounds and the deadline allow it. */
+void
+LifeOffer_LoseWant(LifeStep *step, RefuseReason reason,
+                   uint32_t retry_after_ms)
+{
+    Life *life = step->life;
+    if (!forget_want(life, step->event->agent.agent)) {
+        return;
+    }
+    if (reason == REFUSE_QUARANTINED) {
+        LifeStep_FailNotRun(step, LIFE_FAIL_REFUSED, reason, 0);
+        return;
+    }
+    life->last_reason = reason;
+    life->last_retry_after_ms = retry_after_ms;
+    if (life->want_count > 0) {
+        return;
+    }
+    bool may_offer =
+        life->offers < LIFE_OFFERS_MAX && step->now < life->deadline;
+    if (may_offer) {
+        LifeStep_Offer(step);
+        return;
+    }
+    LifeStep_FailNotRun(step, LIFE_FAIL_REFUSED, reason, retry_after_ms);
+}
+
+static void
+give_back_grant(LifeStep *step)
+{
+    LifeStep_Act(step, &(LifeAction){.kind = LIFE_DO_WITHDRAW,
+                                     .agent = step->event->agent});
+}
+
+void
+LifeOffer_OnGrant(LifeStep *step)
+{
+    Life *life = step->life;
+    const LifeEvent *event = step->event;
+    if (life->state != LIFE_WANTING || !wants_from(life, &event->agent)) {
+        if (!LifeStep_FromRunner(step)) {
+            give_back_grant(step);
+        }
+        return;
+    }
+    if (step->now >= event->grant_until - LIFE_GRANT_MARGIN_US) {
+        give_back_grant(step);
+        LifeOffer_LoseWant(step, REFUSE_LAPSED, LIFE_RETRY_AFTER_MS);
+        return;
+    }
+    if (step->now >= life->deadline) {
+        LifeStep_FailNotRun(step, LIFE_FAIL_DEADLINE, REFUSE_DEADLINE,
+                            LIFE_RETRY_AFTER_MS);
+        return;
+    }
+    if (!event->may_start) {
+        LifeStep_FailNotRun(step, LIFE_FAIL_NO_LEASE, REFUSE_NONE,
+                            LIFE_RETRY_AFTER_MS);
+        return;
+    }
+    /* Commit point: spent before the dispatch is queued. */
+    life->state = LIFE_SPENT;
+    life->dispatched = true;
+    life->to = event->agent;
+    life->grant_id = event->grant_id;
+    LifeStep_WithdrawWants(step, &event->agent);
+    LifeStep_Act(step, &(LifeAction){
+                           .kind = LIFE_DO_DISPATCH,
+                           .agent = event->agent,
+                           .grant_id = event->grant_id,
+                       });
+}
+
+/* The dispatch provably did not and will not run. */
+void
+LifeOffer_FailDispatch(LifeStep *step, RefuseReason reason,
+                       uint32_t retry_after_ms)
+{
+    step->life->dispatched = false;
+    LifeStep_FailNotRun(step, LIFE_FAIL_REFUSED, reason, retry_after_ms);
+}
+
+void
+LifeOffer_OnRefuse(LifeStep *step)
+{
+    const LifeEvent *event = step->event;
+    if (step->life->state == LIFE_WANTING) {
+        LifeOffer_LoseWant(step, event->reason, event->retry_after_ms);
+        return;
+    }
+    bool of_dispatch = step->life->state == LIFE_SPENT &&
+                       LifeStep_FromRunner(step) && event->grant_id != 0 &&
+                       event->grant_id == step->life->grant_id;
+    if (of_dispatch) {
+        LifeOffer_FailDispatch(step, event->reason, event->retry_after_ms);
+    }
+}
--- /dev/null
+++ b/src/entry/life_step.c
@@ -0,0 +1,108 @@
+/** @file
+ * What the parts of a request's life share: actions, and the ways it ends.
+ */
+#include "entry/life_step.h"
+
+void
+LifeStep_Act(LifeStep *step, const LifeAction *action)
+{
+    INVARIANT(step->actions->count < LIFE_ACTIONS_MAX);
+    step->actions->list[step->actions->count++] = *action;
+}
+
+void
+LifeStep_WithdrawWants(LifeStep *step, const LifeAgent *except)
+{
+    Life *life = step->life;
+    for (uint32_t i = 0; i < life->want_count; i++) {
+        if (except == NULL || life->wants[i].agent != except->agent) {
+            LifeStep_Act(step, &(LifeAction){.kind = LIFE_DO_WITHDRAW,
+                                             .agent = life->wants[i]});
+        }
+    }
+    life->want_count = 0;
+}
+
+void
+LifeStep_End(LifeStep *step)
+{
+    step->life->state = LIFE_ENDED;
+    step->life->timer_at = TIME_NEVER;
+    LifeStep_Act(step, &(LifeAction){.kind = LIFE_DO_END});
+}
+
+void
+LifeStep_Record(LifeStep *step, LifeRecord what)
+{
+    if (step->life->claim_held) {
+        LifeStep_Act(step,
+                     &(LifeAction){.kind = LIFE_DO_RECORD, .record = what});
+    }
+}
+
+void
+LifeStep_TellFailure(LifeStep *step, LifeFailure failure, bool not_run,
+                     RefuseReason reason, uint32_t retry_after_ms)
+{
+    if (step->life->caller_gone) {
+        return;
+    }
+    LifeStep_Act(step, &(LifeAction){
+                           .kind = LIFE_DO_FAIL,
+                           .failure = failure,
+                           .not_run = not_run,
+                           .reason = reason,
+                           .retry_after_ms = retry_after_ms,
+                       });
+}
+
+/* Ends a request that has provably not run. */
+void
+LifeStep_FailNotRun(LifeStep *step, LifeFailure failure, RefuseReason reason,
+                    uint32_t retry_after_ms)
+{
+    LifeStep_WithdrawWants(step, NULL);
+    LifeStep_Record(step, LIFE_RECORD_RELEASE);
+    LifeStep_TellFailure(step, failure, true, reason, retry_after_ms);
+    LifeStep_End(step);
+}
+
+/* Ends a request whose outcome is not known. */
+void
+LifeStep_FailUnknown(LifeStep *step, LifeFailure failure)
+{
+    LifeStep_Record(step, LIFE_RECORD_UNKNOWN);
+    LifeStep_TellFailure(step, failure, false, REFUSE_NONE, 0);
+    LifeStep_End(step);
+}
+
+void
+LifeStep_Cancel(LifeStep *step)
+{
+    LifeStep_Act(
+        step, &(LifeAction){.kind = LIFE_DO_CANCEL, .agent = step->life->to});
+}
+
+void
+LifeStep_Offer(LifeStep *step)
+{
+    step->life->state = LIFE_WANTING;
+    step->life->offers++;
+    LifeStep_Act(step, &(LifeAction){.kind = LIFE_DO_OFFER});
+}
+
+bool
+LifeStep_IsRunning(const Life *life)
+{
+    return life->state == LIFE_SPENT || life->state == LIFE_STREAMING;
+}
+
+/* True for an event of the incarnation that got the dispatch. */
+bool
+LifeStep_FromRunner(const LifeStep *step)
+{
+    const Life *life = step->life;
+    return LifeStep_IsRunning(life) &&
+           step->event->agent.agent == life->to.agent &&
+           step->event->agent.incarnation == life->to.incarnation;
+}
