Entries take rule changes as deltas

Control could answer with a delta already. Change: the entry keeps the text in force, asks for a delta, applies it with its hash checked, and asks for the whole text when it does not fit.

--- a/src/entry/control.c
+++ b/src/entry/control.c
@@ -46,17 +46,6 @@
     Link_Send(host->link, &frame);
 }
 
-static void
-ask_rules(Entry *entry, ControlHost *host)
-{
-    Wire__RulesRequest request = WIRE__RULES_REQUEST__INIT;
-    request.have_version = entry->lease.version;
-    Wire__Frame frame = WIRE__FRAME__INIT;
-    frame.body_case = WIRE__FRAME__BODY_RULES_REQUEST;
-    frame.rules_request = &request;
-    Link_Send(host->link, &frame);
-}
-
 static void
 ask_quarantine(Entry *entry, ControlHost *host)
 {
@@ -140,7 +129,7 @@
     }
     switch (Lease_TakeReply(&entry->lease, reply->sequence, &view)) {
     case LEASE_FETCH:
-        ask_rules(entry, host);
+        EntryRules_Ask(entry, host->link);
         break;
     case LEASE_RETRY:
         retry_lease(entry);
@@ -150,28 +139,6 @@
     }
 }
 
-static void
-on_rules(Entry *entry, const Wire__Rules *message)
-{
-    if (message->version <= entry->lease.version) {
-        return;
-    }
-    size_t found;
-    Rules *rules =
-        Rules_Parse(message->text, strlen(message->text), NULL, 0, &found);
-    if (rules == NULL) {
-        LOG_ERROR(ENTRY_PART, "Accepted rules do not parse. version=%llu",
-                  (unsigned long long)message->version);
-        return;
-    }
-    Rules_Unref(entry->rules);
-    entry->rules = rules;
-    Lease_SetVersion(&entry->lease, message->version);
-    LOG_INFO(ENTRY_PART, "Rules in force. version=%llu accounts=%u",
-             (unsigned long long)message->version, Rules_AccountCount(rules));
-    ask_lease(entry, Clock_Now());
-}
-
 static void
 on_frame(Link *link, const Wire__Frame *frame, void *owner)
 {
@@ -182,7 +149,9 @@
         on_lease(entry, host, frame->lease_reply);
         break;
     case WIRE__FRAME__BODY_RULES:
-        on_rules(entry, frame->rules);
+        if (EntryRules_Take(entry, frame->rules)) {
+            ask_lease(entry, Clock_Now());
+        }
         break;
     case WIRE__FRAME__BODY_MEMBERS:
         EntryPeers_Update(entry, host, frame->members);
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -94,7 +94,7 @@
     EntrySuspects_Free(entry->suspects);
     Place_Free(entry->places);
     EntryAccounts_Free(entry->accounts);
-    Rules_Unref(entry->rules);
+    EntryRules_Free(entry);
     g_ptr_array_free(entry->ack_due, TRUE);
     g_hash_table_destroy(entry->callers);
     g_hash_table_destroy(entry->requests);
--- a/src/entry/state.h
+++ b/src/entry/state.h
@@ -118,7 +118,9 @@
     Suspects *suspects;
     GPtrArray *hosts; /**< ControlHost */
     uint64_t next_id;
-    Rules *rules; /**< NULL until the first arrive. */
+    Rules *rules;     /**< NULL until the first arrive. */
+    char *rules_text; /**< Text of the rules in force. */
+    bool rules_whole; /**< A delta did not fit; ask for the whole text. */
     Lease lease;
     TimeUs lease_due; /**< When the next round of asking begins. */
     TimeUs members_due;
@@ -135,6 +137,12 @@
 /** Tells the control hosts that this entry is there, or is leaving. */
 void EntryControl_SendPresence(Entry *entry);
 
+/** Rules: asks one control host for those after the version held. */
+void EntryRules_Ask(Entry *entry, Link *link);
+/** @return true when the message put newer rules in force. */
+bool EntryRules_Take(Entry *entry, const Wire__Rules *message);
+void EntryRules_Free(Entry *entry);
+
 /** Commands about claims, resent until a control host has answered. */
 ClaimBox *EntryClaims_New(Entry *entry);
 void EntryClaims_Free(ClaimBox *box);
--- a/test/functional/rules-in-force.sh
+++ b/test/functional/rules-in-force.sh
@@ -39,3 +39,6 @@
 echo "-- the cut heals: the change is in force there as well"
 for n in 0 1 2; do curl -s "http://127.0.0.1:$(port $((35 + n)))/heal" >/dev/null; done
 until_true is_told 1 "401 bad_key" && ask 1
+
+echo "-- both entries took the first rules whole and the change as a delta"
+for n in 0 1; do curl -s "http://127.0.0.1:$(port $n)/metrics" | grep '^laurellift_entry_rules_taken'; done
