--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -4,7 +4,7 @@
 # Finds every outside library as an imported target.
 macro(ll_find_libraries)
     foreach(name libevent libevent_pthreads libprotobuf-c glib-2.0 libcyaml
-                 jansson libxxhash libsodium cmocka)
+                 jansson libxxhash libsodium zlib)
         pkg_check_modules(${name} REQUIRED IMPORTED_TARGET GLOBAL ${name})
     endforeach()
 endmacro()
--- a/scripts/install-deps.sh
+++ b/scripts/install-deps.sh
@@ -8,6 +8,7 @@
     clang clang-format clang-tidy libclang-rt-14-dev
     libevent-dev libprotobuf-c-dev protobuf-c-compiler libglib2.0-dev
     libcyaml-dev libjansson-dev libxxhash-dev libsodium-dev libcmocka-dev
+    libhttp-parser-dev zlib1g-dev
     curl jq gnuplot-nox
 )
 
--- a/src/control/log_config.c
+++ b/src/control/log_config.c
@@ -3,8 +3,7 @@
  */
 #include <string.h>
 
-#include "control/log_types.h"
-#include "wire/generated/wire.pb-c.h"
+#include "control/log_members.h"
 
 void
 LogMessage_Clear(LogMessage *message)
@@ -41,15 +40,8 @@
     return member != NULL && !member->learner && member->disk_id == disk_id;
 }
 
-/* Wire form of a membership, without any allocation. */
-typedef struct WireMembers {
-    Wire__LogMembers list;
-    Wire__LogMember items[LOG_MEMBERS_MAX];
-    Wire__LogMember *pointers[LOG_MEMBERS_MAX];
-} WireMembers;
-
-static void
-to_wire(const LogConfig *config, WireMembers *wire)
+void
+LogConfig_ToWire(const LogConfig *config, WireMembers *wire)
 {
     wire__log_members__init(&wire->list);
     for (unsigned i = 0; i < config->count; i++) {
@@ -59,14 +51,15 @@
         wire->items[i].disk_id = member->disk_id;
         wire->items[i].learner = member->learner;
         wire->items[i].address = (char *)member->address;
+        wire->items[i].zone = (char *)member->zone;
         wire->pointers[i] = &wire->items[i];
     }
     wire->list.n_members = config->count;
     wire->list.members = wire->pointers;
 }
 
-static int
-from_wire(const Wire__LogMembers *list, LogConfig *config)
+int
+LogConfig_FromWire(const Wire__LogMembers *list, LogConfig *config)
 {
     *config = (LogConfig){.count = 0};
     if (list == NULL || list->n_members > LOG_MEMBERS_MAX) {
@@ -82,6 +75,7 @@
         member->disk_id = item->disk_id;
         member->learner = item->learner;
         g_strlcpy(member->address, item->address, LOG_ADDRESS_BYTES);
+        g_strlcpy(member->zone, item->zone, LOG_ZONE_BYTES);
     }
     return ERR_OK;
 }
@@ -90,7 +84,7 @@
 LogConfig_Pack(const LogConfig *config)
 {
     WireMembers wire;
-    to_wire(config, &wire);
+    LogConfig_ToWire(config, &wire);
     size_t size = wire__log_members__get_packed_size(&wire.list);
     uint8_t *bytes = g_malloc(size);
     wire__log_members__pack(&wire.list, bytes);
@@ -103,7 +97,7 @@
     gsize size;
     const uint8_t *data = g_bytes_get_data(bytes, &size);
     Wire__LogMembers *list = wire__log_members__unpack(NULL, size, data);
-    int result = from_wire(list, config);
+    int result = LogConfig_FromWire(list, config);
     if (list != NULL) {
         wire__log_members__free_unpacked(list, NULL);
     }
@@ -114,7 +108,7 @@
 LogConfig_PackSnapshot(const LogConfig *config, GBytes *state)
 {
     WireMembers wire;
-    to_wire(config, &wire);
+    LogConfig_ToWire(config, &wire);
     Wire__LogSnapshot snapshot = WIRE__LOG_SNAPSHOT__INIT;
     snapshot.members = &wire.list;
     gsize length;
@@ -135,7 +129,7 @@
     if (snapshot == NULL) {
         return ERR_CORRUPT;
     }
-    int result = from_wire(snapshot->members, config);
+    int result = LogConfig_FromWire(snapshot->members, config);
     if (result == ERR_OK && state != NULL) {
         *state = g_bytes_new(snapshot->state.data, snapshot->state.len);
     }
--- a/src/control/log_core.h
+++ b/src/control/log_core.h
@@ -51,6 +51,13 @@
  * member whose disk was lost, or completes one with no known disk. */
 void LogCore_Met(LogCore *core, uint32_t id, uint64_t disk_id, TimeUs now);
 
+/** A host that is no member asks to join: a leader adds it as a learner,
+ * which is promoted when it has caught up. */
+void LogCore_Admit(LogCore *core, const LogMember *candidate, TimeUs now);
+
+/** A member has begun a planned stop. */
+void LogCore_Leaving(LogCore *core, uint32_t id);
+
 /** Appends an entry of kind command.
  * @return ERR_OK, ERR_UNAVAILABLE when this host does not lead or is handing
  *         over, ERR_FULL, ERR_TOO_LARGE. */
--- a/src/control/log_member.c
+++ b/src/control/log_member.c
@@ -125,9 +125,88 @@
     propose_config(core, &config);
 }
 
-/* Promotes one learner that has caught up. */
 void
-LogMember_Tick(LogCore *core, TimeUs now)
+LogCore_Admit(LogCore *core, const LogMember *candidate, TimeUs now)
+{
+    core->now = now;
+    if (!may_change(core) || core->config.count >= VOTERS_MAX ||
+        LogConfig_Find(&core->config, candidate->id) != NULL)
+    {
+        return;
+    }
+    LogConfig config = core->config;
+    LogMember *member = &config.members[config.count++];
+    *member = *candidate;
+    member->learner = true;
+    propose_config(core, &config);
+}
+
+void
+LogCore_Leaving(LogCore *core, uint32_t id)
+{
+    for (unsigned i = 0; i < core->config.count; i++) {
+        if (core->config.members[i].id == id) {
+            core->progress[i].leaving = true;
+        }
+    }
+}
+
+/* Whether the member at this position takes part; the leader does. */
+static bool
+is_live(const LogCore *core, unsigned position, TimeUs now)
+{
+    const LogMember *member = &core->config.members[position];
+    const LogProgress *progress = &core->progress[position];
+    return member->id == core->id ||
+           (!progress->leaving &&
+            now - progress->heard_at <= core->timing.surplus);
+}
+
+static unsigned
+live_voters_of_zone(const LogCore *core, const char *zone, TimeUs now)
+{
+    unsigned count = 0;
+    for (unsigned i = 0; i < core->config.count; i++) {
+        const LogMember *member = &core->config.members[i];
+        count += !member->learner && strcmp(member->zone, zone) == 0 &&
+                         is_live(core, i, now)
+                     ? 1
+                     : 0;
+    }
+    return count;
+}
+
+/* A member that is not live and whose zone has its voters without it. */
+static const LogMember *
+find_surplus(const LogCore *core, TimeUs now)
+{
+    for (unsigned i = 0; i < core->config.count; i++) {
+        const LogMember *member = &core->config.members[i];
+        if (member->zone[0] != '\0' && !is_live(core, i, now) &&
+            live_voters_of_zone(core, member->zone, now) >=
+                core->timing.zone_voters)
+        {
+            return member;
+        }
+    }
+    return NULL;
+}
+
+static void
+remove_surplus(LogCore *core, TimeUs now)
+{
+    if (core->timing.zone_voters == 0 || !may_change(core)) {
+        return;
+    }
+    const LogMember *member = find_surplus(core, now);
+    if (member != NULL) {
+        remove_member(core, member->id, NULL);
+    }
+}
+
+/* Promotes one learner that has caught up. */
+static void
+promote_learner(LogCore *core, TimeUs now)
 {
     if (!may_change(core) || LogConfig_VoterCount(&core->config) >= VOTERS_MAX)
     {
@@ -147,3 +226,10 @@
         }
     }
 }
+
+void
+LogMember_Tick(LogCore *core, TimeUs now)
+{
+    promote_learner(core, now);
+    remove_surplus(core, now);
+}
--- a/src/control/log_state.h
+++ b/src/control/log_state.h
@@ -29,6 +29,7 @@
     uint64_t next;
     uint64_t round; /* highest round it echoed */
     TimeUs heard_at;
+    bool leaving;           /* said that it stops */
     bool waiting;           /* a probe or piece is on its way */
     TimeUs sent_at;         /* of the newest snapshot piece */
     StoreSnapshot snapshot; /* being sent; its data is a reference */
--- a/src/control/log_types.h
+++ b/src/control/log_types.h
@@ -15,6 +15,7 @@
 /** Voters and learners at one time. */
 #define LOG_MEMBERS_MAX 12
 #define LOG_ADDRESS_BYTES 64
+#define LOG_ZONE_BYTES 64
 
 /** Kinds of entries; they stand in StoreEntry.kind and on the wire. */
 typedef enum LogEntryKind {
@@ -30,6 +31,7 @@
     uint64_t disk_id; /**< 0: not known yet. */
     bool learner;     /**< Receives the log and does not vote. */
     char address[LOG_ADDRESS_BYTES];
+    char zone[LOG_ZONE_BYTES]; /**< Empty: not known. */
 } LogMember;
 
 /** The membership in force from one entry on. */
@@ -79,6 +81,10 @@
     TimeUs heartbeat;
     TimeUs election; /**< A follower waits for 1 to 2 of it. */
     TimeUs replace;  /**< Silence after which a disk counts as lost. */
+    /** Voters that an availability zone keeps. A silent or leaving voter
+     * beyond them is removed; 0: none is removed without a command. */
+    unsigned zone_voters;
+    TimeUs surplus; /**< Silence after which a voter may be surplus. */
 } LogTiming;
 
 /** The member of this id, or NULL. */
--- a/src/control/replica.c
+++ b/src/control/replica.c
@@ -19,6 +19,14 @@
 /* Silence after which a member's disk counts as lost, when the host has
  * come back with another. */
 #define REPLACE_US (5 * US_PER_S)
+/* The same where membership is automatic: the folder is the platform's, so
+ * another disk at a known address means that the old one is gone. */
+#define REPLACE_AUTO_US (500 * US_PER_MS)
+/* Automatic membership keeps one voter in each availability zone. */
+#define ZONE_VOTERS 1
+/* Silence after which a voter is removed once its zone has another: longer
+ * than a restart of a leader's connections, shorter than a host's repair. */
+#define SURPLUS_US (1500 * US_PER_MS)
 #define TICK_US (25 * US_PER_MS)
 /* A snapshot is taken after so many entries or bytes. */
 #define SNAPSHOT_ENTRIES 10000
@@ -297,6 +305,7 @@
         g_strlcpy(member->address, host->address, LOG_ADDRESS_BYTES);
         if (host->id == view.id) {
             member->disk_id = view.disk_id;
+            g_strlcpy(member->zone, settings->zone, LOG_ZONE_BYTES);
             continue;
         }
         const ReplicaIdentity *identity =
@@ -307,6 +316,7 @@
             return false;
         }
         member->disk_id = identity->disk_id;
+        g_strlcpy(member->zone, identity->zone, LOG_ZONE_BYTES);
     }
     return true;
 }
@@ -415,6 +425,14 @@
     Replica_Schedule(replica);
 }
 
+void
+Replica_Leave(Replica *replica)
+{
+    replica->leaving = true;
+    ReplicaLinks_SayHello(replica);
+    Replica_HandOver(replica);
+}
+
 static Replica *
 new_replica(struct event_base *base, const Settings *settings,
             const LinkSelf *self, const ReplicaOps *ops, void *owner)
@@ -458,12 +476,15 @@
     if (store == NULL) {
         return err->code;
     }
+    bool automatic = replica->settings->control->auto_members;
     LogCoreSpec spec = {
         .id = replica->settings->control->id,
         .disk_id = image.disk_id,
         .timing = {.heartbeat = HEARTBEAT_US,
                    .election = ELECTION_US,
-                   .replace = REPLACE_US},
+                   .replace = automatic ? REPLACE_AUTO_US : REPLACE_US,
+                   .zone_voters = automatic ? ZONE_VOTERS : 0,
+                   .surplus = SURPLUS_US},
         .seed = g_random_int(),
         .now = Clock_Now(),
         .image = &image,
--- a/src/control/replica.h
+++ b/src/control/replica.h
@@ -44,9 +44,10 @@
 typedef struct ReplicaStatus {
     uint32_t id;
     bool leads;
-    bool votes;      /**< False: a learner. */
-    bool read_only;  /**< The disk failed or is full. */
-    uint32_t leader; /**< 0: not known. */
+    bool votes;              /**< False: a learner. */
+    bool read_only;          /**< The disk failed or is full. */
+    uint32_t leader;         /**< 0: not known. */
+    char leader_address[64]; /**< Of its links; empty: not known. */
     uint64_t term;
     uint64_t last_index;
     uint64_t commit;
@@ -54,6 +55,7 @@
     uint64_t config_index;
     uint32_t voter_count;
     uint32_t voters[REPLICA_VOTERS_MAX];
+    char addresses[REPLICA_VOTERS_MAX][64]; /**< Of the voters' links. */
 } ReplicaStatus;
 
 /** Opens the data folder, restores the state and starts taking part.
@@ -87,6 +89,9 @@
 int Replica_ChangeMember(Replica *replica, uint32_t id, const char *address,
                          Error *err);
 
+/** Tells the other hosts of a planned stop and hands leadership over. */
+void Replica_Leave(Replica *replica);
+
 /** Hands leadership to the best follower; for a planned stop. */
 void Replica_HandOver(Replica *replica);
 
--- a/src/control/replica_dump.c
+++ b/src/control/replica_dump.c
@@ -22,7 +22,13 @@
     };
     for (unsigned i = 0; i < view.config->count; i++) {
         const LogMember *member = &view.config->members[i];
+        if (member->id == view.leader) {
+            g_strlcpy(status->leader_address, member->address,
+                      sizeof(status->leader_address));
+        }
         if (!member->learner && status->voter_count < REPLICA_VOTERS_MAX) {
+            g_strlcpy(status->addresses[status->voter_count], member->address,
+                      sizeof(status->addresses[0]));
             status->voters[status->voter_count++] = member->id;
         }
     }
--- a/src/control/replica_links.c
+++ b/src/control/replica_links.c
@@ -4,6 +4,7 @@
  */
 #include <string.h>
 
+#include "control/log_members.h"
 #include "control/replica_state.h"
 #include "control/replica_wire.h"
 #include "kernel/log.h"
@@ -35,6 +36,18 @@
     return NULL;
 }
 
+static const char *
+own_address(const Replica *replica)
+{
+    const Settings *settings = replica->settings;
+    for (unsigned i = 0; i < settings->control_hosts_count; i++) {
+        if (settings->control_hosts[i].id == settings->control->id) {
+            return settings->control_hosts[i].address;
+        }
+    }
+    return "";
+}
+
 static void
 send_hello(Replica *replica, Link *link)
 {
@@ -45,12 +58,33 @@
     hello.disk_id = view.disk_id;
     hello.bootstrap = replica->settings->control->bootstrap;
     hello.last_index = view.last_index;
+    hello.address = (char *)own_address(replica);
+    hello.leaving = replica->leaving;
+    WireMembers wire;
+    LogConfig_ToWire(view.config, &wire);
+    hello.members = &wire.list;
     Wire__Frame frame = WIRE__FRAME__INIT;
     frame.body_case = WIRE__FRAME__BODY_REPLICA_HELLO;
     frame.replica_hello = &hello;
     Link_Send(link, &frame);
 }
 
+/* A host that is no member yet finds the others by what it is told. */
+static void
+learn_members(Replica *replica, const Wire__LogMembers *members)
+{
+    LogView view;
+    LogCore_View(replica->core, &view);
+    if (view.config->count > 0 || members == NULL || members->n_members == 0) {
+        return;
+    }
+    if (LogConfig_FromWire(members, &replica->heard) != ERR_OK) {
+        LOG_WARN(REPLICA_PART, "A hello's list of members cannot be read.");
+        return;
+    }
+    ReplicaLinks_Update(replica);
+}
+
 static void
 on_hello(Replica *replica, Link *link, const Wire__ReplicaHello *hello)
 {
@@ -59,7 +93,13 @@
     identity->disk_id = hello->disk_id;
     identity->bootstrap = hello->bootstrap;
     identity->last_index = hello->last_index;
+    g_strlcpy(identity->address, hello->address, LOG_ADDRESS_BYTES);
+    g_strlcpy(identity->zone, Link_Peer(link)->zone, LOG_ZONE_BYTES);
     g_hash_table_insert(replica->identities, link, identity);
+    if (hello->leaving) {
+        LogCore_Leaving(replica->core, hello->id);
+    }
+    learn_members(replica, hello->members);
     LOG_INFO(REPLICA_PART, "Control host met. id=%u disk=%016llx", hello->id,
              (unsigned long long)hello->disk_id);
 }
@@ -178,6 +218,9 @@
 wanted_address(const Replica *replica, const LogConfig *config, uint32_t id)
 {
     const LogMember *member = LogConfig_Find(config, id);
+    if (member == NULL) {
+        member = LogConfig_Find(&replica->heard, id);
+    }
     if (member != NULL) {
         return member->address;
     }
@@ -220,6 +263,9 @@
     for (unsigned i = 0; i < view.config->count; i++) {
         want_peer(replica, view.config, view.config->members[i].id);
     }
+    for (unsigned i = 0; i < replica->heard.count; i++) {
+        want_peer(replica, view.config, replica->heard.members[i].id);
+    }
     replica->dialled_config = view.config_index;
 }
 
@@ -239,6 +285,20 @@
     }
 }
 
+/* Takes in a host that is no member, where membership is automatic. */
+static void
+admit(Replica *replica, const ReplicaIdentity *identity, TimeUs now)
+{
+    if (!replica->settings->control->auto_members ||
+        identity->address[0] == '\0') {
+        return;
+    }
+    LogMember candidate = {.id = identity->id, .disk_id = identity->disk_id};
+    g_strlcpy(candidate.address, identity->address, LOG_ADDRESS_BYTES);
+    g_strlcpy(candidate.zone, identity->zone, LOG_ZONE_BYTES);
+    LogCore_Admit(replica->core, &candidate, now);
+}
+
 void
 ReplicaLinks_Meet(Replica *replica, TimeUs now)
 {
@@ -248,6 +308,18 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const ReplicaIdentity *identity = value;
         LogCore_Met(replica->core, identity->id, identity->disk_id, now);
+        admit(replica, identity, now);
+    }
+}
+
+void
+ReplicaLinks_SayHello(Replica *replica)
+{
+    for (guint i = 0; i < replica->peers->len; i++) {
+        ReplicaPeer *peer = replica->peers->pdata[i];
+        if (peer->dialled != NULL && Link_IsUp(peer->dialled)) {
+            send_hello(replica, peer->dialled);
+        }
     }
 }
 
--- a/src/control/replica_state.h
+++ b/src/control/replica_state.h
@@ -16,6 +16,8 @@
     uint64_t disk_id;
     bool bootstrap;
     uint64_t last_index;
+    char address[LOG_ADDRESS_BYTES];
+    char zone[LOG_ZONE_BYTES];
 } ReplicaIdentity;
 
 /* Another control host that this one dials. */
@@ -45,6 +47,8 @@
     GArray *saving;         /* batches on their way to the disk */
     TimeUs waiting_logged_at;
     bool led;
+    bool leaving;    /* a planned stop has begun */
+    LogConfig heard; /* membership as a peer told it, for a new host */
 };
 
 /* Makes the core's work due at the end of this turn of the loop. */
@@ -62,6 +66,9 @@
 /* Sends to the host the message names, when a link to it is up. */
 void ReplicaLinks_Send(Replica *replica, const LogMessage *message);
 
+/* Says again who this host is, on every link. */
+void ReplicaLinks_SayHello(Replica *replica);
+
 /* Tells the core of every host that is connected. */
 void ReplicaLinks_Meet(Replica *replica, TimeUs now);
 
--- /dev/null
+++ b/src/fleet/fleet.c
@@ -0,0 +1,494 @@
+/** @file
+ * Fleet task: the state behind the log, its API, and the links.
+ */
+#include "fleet/fleet.h"
+
+#include <string.h>
+
+#include <sodium.h>
+
+#include "fleet/state.h"
+#include "kernel/log.h"
+#include "wire/deflate.h"
+#include "wire/self.h"
+
+#define PART FLEET_PART
+#define TASK_NAME "fleet"
+/* How often waiting commands and a planned stop are looked at. */
+#define TICK_MS 100
+/* A command that is not applied within this span has an open outcome. */
+#define COMMAND_WAIT_US (4 * US_PER_S)
+
+/* A command of this host that is not applied yet. */
+typedef struct Waiter {
+    FleetDone done;
+    void *arg;
+    TimeUs until;
+} Waiter;
+
+/* A read that waits for a confirmation. */
+typedef struct Read {
+    Fleet *fleet;
+    FleetDone done;
+    void *arg;
+} Read;
+
+/* ---- The replicated state ---- */
+
+static void
+decode_table(Fleet *fleet)
+{
+    RouteTable *table = NULL;
+    Error err = ERROR_INIT;
+    GBytes *plain =
+        fleet->document.version == 0
+            ? NULL
+            : Deflate_Unpack(g_bytes_get_data(fleet->document.deflated, NULL),
+                             g_bytes_get_size(fleet->document.deflated),
+                             fleet->document.bytes);
+    if (plain != NULL) {
+        gsize length;
+        const char *text = g_bytes_get_data(plain, &length);
+        if (fleet->codec->decode(text, length, &table, &err) != ERR_OK) {
+            LOG_ERROR(PART, "Configuration cannot be read. why=\"%s\"",
+                      err.text);
+        }
+        g_bytes_unref(plain);
+    }
+    RouteTable_Unref(fleet->table);
+    fleet->table = table;
+}
+
+static void
+finish_waiter(Fleet *fleet, uint64_t id, FleetOutcome outcome)
+{
+    Waiter *waiter = g_hash_table_lookup(fleet->waiters, &id);
+    if (waiter == NULL) {
+        return;
+    }
+    FleetResult result = {
+        .outcome = outcome,
+        .version = fleet->document.version,
+    };
+    waiter->done(waiter->arg, &result);
+    g_hash_table_remove(fleet->waiters, &id);
+}
+
+static void
+on_apply(void *owner, uint64_t index, const uint8_t *command, size_t length)
+{
+    Fleet *fleet = owner;
+    uint64_t id;
+    if (Document_Apply(&fleet->document, command, length, &id)) {
+        LOG_INFO(PART, "Configuration accepted. version=%llu index=%llu",
+                 (unsigned long long)fleet->document.version,
+                 (unsigned long long)index);
+        decode_table(fleet);
+        FleetGateways_PushSoon(fleet);
+    }
+    finish_waiter(fleet, id, FLEET_DONE);
+}
+
+static void
+on_appended(void *owner, uint64_t index, const uint8_t *command, size_t length)
+{
+}
+
+static void
+on_truncated(void *owner, uint64_t index)
+{
+}
+
+static GBytes *
+on_snapshot(void *owner)
+{
+    const Fleet *fleet = owner;
+    return Document_Save(&fleet->document);
+}
+
+static int
+on_restore(void *owner, const uint8_t *bytes, size_t length, Error *err)
+{
+    Fleet *fleet = owner;
+    int result = Document_Load(&fleet->document, bytes, length, err);
+    if (result == ERR_OK) {
+        decode_table(fleet);
+    }
+    return result;
+}
+
+/* Fails all waiting commands: their outcome is open. */
+static void
+fail_waiters(Fleet *fleet)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, fleet->waiters);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        Waiter *waiter = value;
+        FleetResult result = {.outcome = FLEET_UNSURE};
+        waiter->done(waiter->arg, &result);
+        g_hash_table_iter_remove(&iter);
+    }
+}
+
+static void
+on_leadership(void *owner, bool leads)
+{
+    Fleet *fleet = owner;
+    fleet->leads = leads;
+    fleet->led_since = Clock_Now();
+    if (!leads) {
+        fail_waiters(fleet);
+    }
+    else {
+        FleetGateways_PushSoon(fleet);
+    }
+}
+
+static const ReplicaOps replica_ops = {
+    .apply = on_apply,
+    .appended = on_appended,
+    .truncated = on_truncated,
+    .snapshot = on_snapshot,
+    .restore = on_restore,
+    .leadership = on_leadership,
+};
+
+/* ---- Links ---- */
+
+static void
+free_peer(gpointer data)
+{
+    FleetPeer *peer = data;
+    g_hash_table_destroy(peer->uses);
+    g_free(peer);
+}
+
+static void
+on_link_up(Link *link, void *owner)
+{
+    Fleet *fleet = owner;
+    FleetPeer *peer = g_new0(FleetPeer, 1);
+    peer->serial = ++fleet->serial;
+    peer->link = link;
+    peer->uses =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    g_hash_table_insert(fleet->peers, link, peer);
+    LOG_INFO(PART, "Peer joined. peer=%s", Link_Peer(link)->name);
+    if (Link_Peer(link)->role == WIRE__ROLE__ROLE_GATEWAY) {
+        peer->gateway = true;
+        FleetGateways_Greet(fleet, link);
+    }
+}
+
+static void
+on_link_down(Link *link, void *owner)
+{
+    Fleet *fleet = owner;
+    g_hash_table_remove(fleet->peers, link);
+    Replica_OnLinkDown(fleet->replica, link);
+}
+
+static void
+on_frame(Link *link, const Wire__Frame *frame, void *owner)
+{
+    Fleet *fleet = owner;
+    if (Link_Peer(link)->role == WIRE__ROLE__ROLE_CONTROL) {
+        Replica_OnFrame(fleet->replica, link, frame);
+        return;
+    }
+    FleetGateways_OnFrame(fleet, link, frame);
+}
+
+static const LinkOps link_ops = {
+    .up = on_link_up,
+    .down = on_link_down,
+    .frame = on_frame,
+};
+
+/* ---- Calls ---- */
+
+/* Answers where another host leads or none is known. */
+static void
+answer_not_leading(Fleet *fleet, FleetDone done, void *arg)
+{
+    ReplicaStatus status;
+    Replica_Status(fleet->replica, &status);
+    FleetResult result = {.outcome = FLEET_UNSURE};
+    char *host = g_strdup(status.leader_address);
+    char *colon = strrchr(host, ':');
+    if (!status.leads && status.leader != 0 && status.leader != status.id &&
+        colon != NULL)
+    {
+        *colon = '\0';
+        result.outcome = FLEET_ELSEWHERE;
+        result.leader = host;
+    }
+    done(arg, &result);
+    g_free(host);
+}
+
+static void
+propose(Fleet *fleet, const Document *document, FleetDone done, void *arg)
+{
+    uint64_t id;
+    randombytes_buf(&id, sizeof(id));
+    GBytes *command = Document_PackCommand(id, document);
+    gsize length;
+    const uint8_t *bytes = g_bytes_get_data(command, &length);
+    int result = Replica_Propose(fleet->replica, bytes, length);
+    g_bytes_unref(command);
+    if (result != ERR_OK) {
+        answer_not_leading(fleet, done, arg);
+        return;
+    }
+    Waiter *waiter = g_new0(Waiter, 1);
+    *waiter = (Waiter){
+        .done = done,
+        .arg = arg,
+        .until = Clock_Now() + COMMAND_WAIT_US,
+    };
+    g_hash_table_insert(fleet->waiters, g_memdup2(&id, sizeof(id)), waiter);
+}
+
+void
+Fleet_Replace(Fleet *fleet, const char *document, size_t length,
+              FleetDone done, void *arg)
+{
+    RouteTable *table = NULL;
+    Error err = ERROR_INIT;
+    if (fleet->codec->decode(document, length, &table, &err) != ERR_OK) {
+        LOG_WARN(PART, "Configuration refused. why=\"%s\"", err.text);
+        FleetResult result = {.outcome = FLEET_INVALID, .text = err.text};
+        done(arg, &result);
+        return;
+    }
+    uint64_t version = RouteTable_Version(table);
+    RouteTable_Unref(table);
+    if (version <= fleet->document.version) {
+        LOG_INFO(PART,
+                 "Configuration is not newer; nothing changes. offered=%llu "
+                 "held=%llu",
+                 (unsigned long long)version,
+                 (unsigned long long)fleet->document.version);
+        FleetResult result = {
+            .outcome = FLEET_DONE,
+            .version = fleet->document.version,
+        };
+        done(arg, &result);
+        return;
+    }
+    Document offered = {
+        .version = version,
+        .deflated = Deflate_Pack(document, length),
+        .bytes = (uint32_t)length,
+    };
+    propose(fleet, &offered, done, arg);
+    Document_Clear(&offered);
+}
+
+static void
+on_read_confirmed(void *arg, bool leads)
+{
+    Read *read = arg;
+    Fleet *fleet = read->fleet;
+    if (!leads) {
+        answer_not_leading(fleet, read->done, read->arg);
+        g_free(read);
+        return;
+    }
+    FleetResult result = {
+        .outcome = FLEET_DONE,
+        .version = fleet->document.version,
+    };
+    if (result.version != 0) {
+        result.document = Deflate_Unpack(
+            g_bytes_get_data(fleet->document.deflated, NULL),
+            g_bytes_get_size(fleet->document.deflated), fleet->document.bytes);
+    }
+    read->done(read->arg, &result);
+    if (result.document != NULL) {
+        g_bytes_unref(result.document);
+    }
+    g_free(read);
+}
+
+void
+Fleet_Read(Fleet *fleet, FleetDone done, void *arg)
+{
+    Read *read = g_new0(Read, 1);
+    *read = (Read){.fleet = fleet, .done = done, .arg = arg};
+    Replica_ConfirmLeads(fleet->replica, on_read_confirmed, read);
+}
+
+void
+Fleet_Announce(Fleet *fleet, const EndpointNews *news)
+{
+    GPtrArray *superseded = g_ptr_array_new();
+    if (Directory_Update(fleet->directory, news, superseded)) {
+        const EndpointNews *known = Directory_Find(fleet->directory, news->id);
+        LOG_INFO(PART,
+                 "Endpoint changed. id=%s state=%d address=%s born=%llu "
+                 "sequence=%llu",
+                 known->id, (int)known->state,
+                 known->address != NULL ? known->address : "",
+                 (unsigned long long)known->born,
+                 (unsigned long long)known->sequence);
+        FleetGateways_Tell(fleet, known);
+    }
+    for (guint i = 0; i < superseded->len; i++) {
+        FleetGateways_Tell(
+            fleet, Directory_Find(fleet->directory, superseded->pdata[i]));
+    }
+    g_ptr_array_unref(superseded);
+}
+
+bool
+Fleet_Ready(const Fleet *fleet)
+{
+    return !fleet->draining;
+}
+
+/* ---- The task ---- */
+
+static void
+expire_waiters(Fleet *fleet, TimeUs now)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, fleet->waiters);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        Waiter *waiter = value;
+        if (now >= waiter->until) {
+            FleetResult result = {.outcome = FLEET_UNSURE};
+            waiter->done(waiter->arg, &result);
+            g_hash_table_iter_remove(&iter);
+        }
+    }
+}
+
+static void
+on_tick(evutil_socket_t fd, short events, void *arg)
+{
+    Fleet *fleet = arg;
+    expire_waiters(fleet, Clock_Now());
+    if (fleet->draining && !fleet->leads) {
+        Task_Drained(fleet->task);
+    }
+}
+
+static int
+listen_links(Fleet *fleet, Error *err)
+{
+    const Settings *settings = fleet->settings;
+    const char *text = NULL;
+    for (unsigned i = 0; i < settings->control_hosts_count; i++) {
+        if (settings->control_hosts[i].id == settings->control->id) {
+            text = settings->control_hosts[i].address;
+        }
+    }
+    INVARIANT(text != NULL);
+    Address address;
+    int result = Address_Parse(text, &address, err);
+    if (result != ERR_OK) {
+        return result;
+    }
+    fleet->links = Link_Listen(fleet->base, &fleet->self, &address, &link_ops,
+                               fleet, err);
+    return fleet->links == NULL ? err->code : ERR_OK;
+}
+
+static int
+start(TaskHandle self, void *state, Error *err)
+{
+    Fleet *fleet = state;
+    fleet->task = self;
+    fleet->base = Task_Base(self);
+    fleet->push = event_new(fleet->base, -1, 0, FleetGateways_OnPush, fleet);
+    fleet->tick = event_new(fleet->base, -1, EV_PERSIST, on_tick, fleet);
+    fleet->replica = Replica_Open(fleet->base, fleet->settings, &fleet->self,
+                                  &replica_ops, fleet, err);
+    if (fleet->replica == NULL) {
+        return err->code;
+    }
+    struct timeval period = {.tv_usec = TICK_MS * US_PER_MS};
+    event_add(fleet->tick, &period);
+    return listen_links(fleet, err);
+}
+
+static void
+receive(TaskHandle self, void *state, const Message *message)
+{
+}
+
+static void
+drain(TaskHandle self, void *state)
+{
+    Fleet *fleet = state;
+    fleet->draining = true;
+    Replica_Leave(fleet->replica);
+}
+
+static void
+stop(TaskHandle self, void *state)
+{
+    Fleet *fleet = state;
+    fail_waiters(fleet);
+    if (fleet->replica != NULL) {
+        Replica_Close(fleet->replica);
+    }
+    if (fleet->links != NULL) {
+        Link_CloseServer(fleet->links);
+    }
+    event_free(fleet->push);
+    event_free(fleet->tick);
+    RouteTable_Unref(fleet->table);
+    Document_Clear(&fleet->document);
+    Directory_Free(fleet->directory);
+    g_hash_table_destroy(fleet->peers);
+    g_hash_table_destroy(fleet->waiters);
+    g_free(fleet);
+}
+
+static void
+dump(TaskHandle self, void *state, json_t *out)
+{
+    const Fleet *fleet = state;
+    json_object_set_new(out, "version",
+                        json_integer((json_int_t)fleet->document.version));
+    json_object_set_new(out, "peers",
+                        json_integer(g_hash_table_size(fleet->peers)));
+    json_t *replica = json_object();
+    Replica_Dump(fleet->replica, replica);
+    json_object_set_new(out, "replica", replica);
+}
+
+static const TaskOps task_ops = {
+    .start = start,
+    .receive = receive,
+    .drain = drain,
+    .stop = stop,
+    .dump = dump,
+};
+
+Fleet *
+Fleet_AddTask(Kernel *kernel, const FleetOptions *options)
+{
+    Fleet *fleet = g_new0(Fleet, 1);
+    fleet->settings = options->settings;
+    fleet->codec = options->codec;
+    fleet->self = Self_Make(options->settings, WIRE__ROLE__ROLE_CONTROL,
+                            options->settings->name);
+    fleet->directory = Directory_New();
+    fleet->peers = g_hash_table_new_full(NULL, NULL, NULL, free_peer);
+    fleet->waiters =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+    TaskSpec spec = {
+        .name = TASK_NAME,
+        .ops = &task_ops,
+        .state = fleet,
+    };
+    Kernel_AddTask(kernel, &spec);
+    return fleet;
+}
--- /dev/null
+++ b/src/fleet/gateways.c
@@ -0,0 +1,310 @@
+/** @file
+ * Fleet: what gateways ask for and are told.
+ */
+#include <string.h>
+
+#include "fleet/state.h"
+#include "kernel/log.h"
+#include "sched/shares.h"
+
+/* Changes of the configuration within this span go out as one. */
+#define PUSH_DELAY_US (60 * US_PER_MS)
+/* A gateway that asked within this span takes part in shares. It is longer
+ * than a gateway keeps its share without an answer. */
+#define GATEWAY_ACTIVE_US (6 * US_PER_S)
+/* A new leader splits no limit before every gateway has told its demand. */
+#define SHARES_AFTER_US (2500 * US_PER_MS)
+/* Accounts of one answer. */
+#define USES_MAX 256
+
+/* A query that waits for the confirmation that this host leads. */
+typedef struct Query {
+    Fleet *fleet;
+    Link *link;
+    uint64_t serial;
+    uint64_t nonce;
+    uint64_t version;
+} Query;
+
+static FleetPeer *
+find_peer(const Fleet *fleet, const Link *link)
+{
+    return g_hash_table_lookup(fleet->peers, link);
+}
+
+static bool
+is_active(const FleetPeer *peer, TimeUs now)
+{
+    return peer->gateway && peer->heard_at != 0 &&
+           now - peer->heard_at <= GATEWAY_ACTIVE_US;
+}
+
+static uint32_t
+count_gateways(const Fleet *fleet)
+{
+    uint32_t count = 0;
+    TimeUs now = Clock_Now();
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, fleet->peers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        count += is_active(value, now) ? 1 : 0;
+    }
+    return count;
+}
+
+/* The part of an account's limit that this gateway may use. */
+static double
+share_of(const Fleet *fleet, const FleetPeer *self,
+         const RouteAccount *account)
+{
+    guint count = 0;
+    size_t position = 0;
+    TimeUs now = Clock_Now();
+    double *demands = g_new0(double, g_hash_table_size(fleet->peers) + 1);
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, fleet->peers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const FleetPeer *peer = value;
+        if (!is_active(peer, now)) {
+            continue;
+        }
+        const double *demand = g_hash_table_lookup(peer->uses, account->name);
+        if (peer == self) {
+            position = count;
+        }
+        demands[count++] = demand == NULL ? 0 : *demand;
+    }
+    double share = Shares_Split(account->rate, demands, count, position);
+    g_free(demands);
+    return share;
+}
+
+typedef struct Shares {
+    const Fleet *fleet;
+    const FleetPeer *peer;
+    Wire__AccountUse items[USES_MAX];
+    Wire__AccountUse *pointers[USES_MAX];
+    size_t count;
+} Shares;
+
+static void
+add_share(void *arg, const RouteAccount *account)
+{
+    Shares *shares = arg;
+    if (account->rate <= 0 || shares->count == USES_MAX) {
+        return;
+    }
+    Wire__AccountUse *use = &shares->items[shares->count];
+    wire__account_use__init(use);
+    use->account = (char *)account->name;
+    use->share = share_of(shares->fleet, shares->peer, account);
+    shares->pointers[shares->count++] = use;
+}
+
+static void
+fill_document(const Fleet *fleet, Wire__ConfigState *state)
+{
+    gsize length;
+    state->document.data =
+        (uint8_t *)g_bytes_get_data(fleet->document.deflated, &length);
+    state->document.len = length;
+    state->document_bytes = fleet->document.bytes;
+}
+
+static void
+send_state(Link *link, Wire__ConfigState *state)
+{
+    Wire__Frame frame = WIRE__FRAME__INIT;
+    frame.body_case = WIRE__FRAME__BODY_CONFIG_STATE;
+    frame.config_state = state;
+    Link_Send(link, &frame);
+}
+
+static void
+answer(const Query *query, bool leads)
+{
+    Fleet *fleet = query->fleet;
+    ReplicaStatus status;
+    Replica_Status(fleet->replica, &status);
+    Wire__ConfigState state = WIRE__CONFIG_STATE__INIT;
+    state.nonce = query->nonce;
+    state.confirmed = leads;
+    state.version = fleet->document.version;
+    state.gateways = count_gateways(fleet);
+    state.leader = leads ? (char *)"" : status.leader_address;
+    char *hosts[REPLICA_VOTERS_MAX];
+    for (unsigned i = 0; i < status.voter_count; i++) {
+        hosts[i] = status.addresses[i];
+    }
+    state.n_hosts = status.voter_count;
+    state.hosts = hosts;
+    if (leads && fleet->document.version > query->version) {
+        fill_document(fleet, &state);
+    }
+    Shares shares = {
+        .fleet = fleet,
+        .peer = find_peer(fleet, query->link),
+    };
+    if (leads && fleet->table != NULL &&
+        Clock_Now() - fleet->led_since >= SHARES_AFTER_US)
+    {
+        RouteTable_EachAccount(fleet->table, add_share, &shares);
+        state.n_shares = shares.count;
+        state.shares = shares.pointers;
+    }
+    send_state(query->link, &state);
+}
+
+static void
+on_confirmed(void *arg, bool leads)
+{
+    Query *query = arg;
+    const FleetPeer *peer = find_peer(query->fleet, query->link);
+    if (peer != NULL && peer->serial == query->serial) {
+        answer(query, leads);
+    }
+    g_free(query);
+}
+
+static void
+on_query(Fleet *fleet, FleetPeer *peer, const Wire__ConfigQuery *query)
+{
+    peer->heard_at = Clock_Now();
+    peer->gateway = true;
+    g_hash_table_remove_all(peer->uses);
+    for (size_t i = 0; i < query->n_use; i++) {
+        double *demand = g_new(double, 1);
+        *demand = query->use[i]->demand;
+        g_hash_table_insert(peer->uses, g_strdup(query->use[i]->account),
+                            demand);
+    }
+    Query *waiting = g_new0(Query, 1);
+    *waiting = (Query){
+        .fleet = fleet,
+        .link = peer->link,
+        .serial = peer->serial,
+        .nonce = query->nonce,
+        .version = query->version,
+    };
+    Replica_ConfirmLeads(fleet->replica, on_confirmed, waiting);
+}
+
+/* Passes a frame on to all gateways but one. */
+static void
+relay(Fleet *fleet, const Link *from, const Wire__Frame *frame)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, fleet->peers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const FleetPeer *peer = value;
+        if (peer->gateway && peer->link != from) {
+            Link_Send(peer->link, frame);
+        }
+    }
+}
+
+void
+FleetGateways_OnFrame(Fleet *fleet, Link *link, const Wire__Frame *frame)
+{
+    FleetPeer *peer = find_peer(fleet, link);
+    if (peer == NULL) {
+        return;
+    }
+    switch (frame->body_case) {
+    case WIRE__FRAME__BODY_CONFIG_QUERY:
+        on_query(fleet, peer, frame->config_query);
+        break;
+    case WIRE__FRAME__BODY_CRASH_NEWS:
+        relay(fleet, link, frame);
+        break;
+    default:
+        break;
+    }
+}
+
+void
+FleetGateways_PushSoon(Fleet *fleet)
+{
+    if (!fleet->push_due) {
+        fleet->push_due = true;
+        struct timeval delay = {.tv_usec = PUSH_DELAY_US};
+        event_add(fleet->push, &delay);
+    }
+}
+
+void
+FleetGateways_OnPush(evutil_socket_t fd, short events, void *arg)
+{
+    Fleet *fleet = arg;
+    fleet->push_due = false;
+    if (!fleet->leads || fleet->document.version == 0) {
+        return;
+    }
+    Wire__ConfigState state = WIRE__CONFIG_STATE__INIT;
+    state.version = fleet->document.version;
+    state.gateways = count_gateways(fleet);
+    fill_document(fleet, &state);
+    Wire__Frame frame = WIRE__FRAME__INIT;
+    frame.body_case = WIRE__FRAME__BODY_CONFIG_STATE;
+    frame.config_state = &state;
+    relay(fleet, NULL, &frame);
+}
+
+static void
+fill_record(Wire__EndpointRecord *record, const EndpointNews *news)
+{
+    wire__endpoint_record__init(record);
+    record->id = (char *)news->id;
+    record->service = news->service != NULL ? (char *)news->service : "";
+    record->address = news->address != NULL ? (char *)news->address : "";
+    record->zone = news->zone != NULL ? (char *)news->zone : "";
+    record->state = (Wire__EndpointState)news->state;
+    record->born = news->born;
+    record->sequence = news->sequence;
+    record->slots = news->slots;
+    record->cold_ms = news->cold_ms;
+}
+
+static void
+tell(Link *link, const EndpointNews *news)
+{
+    Wire__EndpointRecord record;
+    fill_record(&record, news);
+    Wire__EndpointRecord *pointer = &record;
+    Wire__EndpointNews list = WIRE__ENDPOINT_NEWS__INIT;
+    list.n_endpoints = 1;
+    list.endpoints = &pointer;
+    Wire__Frame frame = WIRE__FRAME__INIT;
+    frame.body_case = WIRE__FRAME__BODY_ENDPOINT_NEWS;
+    frame.endpoint_news = &list;
+    Link_Send(link, &frame);
+}
+
+static void
+tell_link(void *arg, const EndpointNews *news)
+{
+    tell(arg, news);
+}
+
+void
+FleetGateways_Greet(Fleet *fleet, Link *link)
+{
+    Directory_Each(fleet->directory, tell_link, link);
+}
+
+void
+FleetGateways_Tell(Fleet *fleet, const EndpointNews *news)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, fleet->peers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const FleetPeer *peer = value;
+        if (Link_Peer(peer->link)->role == WIRE__ROLE__ROLE_GATEWAY) {
+            tell(peer->link, news);
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/call.c
@@ -0,0 +1,416 @@
+/** @file
+ * Gateway: the life of a request, from its arrival to its final answer.
+ */
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include <xxhash.h>
+
+#include "gateway/state.h"
+#include "kernel/counter.h"
+#include "kernel/log.h"
+
+/* When a refused caller may come back, where nothing says more. */
+#define RETRY_SOON_MS 250
+/* When to come back to a gateway that knows no configuration yet. */
+#define RETRY_UNREADY_MS 1000
+/* Time that a caller waits who does not say. */
+#define DEFAULT_DEADLINE_MS 60000
+#define DEADLINE_MAX_MS (24ul * 3600 * 1000)
+#define BEARER "Bearer "
+
+static uint64_t
+parse_number(const char *text, uint64_t fallback)
+{
+    if (text == NULL || text[0] < '0' || text[0] > '9') {
+        return fallback;
+    }
+    return strtoull(text, NULL, 10);
+}
+
+static void
+clear_field(gpointer data)
+{
+    H1Field *field = data;
+    g_free((char *)field->name);
+    g_free((char *)field->value);
+}
+
+static void
+copy_fields(Call *call, const H1Head *head)
+{
+    call->fields = g_array_new(FALSE, FALSE, sizeof(H1Field));
+    g_array_set_clear_func(call->fields, clear_field);
+    for (guint i = 0; i < head->fields->len; i++) {
+        const H1Field *from = &g_array_index(head->fields, H1Field, i);
+        H1Field field = {
+            .name = g_strdup(from->name),
+            .value = g_strdup(from->value),
+        };
+        g_array_append_val(call->fields, field);
+    }
+}
+
+static void
+read_tokens(Call *call, const H1Head *head)
+{
+    const char *text =
+        H1Head_Get(head, call->gateway->options->fields->tokens);
+    if (text == NULL) {
+        return;
+    }
+    char *rest = NULL;
+    unsigned long in = strtoul(text, &rest, 10);
+    unsigned long out =
+        rest != NULL && *rest == ',' ? strtoul(rest + 1, NULL, 10) : 0;
+    call->prompt_tokens = (uint32_t)MIN(in, UINT32_MAX);
+    call->output_tokens = (uint32_t)MIN(out, UINT32_MAX);
+}
+
+static void
+free_call(Call *call)
+{
+    event_free(call->timer);
+    g_array_unref(call->fields);
+    g_ptr_array_unref(call->tried);
+    evbuffer_free(call->body);
+    evbuffer_free(call->answer_head);
+    evbuffer_free(call->answer);
+    evbuffer_free(call->partial);
+    RouteTable_Unref(call->table);
+    g_free(call->id);
+    g_free(call->method);
+    g_free(call->target);
+    g_free(call->host);
+    g_free(call->key);
+    g_free(call);
+}
+
+static void
+log_end(const Call *call, const char *outcome)
+{
+    TimeUs now = Clock_Now();
+    LOG_INFO(GATEWAY_PART,
+             "Request ended. id=%s route=%s account=%s tier=%u outcome=%s "
+             "status=%u endpoint=%s attempts=%u waited_ms=%lld first_ms=%lld "
+             "total_ms=%lld left_ms=%lld version=%llu",
+             call->id, call->route != NULL ? call->route->name : "",
+             call->account != NULL ? call->account->name : "", call->tier,
+             outcome, call->status,
+             call->endpoint != NULL ? call->endpoint->id : "", call->attempts,
+             (long long)((call->sent_at == 0 ? now : call->sent_at) -
+                         call->received) /
+                 US_PER_MS,
+             call->first_at == 0
+                 ? -1LL
+                 : (long long)(call->first_at - call->received) / US_PER_MS,
+             (long long)(now - call->received) / US_PER_MS,
+             (long long)(call->caller_deadline - now) / US_PER_MS,
+             call->table != NULL
+                 ? (unsigned long long)RouteTable_Version(call->table)
+                 : 0ULL);
+}
+
+/* Gives back what the call holds at an endpoint or in a line. */
+static void
+release(Call *call)
+{
+    Line_Remove(call);
+    if (call->upstream != NULL) {
+        Upstream_Cancel(call->upstream);
+        call->upstream = NULL;
+    }
+    Call_LeaveEndpoint(call, false);
+}
+
+void
+Call_LeaveEndpoint(Call *call, bool complete)
+{
+    Endpoint *endpoint = call->endpoint;
+    Keepers_End(call, complete);
+    if (endpoint == NULL) {
+        return;
+    }
+    call->endpoint = NULL;
+    endpoint->running--;
+    endpoint->probing = false;
+    Endpoint_Unref(endpoint);
+}
+
+void
+Call_End(Call *call, const char *outcome)
+{
+    Gateway *gateway = call->gateway;
+    log_end(call, outcome);
+    char *service = g_strdup(call->service);
+    release(call);
+    gateway->calls--;
+    free_call(call);
+    if (service != NULL) {
+        Line_Pump(gateway, service);
+        g_free(service);
+    }
+}
+
+void
+Call_Fail(Call *call, const CallError *error)
+{
+    const GatewayFields *fields = call->gateway->options->fields;
+    bool promised = error->status == 503 || error->status == 429;
+    const char *outcome = promised || !call->maybe_ran ? "not_run" : "unknown";
+    call->status = error->status;
+    Conn *conn = call->conn;
+    if (call->state == CALL_PASSING) {
+        Call_End(call, error->code);
+        Conn_Abort(conn);
+        return;
+    }
+    char *id = g_strdup_printf("%s: %s", fields->request_id, call->id);
+    struct evbuffer *out = evbuffer_new();
+    GatewayErrors_Print(out, error, id, outcome, Conn_WillClose(conn));
+    Conn_Head(conn, out);
+    evbuffer_free(out);
+    g_free(id);
+    char *name =
+        g_strdup_printf("gateway_failed_total{code=\"%s\"}", error->code);
+    Counter_Add(Counter_Get(name, "Requests answered with an error."), 1);
+    g_free(name);
+    Call_End(call, error->code);
+    Conn_Finish(conn);
+}
+
+void
+Call_CallerGone(Call *call)
+{
+    call->conn = NULL;
+    /* Work that must not be cut half-way runs to its end unattended. */
+    if (call->upstream != NULL && call->route->kind == ROUTE_ONCE) {
+        Upstream_Abandon(call->upstream);
+        call->upstream = NULL;
+    }
+    Call_End(call, "caller_gone");
+}
+
+void
+Call_CallerDrained(Call *call)
+{
+    if (call->upstream != NULL) {
+        Upstream_Pause(call->upstream, false);
+    }
+}
+
+bool
+Call_Repeatable(const Call *call)
+{
+    return call->route->kind == ROUTE_IDEMPOTENT ||
+           (call->route->kind == ROUTE_STREAM && call->route->resumable);
+}
+
+static void
+on_deadline(evutil_socket_t fd, short events, void *arg)
+{
+    Call *call = arg;
+    if (call->maybe_ran || call->state != CALL_WAITING) {
+        call->maybe_ran = true;
+        Call_Fail(call, &(CallError){
+                            .status = 504,
+                            .code = "deadline",
+                            .message = "No whole answer came in time.",
+                        });
+        return;
+    }
+    Call_Fail(call, &(CallError){
+                        .status = 503,
+                        .code = "overloaded",
+                        .message = "No endpoint was free in time.",
+                        .retry_after_ms = RETRY_SOON_MS,
+                    });
+}
+
+static void
+set_deadlines(Call *call, const H1Head *head)
+{
+    const GatewayFields *fields = call->gateway->options->fields;
+    uint64_t ms = parse_number(H1Head_Get(head, fields->deadline_ms),
+                               DEFAULT_DEADLINE_MS);
+    ms = MIN(ms, DEADLINE_MAX_MS);
+    call->caller_deadline = call->received + (TimeUs)ms * US_PER_MS;
+    call->deadline = MIN(call->caller_deadline,
+                         call->received + call->route->timeout_ms * US_PER_MS);
+    TimeUs span = MAX(call->deadline - call->received, 0);
+    struct timeval tv = {.tv_sec = span / US_PER_S,
+                         .tv_usec = span % US_PER_S};
+    event_add(call->timer, &tv);
+}
+
+/* Finds the account of a caller's key.
+ * @return NULL or the error to answer. */
+static const CallError *
+check_key(Call *call)
+{
+    static const CallError denied = {
+        .status = 401, .code = "denied", .message = "The key is unknown."};
+    static const CallError unsure = {
+        .status = 503,
+        .code = "no_lease",
+        .message = "The keys in force are not known at present.",
+        .retry_after_ms = RETRY_SOON_MS,
+    };
+    call->account = NULL;
+    if (call->route->open || !RouteTable_HasAccounts(call->table)) {
+        return NULL;
+    }
+    if (!Gateway_HasLease(call->gateway)) {
+        return &unsure;
+    }
+    if (call->key != NULL) {
+        call->account = RouteTable_Account(call->table, call->key);
+    }
+    return call->account == NULL ? &denied : NULL;
+}
+
+/* Looks up route, service and account in the newest table. */
+static const CallError *
+route_call(Call *call)
+{
+    static const CallError unready = {
+        .status = 503,
+        .code = "not_ready",
+        .message = "No configuration is known yet.",
+        .retry_after_ms = RETRY_UNREADY_MS,
+    };
+    static const CallError no_route = {
+        .status = 404, .code = "no_route", .message = "No route matches."};
+    Gateway *gateway = call->gateway;
+    if (gateway->table == NULL) {
+        return &unready;
+    }
+    RouteTable_Unref(call->table);
+    call->table = RouteTable_Ref(gateway->table);
+    call->route = RouteTable_Match(call->table, call->host, call->target);
+    if (call->route == NULL) {
+        return &no_route;
+    }
+    call->service = Route_PickService(call->route, call->id);
+    const CallError *error = check_key(call);
+    if (error != NULL) {
+        return error;
+    }
+    bool own_tier = call->account != NULL && call->account->has_tier;
+    call->tier = own_tier ? call->account->tier : call->route->tier;
+    return NULL;
+}
+
+bool
+Call_Reroute(Call *call)
+{
+    bool same = call->table == call->gateway->table;
+    const CallError *error =
+        same ? (call->key == NULL ? NULL : check_key(call)) : route_call(call);
+    if (error == NULL) {
+        return true;
+    }
+    Call_Fail(call, error);
+    return false;
+}
+
+static double
+cost_of(const Call *call)
+{
+    if (!call->account->counts_tokens) {
+        return 1;
+    }
+    double tokens = (double)call->prompt_tokens + call->output_tokens;
+    return tokens > 0 ? tokens : call->account->default_tokens;
+}
+
+static void
+admit(Call *call, const H1Head *head)
+{
+    const CallError *error = route_call(call);
+    if (error != NULL) {
+        Call_Fail(call, error);
+        return;
+    }
+    if (call->account != NULL) {
+        call->cost = cost_of(call);
+        uint32_t wait_ms =
+            Quotas_Take(call->gateway->quotas, call->account, call->cost);
+        if (wait_ms > 0) {
+            Call_Fail(call, &(CallError){
+                                .status = 429,
+                                .code = "over_limit",
+                                .message = "The account is over its limit.",
+                                .retry_after_ms = wait_ms,
+                            });
+            return;
+        }
+    }
+    set_deadlines(call, head);
+    Retries_Request(call->gateway->retries, call->service);
+    Line_Add(call->gateway, call);
+}
+
+static uint64_t
+fingerprint_of(const Call *call)
+{
+    XXH3_state_t *state = XXH3_createState();
+    XXH3_64bits_reset(state);
+    XXH3_64bits_update(state, call->target, strlen(call->target));
+    if (call->key != NULL) {
+        XXH3_64bits_update(state, call->key, strlen(call->key));
+    }
+    size_t length = evbuffer_get_length(call->body);
+    XXH3_64bits_update(state, evbuffer_pullup(call->body, -1), length);
+    uint64_t hash = XXH3_64bits_digest(state);
+    XXH3_freeState(state);
+    return hash;
+}
+
+void
+Call_Start(Conn *conn, Gateway *gateway, const H1Head *head,
+           struct evbuffer *body)
+{
+    const GatewayFields *fields = gateway->options->fields;
+    const char *id = H1Head_Get(head, fields->request_id);
+    const char *host = H1Head_Get(head, "Host");
+    const char *key = H1Head_Get(head, "Authorization");
+    const char *after = H1Head_Get(head, fields->last_event);
+    Call *call = g_new0(Call, 1);
+    call->gateway = gateway;
+    call->conn = conn;
+    call->id = g_strdup(id != NULL ? id : "");
+    call->method = g_strdup(head->method);
+    call->target = g_strdup(head->target);
+    call->host = g_strdup(host != NULL ? host : "");
+    if (key != NULL && g_ascii_strncasecmp(key, BEARER, strlen(BEARER)) == 0) {
+        call->key = g_strdup(key + strlen(BEARER));
+    }
+    call->received = Clock_Now();
+    call->caller_deadline = call->received;
+    call->timer = event_new(gateway->base, -1, 0, on_deadline, call);
+    call->tried = g_ptr_array_new_with_free_func(g_free);
+    call->body = evbuffer_new();
+    evbuffer_add_buffer(call->body, body);
+    call->answer_head = evbuffer_new();
+    call->answer = evbuffer_new();
+    call->partial = evbuffer_new();
+    call->events = EVENTS_INIT;
+    call->resume_after = after == NULL ? -1 : strtoll(after, NULL, 10);
+    call->events.last_id = call->resume_after;
+    copy_fields(call, head);
+    read_tokens(call, head);
+    call->fingerprint = fingerprint_of(call);
+    gateway->calls++;
+    Conn_SetCall(conn, call);
+    if (id == NULL) {
+        Call_Fail(call, &(CallError){
+                            .status = 400,
+                            .code = "invalid",
+                            .message = "The request id is missing.",
+                        });
+        return;
+    }
+    admit(call, head);
+}
--- /dev/null
+++ b/src/gateway/call_answer.c
@@ -0,0 +1,258 @@
+/** @file
+ * Gateway: passing an endpoint's answer on to the caller.
+ */
+#include <string.h>
+#include <strings.h>
+
+#include "gateway/state.h"
+#include "kernel/counter.h"
+#include "kernel/log.h"
+
+/* Largest answer that is not a stream; it is held until it is whole. */
+#define ANSWER_MAX_BYTES (8u * 1024 * 1024)
+/* An endpoint's stream is read no further while this much waits for the
+ * caller. */
+#define BACKLOG_BYTES (256u * 1024)
+
+static bool
+is_promise(unsigned status)
+{
+    return status == 429 || status == 503 || status == 408 || status == 421;
+}
+
+/* The head as the caller gets it, without framing. */
+static void
+print_head(Call *call, const H1Head *head)
+{
+    const GatewayFields *fields = call->gateway->options->fields;
+    struct evbuffer *out = call->answer_head;
+    evbuffer_drain(out, evbuffer_get_length(out));
+    evbuffer_add_printf(out, "HTTP/1.1 %u Status\r\n", head->status);
+    for (guint i = 0; i < head->fields->len; i++) {
+        const H1Field *field = &g_array_index(head->fields, H1Field, i);
+        if (!Call_IsHopField(field->name) &&
+            strcasecmp(field->name, fields->load) != 0)
+        {
+            evbuffer_add_printf(out, "%s: %s\r\n", field->name, field->value);
+        }
+    }
+}
+
+static void
+print_framing(Call *call, bool whole)
+{
+    struct evbuffer *out = call->answer_head;
+    if (whole) {
+        evbuffer_add_printf(out, "Content-Length: %zu\r\n",
+                            evbuffer_get_length(call->answer));
+    }
+    else if (!Conn_IsHttp10(call->conn)) {
+        evbuffer_add_printf(out, "Transfer-Encoding: chunked\r\n");
+    }
+    if (Conn_WillClose(call->conn)) {
+        evbuffer_add_printf(out, "Connection: close\r\n");
+    }
+    evbuffer_add(out, "\r\n", 2);
+}
+
+/* Sends what has been collected of a stream, its head first. */
+static void
+pass_stream(Call *call)
+{
+    size_t length = evbuffer_get_length(call->answer);
+    if (length == 0) {
+        return;
+    }
+    if (call->state != CALL_PASSING) {
+        call->state = CALL_PASSING;
+        call->first_at = Clock_Now();
+        print_framing(call, false);
+        Conn_Head(call->conn, call->answer_head);
+        Keepers_FirstEvent(call);
+    }
+    if (!Conn_IsHttp10(call->conn)) {
+        struct evbuffer *size = evbuffer_new();
+        evbuffer_add_printf(size, "%zx\r\n", length);
+        evbuffer_prepend_buffer(call->answer, size);
+        evbuffer_free(size);
+        evbuffer_add(call->answer, "\r\n", 2);
+    }
+    Conn_Body(call->conn, call->answer);
+    if (Conn_Backlog(call->conn) > BACKLOG_BYTES) {
+        Upstream_Pause(call->upstream, true);
+    }
+}
+
+/* Why an endpoint's head cannot be passed on; NULL when it can. */
+static const char *
+find_fault(const Call *call, const H1Head *head)
+{
+    const GatewayFields *fields = call->gateway->options->fields;
+    bool success = head->status >= 200 && head->status < 300;
+    if (H1Head_Get(head, "Content-Encoding") != NULL) {
+        return "the body is encoded";
+    }
+    if (success && H1Head_Get(head, fields->proof) == NULL) {
+        return "the endpoint's proof is missing";
+    }
+    return NULL;
+}
+
+/* Drops the exchange; the endpoint's answer is read to its end unattended. */
+static void
+drop_exchange(Call *call)
+{
+    Upstream_Abandon(call->upstream);
+    call->upstream = NULL;
+}
+
+static void
+on_refused(Call *call, const H1Head *head)
+{
+    bool other = head->status == 421;
+    if (other) {
+        /* Another endpoint has the address now. */
+        Endpoint_Failed(call->endpoint, "another instance has the address");
+    }
+    drop_exchange(call);
+    Call_Retry(call, other ? CALL_OTHER_INSTANCE : CALL_REFUSED,
+               other ? "another instance" : "endpoint is full");
+}
+
+static bool
+is_event_stream(const H1Head *head)
+{
+    const char *type = H1Head_Get(head, "Content-Type");
+    return type != NULL &&
+           g_ascii_strncasecmp(type, "text/event-stream",
+                               strlen("text/event-stream")) == 0;
+}
+
+static void
+on_head(void *owner, const H1Head *head)
+{
+    Call *call = owner;
+    const GatewayFields *fields = call->gateway->options->fields;
+    if (head->status == 421 || H1Head_Get(head, fields->not_run) != NULL) {
+        on_refused(call, head);
+        return;
+    }
+    bool failure = head->status >= 500 || is_promise(head->status);
+    Endpoint_Answered(call->endpoint, !failure);
+    const char *fault = find_fault(call, head);
+    if (fault != NULL) {
+        Upstream_Cancel(call->upstream);
+        call->upstream = NULL;
+        Call_Retry(call, CALL_MAYBE_RAN, fault);
+        return;
+    }
+    bool again = failure && Call_Repeatable(call) &&
+                 call->attempts < call->route->max_attempts;
+    if (again || (failure && call->state == CALL_PASSING) ||
+        is_promise(head->status))
+    {
+        drop_exchange(call);
+        Call_Retry(call, CALL_MAYBE_RAN, "the endpoint failed");
+        return;
+    }
+    call->status = head->status;
+    call->streams =
+        call->route->kind == ROUTE_STREAM && !failure && is_event_stream(head);
+    if (call->state != CALL_PASSING) {
+        print_head(call, head);
+    }
+    else if (!call->streams) {
+        Upstream_Cancel(call->upstream);
+        call->upstream = NULL;
+        Call_Retry(call, CALL_MAYBE_RAN, "no stream to resume");
+    }
+}
+
+static void
+on_body(void *owner, struct evbuffer *body)
+{
+    Call *call = owner;
+    if (!call->streams) {
+        evbuffer_add_buffer(call->answer, body);
+        if (evbuffer_get_length(call->answer) > ANSWER_MAX_BYTES) {
+            Upstream_Cancel(call->upstream);
+            call->upstream = NULL;
+            Call_Retry(call, CALL_MAYBE_RAN, "the answer is too large");
+        }
+        return;
+    }
+    evbuffer_add_buffer(call->partial, body);
+    if (!Events_Pass(&call->events, call->partial, call->answer)) {
+        Upstream_Cancel(call->upstream);
+        call->upstream = NULL;
+        Call_Retry(call, CALL_MAYBE_RAN, "an event is too large");
+        return;
+    }
+    pass_stream(call);
+}
+
+static void
+finish_stream(Call *call)
+{
+    Conn *conn = call->conn;
+    if (call->state != CALL_PASSING) {
+        print_framing(call, true);
+        Conn_Head(conn, call->answer_head);
+    }
+    else if (!Conn_IsHttp10(conn)) {
+        struct evbuffer *end = evbuffer_new();
+        evbuffer_add(end, "0\r\n\r\n", 5);
+        Conn_Body(conn, end);
+        evbuffer_free(end);
+    }
+}
+
+static void
+on_done(void *owner)
+{
+    Call *call = owner;
+    call->upstream = NULL;
+    Conn *conn = call->conn;
+    if (call->streams && evbuffer_get_length(call->partial) > 0) {
+        /* The stream ended inside an event. */
+        Call_Retry(call, CALL_MAYBE_RAN, "the stream ended inside an event");
+        return;
+    }
+    Call_LeaveEndpoint(call, true);
+    if (call->streams) {
+        finish_stream(call);
+    }
+    else {
+        call->first_at = Clock_Now();
+        print_framing(call, true);
+        Conn_Head(conn, call->answer_head);
+        Conn_Body(conn, call->answer);
+    }
+    Counter_Add(Counter_Get("gateway_answered_total",
+                            "Requests answered by an endpoint."),
+                1);
+    Call_End(call, "answered");
+    Conn_Finish(conn);
+}
+
+static void
+on_failed(void *owner, UpstreamFailure failure, const char *why)
+{
+    Call *call = owner;
+    call->upstream = NULL;
+    if (failure == UPSTREAM_NOT_SENT) {
+        Call_Retry(call, CALL_NOT_SENT, why);
+        return;
+    }
+    if (failure == UPSTREAM_BROKEN && call->first_at == 0) {
+        GatewayControl_Crashed(call->gateway->control, call->fingerprint);
+    }
+    Call_Retry(call, CALL_MAYBE_RAN, why);
+}
+
+const UpstreamOps Call_UpstreamOps = {
+    .head = on_head,
+    .body = on_body,
+    .done = on_done,
+    .failed = on_failed,
+};
--- /dev/null
+++ b/src/gateway/call_send.c
@@ -0,0 +1,243 @@
+/** @file
+ * Gateway: sending a request to an endpoint, and again where that is safe.
+ */
+#include <string.h>
+#include <strings.h>
+
+#include "gateway/state.h"
+#include "kernel/counter.h"
+#include "kernel/log.h"
+
+/* When a caller may come back whose request every endpoint refused. */
+#define RETRY_REFUSED_MS 200
+/* Connections that could not be made for one request. */
+#define DIALS_MAX 4
+/* Time that must be left for another endpoint to be worth a try. */
+#define RESEND_MIN_US (20 * US_PER_MS)
+
+/* Fields that concern one connection only (RFC 9110, 7.6.1). */
+static const char *const hop_fields[] = {
+    "Connection", "Keep-Alive",        "Proxy-Connection",
+    "TE",         "Transfer-Encoding", "Trailer",
+    "Upgrade",    "Content-Length",    "Expect",
+    NULL,
+};
+
+static bool
+is_listed(const char *const *names, const char *name)
+{
+    for (; *names != NULL; names++) {
+        if (strcasecmp(*names, name) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool
+Call_IsHopField(const char *name)
+{
+    return is_listed(hop_fields, name);
+}
+
+/* Whether a Connection field names this field as its own. */
+static bool
+is_connection_option(const Call *call, const char *name)
+{
+    for (guint i = 0; i < call->fields->len; i++) {
+        const H1Field *field = &g_array_index(call->fields, H1Field, i);
+        if (strcasecmp(field->name, "Connection") != 0) {
+            continue;
+        }
+        gchar **options = g_strsplit(field->value, ",", -1);
+        bool found = false;
+        for (gchar **option = options; *option != NULL; option++) {
+            found = found || strcasecmp(g_strstrip(*option), name) == 0;
+        }
+        g_strfreev(options);
+        if (found) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+passes(const Call *call, const char *name)
+{
+    const GatewayFields *fields = call->gateway->options->fields;
+    if (Call_IsHopField(name) || is_listed(fields->reserved, name) ||
+        strcasecmp(name, fields->deadline_ms) == 0 ||
+        strcasecmp(name, fields->account) == 0 ||
+        strcasecmp(name, fields->instance) == 0)
+    {
+        return false;
+    }
+    if (strcasecmp(name, fields->last_event) == 0) {
+        return false; /* set below */
+    }
+    if (strcasecmp(name, "Authorization") == 0) {
+        return !RouteTable_HasAccounts(call->table);
+    }
+    return strcasecmp(name, "Host") == 0 || !is_connection_option(call, name);
+}
+
+static void
+print_request(const Call *call, const Endpoint *endpoint, struct evbuffer *out)
+{
+    const GatewayFields *fields = call->gateway->options->fields;
+    evbuffer_add_printf(out, "%s %s HTTP/1.1\r\n", call->method, call->target);
+    for (guint i = 0; i < call->fields->len; i++) {
+        const H1Field *field = &g_array_index(call->fields, H1Field, i);
+        if (passes(call, field->name)) {
+            evbuffer_add_printf(out, "%s: %s\r\n", field->name, field->value);
+        }
+    }
+    TimeUs left = call->deadline - Clock_Now();
+    evbuffer_add_printf(out, "%s: %lld\r\n%s: %s\r\n", fields->deadline_ms,
+                        (long long)MAX(left / US_PER_MS, 1), fields->instance,
+                        endpoint->id);
+    if (call->account != NULL) {
+        evbuffer_add_printf(out, "%s: %s\r\n", fields->account,
+                            call->account->name);
+    }
+    if (call->events.last_id >= 0) {
+        evbuffer_add_printf(out, "%s: %lld\r\n", fields->last_event,
+                            (long long)call->events.last_id);
+    }
+    size_t length = evbuffer_get_length(call->body);
+    if (length > 0 || strcmp(call->method, "GET") != 0) {
+        evbuffer_add_printf(out, "Content-Length: %zu\r\n", length);
+    }
+    evbuffer_add(out, "\r\n", 2);
+    evbuffer_add_buffer_reference(out, call->body);
+}
+
+static void
+fail_barred(Call *call)
+{
+    Call_Fail(call, &(CallError){
+                        .status = call->maybe_ran ? 502 : 503,
+                        .code = "quarantined",
+                        .message = "The request crashed several endpoints.",
+                    });
+}
+
+void
+Call_SendTo(Call *call, Endpoint *endpoint)
+{
+    if (!Call_Reroute(call)) {
+        return;
+    }
+    if (Suspects_IsBarred(call->gateway->suspects, call->fingerprint)) {
+        fail_barred(call);
+        return;
+    }
+    if (!Route_Allows(call->route, endpoint->service)) {
+        /* The new configuration sends it elsewhere. */
+        Keepers_End(call, false);
+        Line_Add(call->gateway, call);
+        return;
+    }
+    struct evbuffer *request = evbuffer_new();
+    print_request(call, endpoint, request);
+    bool fresh = !Call_Repeatable(call);
+    call->upstream = Upstream_Send(endpoint, request, call->id, fresh,
+                                   &Call_UpstreamOps, call);
+    evbuffer_free(request);
+    if (call->upstream == NULL) {
+        Endpoint_Failed(endpoint, "no connection");
+        Call_Retry(call, CALL_NOT_SENT, "no connection");
+        return;
+    }
+    if (endpoint->failures > 0) {
+        endpoint->probing = true;
+    }
+    call->endpoint = endpoint;
+    Endpoint_Ref(endpoint);
+    endpoint->running++;
+    call->state = call->state == CALL_PASSING ? CALL_PASSING : CALL_SENT;
+    call->attempts++;
+    call->sent_at = Clock_Now();
+}
+
+static void
+fail_not_run(Call *call, const char *why)
+{
+    LOG_DEBUG(GATEWAY_PART, "Request not run. id=%s why=\"%s\"", call->id,
+              why);
+    Call_Fail(call, &(CallError){
+                        .status = 503,
+                        .code = "unavailable",
+                        .message = "No endpoint took the request.",
+                        .retry_after_ms = RETRY_REFUSED_MS,
+                    });
+}
+
+static void
+fail_unknown(Call *call)
+{
+    call->maybe_ran = true;
+    Call_Fail(call, &(CallError){
+                        .status = 502,
+                        .code = "endpoint_failed",
+                        .message = "The endpoint failed while it had the "
+                                   "request.",
+                    });
+}
+
+/* Whether another endpoint may have the request. */
+static bool
+may_resend(const Call *call, CallSendOutcome outcome)
+{
+    if (call->deadline - Clock_Now() < RESEND_MIN_US) {
+        return false;
+    }
+    switch (outcome) {
+    case CALL_NOT_SENT:
+        return call->tried->len < DIALS_MAX;
+    case CALL_OTHER_INSTANCE:
+        return call->tried->len < DIALS_MAX &&
+               Retries_Take(call->gateway->retries, call->service);
+    case CALL_REFUSED:
+        return call->attempts < call->route->max_attempts &&
+               Retries_Take(call->gateway->retries, call->service);
+    case CALL_MAYBE_RAN:
+        return Call_Repeatable(call) &&
+               call->attempts < call->route->max_attempts &&
+               Retries_Take(call->gateway->retries, call->service);
+    }
+    return false;
+}
+
+void
+Call_Retry(Call *call, CallSendOutcome outcome, const char *why)
+{
+    if (call->endpoint != NULL) {
+        g_ptr_array_add(call->tried, g_strdup(call->endpoint->id));
+    }
+    if ((outcome == CALL_NOT_SENT || outcome == CALL_OTHER_INSTANCE) &&
+        call->attempts > 0)
+    {
+        call->attempts--;
+    }
+    call->maybe_ran = call->maybe_ran || outcome == CALL_MAYBE_RAN;
+    Call_LeaveEndpoint(call, false);
+    bool again = may_resend(call, outcome);
+    LOG_INFO(GATEWAY_PART,
+             "Endpoint did not serve. id=%s outcome=%d attempts=%u again=%s "
+             "why=\"%s\"",
+             call->id, (int)outcome, call->attempts, again ? "yes" : "no",
+             why);
+    if (again) {
+        evbuffer_drain(call->answer, evbuffer_get_length(call->answer));
+        evbuffer_drain(call->partial, evbuffer_get_length(call->partial));
+        Line_Add(call->gateway, call);
+    }
+    else if (call->maybe_ran) {
+        fail_unknown(call);
+    }
+    else {
+        fail_not_run(call, why);
+    }
+}
--- /dev/null
+++ b/src/gateway/conn.c
@@ -0,0 +1,323 @@
+/** @file
+ * Gateway: a caller's connection. Requests are taken one at a time; what a
+ * caller sends ahead stays in the buffer.
+ */
+#include <string.h>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+#include "gateway/state.h"
+#include "kernel/log.h"
+
+/* Bytes of a caller that are held unread while an answer is under way. */
+#define READ_AHEAD_BYTES (64 * 1024)
+/* After the last answer the caller has this long to close its side, so that
+ * a reset does not destroy the answer. */
+#define LINGER_MS 1000
+/* A body must arrive within this span of its head. */
+#define BODY_TIMEOUT_MS 20000
+
+typedef enum ConnState {
+    CONN_IDLE,      /* between requests */
+    CONN_READING,   /* part of a request has come */
+    CONN_ANSWERING, /* a call is under way */
+    CONN_CLOSING,   /* the last answer is being flushed */
+} ConnState;
+
+struct Conn {
+    Gateway *gateway;
+    struct bufferevent *stream;
+    struct event *timer;
+    H1Parser *parser;
+    struct evbuffer *body;
+    Call *call;
+    ConnState state;
+    bool close_after; /* the answer under way is the last */
+    bool http10;
+    bool chunked;
+    bool shut; /* our side is shut down */
+};
+
+static void take_requests(Conn *conn);
+
+static const RouteLimits *
+limits_of(const Conn *conn)
+{
+    static const RouteLimits fallback = {
+        .max_head_bytes = 16384,
+        .max_body_bytes = 4u * 1024 * 1024,
+        .head_timeout_ms = 3000,
+        .idle_timeout_ms = 15000,
+    };
+    const RouteTable *table = conn->gateway->table;
+    return table == NULL ? &fallback : RouteTable_Limits(table);
+}
+
+static void
+set_timer(Conn *conn, uint32_t ms)
+{
+    struct timeval span = {.tv_sec = ms / 1000, .tv_usec = ms % 1000 * 1000};
+    event_add(conn->timer, &span);
+}
+
+void
+Conn_Free(Conn *conn)
+{
+    if (conn->call != NULL) {
+        Call_CallerGone(conn->call);
+    }
+    g_hash_table_remove(conn->gateway->conns, conn);
+    bufferevent_free(conn->stream);
+    event_free(conn->timer);
+    H1Parser_Free(conn->parser);
+    evbuffer_free(conn->body);
+    g_free(conn);
+}
+
+/* Shuts our side down once everything is flushed, then waits for the
+ * caller to close. */
+static void
+close_softly(Conn *conn)
+{
+    conn->state = CONN_CLOSING;
+    struct evbuffer *out = bufferevent_get_output(conn->stream);
+    if (evbuffer_get_length(out) > 0 || conn->shut) {
+        return;
+    }
+    conn->shut = true;
+    shutdown(bufferevent_getfd(conn->stream), SHUT_WR);
+    set_timer(conn, LINGER_MS);
+}
+
+/* Refuses bytes that are no request, and closes. */
+static void
+refuse(Conn *conn, unsigned status, const char *code, const char *message)
+{
+    CallError error = {.status = status, .code = code, .message = message};
+    GatewayErrors_Print(bufferevent_get_output(conn->stream), &error, NULL,
+                        "not_run", true);
+    LOG_INFO(GATEWAY_PART, "Request refused. status=%u why=\"%s\"", status,
+             message);
+    close_softly(conn);
+}
+
+static void
+refuse_bad(Conn *conn, const Error *err)
+{
+    if (err->code == ERR_TOO_LARGE) {
+        refuse(conn, 431, "too_large", err->text);
+        return;
+    }
+    refuse(conn, 400, "invalid", err->text);
+}
+
+/* Checks a head whose body is still to come.
+ * @return false when the connection is being closed. */
+static bool
+check_head(Conn *conn)
+{
+    const H1Head *head = H1Parser_Head(conn->parser);
+    conn->state = CONN_READING;
+    conn->http10 = head->http10;
+    conn->close_after = !head->keep_alive;
+    if (head->has_length && head->length > limits_of(conn)->max_body_bytes) {
+        refuse(conn, 413, "too_large", "The body is too large.");
+        return false;
+    }
+    const char *expect = H1Head_Get(head, "Expect");
+    if (expect != NULL && g_ascii_strcasecmp(expect, "100-continue") == 0) {
+        evbuffer_add_printf(bufferevent_get_output(conn->stream),
+                            "HTTP/1.1 100 Continue\r\n\r\n");
+    }
+    set_timer(conn, BODY_TIMEOUT_MS);
+    return true;
+}
+
+static bool
+take_body(Conn *conn)
+{
+    evbuffer_add_buffer(conn->body, H1Parser_Body(conn->parser));
+    if (evbuffer_get_length(conn->body) > limits_of(conn)->max_body_bytes) {
+        refuse(conn, 413, "too_large", "The body is too large.");
+        return false;
+    }
+    return true;
+}
+
+static void
+begin_call(Conn *conn)
+{
+    event_del(conn->timer);
+    conn->state = CONN_ANSWERING;
+    Call_Start(conn, conn->gateway, H1Parser_Head(conn->parser), conn->body);
+}
+
+/* Parses what has come until a call is under way or bytes are missing. */
+static void
+take_requests(Conn *conn)
+{
+    struct evbuffer *in = bufferevent_get_input(conn->stream);
+    while (conn->state == CONN_IDLE || conn->state == CONN_READING) {
+        Error err = ERROR_INIT;
+        switch (H1Parser_Next(conn->parser, in, &err)) {
+        case H1_MORE:
+            if (conn->state == CONN_IDLE && evbuffer_get_length(in) > 0) {
+                conn->state = CONN_READING;
+                set_timer(conn, limits_of(conn)->head_timeout_ms);
+            }
+            return;
+        case H1_HEAD:
+            if (!check_head(conn)) {
+                return;
+            }
+            break;
+        case H1_BODY:
+            if (!take_body(conn)) {
+                return;
+            }
+            break;
+        case H1_DONE:
+            begin_call(conn);
+            return;
+        case H1_BAD:
+            refuse_bad(conn, &err);
+            return;
+        }
+    }
+}
+
+static void
+on_read(struct bufferevent *stream, void *arg)
+{
+    Conn *conn = arg;
+    if (conn->state == CONN_CLOSING) {
+        struct evbuffer *in = bufferevent_get_input(stream);
+        evbuffer_drain(in, evbuffer_get_length(in));
+        return;
+    }
+    take_requests(conn);
+}
+
+static void
+on_written(struct bufferevent *stream, void *arg)
+{
+    Conn *conn = arg;
+    if (conn->state == CONN_CLOSING) {
+        close_softly(conn);
+    }
+    else if (conn->call != NULL) {
+        Call_CallerDrained(conn->call);
+    }
+}
+
+static void
+on_event(struct bufferevent *stream, short events, void *arg)
+{
+    if ((events & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
+        Conn_Free(arg);
+    }
+}
+
+static void
+on_timer(evutil_socket_t fd, short events, void *arg)
+{
+    Conn *conn = arg;
+    if (conn->state == CONN_READING) {
+        refuse(conn, 408, "timeout", "The request did not arrive in time.");
+        return;
+    }
+    Conn_Free(conn);
+}
+
+Conn *
+Conn_New(Gateway *gateway, evutil_socket_t fd)
+{
+    Conn *conn = g_new0(Conn, 1);
+    conn->gateway = gateway;
+    int on = 1;
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    conn->stream =
+        bufferevent_socket_new(gateway->base, fd, BEV_OPT_CLOSE_ON_FREE);
+    conn->timer = event_new(gateway->base, -1, 0, on_timer, conn);
+    conn->parser = H1Parser_New(H1_REQUEST, limits_of(conn)->max_head_bytes);
+    conn->body = evbuffer_new();
+    bufferevent_setcb(conn->stream, on_read, on_written, on_event, conn);
+    bufferevent_setwatermark(conn->stream, EV_READ, 0, READ_AHEAD_BYTES);
+    bufferevent_enable(conn->stream, EV_READ | EV_WRITE);
+    g_hash_table_add(gateway->conns, conn);
+    set_timer(conn, limits_of(conn)->idle_timeout_ms);
+    return conn;
+}
+
+void
+Conn_SetCall(Conn *conn, Call *call)
+{
+    conn->call = call;
+}
+
+void
+Conn_Head(Conn *conn, struct evbuffer *head)
+{
+    bufferevent_write_buffer(conn->stream, head);
+}
+
+void
+Conn_Body(Conn *conn, struct evbuffer *body)
+{
+    bufferevent_write_buffer(conn->stream, body);
+}
+
+void
+Conn_Finish(Conn *conn)
+{
+    conn->call = NULL;
+    evbuffer_drain(conn->body, evbuffer_get_length(conn->body));
+    if (Conn_WillClose(conn)) {
+        close_softly(conn);
+        return;
+    }
+    H1Parser_Reset(conn->parser);
+    conn->state = CONN_IDLE;
+    set_timer(conn, limits_of(conn)->idle_timeout_ms);
+    /* The next request may be in the buffer already; not from inside the
+     * call that ends. */
+    if (evbuffer_get_length(bufferevent_get_input(conn->stream)) > 0) {
+        bufferevent_trigger(conn->stream, EV_READ,
+                            BEV_OPT_DEFER_CALLBACKS |
+                                BEV_TRIG_IGNORE_WATERMARKS);
+    }
+}
+
+void
+Conn_Abort(Conn *conn)
+{
+    conn->call = NULL;
+    Conn_Free(conn);
+}
+
+bool
+Conn_WillClose(const Conn *conn)
+{
+    return conn->close_after || conn->gateway->stopping;
+}
+
+bool
+Conn_IsHttp10(const Conn *conn)
+{
+    return conn->http10;
+}
+
+size_t
+Conn_Backlog(const Conn *conn)
+{
+    return evbuffer_get_length(bufferevent_get_output(conn->stream));
+}
+
+void
+Conn_Drain(Conn *conn, bool close_idle)
+{
+    if (close_idle && conn->state == CONN_IDLE) {
+        close_softly(conn);
+    }
+}
--- /dev/null
+++ b/src/gateway/endpoints.c
@@ -0,0 +1,241 @@
+/** @file
+ * Gateway: endpoints, what they say of themselves and what requests showed.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include "gateway/state.h"
+#include "kernel/log.h"
+
+/* An endpoint that failed rests this long, twice as long after each further
+ * failure, and is then tried by one request. */
+#define AVOID_FIRST_MS 300
+#define AVOID_MAX_MS 4000
+/* Weight of the newest answer in the moving share of failures. */
+#define ERROR_WEIGHT 0.2
+
+static void
+free_endpoint(Endpoint *endpoint)
+{
+    g_free(endpoint->id);
+    g_free(endpoint->service);
+    g_free(endpoint->address);
+    g_free(endpoint->zone);
+    g_free(endpoint);
+}
+
+void
+Endpoint_Ref(Endpoint *endpoint)
+{
+    endpoint->references++;
+}
+
+void
+Endpoint_Unref(Endpoint *endpoint)
+{
+    if (--endpoint->references == 0) {
+        free_endpoint(endpoint);
+    }
+}
+
+static Endpoint *
+new_endpoint(Gateway *gateway, const EndpointNews *news)
+{
+    Endpoint *endpoint = g_new0(Endpoint, 1);
+    endpoint->gateway = gateway;
+    endpoint->references = 1;
+    endpoint->id = g_strdup(news->id);
+    endpoint->service = g_strdup(news->service);
+    endpoint->address = g_strdup(news->address);
+    endpoint->zone = g_strdup(news->zone);
+    g_queue_init(&endpoint->idle);
+    return endpoint;
+}
+
+/* Takes the endpoint out of the table; requests that it runs go on. */
+static void
+remove_endpoint(Gateway *gateway, Endpoint *endpoint)
+{
+    endpoint->removed = true;
+    endpoint->state = ENDPOINT_GONE;
+    Upstream_CloseIdle(endpoint);
+    g_hash_table_remove(gateway->endpoints, endpoint->id);
+    Keepers_Unwatch(gateway->keepers, endpoint->id);
+    Endpoint_Unref(endpoint);
+}
+
+/* Whether the news speaks of another start or place than the one known. */
+static bool
+is_other(const Endpoint *endpoint, const EndpointNews *news)
+{
+    return g_strcmp0(endpoint->address, news->address) != 0 ||
+           g_strcmp0(endpoint->service, news->service) != 0;
+}
+
+static void
+apply_news(Gateway *gateway, const EndpointNews *news)
+{
+    Endpoint *endpoint = Endpoints_Find(gateway, news->id);
+    if (endpoint != NULL &&
+        (news->state == ENDPOINT_GONE || is_other(endpoint, news)))
+    {
+        remove_endpoint(gateway, endpoint);
+        endpoint = NULL;
+    }
+    if (news->state == ENDPOINT_GONE || news->address == NULL ||
+        news->service == NULL)
+    {
+        return;
+    }
+    if (endpoint == NULL) {
+        endpoint = new_endpoint(gateway, news);
+        g_hash_table_insert(gateway->endpoints, endpoint->id, endpoint);
+    }
+    endpoint->state = news->state;
+    endpoint->slots = MAX(news->slots, 1);
+    endpoint->cold_until = Clock_Now() + news->cold_ms * US_PER_MS;
+    if (news->state != ENDPOINT_READY) {
+        Upstream_CloseIdle(endpoint);
+    }
+    const RouteService *service =
+        gateway->table == NULL
+            ? NULL
+            : RouteTable_Service(gateway->table, endpoint->service);
+    if (service != NULL && service->engine) {
+        Keepers_Watch(gateway->keepers, endpoint);
+    }
+}
+
+void
+Endpoints_Update(Gateway *gateway, const EndpointNews *news)
+{
+    GPtrArray *superseded = g_ptr_array_new();
+    EndpointNews before = {.state = ENDPOINT_UNKNOWN};
+    const EndpointNews *known = Directory_Find(gateway->directory, news->id);
+    if (known != NULL) {
+        before = *known;
+    }
+    if (Directory_Update(gateway->directory, news, superseded)) {
+        known = Directory_Find(gateway->directory, news->id);
+        if (before.state != ENDPOINT_UNKNOWN && before.born != known->born) {
+            /* Started again: nothing of before holds. */
+            Endpoint *endpoint = Endpoints_Find(gateway, news->id);
+            if (endpoint != NULL) {
+                remove_endpoint(gateway, endpoint);
+            }
+        }
+        apply_news(gateway, known);
+        LOG_INFO(GATEWAY_PART,
+                 "Endpoint changed. id=%s service=%s state=%d born=%llu "
+                 "sequence=%llu",
+                 known->id, known->service != NULL ? known->service : "",
+                 (int)known->state, (unsigned long long)known->born,
+                 (unsigned long long)known->sequence);
+    }
+    for (guint i = 0; i < superseded->len; i++) {
+        Endpoint *endpoint = Endpoints_Find(gateway, superseded->pdata[i]);
+        if (endpoint != NULL) {
+            remove_endpoint(gateway, endpoint);
+        }
+    }
+    g_ptr_array_unref(superseded);
+    known = Directory_Find(gateway->directory, news->id);
+    if (known != NULL && known->service != NULL) {
+        Line_Pump(gateway, known->service);
+    }
+}
+
+Endpoint *
+Endpoints_Find(const Gateway *gateway, const char *id)
+{
+    return g_hash_table_lookup(gateway->endpoints, id);
+}
+
+void
+Endpoints_FreeAll(Gateway *gateway)
+{
+    GList *endpoints = g_hash_table_get_values(gateway->endpoints);
+    for (GList *at = endpoints; at != NULL; at = at->next) {
+        Endpoint *endpoint = at->data;
+        Upstream_CloseIdle(endpoint);
+        g_hash_table_remove(gateway->endpoints, endpoint->id);
+        Endpoint_Unref(endpoint);
+    }
+    g_list_free(endpoints);
+}
+
+void
+Endpoint_Failed(Endpoint *endpoint, const char *why)
+{
+    endpoint->failures++;
+    endpoint->probing = false;
+    Upstream_CloseIdle(endpoint);
+    unsigned doublings = MIN(endpoint->failures - 1, 4);
+    TimeUs rest =
+        MIN((TimeUs)AVOID_FIRST_MS << doublings, (TimeUs)AVOID_MAX_MS);
+    endpoint->avoid_until = Clock_Now() + rest * US_PER_MS;
+    LOG_INFO(GATEWAY_PART,
+             "Endpoint failed. id=%s failures=%u rest_ms=%lld why=\"%s\"",
+             endpoint->id, endpoint->failures, (long long)rest, why);
+}
+
+void
+Endpoint_Answered(Endpoint *endpoint, bool success)
+{
+    endpoint->error_rate +=
+        ERROR_WEIGHT * ((success ? 0 : 1) - endpoint->error_rate);
+    endpoint->failures = 0;
+    endpoint->probing = false;
+    endpoint->avoid_until = 0;
+}
+
+void
+Endpoint_Load(Endpoint *endpoint, const char *report)
+{
+    unsigned running;
+    unsigned waiting;
+    unsigned slots;
+    if (sscanf(report, "%u,%u,%u", &running, &waiting, &slots) != 3) {
+        LOG_DEBUG(GATEWAY_PART, "Load report cannot be read. endpoint=%s",
+                  endpoint->id);
+        return;
+    }
+    unsigned all = running + waiting;
+    endpoint->others = all > endpoint->running ? all - endpoint->running : 0;
+    endpoint->reported_at = Clock_Now();
+}
+
+bool
+Endpoint_WasTried(const Endpoint *endpoint, const Call *call)
+{
+    for (guint i = 0; i < call->tried->len; i++) {
+        if (strcmp(call->tried->pdata[i], endpoint->id) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool
+Endpoint_Usable(const Endpoint *endpoint, TimeUs now)
+{
+    if (endpoint->removed || endpoint->state != ENDPOINT_READY) {
+        return false;
+    }
+    if (endpoint->failures == 0) {
+        return true;
+    }
+    return now >= endpoint->avoid_until && !endpoint->probing;
+}
+
+unsigned
+Endpoint_Distance(const Endpoint *endpoint)
+{
+    const GatewayOptions *options = endpoint->gateway->options;
+    if (endpoint->zone == NULL || strcmp(endpoint->zone, options->zone) == 0) {
+        return 0;
+    }
+    const char *region =
+        options->region_of(options->region_arg, endpoint->zone);
+    return region != NULL && strcmp(region, options->region) == 0 ? 1 : 2;
+}
--- /dev/null
+++ b/src/gateway/errors.c
@@ -0,0 +1,69 @@
+/** @file
+ * Gateway: its own answers, JSON as in the rest of the product.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "gateway/state.h"
+
+static const char *
+reason_of(unsigned status)
+{
+    static const struct {
+        unsigned status;
+        const char *reason;
+    } reasons[] = {
+        {400, "Bad Request"},
+        {401, "Unauthorized"},
+        {404, "Not Found"},
+        {408, "Request Timeout"},
+        {413, "Content Too Large"},
+        {429, "Too Many Requests"},
+        {431, "Request Header Fields Too Large"},
+        {502, "Bad Gateway"},
+        {503, "Service Unavailable"},
+        {504, "Gateway Timeout"},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(reasons); i++) {
+        if (reasons[i].status == status) {
+            return reasons[i].reason;
+        }
+    }
+    return "Error";
+}
+
+static char *
+print_body(const CallError *error, const char *outcome)
+{
+    json_t *body =
+        json_pack("{s:{s:s, s:s, s:s}}", "error", "code", error->code,
+                  "message", error->message, "outcome", outcome);
+    char *text = json_dumps(body, JSON_COMPACT);
+    json_decref(body);
+    return text;
+}
+
+void
+GatewayErrors_Print(struct evbuffer *out, const CallError *error,
+                    const char *request_id, const char *outcome, bool close)
+{
+    char *body = print_body(error, outcome);
+    evbuffer_add_printf(out, "HTTP/1.1 %u %s\r\n", error->status,
+                        reason_of(error->status));
+    if (request_id != NULL) {
+        evbuffer_add_printf(out, "%s\r\n", request_id);
+    }
+    if (error->retry_after_ms > 0) {
+        evbuffer_add_printf(out, "Retry-After: %u.%03u\r\n",
+                            error->retry_after_ms / 1000,
+                            error->retry_after_ms % 1000);
+    }
+    evbuffer_add_printf(out,
+                        "Content-Type: application/json\r\n"
+                        "Content-Length: %zu\r\n%s\r\n%s",
+                        strlen(body), close ? "Connection: close\r\n" : "",
+                        body);
+    free(body);
+}
--- /dev/null
+++ b/src/gateway/gateway.c
@@ -0,0 +1,216 @@
+/** @file
+ * Gateway task: the listener, the table in force and a planned stop.
+ */
+#include "gateway/gateway.h"
+
+#include <string.h>
+
+#include "gateway/state.h"
+#include "kernel/log.h"
+#include "wire/address.h"
+#include "wire/self.h"
+
+#define PART GATEWAY_PART
+#define TASK_NAME "gateway"
+/* During a planned stop new connections are taken for this long, until the
+ * balancer has noticed. */
+#define STOP_ACCEPT_MS 3000
+#define STOP_POLL_MS 50
+#define BACKLOG 512
+
+bool
+Gateway_HasLease(const Gateway *gateway)
+{
+    return gateway->options->bounds.revoke_ms == 0 ||
+           Clock_Now() < gateway->lease_until;
+}
+
+bool
+Gateway_Ready(const Gateway *gateway)
+{
+    return gateway->table != NULL && !gateway->stopping &&
+           Gateway_HasLease(gateway);
+}
+
+static void
+watch_engines(Gateway *gateway)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, gateway->endpoints);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const Endpoint *endpoint = value;
+        const RouteService *service =
+            RouteTable_Service(gateway->table, endpoint->service);
+        if (service != NULL && service->engine) {
+            Keepers_Watch(gateway->keepers, endpoint);
+        }
+    }
+}
+
+void
+Gateway_SetTable(Gateway *gateway, RouteTable *table)
+{
+    LOG_INFO(PART, "Configuration in force. version=%llu before=%llu",
+             (unsigned long long)RouteTable_Version(table),
+             gateway->table == NULL
+                 ? 0ULL
+                 : (unsigned long long)RouteTable_Version(gateway->table));
+    RouteTable_Unref(gateway->table);
+    gateway->table = table;
+    watch_engines(gateway);
+}
+
+static void
+on_accept(struct evconnlistener *listener, evutil_socket_t fd,
+          struct sockaddr *from, int length, void *arg)
+{
+    Conn_New(arg, fd);
+}
+
+static void
+drain_conns(Gateway *gateway, bool close_idle)
+{
+    GList *conns = g_hash_table_get_keys(gateway->conns);
+    for (GList *at = conns; at != NULL; at = at->next) {
+        Conn_Drain(at->data, close_idle);
+    }
+    g_list_free(conns);
+}
+
+/* Ends a planned stop once the balancer has noticed and all is answered. */
+static void
+on_stop_timer(evutil_socket_t fd, short events, void *arg)
+{
+    Gateway *gateway = arg;
+    TimeUs now = Clock_Now();
+    if (now < gateway->stop_at + STOP_ACCEPT_MS * US_PER_MS) {
+        return;
+    }
+    if (gateway->listener != NULL) {
+        evconnlistener_free(gateway->listener);
+        gateway->listener = NULL;
+    }
+    drain_conns(gateway, true);
+    if (gateway->calls == 0 && g_hash_table_size(gateway->conns) == 0) {
+        Task_Drained(gateway->task);
+    }
+}
+
+static void
+drain(TaskHandle self, void *state)
+{
+    Gateway *gateway = state;
+    gateway->stopping = true;
+    gateway->stop_at = Clock_Now();
+    struct timeval period = {.tv_usec = STOP_POLL_MS * US_PER_MS};
+    event_add(gateway->stop_timer, &period);
+}
+
+static int
+start(TaskHandle self, void *state, Error *err)
+{
+    Gateway *gateway = state;
+    gateway->task = self;
+    gateway->base = Task_Base(self);
+    gateway->stop_timer =
+        event_new(gateway->base, -1, EV_PERSIST, on_stop_timer, gateway);
+    Address address;
+    int result = Address_Parse(gateway->options->listen, &address, err);
+    if (result != ERR_OK) {
+        return result;
+    }
+    gateway->listener = evconnlistener_new_bind(
+        gateway->base, on_accept, gateway,
+        LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC,
+        BACKLOG, (struct sockaddr *)&address.storage, (int)address.length);
+    if (gateway->listener == NULL) {
+        return Error_Set(err, ERR_IO, "Cannot listen at %s.",
+                         gateway->options->listen);
+    }
+    gateway->quotas = Quotas_New(gateway);
+    gateway->retries = Retries_New(gateway);
+    gateway->suspects = Suspects_New();
+    gateway->keepers = Keepers_New(gateway);
+    gateway->control = GatewayControl_New(gateway);
+    return ERR_OK;
+}
+
+static void
+receive(TaskHandle self, void *state, const Message *message)
+{
+}
+
+static void
+stop(TaskHandle self, void *state)
+{
+    Gateway *gateway = state;
+    GList *conns = g_hash_table_get_keys(gateway->conns);
+    for (GList *at = conns; at != NULL; at = at->next) {
+        Conn_Free(at->data);
+    }
+    g_list_free(conns);
+    if (gateway->listener != NULL) {
+        evconnlistener_free(gateway->listener);
+    }
+    event_free(gateway->stop_timer);
+    GatewayControl_Free(gateway->control);
+    Line_FreeAll(gateway);
+    Keepers_Free(gateway->keepers);
+    Quotas_Free(gateway->quotas);
+    Retries_Free(gateway->retries);
+    Suspects_Free(gateway->suspects);
+    Endpoints_FreeAll(gateway);
+    Directory_Free(gateway->directory);
+    RouteTable_Unref(gateway->table);
+    g_hash_table_destroy(gateway->conns);
+    g_hash_table_destroy(gateway->endpoints);
+    g_hash_table_destroy(gateway->lines);
+    g_free(gateway);
+}
+
+static void
+dump(TaskHandle self, void *state, json_t *out)
+{
+    const Gateway *gateway = state;
+    json_object_set_new(
+        out, "version",
+        json_integer(gateway->table == NULL
+                         ? 0
+                         : (json_int_t)RouteTable_Version(gateway->table)));
+    json_object_set_new(out, "ready", json_boolean(Gateway_Ready(gateway)));
+    json_object_set_new(out, "requests", json_integer(gateway->calls));
+    json_object_set_new(out, "connections",
+                        json_integer(g_hash_table_size(gateway->conns)));
+    json_object_set_new(out, "endpoints",
+                        json_integer(g_hash_table_size(gateway->endpoints)));
+}
+
+static const TaskOps task_ops = {
+    .start = start,
+    .receive = receive,
+    .drain = drain,
+    .stop = stop,
+    .dump = dump,
+};
+
+Gateway *
+Gateway_AddTask(Kernel *kernel, const GatewayOptions *options)
+{
+    Gateway *gateway = g_new0(Gateway, 1);
+    gateway->options = options;
+    gateway->self = (LinkSelf){
+        .role = WIRE__ROLE__ROLE_GATEWAY,
+        .name = options->name,
+        .incarnation = Self_NewIncarnation(),
+        .zone = options->zone,
+        .region = options->region,
+    };
+    gateway->directory = Directory_New();
+    gateway->endpoints = g_hash_table_new(g_str_hash, g_str_equal);
+    gateway->lines = g_hash_table_new(g_str_hash, g_str_equal);
+    gateway->conns = g_hash_table_new(NULL, NULL);
+    TaskSpec spec = {.name = TASK_NAME, .ops = &task_ops, .state = gateway};
+    Kernel_AddTask(kernel, &spec);
+    return gateway;
+}
--- /dev/null
+++ b/src/gateway/hosts.c
@@ -0,0 +1,397 @@
+/** @file
+ * Gateway: links to control hosts. It asks the leader for the newest
+ * configuration, which renews the lease, and takes news of endpoints.
+ */
+#include <string.h>
+
+#include "gateway/state.h"
+#include "kernel/log.h"
+#include "wire/address.h"
+#include "wire/deflate.h"
+
+/* Between queries; several fit into a lease. */
+#define QUERY_MS 900
+/* Without an answer after this long the next host is asked. */
+#define ANSWER_MS 600
+/* Between attempts while no host has confirmed. */
+#define RETRY_MS 150
+/* The lease ends this long before the operators' bound, for the way from
+ * here to the endpoint. */
+#define LEASE_MARGIN_MS 500
+#define HOSTS_MAX 12
+#define ACCOUNTS_MAX 256
+
+typedef struct Host {
+    GatewayControl *control;
+    char *address;
+    Link *link;
+    bool listed; /* by the newest answer, or from the settings */
+} Host;
+
+struct GatewayControl {
+    Gateway *gateway;
+    GPtrArray *hosts; /* Host */
+    struct event *timer;
+    uint64_t nonce;  /* of the query under way; 0: none */
+    TimeUs asked_at; /* of that query */
+    guint asked;     /* position of the host that was asked */
+    char *leader;    /* address, or NULL */
+};
+
+static void
+set_timer(GatewayControl *control, uint32_t ms)
+{
+    struct timeval span = {.tv_sec = ms / 1000, .tv_usec = ms % 1000 * 1000};
+    event_add(control->timer, &span);
+}
+
+static Host *
+find_host(const GatewayControl *control, const char *address)
+{
+    for (guint i = 0; i < control->hosts->len; i++) {
+        Host *host = control->hosts->pdata[i];
+        if (strcmp(host->address, address) == 0) {
+            return host;
+        }
+    }
+    return NULL;
+}
+
+/* ---- Queries ---- */
+
+typedef struct Uses {
+    Wire__AccountUse items[ACCOUNTS_MAX];
+    Wire__AccountUse *pointers[ACCOUNTS_MAX];
+    size_t count;
+} Uses;
+
+static void
+add_use(void *arg, const char *account, double demand, double share)
+{
+    Uses *uses = arg;
+    if (uses->count == ACCOUNTS_MAX) {
+        return;
+    }
+    Wire__AccountUse *use = &uses->items[uses->count];
+    wire__account_use__init(use);
+    use->account = (char *)account;
+    use->demand = demand;
+    use->share = share;
+    uses->pointers[uses->count++] = use;
+}
+
+static void
+send_query(GatewayControl *control, Host *host)
+{
+    Gateway *gateway = control->gateway;
+    static uint64_t nonces;
+    control->nonce = ++nonces;
+    control->asked_at = Clock_Now();
+    Uses uses = {.count = 0};
+    Quotas_Each(gateway->quotas, add_use, &uses);
+    Wire__ConfigQuery query = WIRE__CONFIG_QUERY__INIT;
+    query.nonce = control->nonce;
+    query.version =
+        gateway->table == NULL ? 0 : RouteTable_Version(gateway->table);
+    query.n_use = uses.count;
+    query.use = uses.pointers;
+    Wire__Frame frame = WIRE__FRAME__INIT;
+    frame.body_case = WIRE__FRAME__BODY_CONFIG_QUERY;
+    frame.config_query = &query;
+    Link_Send(host->link, &frame);
+}
+
+/* Asks the leader, or the next host that is in touch. */
+static void
+ask(GatewayControl *control)
+{
+    Host *host =
+        control->leader == NULL ? NULL : find_host(control, control->leader);
+    for (guint i = 0;
+         i < control->hosts->len && (host == NULL || !Link_IsUp(host->link));
+         i++)
+    {
+        control->asked = (control->asked + 1) % control->hosts->len;
+        host = control->hosts->pdata[control->asked];
+    }
+    if (host == NULL || !Link_IsUp(host->link)) {
+        set_timer(control, RETRY_MS);
+        return;
+    }
+    send_query(control, host);
+    set_timer(control, ANSWER_MS);
+}
+
+static void
+on_timer(evutil_socket_t fd, short events, void *arg)
+{
+    GatewayControl *control = arg;
+    if (control->nonce != 0) {
+        /* No answer: the host is cut off or frozen. */
+        g_clear_pointer(&control->leader, g_free);
+        control->nonce = 0;
+    }
+    ask(control);
+}
+
+/* ---- Answers ---- */
+
+static void
+take_document(Gateway *gateway, const Wire__ConfigState *state)
+{
+    if (state->document.len == 0 ||
+        (gateway->table != NULL &&
+         state->version <= RouteTable_Version(gateway->table)))
+    {
+        return;
+    }
+    GBytes *plain = Deflate_Unpack(state->document.data, state->document.len,
+                                   state->document_bytes);
+    if (plain == NULL) {
+        LOG_ERROR(GATEWAY_PART, "Configuration does not inflate. version=%llu",
+                  (unsigned long long)state->version);
+        return;
+    }
+    gsize length;
+    const char *text = g_bytes_get_data(plain, &length);
+    RouteTable *table = NULL;
+    Error err = ERROR_INIT;
+    if (gateway->options->codec->decode(text, length, &table, &err) == ERR_OK)
+    {
+        Gateway_SetTable(gateway, table);
+    }
+    else {
+        LOG_ERROR(GATEWAY_PART,
+                  "Configuration cannot be read. version=%llu why=\"%s\"",
+                  (unsigned long long)state->version, err.text);
+    }
+    g_bytes_unref(plain);
+}
+
+static void
+renew_lease(GatewayControl *control, const Wire__ConfigState *state)
+{
+    Gateway *gateway = control->gateway;
+    uint64_t held =
+        gateway->table == NULL ? 0 : RouteTable_Version(gateway->table);
+    uint32_t bound_ms = gateway->options->bounds.revoke_ms;
+    if (!state->confirmed || held < state->version || held == 0) {
+        return;
+    }
+    TimeUs span = bound_ms == 0
+                      ? TIME_NEVER / 2
+                      : ((TimeUs)bound_ms - LEASE_MARGIN_MS) * US_PER_MS;
+    TimeUs until = control->asked_at + span;
+    if (Clock_Now() >= gateway->lease_until) {
+        LOG_INFO(GATEWAY_PART, "Lease gained. version=%llu",
+                 (unsigned long long)held);
+    }
+    gateway->lease_until = MAX(gateway->lease_until, until);
+}
+
+static void on_up(Link *link, void *owner);
+static void on_down(Link *link, void *owner);
+static void on_frame(Link *link, const Wire__Frame *frame, void *owner);
+
+static const LinkOps link_ops = {
+    .up = on_up,
+    .down = on_down,
+    .frame = on_frame,
+};
+
+static void
+add_host(GatewayControl *control, const char *text)
+{
+    Address address;
+    Error err = ERROR_INIT;
+    if (control->hosts->len >= HOSTS_MAX ||
+        Address_Parse(text, &address, &err) != ERR_OK)
+    {
+        LOG_WARN(GATEWAY_PART, "Control host is not dialled. address=%s",
+                 text);
+        return;
+    }
+    Host *host = g_new0(Host, 1);
+    host->control = control;
+    host->address = g_strdup(text);
+    host->listed = true;
+    g_ptr_array_add(control->hosts, host);
+    host->link = Link_Dial(control->gateway->base, &control->gateway->self,
+                           &address, &link_ops, host);
+}
+
+/* Follows the membership of the control hosts. */
+static void
+update_hosts(GatewayControl *control, const Wire__ConfigState *state)
+{
+    for (guint i = 0; i < control->hosts->len; i++) {
+        Host *host = control->hosts->pdata[i];
+        host->listed = false;
+    }
+    for (size_t i = 0; i < state->n_hosts; i++) {
+        Host *host = find_host(control, state->hosts[i]);
+        if (host == NULL) {
+            add_host(control, state->hosts[i]);
+        }
+        else {
+            host->listed = true;
+        }
+    }
+    for (guint i = control->hosts->len; i > 0; i--) {
+        Host *host = control->hosts->pdata[i - 1];
+        if (!host->listed && !Link_IsUp(host->link)) {
+            g_ptr_array_remove_index_fast(control->hosts, i - 1);
+            Link_Close(host->link);
+            g_free(host->address);
+            g_free(host);
+        }
+    }
+}
+
+static void
+on_state(GatewayControl *control, const Host *host,
+         const Wire__ConfigState *state)
+{
+    Gateway *gateway = control->gateway;
+    take_document(gateway, state);
+    if (state->nonce == 0 || state->nonce != control->nonce) {
+        return;
+    }
+    control->nonce = 0;
+    if (!state->confirmed) {
+        g_free(control->leader);
+        control->leader = state->leader[0] != '\0' &&
+                                  strcmp(state->leader, host->address) != 0
+                              ? g_strdup(state->leader)
+                              : NULL;
+        set_timer(control, RETRY_MS);
+        return;
+    }
+    if (g_strcmp0(control->leader, host->address) != 0) {
+        g_free(control->leader);
+        control->leader = g_strdup(host->address);
+        LOG_INFO(GATEWAY_PART, "Leading control host. address=%s",
+                 host->address);
+    }
+    gateway->gateways = state->gateways;
+    renew_lease(control, state);
+    for (size_t i = 0; i < state->n_shares; i++) {
+        Quotas_SetShare(gateway->quotas, state->shares[i]->account,
+                        state->shares[i]->share);
+    }
+    if (state->n_hosts > 0) {
+        update_hosts(control, state);
+    }
+    set_timer(control, QUERY_MS);
+}
+
+static void
+on_endpoints(Gateway *gateway, const Wire__EndpointNews *list)
+{
+    for (size_t i = 0; i < list->n_endpoints; i++) {
+        const Wire__EndpointRecord *record = list->endpoints[i];
+        EndpointNews news = {
+            .id = record->id,
+            .service = record->service[0] != '\0' ? record->service : NULL,
+            .address = record->address[0] != '\0' ? record->address : NULL,
+            .zone = record->zone[0] != '\0' ? record->zone : NULL,
+            .state = (EndpointState)record->state,
+            .born = record->born,
+            .sequence = record->sequence,
+            .slots = record->slots,
+            .cold_ms = record->cold_ms,
+        };
+        Endpoints_Update(gateway, &news);
+    }
+}
+
+static void
+on_up(Link *link, void *owner)
+{
+    Host *host = owner;
+    LOG_INFO(GATEWAY_PART, "Control host in touch. address=%s", host->address);
+    if (host->control->nonce == 0) {
+        ask(host->control);
+    }
+}
+
+static void
+on_down(Link *link, void *owner)
+{
+    Host *host = owner;
+    GatewayControl *control = host->control;
+    LOG_INFO(GATEWAY_PART, "Control host lost. address=%s", host->address);
+    if (g_strcmp0(control->leader, host->address) == 0) {
+        g_clear_pointer(&control->leader, g_free);
+        control->nonce = 0;
+        set_timer(control, RETRY_MS);
+    }
+}
+
+static void
+on_frame(Link *link, const Wire__Frame *frame, void *owner)
+{
+    Host *host = owner;
+    Gateway *gateway = host->control->gateway;
+    switch (frame->body_case) {
+    case WIRE__FRAME__BODY_CONFIG_STATE:
+        on_state(host->control, host, frame->config_state);
+        break;
+    case WIRE__FRAME__BODY_ENDPOINT_NEWS:
+        on_endpoints(gateway, frame->endpoint_news);
+        break;
+    case WIRE__FRAME__BODY_CRASH_NEWS:
+        Suspects_Crashed(gateway->suspects, frame->crash_news->fingerprint);
+        break;
+    default:
+        break;
+    }
+}
+
+void
+GatewayControl_Crashed(GatewayControl *control, uint64_t fingerprint)
+{
+    Suspects_Crashed(control->gateway->suspects, fingerprint);
+    Wire__CrashNews news = WIRE__CRASH_NEWS__INIT;
+    news.fingerprint = fingerprint;
+    Wire__Frame frame = WIRE__FRAME__INIT;
+    frame.body_case = WIRE__FRAME__BODY_CRASH_NEWS;
+    frame.crash_news = &news;
+    for (guint i = 0; i < control->hosts->len; i++) {
+        const Host *host = control->hosts->pdata[i];
+        if (Link_IsUp(host->link)) {
+            Link_Send(host->link, &frame);
+            return;
+        }
+    }
+}
+
+GatewayControl *
+GatewayControl_New(Gateway *gateway)
+{
+    GatewayControl *control = g_new0(GatewayControl, 1);
+    control->gateway = gateway;
+    control->hosts = g_ptr_array_new();
+    control->timer = event_new(gateway->base, -1, 0, on_timer, control);
+    for (const char *const *host = gateway->options->hosts; *host != NULL;
+         host++) {
+        add_host(control, *host);
+    }
+    set_timer(control, RETRY_MS);
+    return control;
+}
+
+void
+GatewayControl_Free(GatewayControl *control)
+{
+    for (guint i = 0; i < control->hosts->len; i++) {
+        Host *host = control->hosts->pdata[i];
+        Link_Close(host->link);
+        g_free(host->address);
+        g_free(host);
+    }
+    g_ptr_array_unref(control->hosts);
+    event_free(control->timer);
+    g_free(control->leader);
+    g_free(control);
+}
--- /dev/null
+++ b/src/gateway/line.c
@@ -0,0 +1,193 @@
+/** @file
+ * Gateway: requests that wait for an endpoint of a service. Model work waits
+ * at the keepers of the engines' slots where these are in touch; all else
+ * waits here, by tier and then by deadline.
+ */
+#include <string.h>
+
+#include "gateway/state.h"
+#include "sched/choose.h"
+
+/* Requests of this gateway at one endpoint, over its slots, beyond which
+ * further ones wait here. */
+#define LOAD_MAX 1.5
+/* The same for an engine whose keeper is out of touch: engines run in order
+ * of arrival, so little may wait there. */
+#define LOAD_MAX_ENGINE 0.5
+/* Reports of other gateways' requests fade over this span. */
+#define REPORT_FADE_US (1 * US_PER_S)
+/* How often a line is looked at while all endpoints rest. */
+#define RETRY_MS 50
+
+struct Line {
+    Gateway *gateway;
+    char *service;
+    GQueue waiting; /* Call, in the order of sending */
+    struct event *again;
+    bool pumping;
+};
+
+static bool
+goes_before(const Call *a, const Call *b)
+{
+    if (a->tier != b->tier) {
+        return a->tier < b->tier;
+    }
+    return a->deadline < b->deadline;
+}
+
+static void
+on_again(evutil_socket_t fd, short events, void *arg)
+{
+    Line *line = arg;
+    Line_Pump(line->gateway, line->service);
+}
+
+static Line *
+find_line(Gateway *gateway, const char *service)
+{
+    Line *line = g_hash_table_lookup(gateway->lines, service);
+    if (line == NULL) {
+        line = g_new0(Line, 1);
+        line->gateway = gateway;
+        line->service = g_strdup(service);
+        g_queue_init(&line->waiting);
+        line->again = event_new(gateway->base, -1, 0, on_again, line);
+        g_hash_table_insert(gateway->lines, line->service, line);
+    }
+    return line;
+}
+
+static void
+insert(Line *line, Call *call)
+{
+    GList *at = line->waiting.tail;
+    while (at != NULL && goes_before(call, at->data)) {
+        at = at->prev;
+    }
+    if (at == NULL) {
+        g_queue_push_head(&line->waiting, call);
+        call->line_node = line->waiting.head;
+    }
+    else {
+        g_queue_insert_after(&line->waiting, at, call);
+        call->line_node = at->next;
+    }
+    call->line = line;
+}
+
+void
+Line_Add(Gateway *gateway, Call *call)
+{
+    insert(find_line(gateway, call->service), call);
+    Line_Pump(gateway, call->service);
+}
+
+void
+Line_Remove(Call *call)
+{
+    if (call->line != NULL) {
+        g_queue_delete_link(&call->line->waiting, call->line_node);
+        call->line = NULL;
+        call->line_node = NULL;
+    }
+}
+
+static double
+load_of(const Endpoint *endpoint, TimeUs now)
+{
+    double age = (double)(now - endpoint->reported_at) / REPORT_FADE_US;
+    double others = age < 1 ? endpoint->others * (1 - age) : 0;
+    return (endpoint->running + others) / endpoint->slots;
+}
+
+/* The endpoint for a call, or NULL while none may be sent more. */
+static Endpoint *
+choose(const Call *call, const Line *line)
+{
+    const Gateway *gateway = line->gateway;
+    TimeUs now = Clock_Now();
+    guint size = g_hash_table_size(gateway->endpoints);
+    ChooseCandidate *candidates = g_new0(ChooseCandidate, size + 1);
+    Endpoint **endpoints = g_new0(Endpoint *, size + 1);
+    size_t count = 0;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, gateway->endpoints);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        Endpoint *endpoint = value;
+        if (strcmp(endpoint->service, line->service) != 0) {
+            continue;
+        }
+        endpoints[count] = endpoint;
+        candidates[count++] = (ChooseCandidate){
+            .usable = Endpoint_Usable(endpoint, now),
+            .tried = Endpoint_WasTried(endpoint, call),
+            .distance = Endpoint_Distance(endpoint),
+            .load = load_of(endpoint, now),
+            .error_rate = endpoint->error_rate,
+            .run_ms = endpoint->latency_ms,
+        };
+    }
+    const RouteService *service =
+        RouteTable_Service(call->table, line->service);
+    bool engine = service != NULL && service->engine;
+    int best = Choose_Endpoint(candidates, count,
+                               engine ? LOAD_MAX_ENGINE : LOAD_MAX);
+    Endpoint *endpoint = best < 0 ? NULL : endpoints[best];
+    g_free(candidates);
+    g_free(endpoints);
+    return endpoint;
+}
+
+void
+Line_Pump(Gateway *gateway, const char *service)
+{
+    Line *line = g_hash_table_lookup(gateway->lines, service);
+    if (line == NULL || line->pumping) {
+        return;
+    }
+    line->pumping = true;
+    Call *call;
+    while ((call = g_queue_peek_head(&line->waiting)) != NULL) {
+        if (Keepers_Want(call)) {
+            Line_Remove(call);
+            continue;
+        }
+        Endpoint *endpoint = choose(call, line);
+        if (endpoint == NULL) {
+            struct timeval span = {.tv_usec = RETRY_MS * US_PER_MS};
+            event_add(line->again, &span);
+            break;
+        }
+        Line_Remove(call);
+        Call_SendTo(call, endpoint);
+    }
+    line->pumping = false;
+}
+
+void
+Line_PumpAll(Gateway *gateway)
+{
+    GHashTableIter iter;
+    gpointer key;
+    g_hash_table_iter_init(&iter, gateway->lines);
+    while (g_hash_table_iter_next(&iter, &key, NULL)) {
+        Line_Pump(gateway, key);
+    }
+}
+
+void
+Line_FreeAll(Gateway *gateway)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, gateway->lines);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        Line *line = value;
+        event_free(line->again);
+        g_free(line->service);
+        g_free(line);
+        g_hash_table_iter_remove(&iter);
+    }
+}
--- /dev/null
+++ b/src/gateway/quotas.c
@@ -0,0 +1,154 @@
+/** @file
+ * Gateway: limits of client accounts. Each gateway holds a share of an
+ * account's limit, which the leading control host follows demand with; while
+ * it hears nothing it keeps the share it has.
+ */
+#include <math.h>
+
+#include "gateway/state.h"
+#include "kernel/log.h"
+
+/* Gateways assumed before the leader has said how many there are. */
+#define GATEWAYS_UNKNOWN 8
+/* Time constant of the measured demand. */
+#define DEMAND_US (2 * US_PER_S)
+/* Part of the operators' slack that the gateways' bursts may use. */
+#define SLACK_PART 0.5
+#define WAIT_MIN_MS 50
+#define WAIT_MAX_MS 5000
+
+typedef struct Quota {
+    double share; /* units a second; below 0: none was given yet */
+    double level; /* units in hand; below 0 after a large request */
+    TimeUs filled_at;
+    double demand; /* units a second, moving mean */
+    TimeUs demand_at;
+} Quota;
+
+struct Quotas {
+    Gateway *gateway;
+    GHashTable *by_account; /* name -> Quota */
+};
+
+Quotas *
+Quotas_New(Gateway *gateway)
+{
+    Quotas *quotas = g_new0(Quotas, 1);
+    quotas->gateway = gateway;
+    quotas->by_account =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    return quotas;
+}
+
+void
+Quotas_Free(Quotas *quotas)
+{
+    g_hash_table_destroy(quotas->by_account);
+    g_free(quotas);
+}
+
+static double
+share_of(const Quotas *quotas, const Quota *quota, const RouteAccount *account)
+{
+    if (quota->share >= 0) {
+        return MIN(quota->share, account->rate);
+    }
+    uint32_t gateways = quotas->gateway->gateways;
+    return account->rate / (gateways > 0 ? gateways : GATEWAYS_UNKNOWN);
+}
+
+/* Units that may be saved up. */
+static double
+capacity_of(const Quotas *quotas, double share, const RouteAccount *account)
+{
+    double part = account->rate > 0 ? share / account->rate : 0;
+    double slack = account->counts_tokens
+                       ? quotas->gateway->options->bounds.quota_slack
+                       : 0;
+    return part * (account->burst + SLACK_PART * slack);
+}
+
+static Quota *
+find(Quotas *quotas, const RouteAccount *account, TimeUs now)
+{
+    Quota *quota = g_hash_table_lookup(quotas->by_account, account->name);
+    if (quota == NULL) {
+        quota = g_new0(Quota, 1);
+        quota->share = -1;
+        quota->filled_at = now;
+        quota->demand_at = now;
+        quota->level =
+            capacity_of(quotas, share_of(quotas, quota, account), account);
+        g_hash_table_insert(quotas->by_account, g_strdup(account->name),
+                            quota);
+    }
+    return quota;
+}
+
+static void
+measure_demand(Quota *quota, double cost, TimeUs now)
+{
+    double span = (double)(now - quota->demand_at);
+    double kept = exp(-span / (double)DEMAND_US);
+    quota->demand =
+        quota->demand * kept + cost / ((double)DEMAND_US / (double)US_PER_S);
+    quota->demand_at = now;
+}
+
+uint32_t
+Quotas_Take(Quotas *quotas, const RouteAccount *account, double cost)
+{
+    if (account->rate <= 0) {
+        return 0;
+    }
+    TimeUs now = Clock_Now();
+    Quota *quota = find(quotas, account, now);
+    measure_demand(quota, cost, now);
+    double share = share_of(quotas, quota, account);
+    double capacity = capacity_of(quotas, share, account);
+    double seconds = (double)(now - quota->filled_at) / (double)US_PER_S;
+    quota->level = MIN(quota->level + share * seconds, capacity);
+    quota->filled_at = now;
+    if (quota->level > 0) {
+        quota->level -= cost;
+        return 0;
+    }
+    double wait_ms = share > 0 ? -quota->level / share * 1000 : WAIT_MAX_MS;
+    return (uint32_t)CLAMP(wait_ms, WAIT_MIN_MS, WAIT_MAX_MS);
+}
+
+void
+Quotas_GiveBack(Quotas *quotas, const RouteAccount *account, double cost)
+{
+    Quota *quota = g_hash_table_lookup(quotas->by_account, account->name);
+    if (quota != NULL) {
+        quota->level += cost;
+    }
+}
+
+void
+Quotas_SetShare(Quotas *quotas, const char *account, double share)
+{
+    Quota *quota = g_hash_table_lookup(quotas->by_account, account);
+    if (quota != NULL) {
+        quota->share = share;
+    }
+}
+
+void
+Quotas_Each(Quotas *quotas,
+            void (*visit)(void *arg, const char *account, double demand,
+                          double share),
+            void *arg)
+{
+    TimeUs now = Clock_Now();
+    GHashTableIter iter;
+    gpointer key;
+    gpointer value;
+    g_hash_table_iter_init(&iter, quotas->by_account);
+    while (g_hash_table_iter_next(&iter, &key, &value)) {
+        Quota *quota = value;
+        measure_demand(quota, 0, now);
+        visit(arg, key, quota->demand, MAX(quota->share, 0));
+    }
+}
--- /dev/null
+++ b/src/gateway/state.h
@@ -0,0 +1,347 @@
+/** @file
+ * What the parts of the gateway share.
+ */
+#ifndef LAURELLIFT_GATEWAY_STATE_H
+#define LAURELLIFT_GATEWAY_STATE_H
+
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+
+#include "gateway/events.h"
+#include "gateway/gateway.h"
+#include "http1/parser.h"
+#include "kernel/clock.h"
+#include "routes/endpoint.h"
+#include "wire/link.h"
+
+#define GATEWAY_PART "gateway"
+
+typedef struct Conn Conn;
+typedef struct Call Call;
+typedef struct Upstream Upstream;
+typedef struct Endpoint Endpoint;
+typedef struct Line Line;
+typedef struct GatewayControl GatewayControl;
+typedef struct Quotas Quotas;
+typedef struct Retries Retries;
+typedef struct Keepers Keepers;
+typedef struct Suspects Suspects;
+
+struct Gateway {
+    TaskHandle task;
+    struct event_base *base;
+    const GatewayOptions *options;
+    LinkSelf self;
+    struct evconnlistener *listener;
+    RouteTable *table;  /* NULL: no configuration yet */
+    TimeUs lease_until; /* the table is the newest until then */
+    uint32_t gateways;  /* in touch with the leader, this one included */
+    Directory *directory;
+    GHashTable *endpoints; /* id -> Endpoint */
+    GHashTable *lines;     /* service -> Line */
+    GHashTable *conns;     /* set of Conn */
+    GatewayControl *control;
+    Quotas *quotas;
+    Retries *retries;
+    Keepers *keepers;
+    Suspects *suspects;
+    uint64_t next_want;
+    unsigned calls; /* open */
+    bool stopping;
+    TimeUs stop_at;
+    struct event *stop_timer;
+};
+
+/* ---- conn.c: a caller's connection ---- */
+
+Conn *Conn_New(Gateway *gateway, evutil_socket_t fd);
+
+/* Names the call that is answered here. */
+void Conn_SetCall(Conn *conn, Call *call);
+
+/* Begins an answer. The body follows by Conn_Body in chunks when chunked. */
+void Conn_Head(Conn *conn, struct evbuffer *head);
+void Conn_Body(Conn *conn, struct evbuffer *body);
+
+/* The answer is complete; the connection takes the next request. */
+void Conn_Finish(Conn *conn);
+
+/* The answer cannot be completed: cuts the connection. */
+void Conn_Abort(Conn *conn);
+
+/* Whether the answer under way will be the connection's last. */
+bool Conn_WillClose(const Conn *conn);
+bool Conn_IsHttp10(const Conn *conn);
+
+/* Unsent bytes of answers. */
+size_t Conn_Backlog(const Conn *conn);
+
+/* A planned stop: closes the connection as soon as nothing is under way. */
+void Conn_Drain(Conn *conn, bool close_idle);
+
+void Conn_Free(Conn *conn);
+
+/* ---- endpoints.c: endpoints as this gateway knows them ---- */
+
+struct Endpoint {
+    Gateway *gateway;
+    char *id;
+    char *service;
+    char *address;
+    char *zone;
+    EndpointState state;
+    uint32_t slots;
+    TimeUs cold_until;
+    unsigned references; /* upstreams and calls that use it */
+    unsigned running;    /* requests of this gateway */
+    unsigned others;     /* requests of other gateways, as last reported */
+    TimeUs reported_at;
+    unsigned failures; /* in a row */
+    TimeUs avoid_until;
+    bool probing;      /* one request tries it after a failure */
+    double error_rate; /* share of answers that were failures */
+    double latency_ms; /* moving mean of plain answers */
+    GQueue idle;       /* Upstream, most recently used first */
+    Upstream *current; /* whose callback runs; NULL once it is freed */
+    bool removed;
+};
+
+void Endpoints_Update(Gateway *gateway, const EndpointNews *news);
+void Endpoints_FreeAll(Gateway *gateway);
+Endpoint *Endpoints_Find(const Gateway *gateway, const char *id);
+void Endpoint_Ref(Endpoint *endpoint);
+void Endpoint_Unref(Endpoint *endpoint);
+
+/* What a request showed of the endpoint. */
+void Endpoint_Failed(Endpoint *endpoint, const char *why);
+void Endpoint_Answered(Endpoint *endpoint, bool success);
+void Endpoint_Load(Endpoint *endpoint, const char *report);
+
+/* Whether the call has failed there before. */
+bool Endpoint_WasTried(const Endpoint *endpoint, const Call *call);
+
+/* Whether it may be sent work now. */
+bool Endpoint_Usable(const Endpoint *endpoint, TimeUs now);
+
+/* Distance from this gateway: 0 same zone, 1 same region, 2 beyond. */
+unsigned Endpoint_Distance(const Endpoint *endpoint);
+
+/* ---- upstream.c: a connection to an endpoint ---- */
+
+typedef enum UpstreamFailure {
+    UPSTREAM_NOT_SENT, /* no byte of the request left this host */
+    UPSTREAM_BROKEN,   /* the connection failed after that */
+    UPSTREAM_GARBAGE,  /* bytes that are no answer to the request */
+} UpstreamFailure;
+
+typedef struct UpstreamOps {
+    void (*head)(void *owner, const H1Head *head);
+    /* Body bytes; the owner drains them. */
+    void (*body)(void *owner, struct evbuffer *body);
+    void (*done)(void *owner);
+    void (*failed)(void *owner, UpstreamFailure failure, const char *why);
+} UpstreamOps;
+
+/* Sends a request on an idle or new connection. @p request is drained.
+ * @param fresh  the connection must be new or surely alive. */
+Upstream *Upstream_Send(Endpoint *endpoint, struct evbuffer *request,
+                        const char *request_id, bool fresh,
+                        const UpstreamOps *ops, void *owner);
+
+/* Breaks the exchange off; no callback follows. */
+void Upstream_Cancel(Upstream *upstream);
+
+/* The owner no longer cares, but the endpoint is to finish. */
+void Upstream_Abandon(Upstream *upstream);
+
+void Upstream_Pause(Upstream *upstream, bool paused);
+void Upstream_CloseIdle(Endpoint *endpoint);
+
+/* ---- call.c, call_send.c, call_answer.c: the life of a request ---- */
+
+typedef enum CallState {
+    CALL_WAITING, /* for an endpoint */
+    CALL_SENT,    /* an endpoint has it; no byte of an answer went out */
+    CALL_PASSING, /* the answer is on its way to the caller */
+} CallState;
+
+struct Call {
+    Gateway *gateway;
+    Conn *conn; /* NULL once the caller left */
+    CallState state;
+    char *id;
+    char *method;
+    char *target;
+    char *host;
+    char *key;      /* the caller's, or NULL */
+    GArray *fields; /* H1Field, owned strings */
+    struct evbuffer *body;
+    RouteTable *table;
+    const Route *route;
+    const RouteAccount *account;
+    const char *service;
+    uint32_t tier;
+    double cost; /* units of the account's limit */
+    uint32_t prompt_tokens;
+    uint32_t output_tokens;
+    uint64_t fingerprint;
+    TimeUs received;
+    TimeUs caller_deadline;
+    TimeUs deadline; /* final answer until then */
+    struct event *timer;
+    unsigned attempts;  /* endpoints that it was sent to */
+    GPtrArray *tried;   /* ids of endpoints that failed it */
+    bool maybe_ran;     /* an endpoint may have begun it */
+    Endpoint *endpoint; /* that has it */
+    Upstream *upstream;
+    TimeUs sent_at;
+    TimeUs first_at; /* first event or answer */
+    /* The answer under way. */
+    unsigned status;
+    bool streams;
+    bool discard; /* the answer is being dropped */
+    struct evbuffer *answer_head;
+    struct evbuffer *answer;
+    struct evbuffer *partial; /* of an event */
+    Events events;
+    int64_t resume_after; /* the caller's own; -1: none */
+    GList *line_node;
+    Line *line;
+    uint64_t grant; /* want at slot keepers; 0: none */
+};
+
+/* Takes a complete request; answers through @p conn. */
+void Call_Start(Conn *conn, Gateway *gateway, const H1Head *head,
+                struct evbuffer *body);
+
+/* The caller left. */
+void Call_CallerGone(Call *call);
+
+/* What was written to the caller has left. */
+void Call_CallerDrained(Call *call);
+
+/* Sends the call to an endpoint. */
+void Call_SendTo(Call *call, Endpoint *endpoint);
+
+/* Answers with an error of this gateway. */
+typedef struct CallError {
+    unsigned status;
+    const char *code;
+    const char *message;
+    uint32_t retry_after_ms; /* 0: none */
+} CallError;
+
+void Call_Fail(Call *call, const CallError *error);
+
+/* How an endpoint did not serve a call. */
+typedef enum CallSendOutcome {
+    CALL_NOT_SENT,       /* no byte reached it */
+    CALL_OTHER_INSTANCE, /* another endpoint has its address */
+    CALL_REFUSED,        /* it says that it did not run the request */
+    CALL_MAYBE_RAN,      /* nothing proves that it did not */
+} CallSendOutcome;
+
+/* Tries another endpoint or ends the call. */
+void Call_Retry(Call *call, CallSendOutcome outcome, const char *why);
+
+/* The call's endpoint has it no longer. @p complete: it served it whole. */
+void Call_LeaveEndpoint(Call *call, bool complete);
+
+/* Whether a field concerns one connection only. */
+bool Call_IsHopField(const char *name);
+
+/* Ends a call whose answer is complete or cut, and frees it. */
+void Call_End(Call *call, const char *outcome);
+
+/* Looks the route up again after a new configuration.
+ * @return false when the call was ended. */
+bool Call_Reroute(Call *call);
+
+extern const UpstreamOps Call_UpstreamOps;
+
+/* Whether a caller's attempt may run more than once. */
+bool Call_Repeatable(const Call *call);
+
+/* ---- errors.c ---- */
+
+/* Appends a whole answer with a JSON body. */
+void GatewayErrors_Print(struct evbuffer *out, const CallError *error,
+                         const char *request_id, const char *outcome,
+                         bool close);
+
+/* ---- line.c: what waits for an endpoint of a service ---- */
+
+void Line_Add(Gateway *gateway, Call *call);
+void Line_Remove(Call *call);
+
+/* Sends what can be sent. */
+void Line_Pump(Gateway *gateway, const char *service);
+void Line_PumpAll(Gateway *gateway);
+void Line_FreeAll(Gateway *gateway);
+
+/* ---- hosts.c: links to control hosts ---- */
+
+GatewayControl *GatewayControl_New(Gateway *gateway);
+void GatewayControl_Free(GatewayControl *control);
+
+/* Passes on that an endpoint broke off while it ran this request. */
+void GatewayControl_Crashed(GatewayControl *control, uint64_t fingerprint);
+
+/* ---- keepers.c: slots of engines, kept beside them ---- */
+
+Keepers *Keepers_New(Gateway *gateway);
+void Keepers_Free(Keepers *keepers);
+
+/* Asks for slots of engines of the call's service; a grant sends the call.
+ * @return false when no keeper of the service is in touch. */
+bool Keepers_Want(Call *call);
+/* Keeps a link to the keeper of an engine's slots. */
+void Keepers_Watch(Keepers *keepers, const Endpoint *endpoint);
+void Keepers_Unwatch(Keepers *keepers, const char *endpoint_id);
+
+void Keepers_FirstEvent(Call *call);
+void Keepers_End(Call *call, bool complete);
+
+/* ---- gateway.c ---- */
+
+/* Whether the table is surely the newest. */
+bool Gateway_HasLease(const Gateway *gateway);
+
+/* Puts a newer table in force. */
+void Gateway_SetTable(Gateway *gateway, RouteTable *table);
+
+/* ---- suspects.c ---- */
+
+Suspects *Suspects_New(void);
+void Suspects_Free(Suspects *suspects);
+
+/* An endpoint broke off while it ran the request. */
+void Suspects_Crashed(Suspects *suspects, uint64_t fingerprint);
+
+/* Whether the request crashed too many endpoints to be sent again. */
+bool Suspects_IsBarred(const Suspects *suspects, uint64_t fingerprint);
+
+/* ---- quotas.c ---- */
+
+Quotas *Quotas_New(Gateway *gateway);
+void Quotas_Free(Quotas *quotas);
+
+/* Takes the cost of a request.
+ * @return 0 when it is within the limit, or a wait in milliseconds. */
+uint32_t Quotas_Take(Quotas *quotas, const RouteAccount *account, double cost);
+void Quotas_GiveBack(Quotas *quotas, const RouteAccount *account, double cost);
+void Quotas_SetShare(Quotas *quotas, const char *account, double share);
+void Quotas_Each(Quotas *quotas,
+                 void (*visit)(void *arg, const char *account, double demand,
+                               double share),
+                 void *arg);
+
+/* ---- retries.c ---- */
+
+Retries *Retries_New(Gateway *gateway);
+void Retries_Free(Retries *retries);
+void Retries_Request(Retries *retries, const char *service);
+bool Retries_Take(Retries *retries, const char *service);
+
+#endif
--- /dev/null
+++ b/src/gateway/suspects.c
@@ -0,0 +1,70 @@
+/** @file
+ * Gateway: requests that may crash the endpoints that run them. A request is
+ * known by its account's key, path and body, whoever sends it again.
+ */
+#include "gateway/state.h"
+#include "kernel/log.h"
+
+/* Crashes after which a request is not sent again. */
+#define CRASHES_MAX 3
+/* How long a crash is remembered. */
+#define REMEMBER_US (120 * US_PER_S)
+/* Requests remembered; the table starts anew beyond. */
+#define SUSPECTS_MAX 4096
+
+typedef struct Suspect {
+    unsigned crashes;
+    TimeUs at;
+} Suspect;
+
+struct Suspects {
+    GHashTable *by_fingerprint;
+};
+
+Suspects *
+Suspects_New(void)
+{
+    Suspects *suspects = g_new0(Suspects, 1);
+    suspects->by_fingerprint =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+    return suspects;
+}
+
+void
+Suspects_Free(Suspects *suspects)
+{
+    g_hash_table_destroy(suspects->by_fingerprint);
+    g_free(suspects);
+}
+
+void
+Suspects_Crashed(Suspects *suspects, uint64_t fingerprint)
+{
+    TimeUs now = Clock_Now();
+    Suspect *suspect =
+        g_hash_table_lookup(suspects->by_fingerprint, &fingerprint);
+    if (suspect == NULL) {
+        if (g_hash_table_size(suspects->by_fingerprint) >= SUSPECTS_MAX) {
+            LOG_WARN(GATEWAY_PART, "Too many suspects; all are forgotten.");
+            g_hash_table_remove_all(suspects->by_fingerprint);
+        }
+        suspect = g_new0(Suspect, 1);
+        g_hash_table_insert(suspects->by_fingerprint,
+                            g_memdup2(&fingerprint, sizeof(fingerprint)),
+                            suspect);
+    }
+    if (now - suspect->at > REMEMBER_US) {
+        suspect->crashes = 0;
+    }
+    suspect->crashes++;
+    suspect->at = now;
+}
+
+bool
+Suspects_IsBarred(const Suspects *suspects, uint64_t fingerprint)
+{
+    const Suspect *suspect =
+        g_hash_table_lookup(suspects->by_fingerprint, &fingerprint);
+    return suspect != NULL && suspect->crashes >= CRASHES_MAX &&
+           Clock_Now() - suspect->at <= REMEMBER_US;
+}
--- /dev/null
+++ b/src/http1/parser.c
@@ -0,0 +1,329 @@
+/** @file
+ * HTTP/1.1 messages: drives http-parser one step at a time.
+ */
+#include "http1/parser.h"
+
+#include <string.h>
+#include <strings.h>
+
+#include <http_parser.h>
+
+#include "http1/strict.h"
+
+typedef enum ParserState {
+    STATE_HEAD,
+    STATE_BODY,
+    STATE_DONE,
+    STATE_BAD,
+} ParserState;
+
+struct H1Parser {
+    H1Kind kind;
+    size_t max_head_bytes;
+    ParserState state;
+    bool no_body;
+    bool complete; /* http-parser has seen the end of the message */
+    http_parser core;
+    H1Head head;
+    GStringChunk *strings;
+    GString *target;
+    GString *name;
+    GString *value;
+    struct evbuffer *body;
+    size_t body_added; /* by the step under way */
+};
+
+static H1Parser *
+of(http_parser *core)
+{
+    return core->data;
+}
+
+/* Ends the field that is being collected, if any. */
+static void
+end_field(H1Parser *parser)
+{
+    if (parser->name->len == 0) {
+        return;
+    }
+    H1Field field = {
+        .name = g_string_chunk_insert(parser->strings, parser->name->str),
+        .value = g_string_chunk_insert(parser->strings, parser->value->str),
+    };
+    g_array_append_val(parser->head.fields, field);
+    g_string_truncate(parser->name, 0);
+    g_string_truncate(parser->value, 0);
+}
+
+static int
+on_url(http_parser *core, const char *at, size_t length)
+{
+    g_string_append_len(of(core)->target, at, (gssize)length);
+    return 0;
+}
+
+static int
+on_field(http_parser *core, const char *at, size_t length)
+{
+    H1Parser *parser = of(core);
+    if (parser->value->len > 0) {
+        end_field(parser);
+    }
+    g_string_append_len(parser->name, at, (gssize)length);
+    return 0;
+}
+
+static int
+on_value(http_parser *core, const char *at, size_t length)
+{
+    g_string_append_len(of(core)->value, at, (gssize)length);
+    return 0;
+}
+
+static int
+on_head(http_parser *core)
+{
+    H1Parser *parser = of(core);
+    end_field(parser);
+    H1Head *head = &parser->head;
+    if (parser->kind == H1_REQUEST) {
+        head->method = http_method_str((enum http_method)core->method);
+        head->target =
+            g_string_chunk_insert(parser->strings, parser->target->str);
+    }
+    head->status = core->status_code;
+    head->http10 = core->http_major == 1 && core->http_minor == 0;
+    head->keep_alive = http_should_keep_alive(core) != 0;
+    head->chunked = (core->flags & F_CHUNKED) != 0;
+    head->has_length = (core->flags & F_CONTENTLENGTH) != 0;
+    head->length = head->has_length ? core->content_length : 0;
+    return parser->no_body ? 1 : 0;
+}
+
+static int
+on_body(http_parser *core, const char *at, size_t length)
+{
+    H1Parser *parser = of(core);
+    evbuffer_add(parser->body, at, length);
+    parser->body_added += length;
+    return 0;
+}
+
+static int
+on_complete(http_parser *core)
+{
+    of(core)->complete = true;
+    http_parser_pause(core, 1);
+    return 0;
+}
+
+/* Trailers come through the same callbacks as the head's fields and are
+ * dropped: nothing reads them. */
+static const http_parser_settings callbacks = {
+    .on_url = on_url,
+    .on_header_field = on_field,
+    .on_header_value = on_value,
+    .on_headers_complete = on_head,
+    .on_body = on_body,
+    .on_message_complete = on_complete,
+};
+
+H1Parser *
+H1Parser_New(H1Kind kind, size_t max_head_bytes)
+{
+    H1Parser *parser = g_new0(H1Parser, 1);
+    parser->kind = kind;
+    parser->max_head_bytes = max_head_bytes;
+    parser->head.fields = g_array_new(FALSE, FALSE, sizeof(H1Field));
+    parser->strings = g_string_chunk_new(1024);
+    parser->target = g_string_new(NULL);
+    parser->name = g_string_new(NULL);
+    parser->value = g_string_new(NULL);
+    parser->body = evbuffer_new();
+    H1Parser_Reset(parser);
+    return parser;
+}
+
+void
+H1Parser_Free(H1Parser *parser)
+{
+    g_array_unref(parser->head.fields);
+    g_string_chunk_free(parser->strings);
+    g_string_free(parser->target, TRUE);
+    g_string_free(parser->name, TRUE);
+    g_string_free(parser->value, TRUE);
+    evbuffer_free(parser->body);
+    g_free(parser);
+}
+
+void
+H1Parser_Reset(H1Parser *parser)
+{
+    http_parser_init(&parser->core, parser->kind == H1_REQUEST
+                                        ? HTTP_REQUEST
+                                        : HTTP_RESPONSE);
+    parser->core.data = parser;
+    parser->state = STATE_HEAD;
+    parser->no_body = false;
+    parser->complete = false;
+    GArray *fields = parser->head.fields;
+    g_array_set_size(fields, 0);
+    parser->head = (H1Head){.fields = fields};
+    g_string_chunk_clear(parser->strings);
+    g_string_truncate(parser->target, 0);
+    g_string_truncate(parser->name, 0);
+    g_string_truncate(parser->value, 0);
+    evbuffer_drain(parser->body, evbuffer_get_length(parser->body));
+}
+
+void
+H1Parser_ExpectNoBody(H1Parser *parser)
+{
+    parser->no_body = true;
+}
+
+static H1Step
+bad(H1Parser *parser)
+{
+    parser->state = STATE_BAD;
+    return H1_BAD;
+}
+
+/* Empty lines before a request line are skipped (RFC 9112, 2.2). */
+static void
+skip_empty_lines(struct evbuffer *in)
+{
+    char start[2];
+    while (evbuffer_copyout(in, start, sizeof(start)) == sizeof(start) &&
+           start[0] == '\r' && start[1] == '\n')
+    {
+        evbuffer_drain(in, sizeof(start));
+    }
+}
+
+static H1Step
+take_head(H1Parser *parser, struct evbuffer *in, Error *err)
+{
+    if (parser->kind == H1_REQUEST) {
+        skip_empty_lines(in);
+    }
+    struct evbuffer_ptr end = evbuffer_search(in, "\r\n\r\n", 4, NULL);
+    size_t length =
+        end.pos < 0 ? evbuffer_get_length(in) : (size_t)end.pos + 4;
+    if (length > parser->max_head_bytes) {
+        Error_Set(err, ERR_TOO_LARGE, "The head is larger than %zu bytes.",
+                  parser->max_head_bytes);
+        return bad(parser);
+    }
+    if (end.pos < 0) {
+        return H1_MORE;
+    }
+    char *raw = g_malloc(length);
+    evbuffer_remove(in, raw, length);
+    bool request = parser->kind == H1_REQUEST;
+    if (Strict_CheckHead(raw, length, request, err) != ERR_OK) {
+        g_free(raw);
+        return bad(parser);
+    }
+    size_t parsed =
+        http_parser_execute(&parser->core, &callbacks, raw, length);
+    g_free(raw);
+    enum http_errno failure = HTTP_PARSER_ERRNO(&parser->core);
+    if ((failure != HPE_OK && failure != HPE_PAUSED) ||
+        (parsed != length && !parser->core.upgrade))
+    {
+        Error_Set(err, ERR_INVALID, "%s.", http_errno_description(failure));
+        return bad(parser);
+    }
+    /* An offered upgrade is ignored; the message has no body then. */
+    parser->complete = parser->complete || parser->core.upgrade;
+    parser->state = STATE_BODY;
+    return H1_HEAD;
+}
+
+static H1Step
+take_body(H1Parser *parser, struct evbuffer *in, Error *err)
+{
+    if (parser->complete) {
+        parser->state = STATE_DONE;
+        return H1_DONE;
+    }
+    parser->body_added = 0;
+    size_t contiguous = evbuffer_get_contiguous_space(in);
+    if (contiguous == 0) {
+        return H1_MORE;
+    }
+    const char *data =
+        (const char *)evbuffer_pullup(in, (ev_ssize_t)contiguous);
+    size_t parsed =
+        http_parser_execute(&parser->core, &callbacks, data, contiguous);
+    enum http_errno failure = HTTP_PARSER_ERRNO(&parser->core);
+    evbuffer_drain(in, parsed);
+    if (failure != HPE_OK && failure != HPE_PAUSED) {
+        Error_Set(err, ERR_INVALID, "%s.", http_errno_description(failure));
+        return bad(parser);
+    }
+    return H1_BODY;
+}
+
+H1Step
+H1Parser_Next(H1Parser *parser, struct evbuffer *in, Error *err)
+{
+    switch (parser->state) {
+    case STATE_HEAD:
+        return take_head(parser, in, err);
+    case STATE_BODY:
+        return take_body(parser, in, err);
+    case STATE_DONE:
+        return H1_DONE;
+    case STATE_BAD:
+        break;
+    }
+    return H1_BAD;
+}
+
+H1Step
+H1Parser_End(H1Parser *parser)
+{
+    if (parser->state == STATE_HEAD) {
+        return H1_MORE;
+    }
+    if (parser->state == STATE_BODY && !parser->complete) {
+        http_parser_execute(&parser->core, &callbacks, NULL, 0);
+    }
+    if (parser->complete) {
+        parser->state = STATE_DONE;
+        return H1_DONE;
+    }
+    return bad(parser);
+}
+
+bool
+H1Parser_InMessage(const H1Parser *parser)
+{
+    return parser->state == STATE_BODY;
+}
+
+const H1Head *
+H1Parser_Head(const H1Parser *parser)
+{
+    return &parser->head;
+}
+
+struct evbuffer *
+H1Parser_Body(H1Parser *parser)
+{
+    return parser->body;
+}
+
+const char *
+H1Head_Get(const H1Head *head, const char *name)
+{
+    for (guint i = 0; i < head->fields->len; i++) {
+        const H1Field *field = &g_array_index(head->fields, H1Field, i);
+        if (strcasecmp(field->name, name) == 0) {
+            return field->value;
+        }
+    }
+    return NULL;
+}
--- /dev/null
+++ b/src/http1/strict.c
@@ -0,0 +1,167 @@
+/** @file
+ * Strictness that http-parser lacks: line ends, field names, repeated or
+ * unknown framing fields.
+ */
+#include "http1/strict.h"
+
+#include <ctype.h>
+#include <string.h>
+#include <strings.h>
+
+#include "kernel/error.h"
+
+/* What was counted over the fields of one head. */
+typedef struct Counts {
+    unsigned hosts;
+    unsigned lengths;
+    unsigned encodings;
+} Counts;
+
+static bool
+is_token(const char *text, size_t length)
+{
+    if (length == 0) {
+        return false;
+    }
+    for (size_t i = 0; i < length; i++) {
+        unsigned char c = (unsigned char)text[i];
+        if (!isalnum(c) && strchr("!#$%&'*+-.^_`|~", c) == NULL) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static bool
+is_name(const char *text, size_t length, const char *name)
+{
+    return length == strlen(name) && strncasecmp(text, name, length) == 0;
+}
+
+static int
+check_length(const char *value, size_t length, Error *err)
+{
+    for (size_t i = 0; i < length; i++) {
+        if (!isdigit((unsigned char)value[i])) {
+            return Error_Set(err, ERR_INVALID,
+                             "Content-Length is not a plain number.");
+        }
+    }
+    return length > 0 ? ERR_OK
+                      : Error_Set(err, ERR_INVALID, "Empty Content-Length.");
+}
+
+static int
+check_field(const char *line, size_t length, Counts *counts, Error *err)
+{
+    const char *colon = memchr(line, ':', length);
+    if (colon == NULL || !is_token(line, (size_t)(colon - line))) {
+        return Error_Set(err, ERR_INVALID, "A field name is malformed.");
+    }
+    size_t name_length = (size_t)(colon - line);
+    const char *value = colon + 1;
+    const char *end = line + length;
+    while (value < end && (*value == ' ' || *value == '\t')) {
+        value++;
+    }
+    while (end > value && (end[-1] == ' ' || end[-1] == '\t')) {
+        end--;
+    }
+    size_t value_length = (size_t)(end - value);
+    if (is_name(line, name_length, "Host")) {
+        counts->hosts++;
+    }
+    if (is_name(line, name_length, "Content-Length")) {
+        counts->lengths++;
+        return check_length(value, value_length, err);
+    }
+    if (is_name(line, name_length, "Transfer-Encoding")) {
+        counts->encodings++;
+        if (!is_name(value, value_length, "chunked")) {
+            return Error_Set(err, ERR_INVALID,
+                             "Transfer-Encoding other than chunked.");
+        }
+    }
+    return ERR_OK;
+}
+
+static int
+check_start(const char *line, size_t length, bool request, Error *err)
+{
+    static const char version[] = "HTTP/1.";
+    size_t version_length = sizeof(version) - 1;
+    if (!request) {
+        return length > version_length + 1 &&
+                       memcmp(line, version, version_length) == 0
+                   ? ERR_OK
+                   : Error_Set(err, ERR_INVALID, "Not HTTP/1.");
+    }
+    const char *first = memchr(line, ' ', length);
+    const char *last = memrchr(line, ' ', length);
+    if (first == NULL || first == last || first + 1 == last ||
+        memchr(first + 1, ' ', (size_t)(last - first - 1)) != NULL)
+    {
+        return Error_Set(err, ERR_INVALID, "The request line is malformed.");
+    }
+    if (first[1] != '/') {
+        return Error_Set(err, ERR_INVALID, "The target is not a path.");
+    }
+    size_t tail = length - (size_t)(last + 1 - line);
+    if (tail != version_length + 1 ||
+        memcmp(last + 1, version, version_length) != 0)
+    {
+        return Error_Set(err, ERR_INVALID, "Not HTTP/1.");
+    }
+    return ERR_OK;
+}
+
+static int
+check_counts(const Counts *counts, bool request, bool http10, Error *err)
+{
+    if (counts->lengths > 1 || counts->encodings > 1 ||
+        (counts->lengths > 0 && counts->encodings > 0))
+    {
+        return Error_Set(err, ERR_INVALID, "The body's length is ambiguous.");
+    }
+    if (counts->encodings > 0 && http10) {
+        return Error_Set(err, ERR_INVALID,
+                         "Transfer-Encoding in an HTTP/1.0 message.");
+    }
+    if (request && (counts->hosts > 1 || (counts->hosts == 0 && !http10))) {
+        return Error_Set(err, ERR_INVALID, "Host must stand exactly once.");
+    }
+    return ERR_OK;
+}
+
+int
+Strict_CheckHead(const char *raw, size_t length, bool request, Error *err)
+{
+    Counts counts = {.hosts = 0};
+    bool first = true;
+    bool http10 = false;
+    if (memchr(raw, '\0', length) != NULL) {
+        return Error_Set(err, ERR_INVALID, "A NUL byte in the head.");
+    }
+    const char *end = raw + length - 2; /* without the empty line */
+    for (const char *line = raw; line < end;) {
+        const char *feed = memchr(line, '\n', (size_t)(end - line));
+        if (feed == NULL || feed == line || feed[-1] != '\r') {
+            return Error_Set(err, ERR_INVALID, "A line does not end in CRLF.");
+        }
+        size_t size = (size_t)(feed - 1 - line);
+        if (memchr(line, '\r', size) != NULL) {
+            return Error_Set(err, ERR_INVALID, "A bare CR in the head.");
+        }
+        int result = first ? check_start(line, size, request, err)
+                           : check_field(line, size, &counts, err);
+        if (result != ERR_OK) {
+            return result;
+        }
+        if (first) {
+            http10 = request ? line[size - 1] == '0' : line[7] == '0';
+        }
+        first = false;
+        line = feed + 1;
+    }
+    return check_counts(&counts, request, http10, err);
+}
--- /dev/null
+++ b/src/keeper/keeper.c
@@ -0,0 +1,331 @@
+/** @file
+ * Keeper task. The queue itself is sched/queue; a granted slot counts as
+ * taken until its gateway gives it back or is out of touch.
+ */
+#include "keeper/keeper.h"
+
+#include <string.h>
+
+#include <glib.h>
+
+#include "kernel/clock.h"
+#include "kernel/counter.h"
+#include "kernel/log.h"
+#include "sched/queue.h"
+#include "wire/link.h"
+#include "wire/self.h"
+
+#define PART "keeper"
+#define TASK_NAME "keeper"
+#define MAX_WANTS 4096
+#define MAX_TOMBSTONES 4096
+/* A grant is taken at once on its way out, so this never expires. */
+#define GRANT_TTL_US (60 * US_PER_S)
+/* Guesses until the engine's own pace is measured, in tokens a second. */
+#define PREFILL_GUESS 20000
+#define DECODE_GUESS 200
+/* Slots until the first want names them. */
+#define SLOTS_GUESS 1
+#define ACTIONS_AT_ONCE 32
+
+typedef struct Keeper {
+    TaskHandle task;
+    const KeeperOptions *options;
+    struct event_base *base;
+    LinkSelf self;
+    LinkServer *links;
+    WantQueue *queue;
+    uint32_t slots;
+    uint64_t serial;
+    GHashTable *owners; /* serial -> Link */
+    GHashTable *held;   /* RequestId -> itself: granted slots */
+    struct event *timer;
+} Keeper;
+
+static uint64_t
+serial_of(const Link *link)
+{
+    return (uint64_t)(uintptr_t)Link_Data(link);
+}
+
+static RequestId
+id_of(const Link *link, uint64_t id)
+{
+    return (RequestId){.high = serial_of(link), .low = id};
+}
+
+static void
+send_grant(Keeper *keeper, Link *link, const QueueAction *action)
+{
+    QueueState state;
+    Queue_State(keeper->queue, Clock_Now(), &state);
+    Wire__SlotGrant grant = WIRE__SLOT_GRANT__INIT;
+    grant.id = action->id.low;
+    grant.queued = state.queued;
+    grant.busy = state.running + state.granted;
+    Wire__Frame frame = WIRE__FRAME__INIT;
+    frame.body_case = WIRE__FRAME__BODY_SLOT_GRANT;
+    frame.slot_grant = &grant;
+    Link_Send(link, &frame);
+}
+
+static void
+send_refuse(Keeper *keeper, Link *link, const QueueAction *action)
+{
+    QueueState state;
+    Queue_State(keeper->queue, Clock_Now(), &state);
+    Wire__SlotRefuse refuse = WIRE__SLOT_REFUSE__INIT;
+    refuse.id = action->id.low;
+    refuse.reason = (Wire__RefuseReason)action->reason;
+    refuse.retry_after_ms = action->retry_after_ms;
+    refuse.queued = state.queued;
+    refuse.busy = state.running + state.granted;
+    Wire__Frame frame = WIRE__FRAME__INIT;
+    frame.body_case = WIRE__FRAME__BODY_SLOT_REFUSE;
+    frame.slot_refuse = &refuse;
+    Link_Send(link, &frame);
+}
+
+/* Takes a granted slot for its gateway, or gives it back when that is out of
+ * touch. */
+static void
+take_slot(Keeper *keeper, const QueueAction *action)
+{
+    Link *link = g_hash_table_lookup(keeper->owners, &action->owner);
+    TimeUs now = Clock_Now();
+    if (link == NULL) {
+        Queue_Withdraw(keeper->queue, action->id, action->owner, now);
+        return;
+    }
+    if (Queue_Dispatch(keeper->queue, action->id, action->grant_id, now) !=
+        REFUSE_NONE)
+    {
+        return;
+    }
+    RequestId *id = g_memdup2(&action->id, sizeof(action->id));
+    g_hash_table_add(keeper->held, id);
+    send_grant(keeper, link, action);
+}
+
+static void
+carry_out(Keeper *keeper)
+{
+    QueueAction actions[ACTIONS_AT_ONCE];
+    size_t count;
+    while ((count = Queue_TakeActions(keeper->queue, actions,
+                                      ACTIONS_AT_ONCE)) > 0)
+    {
+        for (size_t i = 0; i < count; i++) {
+            Link *link =
+                g_hash_table_lookup(keeper->owners, &actions[i].owner);
+            if (actions[i].kind == QUEUE_GRANT) {
+                take_slot(keeper, &actions[i]);
+            }
+            else if (link != NULL) {
+                send_refuse(keeper, link, &actions[i]);
+            }
+        }
+    }
+    TimeUs next = Queue_NextTimer(keeper->queue);
+    if (next == TIME_NEVER) {
+        event_del(keeper->timer);
+        return;
+    }
+    TimeUs span = MAX(next - Clock_Now(), US_PER_MS);
+    struct timeval tv = {.tv_sec = span / US_PER_S,
+                         .tv_usec = span % US_PER_S};
+    event_add(keeper->timer, &tv);
+}
+
+static void
+on_timer(evutil_socket_t fd, short events, void *arg)
+{
+    Keeper *keeper = arg;
+    Queue_Tick(keeper->queue, Clock_Now());
+    carry_out(keeper);
+}
+
+static void
+on_want(Keeper *keeper, Link *link, const Wire__SlotWant *want)
+{
+    TimeUs now = Clock_Now();
+    if (want->slots > 0 && want->slots != keeper->slots) {
+        LOG_INFO(PART, "Slots of the engine. slots=%u before=%u", want->slots,
+                 keeper->slots);
+        keeper->slots = want->slots;
+        Queue_SetSlots(keeper->queue, want->slots, now);
+    }
+    Work work = {
+        .id = id_of(link, want->id),
+        .tier = MIN(want->tier, WORK_TIERS - 1),
+        .deadline = now + want->deadline_ms * US_PER_MS,
+        .prompt_tokens = want->prompt_tokens,
+        .output_tokens = want->output_tokens,
+    };
+    Queue_Want(keeper->queue, &work, serial_of(link), now);
+}
+
+static void
+end_slot(Keeper *keeper, RequestId id, bool complete, TimeUs now)
+{
+    QueueResult result = {.complete = complete};
+    Queue_Finished(keeper->queue, id, &result, now);
+}
+
+static void
+on_end(Keeper *keeper, Link *link, const Wire__SlotEnd *end)
+{
+    RequestId id = id_of(link, end->id);
+    TimeUs now = Clock_Now();
+    if (g_hash_table_remove(keeper->held, &id)) {
+        end_slot(keeper, id, end->ran, now);
+        return;
+    }
+    Queue_Withdraw(keeper->queue, id, serial_of(link), now);
+}
+
+static void
+on_frame(Link *link, const Wire__Frame *frame, void *owner)
+{
+    Keeper *keeper = owner;
+    switch (frame->body_case) {
+    case WIRE__FRAME__BODY_SLOT_WANT:
+        on_want(keeper, link, frame->slot_want);
+        break;
+    case WIRE__FRAME__BODY_SLOT_END:
+        on_end(keeper, link, frame->slot_end);
+        break;
+    case WIRE__FRAME__BODY_SLOT_PREFILLED:
+        Queue_FirstPiece(keeper->queue, id_of(link, frame->slot_prefilled->id),
+                         Clock_Now());
+        break;
+    default:
+        return;
+    }
+    carry_out(keeper);
+}
+
+static void
+on_up(Link *link, void *owner)
+{
+    Keeper *keeper = owner;
+    uint64_t serial = ++keeper->serial;
+    Link_SetData(link, (void *)(uintptr_t)serial);
+    g_hash_table_insert(keeper->owners, g_memdup2(&serial, sizeof(serial)),
+                        link);
+    LOG_INFO(PART, "Gateway in touch. gateway=%s", Link_Peer(link)->name);
+}
+
+/* Slots of a lost gateway are free: it withdrew or is gone, and a request
+ * that it still runs is one that the engine's own queue covers. */
+static void
+on_down(Link *link, void *owner)
+{
+    Keeper *keeper = owner;
+    uint64_t serial = serial_of(link);
+    TimeUs now = Clock_Now();
+    GHashTableIter iter;
+    gpointer key;
+    g_hash_table_iter_init(&iter, keeper->held);
+    while (g_hash_table_iter_next(&iter, &key, NULL)) {
+        RequestId id = *(RequestId *)key;
+        if (id.high == serial) {
+            g_hash_table_iter_remove(&iter);
+            end_slot(keeper, id, false, now);
+        }
+    }
+    Queue_OwnerGone(keeper->queue, serial, now);
+    g_hash_table_remove(keeper->owners, &serial);
+    carry_out(keeper);
+}
+
+static const LinkOps link_ops = {
+    .up = on_up,
+    .down = on_down,
+    .frame = on_frame,
+};
+
+static int
+start(TaskHandle self, void *state, Error *err)
+{
+    Keeper *keeper = state;
+    keeper->task = self;
+    keeper->base = Task_Base(self);
+    keeper->timer = event_new(keeper->base, -1, 0, on_timer, keeper);
+    Address address;
+    int result = Address_Parse(keeper->options->listen, &address, err);
+    if (result != ERR_OK) {
+        return result;
+    }
+    keeper->links = Link_Listen(keeper->base, &keeper->self, &address,
+                                &link_ops, keeper, err);
+    return keeper->links == NULL ? err->code : ERR_OK;
+}
+
+static void
+receive(TaskHandle self, void *state, const Message *message)
+{
+}
+
+static void
+stop(TaskHandle self, void *state)
+{
+    Keeper *keeper = state;
+    if (keeper->links != NULL) {
+        Link_CloseServer(keeper->links);
+    }
+    event_free(keeper->timer);
+    Queue_Free(keeper->queue);
+    g_hash_table_destroy(keeper->owners);
+    g_hash_table_destroy(keeper->held);
+    g_free(keeper);
+}
+
+static void
+dump(TaskHandle self, void *state, json_t *out)
+{
+    const Keeper *keeper = state;
+    QueueState queue;
+    Queue_State(keeper->queue, Clock_Now(), &queue);
+    json_object_set_new(out, "slots", json_integer(queue.slots));
+    json_object_set_new(out, "running", json_integer(queue.running));
+    json_object_set_new(out, "queued", json_integer(queue.queued));
+}
+
+static const TaskOps task_ops = {
+    .start = start,
+    .receive = receive,
+    .stop = stop,
+    .dump = dump,
+};
+
+void
+Keeper_AddTask(Kernel *kernel, const KeeperOptions *options)
+{
+    Keeper *keeper = g_new0(Keeper, 1);
+    keeper->options = options;
+    keeper->self = (LinkSelf){
+        .role = WIRE__ROLE__ROLE_KEEPER,
+        .name = options->name,
+        .incarnation = Self_NewIncarnation(),
+        .zone = options->zone,
+        .region = options->region,
+    };
+    keeper->slots = SLOTS_GUESS;
+    QueueConfig config = {
+        .max_wants = MAX_WANTS,
+        .max_tombstones = MAX_TOMBSTONES,
+        .slots = SLOTS_GUESS,
+        .grant_ttl = GRANT_TTL_US,
+        .prefill_tokens_s = PREFILL_GUESS,
+        .decode_tokens_s = DECODE_GUESS,
+        .seed = keeper->self.incarnation,
+    };
+    keeper->queue = Queue_New(&config);
+    keeper->owners =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+    keeper->held =
+        g_hash_table_new_full(Work_HashId, Work_EqualId, g_free, NULL);
+    TaskSpec spec = {.name = TASK_NAME, .ops = &task_ops, .state = keeper};
+    Kernel_AddTask(kernel, &spec);
+}
--- a/src/kernel/settings.c
+++ b/src/kernel/settings.c
@@ -91,6 +91,8 @@
     TEXT("data_dir", SettingsControl, data_dir),
     CYAML_FIELD_BOOL("bootstrap", CYAML_FLAG_OPTIONAL, SettingsControl,
                      bootstrap),
+    CYAML_FIELD_BOOL("auto_members", CYAML_FLAG_OPTIONAL, SettingsControl,
+                     auto_members),
     TEXT_OPTIONAL("rules", SettingsControl, rules),
     NUMBER("claim_retention_s", SettingsControl, claim_retention_s),
     CYAML_FIELD_SEQUENCE("operators", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL,
--- a/src/kernel/settings.h
+++ b/src/kernel/settings.h
@@ -51,10 +51,11 @@
 } SettingsAgent;
 
 typedef struct SettingsControl {
-    uint32_t id;    /**< Which of control_hosts this process is. */
-    char *data_dir; /**< Folder of the replicated log. */
-    bool bootstrap; /**< Found a new cluster when the folder is empty. */
-    char *rules;    /**< Rule file applied at bootstrap; may be empty. */
+    uint32_t id;       /**< Which of control_hosts this process is. */
+    char *data_dir;    /**< Folder of the replicated log. */
+    bool bootstrap;    /**< Found a new cluster when the folder is empty. */
+    bool auto_members; /**< Admit control hosts without a command. */
+    char *rules;       /**< Rule file applied at bootstrap; may be empty. */
     uint32_t claim_retention_s; /**< How long claims are kept. */
     SettingsOperator *operators;
     unsigned operators_count;
--- a/src/kernel/task.c
+++ b/src/kernel/task.c
@@ -15,6 +15,7 @@
 
 #define PART "kernel"
 #define TASKS_MAX 32
+#define SIGNALS 4
 
 typedef struct Task {
     TaskSpec spec;
@@ -30,7 +31,9 @@
     Task tasks[TASKS_MAX]; /* index 0 stays unused */
     uint32_t count;
     struct event_base *base;
-    struct event *signals[3];
+    struct event *signals[SIGNALS];
+    void (*reload)(void *arg); /* on SIGHUP; NULL: none */
+    void *reload_arg;
     struct event *drain_poll;
     TimeUs stop_deadline;
     int stop_limit_ms;
@@ -262,6 +265,20 @@
     json_decref(dump);
 }
 
+static void
+on_reload_signal(evutil_socket_t fd, short events, void *arg)
+{
+    Kernel *kernel = arg;
+    kernel->reload(kernel->reload_arg);
+}
+
+void
+Kernel_SetReload(Kernel *kernel, void (*reload)(void *arg), void *arg)
+{
+    kernel->reload = reload;
+    kernel->reload_arg = arg;
+}
+
 static void
 add_signals(Kernel *kernel)
 {
@@ -269,7 +286,11 @@
     kernel->signals[0] = evsignal_new(base, SIGTERM, on_stop_signal, kernel);
     kernel->signals[1] = evsignal_new(base, SIGINT, on_stop_signal, kernel);
     kernel->signals[2] = evsignal_new(base, SIGUSR1, on_dump_signal, kernel);
-    for (int i = 0; i < 3; i++) {
+    if (kernel->reload != NULL) {
+        kernel->signals[3] =
+            evsignal_new(base, SIGHUP, on_reload_signal, kernel);
+    }
+    for (int i = 0; i < SIGNALS && kernel->signals[i] != NULL; i++) {
         event_add(kernel->signals[i], NULL);
     }
     kernel->drain_poll =
@@ -331,7 +352,7 @@
     for (uint32_t i = 1; i <= kernel->count; i++) {
         free_task(&kernel->tasks[i]);
     }
-    for (int i = 0; i < 3 && kernel->signals[i] != NULL; i++) {
+    for (int i = 0; i < SIGNALS && kernel->signals[i] != NULL; i++) {
         event_free(kernel->signals[i]);
     }
     if (kernel->drain_poll != NULL) {
--- a/src/kernel/task.h
+++ b/src/kernel/task.h
@@ -76,6 +76,10 @@
  * @return ERR_OK after a stop, or the error of a task that did not start. */
 int Kernel_Run(Kernel *kernel, int stop_limit_ms, Error *err);
 
+/** Calls @p reload on SIGHUP. Before Kernel_Run; without it the signal ends
+ * the process. */
+void Kernel_SetReload(Kernel *kernel, void (*reload)(void *arg), void *arg);
+
 /** Begins a planned stop. Main loop only. */
 void Kernel_Stop(Kernel *kernel);
 
