Rank of the route within an account's tier; long streams leave a stopping gateway

Cause: an account's tier replaced the route's, so with nearly all accounts in one tier model work had no order.

--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -18,6 +18,12 @@
 /* Time that a caller waits who does not say. */
 #define DEFAULT_DEADLINE_MS 60000
 #define DEADLINE_MAX_MS (24ul * 3600 * 1000)
+/* A caller whom a stopping gateway refuses finds another at once. */
+#define RETRY_STOPPING_MS 20
+/* Time of one output token on a slow and busy engine, and of all before the
+ * first: what a stream is taken to last while the gateway stops. */
+#define TOKEN_US (10 * US_PER_MS)
+#define STREAM_START_US (1500 * US_PER_MS)
 #define BEARER "Bearer "
 
 static uint64_t
@@ -299,6 +305,7 @@
     }
     bool own_tier = call->account != NULL && call->account->has_tier;
     call->tier = own_tier ? call->account->tier : call->route->tier;
+    call->rank = own_tier ? call->route->tier : 0;
     return NULL;
 }
 
@@ -325,6 +332,20 @@
     return tokens > 0 ? tokens : call->account->default_tokens;
 }
 
+/* Whether a stream would still run when a planned stop ends. */
+static bool
+outlasts_stop(const Call *call)
+{
+    const Gateway *gateway = call->gateway;
+    if (!gateway->stopping || call->route->kind != ROUTE_STREAM) {
+        return false;
+    }
+    TimeUs left = gateway->stop_at +
+                  gateway->options->bounds.stop_ms * US_PER_MS - Clock_Now();
+    TimeUs run = call->output_tokens * TOKEN_US + STREAM_START_US;
+    return run > left;
+}
+
 static void
 admit(Call *call, const H1Head *head)
 {
@@ -347,6 +368,16 @@
             return;
         }
     }
+    if (outlasts_stop(call)) {
+        Call_Fail(call, &(CallError){
+                            .status = 503,
+                            .code = "stopping",
+                            .message = "This host stops before the stream "
+                                       "would end; ask another.",
+                            .retry_after_ms = RETRY_STOPPING_MS,
+                        });
+        return;
+    }
     set_deadlines(call, head);
     Retries_Request(call->gateway->retries, call->service);
     Line_Add(call->gateway, call);
--- a/src/gateway/keepers.c
+++ b/src/gateway/keepers.c
@@ -156,6 +156,7 @@
     Wire__SlotWant message = WIRE__SLOT_WANT__INIT;
     message.id = want->id;
     message.tier = call->tier;
+    message.rank = call->rank;
     message.deadline_ms = (uint32_t)MAX(left / US_PER_MS, 0);
     message.prompt_tokens = call->prompt_tokens;
     message.output_tokens = call->output_tokens;
--- a/src/gateway/line.c
+++ b/src/gateway/line.c
@@ -33,6 +33,9 @@
     if (a->tier != b->tier) {
         return a->tier < b->tier;
     }
+    if (a->rank != b->rank) {
+        return a->rank < b->rank;
+    }
     return a->deadline < b->deadline;
 }
 
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -181,7 +181,8 @@
     const Route *route;
     const RouteAccount *account;
     const char *service;
-    uint32_t tier;
+    uint32_t tier; /* the account's, or the route's where it has none */
+    uint32_t rank; /* the route's, within the tier of an account */
     double cost; /* units of the account's limit */
     uint32_t prompt_tokens;
     uint32_t output_tokens;
--- a/src/keeper/keeper.c
+++ b/src/keeper/keeper.c
@@ -158,6 +158,7 @@
     Work work = {
         .id = id_of(link, want->id),
         .tier = MIN(want->tier, WORK_TIERS - 1),
+        .rank = want->rank,
         .deadline = now + want->deadline_ms * US_PER_MS,
         .prompt_tokens = want->prompt_tokens,
         .output_tokens = want->output_tokens,
--- a/src/sched/queue_items.c
+++ b/src/sched/queue_items.c
@@ -109,6 +109,9 @@
     if (a->work.tier != b->work.tier) {
         return a->work.tier < b->work.tier;
     }
+    if (a->work.rank != b->work.rank) {
+        return a->work.rank < b->work.rank;
+    }
     if (a->work.deadline != b->work.deadline) {
         return a->work.deadline < b->work.deadline;
     }
--- a/src/sched/work.h
+++ b/src/sched/work.h
@@ -28,6 +28,7 @@
     uint64_t target;        /**< Work_Target of the model or service. */
     uint64_t fingerprint;   /**< Of account, route and body. */
     uint32_t tier;          /**< 0 is the highest. */
+    uint32_t rank;          /**< Within the tier; 0 goes first. */
     TimeUs deadline;        /**< On this process's clock. */
     uint32_t prompt_tokens; /**< 0 for plain services. */
     uint32_t output_tokens; /**< Expected. */
--- a/test/unit/test_queue.c
+++ b/test/unit/test_queue.c
@@ -70,6 +70,27 @@
     Queue_Finished(queue, (RequestId){.low = id}, &(QueueResult){0}, now);
 }
 
+/* Load: one slot, more work than it takes. The route's rank decides within
+ * the tier of an account, before the deadline. */
+static void
+grants_by_rank_within_a_tier(void **state)
+{
+    WantQueue *queue = new_queue(1);
+    uint64_t grant = 0;
+    want(queue, 1, 1, 100 * US_PER_S, 0);
+    assert_granted(queue, 1, &grant);
+    assert_int_equal(Queue_Dispatch(queue, (RequestId){.low = 1}, grant, 1),
+                     REFUSE_NONE);
+    Work urgent = new_work(3, 1, 100 * US_PER_S, 10);
+    Work patient = new_work(2, 1, 50 * US_PER_S, 10);
+    patient.rank = 2;
+    Queue_Want(queue, &patient, 1, 2);
+    Queue_Want(queue, &urgent, 1, 3);
+    finish(queue, 1, 4);
+    assert_granted(queue, 3, &grant);
+    Queue_Free(queue);
+}
+
 static void
 grants_by_tier_then_deadline(void **state)
 {
@@ -212,6 +233,7 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(grants_by_tier_then_deadline),
+        cmocka_unit_test(grants_by_rank_within_a_tier),
         cmocka_unit_test(refuses_hopeless_want_at_once),
         cmocka_unit_test(sheds_the_last_in_order_when_full),
         cmocka_unit_test(lapsed_grant_never_runs),
