--- a/src/gateway/keepers.c
+++ b/src/gateway/keepers.c
@@ -9,29 +9,38 @@
 #include "sched/choose.h"
 #include "wire/address.h"
 
-/* Keepers asked for one request: enough that a busy engine does not decide
- * alone, few enough that withdrawals stay cheap. */
-#define ASKED_MAX 2
+/* Keepers asked at once: the best by expected time to the end. */
+#define ASKED_FIRST 2
+/* A request that waits this long asks all keepers of its region, and after
+ * the longer span those beyond: a round trip between regions is worth it
+ * only for requests that would wait longer than it takes. */
+#define ASK_REGION_MS 12
+#define ASK_ALL_MS 90
 /* Loads that a keeper told fade over this span. */
-#define LOAD_FADE_US (500 * US_PER_MS)
+#define LOAD_FADE_US (300 * US_PER_MS)
+/* Pace of an engine that has not told its own, in tokens a second. */
+#define PREFILL_UNKNOWN 20000
+#define DECODE_UNKNOWN 200
 
 typedef struct Keeper {
     Keepers *keepers;
     char *endpoint_id;
     char *address;
     Link *link;
-    unsigned wants;  /* of this gateway, not granted yet */
-    unsigned held;   /* slots that this gateway holds */
-    unsigned others; /* requests of other gateways, as last told */
+    unsigned held; /* slots that this gateway holds */
+    unsigned busy; /* slots that all gateways held, as last told */
     TimeUs told_at;
+    uint32_t prefill_tokens_s;
+    uint32_t decode_tokens_s;
 } Keeper;
 
 typedef struct Want {
     uint64_t id;
     Call *call;
-    Keeper *asked[ASKED_MAX];
-    unsigned count;
-    Keeper *holder; /* that granted it */
+    GPtrArray *asked; /* Keeper, that have neither granted nor refused */
+    Keeper *holder;   /* that granted it */
+    unsigned reach;   /* how far it asks: 1 its region, 2 all */
+    struct event *widen;
 } Want;
 
 struct Keepers {
@@ -40,6 +49,15 @@
     GHashTable *wants;       /* id -> Want */
 };
 
+static void
+free_want(gpointer data)
+{
+    Want *want = data;
+    event_free(want->widen);
+    g_ptr_array_unref(want->asked);
+    g_free(want);
+}
+
 Keepers *
 Keepers_New(Gateway *gateway)
 {
@@ -47,7 +65,7 @@
     keepers->gateway = gateway;
     keepers->by_endpoint = g_hash_table_new(g_str_hash, g_str_equal);
     keepers->wants =
-        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_want);
     return keepers;
 }
 
@@ -88,27 +106,15 @@
     Link_Send(keeper->link, &frame);
 }
 
-static void
-drop_asked(Want *want, const Keeper *keeper)
-{
-    for (unsigned i = 0; i < want->count; i++) {
-        if (want->asked[i] == keeper) {
-            want->asked[i]->wants--;
-            want->asked[i] = want->asked[--want->count];
-            return;
-        }
-    }
-}
-
 /* Withdraws what was not granted. */
 static void
 withdraw(Want *want)
 {
-    while (want->count > 0) {
-        Keeper *keeper = want->asked[0];
-        send_end(keeper, want->id, false);
-        drop_asked(want, keeper);
+    for (guint i = 0; i < want->asked->len; i++) {
+        send_end(want->asked->pdata[i], want->id, false);
     }
+    g_ptr_array_set_size(want->asked, 0);
+    event_del(want->widen);
 }
 
 void
@@ -191,14 +197,14 @@
     g_hash_table_iter_init(&iter, keepers->wants);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         Want *want = value;
-        drop_asked(want, keeper);
+        g_ptr_array_remove_fast(want->asked, keeper);
         if (want->holder == keeper) {
             want->holder = NULL;
             keeper->held--;
             want->call->grant = 0;
             g_hash_table_iter_remove(&iter);
         }
-        else if (want->holder == NULL && want->count == 0) {
+        else if (want->holder == NULL && want->asked->len == 0) {
             g_ptr_array_add(stranded, want->call);
             want->call->grant = 0;
             g_hash_table_iter_remove(&iter);
@@ -211,11 +217,9 @@
 }
 
 static void
-take_load(Keeper *keeper, uint32_t queued, uint32_t busy)
+take_load(Keeper *keeper, uint32_t busy)
 {
-    unsigned own = keeper->wants + keeper->held;
-    unsigned all = queued + busy;
-    keeper->others = all > own ? all - own : 0;
+    keeper->busy = busy;
     keeper->told_at = Clock_Now();
 }
 
@@ -223,7 +227,9 @@
 on_grant(Keeper *keeper, const Wire__SlotGrant *grant)
 {
     Keepers *keepers = keeper->keepers;
-    take_load(keeper, grant->queued, grant->busy);
+    take_load(keeper, grant->busy);
+    keeper->prefill_tokens_s = grant->prefill_tokens_s;
+    keeper->decode_tokens_s = grant->decode_tokens_s;
     uint64_t id = grant->id;
     Want *want = g_hash_table_lookup(keepers->wants, &id);
     Endpoint *endpoint = Endpoints_Find(keepers->gateway, keeper->endpoint_id);
@@ -231,10 +237,10 @@
         send_end(keeper, id, false);
         return;
     }
-    drop_asked(want, keeper);
+    g_ptr_array_remove_fast(want->asked, keeper);
     if (!Endpoint_Usable(endpoint, Clock_Now())) {
         send_end(keeper, id, false);
-        if (want->count == 0) {
+        if (want->asked->len == 0) {
             Call *call = want->call;
             Keepers_End(call, false);
             Line_Add(keepers->gateway, call);
@@ -250,14 +256,14 @@
 static void
 on_refuse(Keeper *keeper, const Wire__SlotRefuse *refuse)
 {
-    take_load(keeper, refuse->queued, refuse->busy);
+    take_load(keeper, refuse->busy);
     uint64_t id = refuse->id;
     Want *want = g_hash_table_lookup(keeper->keepers->wants, &id);
     if (want == NULL) {
         return;
     }
-    drop_asked(want, keeper);
-    if (want->holder != NULL || want->count > 0) {
+    g_ptr_array_remove_fast(want->asked, keeper);
+    if (want->holder != NULL || want->asked->len > 0) {
         return;
     }
     Call *call = want->call;
@@ -357,20 +363,46 @@
 load_of(const Keeper *keeper, const Endpoint *endpoint, TimeUs now)
 {
     double age = (double)(now - keeper->told_at) / LOAD_FADE_US;
-    double others = age < 1 ? keeper->others * (1 - age / 2) : 0;
-    return (keeper->wants + keeper->held + others) / endpoint->slots;
+    double told = age < 1 ? keeper->busy * (1 - age) : 0;
+    return MAX(told, keeper->held) / endpoint->slots;
 }
 
-bool
-Keepers_Want(Call *call)
+/* Expected time of the call on the keeper's engine, in milliseconds. */
+static double
+run_ms(const Keeper *keeper, const Call *call)
 {
-    Keepers *keepers = call->gateway->keepers;
+    double prefill = keeper->prefill_tokens_s > 0 ? keeper->prefill_tokens_s
+                                                  : PREFILL_UNKNOWN;
+    double decode =
+        keeper->decode_tokens_s > 0 ? keeper->decode_tokens_s : DECODE_UNKNOWN;
+    return 1000 *
+           (call->prompt_tokens / prefill + call->output_tokens / decode);
+}
+
+/* Keepers that a call may ask. */
+typedef struct Choice {
+    ChooseCandidate *candidates;
+    Keeper **keepers;
+    uint32_t *slots;
+    size_t count;
+} Choice;
+
+static bool
+is_asked(const Want *want, const Keeper *keeper)
+{
+    return want != NULL && g_ptr_array_find(want->asked, keeper, NULL);
+}
+
+static void
+fill_choice(Choice *choice, const Call *call, const Want *want)
+{
+    const Keepers *keepers = call->gateway->keepers;
     TimeUs now = Clock_Now();
-    guint size = g_hash_table_size(keepers->by_endpoint);
-    ChooseCandidate *candidates = g_new0(ChooseCandidate, size + 1);
-    Keeper **order = g_new0(Keeper *, size + 1);
-    uint32_t *slots = g_new0(uint32_t, size + 1);
-    size_t count = 0;
+    guint size = g_hash_table_size(keepers->by_endpoint) + 1;
+    choice->candidates = g_new0(ChooseCandidate, size);
+    choice->keepers = g_new0(Keeper *, size);
+    choice->slots = g_new0(uint32_t, size);
+    choice->count = 0;
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, keepers->by_endpoint);
@@ -379,42 +411,101 @@
         const Endpoint *endpoint =
             Endpoints_Find(call->gateway, keeper->endpoint_id);
         if (endpoint == NULL || !Link_IsUp(keeper->link) ||
-            strcmp(endpoint->service, call->service) != 0)
+            strcmp(endpoint->service, call->service) != 0 ||
+            is_asked(want, keeper))
         {
             continue;
         }
-        order[count] = keeper;
-        slots[count] = endpoint->slots;
-        candidates[count++] = (ChooseCandidate){
+        choice->keepers[choice->count] = keeper;
+        choice->slots[choice->count] = endpoint->slots;
+        choice->candidates[choice->count++] = (ChooseCandidate){
             .usable = Endpoint_Usable(endpoint, now),
             .tried = Endpoint_WasTried(endpoint, call),
             .distance = Endpoint_Distance(endpoint),
             .load = load_of(keeper, endpoint, now),
             .error_rate = endpoint->error_rate,
-            .run_ms = endpoint->latency_ms,
+            .run_ms = run_ms(keeper, call),
         };
     }
-    Want *want = NULL;
-    while (want == NULL || want->count < ASKED_MAX) {
-        int best = Choose_Endpoint(candidates, count, G_MAXDOUBLE);
+}
+
+static void
+clear_choice(Choice *choice)
+{
+    g_free(choice->candidates);
+    g_free(choice->keepers);
+    g_free(choice->slots);
+}
+
+/* Asks up to @p most keepers within the want's reach, best first. */
+static void
+ask(Want *want, Choice *choice, guint most)
+{
+    for (guint asked = 0; asked < most; asked++) {
+        int best =
+            Choose_Endpoint(choice->candidates, choice->count, G_MAXDOUBLE);
         if (best < 0) {
-            break;
+            return;
         }
-        candidates[best].usable = false;
-        if (want == NULL) {
-            want = g_new0(Want, 1);
-            want->id = ++call->gateway->next_want;
-            want->call = call;
-            call->grant = want->id;
-            g_hash_table_replace(keepers->wants, &want->id, want);
+        choice->candidates[best].usable = false;
+        Keeper *keeper = choice->keepers[best];
+        g_ptr_array_add(want->asked, keeper);
+        send_want(want, keeper, choice->slots[best]);
+    }
+}
+
+static void
+limit_reach(Choice *choice, unsigned reach)
+{
+    for (size_t i = 0; i < choice->count; i++) {
+        if (choice->candidates[i].distance > reach) {
+            choice->candidates[i].usable = false;
         }
-        Keeper *keeper = order[best];
-        want->asked[want->count++] = keeper;
-        keeper->wants++;
-        send_want(want, keeper, slots[best]);
     }
-    g_free(candidates);
-    g_free(order);
-    g_free(slots);
-    return want != NULL;
+}
+
+static void
+set_widen(Want *want, uint32_t ms)
+{
+    struct timeval span = {.tv_usec = ms * US_PER_MS};
+    event_add(want->widen, &span);
+}
+
+/* The request still waits: asks farther keepers too. */
+static void
+on_widen(evutil_socket_t fd, short events, void *arg)
+{
+    Want *want = arg;
+    Choice choice;
+    fill_choice(&choice, want->call, want);
+    limit_reach(&choice, want->reach);
+    ask(want, &choice, G_MAXUINT);
+    clear_choice(&choice);
+    if (want->reach == 1) {
+        want->reach = 2;
+        set_widen(want, ASK_ALL_MS - ASK_REGION_MS);
+    }
+}
+
+bool
+Keepers_Want(Call *call)
+{
+    Choice choice;
+    fill_choice(&choice, call, NULL);
+    if (Choose_Endpoint(choice.candidates, choice.count, G_MAXDOUBLE) < 0) {
+        clear_choice(&choice);
+        return false;
+    }
+    Want *want = g_new0(Want, 1);
+    want->id = ++call->gateway->next_want;
+    want->call = call;
+    want->asked = g_ptr_array_new();
+    want->reach = 1;
+    want->widen = event_new(call->gateway->base, -1, 0, on_widen, want);
+    call->grant = want->id;
+    g_hash_table_replace(call->gateway->keepers->wants, &want->id, want);
+    ask(want, &choice, ASKED_FIRST);
+    set_widen(want, ASK_REGION_MS);
+    clear_choice(&choice);
+    return true;
 }
--- a/src/keeper/keeper.c
+++ b/src/keeper/keeper.c
@@ -63,6 +63,8 @@
     grant.id = action->id.low;
     grant.queued = state.queued;
     grant.busy = state.running + state.granted;
+    grant.prefill_tokens_s = (uint32_t)state.prefill_tokens_s;
+    grant.decode_tokens_s = (uint32_t)state.decode_tokens_s;
     Wire__Frame frame = WIRE__FRAME__INIT;
     frame.body_case = WIRE__FRAME__BODY_SLOT_GRANT;
     frame.slot_grant = &grant;
