--- a/src/gateway/keepers.c
+++ b/src/gateway/keepers.c
@@ -164,6 +164,9 @@
     message.tier = call->tier;
     message.rank = call->rank;
     message.deadline_ms = (uint32_t)MAX(left / US_PER_MS, 0);
+    TimeUs first =
+        call->received + call->route->target_ms * US_PER_MS - Clock_Now();
+    message.first_ms = (uint32_t)MAX(first / US_PER_MS, 0);
     message.prompt_tokens = call->prompt_tokens;
     message.output_tokens = call->output_tokens;
     message.slots = slots;
--- a/src/gateway/quotas.c
+++ b/src/gateway/quotas.c
@@ -15,13 +15,14 @@
 /* Part of the operators' slack that the gateways' bursts may use. */
 #define SLACK_PART 0.5
 #define WAIT_MIN_MS 50
-#define WAIT_MAX_MS 5000
+#define WAIT_MAX_MS 30000
 
 typedef struct Quota {
     double share; /* units a second; below 0: none was given yet */
     double level; /* units in hand; below 0 after a large request */
     TimeUs filled_at;
-    double demand; /* units a second, moving mean */
+    TimeUs promised_until; /* refused requests were told to return by then */
+    double demand;         /* units a second, moving mean */
     TimeUs demand_at;
 } Quota;
 
@@ -95,6 +96,21 @@
     quota->demand_at = now;
 }
 
+/* When a refused request finds room: after the debt and after those that
+ * were refused before it, so that they do not all return at once. */
+static uint32_t
+wait_ms(Quota *quota, double share, double cost, TimeUs now)
+{
+    if (share <= 0) {
+        return WAIT_MAX_MS;
+    }
+    TimeUs free_at = now + (TimeUs)(-quota->level / share * US_PER_S);
+    TimeUs at = MAX(free_at, quota->promised_until);
+    at = MIN(at, now + WAIT_MAX_MS * US_PER_MS);
+    quota->promised_until = at + (TimeUs)(cost / share * US_PER_S);
+    return (uint32_t)MAX((at - now) / US_PER_MS, WAIT_MIN_MS);
+}
+
 uint32_t
 Quotas_Take(Quotas *quotas, const RouteAccount *account, double cost)
 {
@@ -113,8 +129,7 @@
         quota->level -= cost;
         return 0;
     }
-    double wait_ms = share > 0 ? -quota->level / share * 1000 : WAIT_MAX_MS;
-    return (uint32_t)CLAMP(wait_ms, WAIT_MIN_MS, WAIT_MAX_MS);
+    return wait_ms(quota, share, cost, now);
 }
 
 void
--- a/src/keeper/keeper.c
+++ b/src/keeper/keeper.c
@@ -162,6 +162,7 @@
         .tier = MIN(want->tier, WORK_TIERS - 1),
         .rank = want->rank,
         .deadline = now + want->deadline_ms * US_PER_MS,
+        .first_by = now + want->first_ms * US_PER_MS,
         .prompt_tokens = want->prompt_tokens,
         .output_tokens = want->output_tokens,
     };
--- a/src/sched/pace.c
+++ b/src/sched/pace.c
@@ -76,6 +76,16 @@
     return slope > 0 && start > 0 ? start + slope * tokens : plain;
 }
 
+TimeUs
+Pace_PromptTime(const Pace *pace, const Work *work, uint32_t cached_blocks)
+{
+    double cached = (double)cached_blocks * WORK_BLOCK_TOKENS;
+    double seconds = work->prompt_tokens > cached
+                         ? prefill_seconds(pace, work->prompt_tokens - cached)
+                         : 0;
+    return (TimeUs)(seconds * US_PER_S);
+}
+
 TimeUs
 Pace_RunTime(const Pace *pace, const Work *work, uint32_t cached_blocks)
 {
--- a/src/sched/pace.h
+++ b/src/sched/pace.h
@@ -35,6 +35,10 @@
 /** Tokens a second; 0 while unknown. */
 double Pace_Speed(const PaceSpeed *speed);
 
+/** Expected time from dispatch to the first piece of the answer. */
+TimeUs Pace_PromptTime(const Pace *pace, const Work *work,
+                       uint32_t cached_blocks);
+
 /** Expected time from dispatch to the end of the answer. */
 TimeUs Pace_RunTime(const Pace *pace, const Work *work,
                     uint32_t cached_blocks);
--- a/src/sched/queue.c
+++ b/src/sched/queue.c
@@ -119,6 +119,20 @@
     return prompts >= STARTING_PROMPTS && tokens >= STARTING_TOKENS;
 }
 
+/* Whether its first piece can no longer come in time. Answers a burst within
+ * one tier and rank: those that can still be on time go before those that
+ * are late anyway. */
+static bool
+is_newly_late(const WantQueue *queue, const Item *item, TimeUs now)
+{
+    const Work *work = &item->work;
+    if (work->first_by == 0 || item->late) {
+        return false;
+    }
+    TimeUs prompt = Pace_PromptTime(&queue->pace, work, item->cached_blocks);
+    return now + prompt > work->first_by;
+}
+
 static void
 grant_free_slots(WantQueue *queue, TimeUs now)
 {
@@ -126,6 +140,10 @@
            queue->busy_count < queue->config.slots && !held_alone(queue))
     {
         Item *item = QueueItems_Waiting(queue, 0);
+        if (is_newly_late(queue, item, now)) {
+            QueueItems_Delay(queue, item);
+            continue;
+        }
         TimeUs finish = now + safe_run_time(queue, item);
         if (!queue->config.no_deadline && finish > item->work.deadline) {
             refuse_waiting(queue, item, REFUSE_DEADLINE,
@@ -207,7 +225,11 @@
         return false;
     }
     Item *last = QueueItems_Waiting(queue, queue->order_count - 1);
-    Item incoming = {.work = *work, .sequence = queue->next_sequence};
+    Item incoming = {
+        .work = *work,
+        .sequence = queue->next_sequence,
+        .start_by = work->first_by == 0 ? work->deadline : work->first_by,
+    };
     if (!QueueItems_GoesBefore(queue, &incoming, last)) {
         return false;
     }
--- a/src/sched/queue_items.c
+++ b/src/sched/queue_items.c
@@ -112,8 +112,11 @@
     if (a->work.rank != b->work.rank) {
         return a->work.rank < b->work.rank;
     }
-    if (a->work.deadline != b->work.deadline) {
-        return a->work.deadline < b->work.deadline;
+    if (a->late != b->late) {
+        return b->late;
+    }
+    if (a->start_by != b->start_by) {
+        return a->start_by < b->start_by;
     }
     return a->sequence < b->sequence;
 }
@@ -175,6 +178,33 @@
     queue->output_tokens -= item->work.output_tokens;
 }
 
+/* When the item must start: long work must start well before its deadline,
+ * so it does not wait behind short work that is due earlier. */
+static TimeUs
+start_by(const WantQueue *queue, const Item *item)
+{
+    const Work *work = &item->work;
+    if (work->first_by == 0) {
+        return work->deadline;
+    }
+    TimeUs run = Pace_RunTime(&queue->pace, work, item->cached_blocks);
+    TimeUs latest = work->deadline - run;
+    if (item->late) {
+        return latest;
+    }
+    TimeUs prompt = Pace_PromptTime(&queue->pace, work, item->cached_blocks);
+    return MIN(latest, work->first_by - prompt);
+}
+
+void
+QueueItems_Delay(WantQueue *queue, Item *item)
+{
+    leave_order(queue, item);
+    item->late = true;
+    item->start_by = start_by(queue, item);
+    enter_order(queue, item);
+}
+
 void
 QueueItems_MakeBusy(WantQueue *queue, Item *item)
 {
@@ -245,6 +275,7 @@
         .cached_blocks =
             Blocks_Leading(queue->blocks, work, QUEUE_CACHE_HOLDER),
     };
+    item->start_by = start_by(queue, item);
     IdMap_Put(&queue->ids, work->id, index);
     enter_order(queue, item);
 }
--- a/src/sched/queue_items.h
+++ b/src/sched/queue_items.h
@@ -28,6 +28,8 @@
     Work work;
     uint64_t owner;
     uint64_t sequence; /* order of arrival */
+    TimeUs start_by;   /* orders the items of one tier and rank */
+    bool late;         /* its first piece would come after first_by */
     uint64_t grant_id;
     TimeUs until; /* GRANTED: expiry */
     TimeUs started;
@@ -85,6 +87,10 @@
 bool QueueItems_GoesBefore(const WantQueue *queue, const Item *a,
                            const Item *b);
 
+/** Puts a waiting item behind those of its tier and rank whose first piece
+ * can still come in time. */
+void QueueItems_Delay(WantQueue *queue, Item *item);
+
 /** Moves a waiting item to the busy ones; the caller sets its state. */
 void QueueItems_MakeBusy(WantQueue *queue, Item *item);
 
--- a/src/sched/work.h
+++ b/src/sched/work.h
@@ -30,6 +30,8 @@
     uint32_t tier;          /**< 0 is the highest. */
     uint32_t rank;          /**< Within the tier; 0 goes first. */
     TimeUs deadline;        /**< On this process's clock. */
+    TimeUs first_by;        /**< When the first piece is due for full
+                                 credit; 0: only the deadline counts. */
     uint32_t prompt_tokens; /**< 0 for plain services. */
     uint32_t output_tokens; /**< Expected. */
     bool alone;             /**< Runs with nothing beside it. */
--- a/test/unit/test_queue.c
+++ b/test/unit/test_queue.c
@@ -91,6 +91,55 @@
     Queue_Free(queue);
 }
 
+/* Load: a burst within one rank. What is late anyway lets those go first
+ * whose first piece can still come in time; both are served. */
+static void
+late_work_waits_for_work_on_time(void **state)
+{
+    WantQueue *queue = new_queue(1);
+    uint64_t grant = 0;
+    want(queue, 1, 1, 100 * US_PER_S, 0);
+    assert_granted(queue, 1, &grant);
+    assert_int_equal(Queue_Dispatch(queue, (RequestId){.low = 1}, grant, 1),
+                     REFUSE_NONE);
+    Work late = new_work(2, 1, 50 * US_PER_S, 10);
+    late.first_by = 1 * US_PER_S;
+    Work on_time = new_work(3, 1, 60 * US_PER_S, 10);
+    on_time.first_by = 5 * US_PER_S;
+    Queue_Want(queue, &late, 1, 2);
+    Queue_Want(queue, &on_time, 1, 3);
+    finish(queue, 1, 2 * US_PER_S);
+    assert_granted(queue, 3, &grant);
+    assert_int_equal(
+        Queue_Dispatch(queue, (RequestId){.low = 3}, grant, 2 * US_PER_S),
+        REFUSE_NONE);
+    finish(queue, 3, 3 * US_PER_S);
+    assert_granted(queue, 2, &grant);
+    Queue_Free(queue);
+}
+
+/* Load: long and short work of one rank. Long work must start early to meet
+ * its deadline, so short work that is due a little earlier waits. */
+static void
+long_work_starts_in_time(void **state)
+{
+    WantQueue *queue = new_queue(1);
+    uint64_t grant = 0;
+    want(queue, 1, 1, 100 * US_PER_S, 0);
+    assert_granted(queue, 1, &grant);
+    assert_int_equal(Queue_Dispatch(queue, (RequestId){.low = 1}, grant, 1),
+                     REFUSE_NONE);
+    Work brief = new_work(2, 1, 15 * US_PER_S, 10);
+    brief.first_by = 4 * US_PER_S;
+    Work lengthy = new_work(3, 1, 15 * US_PER_S, 120);
+    lengthy.first_by = 4 * US_PER_S;
+    Queue_Want(queue, &brief, 1, 2);
+    Queue_Want(queue, &lengthy, 1, 3);
+    finish(queue, 1, 1 * US_PER_S);
+    assert_granted(queue, 3, &grant);
+    Queue_Free(queue);
+}
+
 static void
 grants_by_tier_then_deadline(void **state)
 {
@@ -234,6 +283,8 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(grants_by_tier_then_deadline),
         cmocka_unit_test(grants_by_rank_within_a_tier),
+        cmocka_unit_test(late_work_waits_for_work_on_time),
+        cmocka_unit_test(long_work_starts_in_time),
         cmocka_unit_test(refuses_hopeless_want_at_once),
         cmocka_unit_test(sheds_the_last_in_order_when_full),
         cmocka_unit_test(lapsed_grant_never_runs),
