--- a/src/gateway/keepers.c
+++ b/src/gateway/keepers.c
@@ -16,6 +16,8 @@
  * only for requests that would wait longer than it takes. */
 #define ASK_REGION_MS 12
 #define ASK_ALL_MS 90
+#define REACH_REGION 1
+#define REACH_ALL 2
 /* Loads that a keeper told fade over this span. */
 #define LOAD_FADE_US (300 * US_PER_MS)
 /* Pace of an engine that has not told its own, in tokens a second. */
@@ -37,9 +39,11 @@
 typedef struct Want {
     uint64_t id;
     Call *call;
-    GPtrArray *asked; /* Keeper, that have neither granted nor refused */
-    Keeper *holder;   /* that granted it */
-    unsigned reach;   /* how far it asks: 1 its region, 2 all */
+    GPtrArray *asked;   /* Keeper, that have neither granted nor refused */
+    GPtrArray *refused; /* Keeper */
+    uint32_t retry_after_ms; /* the least that a keeper named; 0: none */
+    Keeper *holder;          /* that granted it */
+    unsigned reach;          /* how far it asks when it widens next */
     struct event *widen;
 } Want;
 
@@ -55,6 +59,7 @@
     Want *want = data;
     event_free(want->widen);
     g_ptr_array_unref(want->asked);
+    g_ptr_array_unref(want->refused);
     g_free(want);
 }
 
@@ -176,6 +181,143 @@
     Link_Send(keeper->link, &frame);
 }
 
+/* ---- Placing ---- */
+
+static double
+load_of(const Keeper *keeper, const Endpoint *endpoint, TimeUs now)
+{
+    double age = (double)(now - keeper->told_at) / LOAD_FADE_US;
+    double told = age < 1 ? keeper->busy * (1 - age) : 0;
+    return MAX(told, keeper->held) / endpoint->slots;
+}
+
+/* Expected time of the call on the keeper's engine, in milliseconds. */
+static double
+run_ms(const Keeper *keeper, const Call *call)
+{
+    double prefill = keeper->prefill_tokens_s > 0 ? keeper->prefill_tokens_s
+                                                  : PREFILL_UNKNOWN;
+    double decode =
+        keeper->decode_tokens_s > 0 ? keeper->decode_tokens_s : DECODE_UNKNOWN;
+    return 1000 *
+           (call->prompt_tokens / prefill + call->output_tokens / decode);
+}
+
+/* Keepers that a call may ask. */
+typedef struct Choice {
+    ChooseCandidate *candidates;
+    Keeper **keepers;
+    uint32_t *slots;
+    size_t count;
+} Choice;
+
+static bool
+is_asked(const Want *want, const Keeper *keeper)
+{
+    return want != NULL && (g_ptr_array_find(want->asked, keeper, NULL) ||
+                            g_ptr_array_find(want->refused, keeper, NULL));
+}
+
+static void
+fill_choice(Choice *choice, const Call *call, const Want *want)
+{
+    const Keepers *keepers = call->gateway->keepers;
+    TimeUs now = Clock_Now();
+    guint size = g_hash_table_size(keepers->by_endpoint) + 1;
+    choice->candidates = g_new0(ChooseCandidate, size);
+    choice->keepers = g_new0(Keeper *, size);
+    choice->slots = g_new0(uint32_t, size);
+    choice->count = 0;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, keepers->by_endpoint);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        Keeper *keeper = value;
+        const Endpoint *endpoint =
+            Endpoints_Find(call->gateway, keeper->endpoint_id);
+        if (endpoint == NULL || !Link_IsUp(keeper->link) ||
+            strcmp(endpoint->service, call->service) != 0 ||
+            is_asked(want, keeper))
+        {
+            continue;
+        }
+        choice->keepers[choice->count] = keeper;
+        choice->slots[choice->count] = endpoint->slots;
+        choice->candidates[choice->count++] = (ChooseCandidate){
+            .usable = Endpoint_Usable(endpoint, now),
+            .tried = Endpoint_WasTried(endpoint, call),
+            .distance = Endpoint_Distance(endpoint),
+            .load = load_of(keeper, endpoint, now),
+            .error_rate = endpoint->error_rate,
+            .run_ms = run_ms(keeper, call),
+        };
+    }
+}
+
+static void
+clear_choice(Choice *choice)
+{
+    g_free(choice->candidates);
+    g_free(choice->keepers);
+    g_free(choice->slots);
+}
+
+/* Asks up to @p most keepers within the want's reach, best first. */
+static void
+ask(Want *want, Choice *choice, guint most)
+{
+    for (guint asked = 0; asked < most; asked++) {
+        int best =
+            Choose_Endpoint(choice->candidates, choice->count, G_MAXDOUBLE);
+        if (best < 0) {
+            return;
+        }
+        choice->candidates[best].usable = false;
+        Keeper *keeper = choice->keepers[best];
+        g_ptr_array_add(want->asked, keeper);
+        send_want(want, keeper, choice->slots[best]);
+    }
+}
+
+static void
+limit_reach(Choice *choice, unsigned reach)
+{
+    for (size_t i = 0; i < choice->count; i++) {
+        if (choice->candidates[i].distance > reach) {
+            choice->candidates[i].usable = false;
+        }
+    }
+}
+
+static void
+set_widen(Want *want, uint32_t ms)
+{
+    struct timeval span = {.tv_usec = ms * US_PER_MS};
+    event_add(want->widen, &span);
+}
+
+/* Asks all keepers within the want's reach, and reaches farther next time. */
+static void
+widen(Want *want)
+{
+    Choice choice;
+    fill_choice(&choice, want->call, want);
+    limit_reach(&choice, want->reach);
+    ask(want, &choice, G_MAXUINT);
+    clear_choice(&choice);
+    if (want->reach == REACH_REGION) {
+        set_widen(want, ASK_ALL_MS - ASK_REGION_MS);
+    }
+    want->reach++;
+}
+
+/* The request still waits. */
+static void
+on_widen(evutil_socket_t fd, short events, void *arg)
+{
+    widen(arg);
+}
+
 /* ---- Links ---- */
 
 static void
@@ -201,6 +343,7 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         Want *want = value;
         g_ptr_array_remove_fast(want->asked, keeper);
+        g_ptr_array_remove_fast(want->refused, keeper);
         if (want->holder == keeper) {
             want->holder = NULL;
             keeper->held--;
@@ -266,9 +409,21 @@
         return;
     }
     g_ptr_array_remove_fast(want->asked, keeper);
-    if (want->holder != NULL || want->asked->len > 0) {
+    if (want->holder != NULL) {
         return;
     }
+    g_ptr_array_add(want->refused, keeper);
+    want->retry_after_ms =
+        want->retry_after_ms == 0
+            ? refuse->retry_after_ms
+            : MIN(want->retry_after_ms, refuse->retry_after_ms);
+    while (want->asked->len == 0 && want->reach <= REACH_ALL) {
+        widen(want);
+    }
+    if (want->asked->len > 0) {
+        return;
+    }
+    uint32_t retry_after_ms = want->retry_after_ms;
     Call *call = want->call;
     Keepers_End(call, false);
     if (call->maybe_ran) {
@@ -284,7 +439,7 @@
                         .status = 503,
                         .code = "overloaded",
                         .message = "The request would not finish in time.",
-                        .retry_after_ms = refuse->retry_after_ms,
+                        .retry_after_ms = retry_after_ms,
                     });
 }
 
@@ -360,136 +515,6 @@
     free_keeper(keeper);
 }
 
-/* ---- Placing ---- */
-
-static double
-load_of(const Keeper *keeper, const Endpoint *endpoint, TimeUs now)
-{
-    double age = (double)(now - keeper->told_at) / LOAD_FADE_US;
-    double told = age < 1 ? keeper->busy * (1 - age) : 0;
-    return MAX(told, keeper->held) / endpoint->slots;
-}
-
-/* Expected time of the call on the keeper's engine, in milliseconds. */
-static double
-run_ms(const Keeper *keeper, const Call *call)
-{
-    double prefill = keeper->prefill_tokens_s > 0 ? keeper->prefill_tokens_s
-                                                  : PREFILL_UNKNOWN;
-    double decode =
-        keeper->decode_tokens_s > 0 ? keeper->decode_tokens_s : DECODE_UNKNOWN;
-    return 1000 *
-           (call->prompt_tokens / prefill + call->output_tokens / decode);
-}
-
-/* Keepers that a call may ask. */
-typedef struct Choice {
-    ChooseCandidate *candidates;
-    Keeper **keepers;
-    uint32_t *slots;
-    size_t count;
-} Choice;
-
-static bool
-is_asked(const Want *want, const Keeper *keeper)
-{
-    return want != NULL && g_ptr_array_find(want->asked, keeper, NULL);
-}
-
-static void
-fill_choice(Choice *choice, const Call *call, const Want *want)
-{
-    const Keepers *keepers = call->gateway->keepers;
-    TimeUs now = Clock_Now();
-    guint size = g_hash_table_size(keepers->by_endpoint) + 1;
-    choice->candidates = g_new0(ChooseCandidate, size);
-    choice->keepers = g_new0(Keeper *, size);
-    choice->slots = g_new0(uint32_t, size);
-    choice->count = 0;
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, keepers->by_endpoint);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        Keeper *keeper = value;
-        const Endpoint *endpoint =
-            Endpoints_Find(call->gateway, keeper->endpoint_id);
-        if (endpoint == NULL || !Link_IsUp(keeper->link) ||
-            strcmp(endpoint->service, call->service) != 0 ||
-            is_asked(want, keeper))
-        {
-            continue;
-        }
-        choice->keepers[choice->count] = keeper;
-        choice->slots[choice->count] = endpoint->slots;
-        choice->candidates[choice->count++] = (ChooseCandidate){
-            .usable = Endpoint_Usable(endpoint, now),
-            .tried = Endpoint_WasTried(endpoint, call),
-            .distance = Endpoint_Distance(endpoint),
-            .load = load_of(keeper, endpoint, now),
-            .error_rate = endpoint->error_rate,
-            .run_ms = run_ms(keeper, call),
-        };
-    }
-}
-
-static void
-clear_choice(Choice *choice)
-{
-    g_free(choice->candidates);
-    g_free(choice->keepers);
-    g_free(choice->slots);
-}
-
-/* Asks up to @p most keepers within the want's reach, best first. */
-static void
-ask(Want *want, Choice *choice, guint most)
-{
-    for (guint asked = 0; asked < most; asked++) {
-        int best =
-            Choose_Endpoint(choice->candidates, choice->count, G_MAXDOUBLE);
-        if (best < 0) {
-            return;
-        }
-        choice->candidates[best].usable = false;
-        Keeper *keeper = choice->keepers[best];
-        g_ptr_array_add(want->asked, keeper);
-        send_want(want, keeper, choice->slots[best]);
-    }
-}
-
-static void
-limit_reach(Choice *choice, unsigned reach)
-{
-    for (size_t i = 0; i < choice->count; i++) {
-        if (choice->candidates[i].distance > reach) {
-            choice->candidates[i].usable = false;
-        }
-    }
-}
-
-static void
-set_widen(Want *want, uint32_t ms)
-{
-    struct timeval span = {.tv_usec = ms * US_PER_MS};
-    event_add(want->widen, &span);
-}
-
-/* The request still waits: asks farther keepers too. */
-static void
-on_widen(evutil_socket_t fd, short events, void *arg)
-{
-    Want *want = arg;
-    Choice choice;
-    fill_choice(&choice, want->call, want);
-    limit_reach(&choice, want->reach);
-    ask(want, &choice, G_MAXUINT);
-    clear_choice(&choice);
-    if (want->reach == 1) {
-        want->reach = 2;
-        set_widen(want, ASK_ALL_MS - ASK_REGION_MS);
-    }
-}
-
 bool
 Keepers_Want(Call *call)
 {
@@ -503,7 +528,8 @@
     want->id = ++call->gateway->next_want;
     want->call = call;
     want->asked = g_ptr_array_new();
-    want->reach = 1;
+    want->refused = g_ptr_array_new();
+    want->reach = REACH_REGION;
     want->widen = event_new(call->gateway->base, -1, 0, on_widen, want);
     call->grant = want->id;
     g_hash_table_replace(call->gateway->keepers->wants, &want->id, want);
--- a/src/keeper/keeper.c
+++ b/src/keeper/keeper.c
@@ -21,9 +21,10 @@
 #define MAX_TOMBSTONES 4096
 /* A grant is taken at once on its way out, so this never expires. */
 #define GRANT_TTL_US (60 * US_PER_S)
-/* Guesses until the engine's own pace is measured, in tokens a second. */
-#define PREFILL_GUESS 20000
-#define DECODE_GUESS 200
+/* Taken until the engine's own pace is measured, in tokens a second: a fast
+ * engine's, so that nothing is refused on a guess. */
+#define PREFILL_GUESS 40000
+#define DECODE_GUESS 500
 /* Slots until the first want names them. */
 #define SLOTS_GUESS 1
 #define ACTIONS_AT_ONCE 32
