--- a/src/control/replica.c
+++ b/src/control/replica.c
@@ -16,6 +16,9 @@
 
 #define HEARTBEAT_US (100 * US_PER_MS)
 #define ELECTION_US (500 * US_PER_MS)
+/* The same where gateways wait for a leader after every restart: several
+ * heartbeats, and longer than a host stands still for its processor quota. */
+#define ELECTION_AUTO_US (350 * US_PER_MS)
 /* Silence after which a member's disk counts as lost, when the host has
  * come back with another. */
 #define REPLACE_US (5 * US_PER_S)
@@ -481,7 +484,7 @@
         .id = replica->settings->control->id,
         .disk_id = image.disk_id,
         .timing = {.heartbeat = HEARTBEAT_US,
-                   .election = ELECTION_US,
+                   .election = automatic ? ELECTION_AUTO_US : ELECTION_US,
                    .replace = automatic ? REPLACE_AUTO_US : REPLACE_US,
                    .zone_voters = automatic ? ZONE_VOTERS : 0,
                    .surplus = SURPLUS_US},
--- a/src/gateway/hosts.c
+++ b/src/gateway/hosts.c
@@ -248,13 +248,29 @@
     }
 }
 
+/* Only a leader pushes: without a lease it is asked at once. */
 static void
-on_state(GatewayControl *control, const Host *host,
-         const Wire__ConfigState *state)
+on_push(GatewayControl *control, Host *host)
+{
+    if (g_strcmp0(control->leader, host->address) != 0) {
+        g_free(control->leader);
+        control->leader = g_strdup(host->address);
+    }
+    if (!Gateway_HasLease(control->gateway)) {
+        ask(control);
+    }
+}
+
+static void
+on_state(GatewayControl *control, Host *host, const Wire__ConfigState *state)
 {
     Gateway *gateway = control->gateway;
     take_document(gateway, state);
-    if (state->nonce == 0 || state->nonce != control->nonce) {
+    if (state->nonce == 0) {
+        on_push(control, host);
+        return;
+    }
+    if (state->nonce != control->nonce) {
         return;
     }
     control->nonce = 0;
