--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -24,8 +24,14 @@
  * first: what a stream is taken to last while the gateway stops. */
 #define TOKEN_US (10 * US_PER_MS)
 #define STREAM_START_US (1500 * US_PER_MS)
+/* A request is held for a configuration or lease no longer than this, and
+ * than this part of the time that its caller still waits. */
+#define HOLD_MAX_US (1500 * US_PER_MS)
+#define HOLD_PART 3
 #define BEARER "Bearer "
 
+static void admit(Call *call);
+
 static uint64_t
 parse_number(const char *text, uint64_t fallback)
 {
@@ -123,6 +129,7 @@
 release(Call *call)
 {
     Line_Remove(call);
+    g_queue_remove(&call->gateway->held, call);
     if (call->upstream != NULL) {
         Upstream_Cancel(call->upstream);
         call->upstream = NULL;
@@ -217,6 +224,10 @@
 on_deadline(evutil_socket_t fd, short events, void *arg)
 {
     Call *call = arg;
+    if (call->deadline == 0) {
+        Call_Unhold(call);
+        return;
+    }
     if (call->maybe_ran || call->state != CALL_WAITING) {
         call->maybe_ran = true;
         Call_Fail(call, &(CallError){
@@ -235,19 +246,22 @@
 }
 
 static void
-set_deadlines(Call *call, const H1Head *head)
+set_timer(Call *call, TimeUs at)
+{
+    TimeUs span = MAX(at - Clock_Now(), 0);
+    struct timeval tv = {.tv_sec = span / US_PER_S,
+                         .tv_usec = span % US_PER_S};
+    event_add(call->timer, &tv);
+}
+
+static void
+read_deadline(Call *call, const H1Head *head)
 {
     const GatewayFields *fields = call->gateway->options->fields;
     uint64_t ms = parse_number(H1Head_Get(head, fields->deadline_ms),
                                DEFAULT_DEADLINE_MS);
     ms = MIN(ms, DEADLINE_MAX_MS);
     call->caller_deadline = call->received + (TimeUs)ms * US_PER_MS;
-    call->deadline = MIN(call->caller_deadline,
-                         call->received + call->route->timeout_ms * US_PER_MS);
-    TimeUs span = MAX(call->deadline - call->received, 0);
-    struct timeval tv = {.tv_sec = span / US_PER_S,
-                         .tv_usec = span % US_PER_S};
-    event_add(call->timer, &tv);
 }
 
 /* Finds the account of a caller's key.
@@ -346,12 +360,40 @@
     return run > left;
 }
 
+/* Keeps a request that came before the configuration or the lease did: the
+ * next answer of a control host decides, and callers return only so often. */
+static bool
+hold(Call *call, const CallError *error)
+{
+    TimeUs now = Clock_Now();
+    TimeUs most = MIN((call->caller_deadline - now) / HOLD_PART, HOLD_MAX_US);
+    if (error->status != 503 || call->held_until != 0 || most <= 0 ||
+        !GatewayControl_IsHopeful(call->gateway->control))
+    {
+        return false;
+    }
+    call->held_until = now + most;
+    g_queue_push_tail(&call->gateway->held, call);
+    set_timer(call, call->held_until);
+    return true;
+}
+
+void
+Call_Unhold(Call *call)
+{
+    g_queue_remove(&call->gateway->held, call);
+    event_del(call->timer);
+    admit(call);
+}
+
 static void
-admit(Call *call, const H1Head *head)
+admit(Call *call)
 {
     const CallError *error = route_call(call);
     if (error != NULL) {
-        Call_Fail(call, error);
+        if (!hold(call, error)) {
+            Call_Fail(call, error);
+        }
         return;
     }
     if (call->account != NULL) {
@@ -378,7 +420,9 @@
                         });
         return;
     }
-    set_deadlines(call, head);
+    call->deadline = MIN(call->caller_deadline,
+                         call->received + call->route->timeout_ms * US_PER_MS);
+    set_timer(call, call->deadline);
     Retries_Request(call->gateway->retries, call->service);
     Line_Add(call->gateway, call);
 }
@@ -443,5 +487,6 @@
                         });
         return;
     }
-    admit(call, head);
+    read_deadline(call, head);
+    admit(call);
 }
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -48,6 +48,17 @@
     }
 }
 
+void
+Gateway_ReleaseHeld(Gateway *gateway)
+{
+    GQueue held = gateway->held;
+    g_queue_init(&gateway->held);
+    Call *call;
+    while ((call = g_queue_pop_head(&held)) != NULL) {
+        Call_Unhold(call);
+    }
+}
+
 void
 Gateway_SetTable(Gateway *gateway, RouteTable *table)
 {
@@ -206,6 +217,7 @@
         .zone = options->zone,
         .region = options->region,
     };
+    g_queue_init(&gateway->held);
     gateway->directory = Directory_New();
     gateway->endpoints = g_hash_table_new(g_str_hash, g_str_equal);
     gateway->lines = g_hash_table_new(g_str_hash, g_str_equal);
--- a/src/gateway/hosts.c
+++ b/src/gateway/hosts.c
@@ -187,6 +187,7 @@
                  (unsigned long long)held);
     }
     gateway->lease_until = MAX(gateway->lease_until, until);
+    Gateway_ReleaseHeld(gateway);
 }
 
 static void on_up(Link *link, void *owner);
@@ -364,6 +365,21 @@
     }
 }
 
+bool
+GatewayControl_IsHopeful(const GatewayControl *control)
+{
+    if (control->gateway->table == NULL) {
+        return true;
+    }
+    for (guint i = 0; i < control->hosts->len; i++) {
+        const Host *host = control->hosts->pdata[i];
+        if (Link_IsUp(host->link)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 void
 GatewayControl_Crashed(GatewayControl *control, uint64_t fingerprint)
 {
--- a/src/gateway/line.c
+++ b/src/gateway/line.c
@@ -19,6 +19,16 @@
 /* How often a line is looked at while all endpoints rest. */
 #define RETRY_MS 50
 
+/* Part of its time that a request waits while no endpoint can be sent more. */
+#define WAIT_PART 0.4
+
+static const CallError no_endpoint = {
+    .status = 503,
+    .code = "no_endpoint",
+    .message = "No endpoint of the service could take the request.",
+    .retry_after_ms = 250,
+};
+
 struct Line {
     Gateway *gateway;
     char *service;
@@ -143,6 +153,16 @@
     return endpoint;
 }
 
+/* Whether the caller is better told to come back: no endpoint could take
+ * the request for a good part of its time. */
+static bool
+waited_enough(const Call *call)
+{
+    TimeUs all = call->deadline - call->received;
+    return !call->maybe_ran &&
+           (double)(Clock_Now() - call->received) > WAIT_PART * (double)all;
+}
+
 void
 Line_Pump(Gateway *gateway, const char *service)
 {
@@ -158,6 +178,10 @@
             continue;
         }
         Endpoint *endpoint = choose(call, line);
+        if (endpoint == NULL && waited_enough(call)) {
+            Call_Fail(call, &no_endpoint);
+            continue;
+        }
         if (endpoint == NULL) {
             struct timeval span = {.tv_usec = RETRY_MS * US_PER_MS};
             event_add(line->again, &span);
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -47,6 +47,7 @@
     Keepers *keepers;
     Suspects *suspects;
     uint64_t next_want;
+    GQueue held;    /* Call, that wait for a configuration or lease */
     unsigned calls; /* open */
     bool stopping;
     TimeUs stop_at;
@@ -191,6 +192,7 @@
     TimeUs caller_deadline;
     TimeUs deadline; /* final answer until then */
     struct event *timer;
+    TimeUs held_until;  /* for a configuration or lease; 0: was not held */
     unsigned attempts;  /* endpoints that it was sent to */
     GPtrArray *tried;   /* ids of endpoints that failed it */
     bool maybe_ran;     /* an endpoint may have begun it */
@@ -216,6 +218,9 @@
 void Call_Start(Conn *conn, Gateway *gateway, const H1Head *head,
                 struct evbuffer *body);
 
+/* A configuration or lease came, or was waited for long enough. */
+void Call_Unhold(Call *call);
+
 /* The caller left. */
 void Call_CallerGone(Call *call);
 
@@ -286,6 +291,10 @@
 GatewayControl *GatewayControl_New(Gateway *gateway);
 void GatewayControl_Free(GatewayControl *control);
 
+/* Whether a configuration and lease may soon come: it has just started, or
+ * a control host is in touch. */
+bool GatewayControl_IsHopeful(const GatewayControl *control);
+
 /* Passes on that an endpoint broke off while it ran this request. */
 void GatewayControl_Crashed(GatewayControl *control, uint64_t fingerprint);
 
@@ -309,6 +318,9 @@
 /* Whether the table is surely the newest. */
 bool Gateway_HasLease(const Gateway *gateway);
 
+/* Takes up the requests that were held, once there is a lease. */
+void Gateway_ReleaseHeld(Gateway *gateway);
+
 /* Puts a newer table in force. */
 void Gateway_SetTable(Gateway *gateway, RouteTable *table);
 
