--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -8,6 +8,7 @@
 #include <sodium.h>
 
 #include "fleet/state.h"
+#include "kernel/counter.h"
 #include "kernel/log.h"
 #include "wire/deflate.h"
 #include "wire/self.h"
@@ -83,6 +84,9 @@
         LOG_INFO(PART, "Configuration accepted. version=%llu index=%llu",
                  (unsigned long long)fleet->document.version,
                  (unsigned long long)index);
+        Counter_Set(Counter_Get("fleet_config_version",
+                                "Version of the newest configuration."),
+                    (int64_t)fleet->document.version);
         decode_table(fleet);
         FleetGateways_PushSoon(fleet);
     }
--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -9,6 +9,7 @@
 
 #include "gateway/state.h"
 #include "kernel/counter.h"
+#include "kernel/histogram.h"
 #include "kernel/log.h"
 
 /* When a refused caller may come back, where nothing says more. */
@@ -99,29 +100,75 @@
     g_free(call);
 }
 
+#define OUTCOME_ANSWERED "answered"
+
+static const char *
+kind_name(const Call *call)
+{
+    static const char *const names[] = {
+        [ROUTE_IDEMPOTENT] = "idempotent",
+        [ROUTE_ONCE] = "once",
+        [ROUTE_STREAM] = "stream",
+    };
+    return call->route == NULL ? "none" : names[call->route->kind];
+}
+
+static long long
+ms_since(const Call *call, TimeUs at)
+{
+    return at == 0 ? -1 : (long long)((at - call->received) / US_PER_MS);
+}
+
+static void
+measure_end(const Call *call, bool served)
+{
+    char label[64];
+    g_snprintf(label, sizeof(label), "kind=\"%s\",served=\"%s\"",
+               kind_name(call), served ? "yes" : "no");
+    Histogram_Record(Histogram_Get("gateway_request_seconds", label,
+                                   "From the request to its last byte."),
+                     Clock_Now() - call->received);
+    g_snprintf(label, sizeof(label), "tier=\"%u\"", MIN(call->tier, 9));
+    if (call->sent_at != 0) {
+        Histogram_Record(Histogram_Get("gateway_wait_seconds", label,
+                                       "From the request to its sending."),
+                         call->sent_at - call->received);
+    }
+    if (call->first_at != 0 && call->sent_at != 0) {
+        Histogram_Record(Histogram_Get("gateway_first_piece_seconds", label,
+                                       "From the sending to the first "
+                                       "event or the whole answer."),
+                         call->first_at - call->sent_at);
+    }
+}
+
+/* One record tells what decided a request's end; those that were not served
+ * are kept before the rest. */
 static void
 log_end(const Call *call, const char *outcome)
 {
+    const Gateway *gateway = call->gateway;
     TimeUs now = Clock_Now();
-    LOG_INFO(GATEWAY_PART,
-             "Request ended. id=%s route=%s account=%s tier=%u outcome=%s "
-             "status=%u endpoint=%s attempts=%u waited_ms=%lld first_ms=%lld "
-             "total_ms=%lld left_ms=%lld version=%llu",
-             call->id, call->route != NULL ? call->route->name : "",
-             call->account != NULL ? call->account->name : "", call->tier,
-             outcome, call->status,
-             call->endpoint != NULL ? call->endpoint->id : "", call->attempts,
-             (long long)((call->sent_at == 0 ? now : call->sent_at) -
-                         call->received) /
-                 US_PER_MS,
-             call->first_at == 0
-                 ? -1LL
-                 : (long long)(call->first_at - call->received) / US_PER_MS,
-             (long long)(now - call->received) / US_PER_MS,
-             (long long)(call->caller_deadline - now) / US_PER_MS,
-             call->table != NULL
-                 ? (unsigned long long)RouteTable_Version(call->table)
-                 : 0ULL);
+    bool served = strcmp(outcome, OUTCOME_ANSWERED) == 0;
+    measure_end(call, served);
+    Log_Write(served ? LOG_LEVEL_INFO : LOG_LEVEL_WARN, GATEWAY_PART,
+              "Request ended. id=%s outcome=%s status=%u route=%s kind=%s "
+              "account=%s tier=%u rank=%u service=%s endpoint=%s attempts=%u "
+              "waited_ms=%lld first_ms=%lld total_ms=%lld left_ms=%lld "
+              "prompt=%u version=%llu lease_ms=%lld events=%llu",
+              call->id, outcome, call->status,
+              call->route != NULL ? call->route->name : "", kind_name(call),
+              call->account != NULL ? call->account->name : "", call->tier,
+              call->rank, call->service != NULL ? call->service : "",
+              call->served_by, call->attempts, ms_since(call, call->sent_at),
+              ms_since(call, call->first_at), ms_since(call, now),
+              (long long)(call->caller_deadline - now) / US_PER_MS,
+              call->prompt_tokens,
+              call->table != NULL
+                  ? (unsigned long long)RouteTable_Version(call->table)
+                  : 0ULL,
+              (long long)(gateway->lease_until - now) / US_PER_MS,
+              (unsigned long long)call->events.passed);
 }
 
 /* Gives back what the call holds at an endpoint or in a line. */
--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -154,6 +154,7 @@
         endpoint->probing = true;
     }
     call->endpoint = endpoint;
+    g_strlcpy(call->served_by, endpoint->id, sizeof(call->served_by));
     Endpoint_Ref(endpoint);
     endpoint->running++;
     call->state = call->state == CALL_PASSING ? CALL_PASSING : CALL_SENT;
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "gateway/state.h"
+#include "kernel/counter.h"
 #include "kernel/log.h"
 #include "wire/address.h"
 #include "wire/self.h"
@@ -69,6 +70,9 @@
                  : (unsigned long long)RouteTable_Version(gateway->table));
     RouteTable_Unref(gateway->table);
     gateway->table = table;
+    Counter_Set(Counter_Get("gateway_config_version",
+                            "Version of the configuration in force."),
+                (int64_t)RouteTable_Version(table));
     watch_engines(gateway);
 }
 
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -184,7 +184,7 @@
     const char *service;
     uint32_t tier; /* the account's, or the route's where it has none */
     uint32_t rank; /* the route's, within the tier of an account */
-    double cost; /* units of the account's limit */
+    double cost;   /* in units of the limit of the account */
     uint32_t prompt_tokens;
     uint32_t output_tokens;
     uint64_t fingerprint;
@@ -197,6 +197,7 @@
     GPtrArray *tried;   /* ids of endpoints that failed it */
     bool maybe_ran;     /* an endpoint may have begun it */
     Endpoint *endpoint; /* that has it */
+    char served_by[64]; /* id of the endpoint that had it last */
     Upstream *upstream;
     TimeUs sent_at;
     TimeUs first_at; /* first event or answer */
--- a/src/keeper/keeper.c
+++ b/src/keeper/keeper.c
@@ -41,6 +41,8 @@
     GHashTable *owners; /* serial -> Link */
     GHashTable *held;   /* RequestId -> itself: granted slots */
     struct event *timer;
+    Counter *queued;
+    Counter *busy;
 } Keeper;
 
 static uint64_t
@@ -110,6 +112,15 @@
     send_grant(keeper, link, action);
 }
 
+static void
+report_queue(const Keeper *keeper)
+{
+    QueueState state;
+    Queue_State(keeper->queue, Clock_Now(), &state);
+    Counter_Set(keeper->queued, state.queued);
+    Counter_Set(keeper->busy, state.running + state.granted);
+}
+
 static void
 carry_out(Keeper *keeper)
 {
@@ -129,6 +140,7 @@
             }
         }
     }
+    report_queue(keeper);
     TimeUs next = Queue_NextTimer(keeper->queue);
     if (next == TIME_NEVER) {
         event_del(keeper->timer);
@@ -317,6 +329,8 @@
         .region = options->region,
     };
     keeper->slots = SLOTS_GUESS;
+    keeper->queued = Counter_Get("keeper_queued", "Requests that wait.");
+    keeper->busy = Counter_Get("keeper_busy", "Slots in use.");
     QueueConfig config = {
         .max_wants = MAX_WANTS,
         .max_tombstones = MAX_TOMBSTONES,
--- /dev/null
+++ b/src/kernel/histogram.c
@@ -0,0 +1,100 @@
+/** @file
+ * Latency histograms.
+ */
+#include "kernel/histogram.h"
+
+#include <string.h>
+
+#include <glib.h>
+
+/* Upper bounds of the buckets, in milliseconds: from a round trip within a
+ * zone to the longest time-out of a route. */
+static const uint32_t bounds_ms[] = {
+    1, 2, 5, 10, 20, 50, 100, 200, 400, 800, 1500, 3000, 6000, 15000, 30000,
+};
+#define BUCKETS G_N_ELEMENTS(bounds_ms)
+
+struct Histogram {
+    char *name;
+    char *label;
+    char *help;
+    uint64_t counts[BUCKETS];
+    uint64_t count;
+    double sum_s;
+};
+
+static GPtrArray *all;
+
+Histogram *
+Histogram_Get(const char *name, const char *label, const char *help)
+{
+    if (all == NULL) {
+        all = g_ptr_array_new();
+    }
+    guint at = all->len;
+    for (guint i = 0; i < all->len; i++) {
+        Histogram *known = all->pdata[i];
+        if (strcmp(known->name, name) == 0) {
+            if (strcmp(known->label, label) == 0) {
+                return known;
+            }
+            at = i + 1; /* families stand together */
+        }
+    }
+    Histogram *histogram = g_new0(Histogram, 1);
+    histogram->name = g_strdup(name);
+    histogram->label = g_strdup(label);
+    histogram->help = g_strdup(help);
+    g_ptr_array_insert(all, (gint)at, histogram);
+    return histogram;
+}
+
+void
+Histogram_Record(Histogram *histogram, TimeUs span)
+{
+    histogram->count++;
+    histogram->sum_s += (double)span / (double)US_PER_S;
+    for (size_t i = 0; i < BUCKETS; i++) {
+        if (span <= bounds_ms[i] * US_PER_MS) {
+            histogram->counts[i]++;
+            return;
+        }
+    }
+}
+
+static void
+print_one(const Histogram *histogram, struct evbuffer *out)
+{
+    uint64_t below = 0;
+    for (size_t i = 0; i < BUCKETS; i++) {
+        below += histogram->counts[i];
+        evbuffer_add_printf(out, "laurellift_%s_bucket{%s,le=\"%g\"} %llu\n",
+                            histogram->name, histogram->label,
+                            bounds_ms[i] / 1000.0, (unsigned long long)below);
+    }
+    evbuffer_add_printf(out, "laurellift_%s_bucket{%s,le=\"+Inf\"} %llu\n",
+                        histogram->name, histogram->label,
+                        (unsigned long long)histogram->count);
+    evbuffer_add_printf(out, "laurellift_%s_sum{%s} %.6f\n", histogram->name,
+                        histogram->label, histogram->sum_s);
+    evbuffer_add_printf(out, "laurellift_%s_count{%s} %llu\n", histogram->name,
+                        histogram->label,
+                        (unsigned long long)histogram->count);
+}
+
+void
+Histogram_PrintAll(struct evbuffer *out)
+{
+    const char *family = "";
+    for (guint i = 0; all != NULL && i < all->len; i++) {
+        const Histogram *histogram = all->pdata[i];
+        if (strcmp(family, histogram->name) != 0) {
+            family = histogram->name;
+            evbuffer_add_printf(out, "# HELP laurellift_%s %s\n", family,
+                                histogram->help);
+            evbuffer_add_printf(out, "# TYPE laurellift_%s histogram\n",
+                                family);
+        }
+        print_one(histogram, out);
+    }
+}
--- a/src/kernel/log.c
+++ b/src/kernel/log.c
@@ -6,6 +6,7 @@
 
 #include <stdarg.h>
 #include <stdatomic.h>
+#include <stdbool.h>
 #include <stdio.h>
 #include <string.h>
 #include <time.h>
@@ -13,6 +14,7 @@
 
 #include "kernel/clock.h"
 #include "kernel/error.h"
+#include "kernel/log_json.h"
 
 #define LOG_LINE_BYTES 1024
 
@@ -24,6 +26,13 @@
 };
 
 static atomic_int lowest_level = LOG_LEVEL_INFO;
+static atomic_bool use_json;
+
+void
+Log_UseJson(void)
+{
+    atomic_store(&use_json, true);
+}
 
 void
 Log_SetLevel(LogLevel level)
@@ -64,13 +73,20 @@
         return;
     }
     char line[LOG_LINE_BYTES];
-    size_t used = format_prefix(line, sizeof(line) - 1, level, part);
+    bool json = atomic_load(&use_json);
+    size_t prefix =
+        json ? 0 : format_prefix(line, sizeof(line) - 1, level, part);
     va_list args;
     va_start(args, format);
-    int more = vsnprintf(line + used, sizeof(line) - 1 - used, format, args);
+    int more =
+        vsnprintf(line + prefix, sizeof(line) - 1 - prefix, format, args);
     va_end(args);
-    size_t room = sizeof(line) - 2 - used;
-    used += (size_t)more < room ? (size_t)more : room;
+    if (json) {
+        LogJson_Write(level, level_names[level], part, line);
+        return;
+    }
+    size_t room = sizeof(line) - 2 - prefix;
+    size_t used = prefix + ((size_t)more < room ? (size_t)more : room);
     line[used++] = '\n';
     ssize_t written = write(STDERR_FILENO, line, used);
     (void)written;
--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -1,6 +1,13 @@
 /** @file
- * Logger. One line a record on standard error:
- * `TIME LEVEL PART: Short sentence. key=value key=value`
+ * Logger. One line a record, in one of two forms:
+ * - text, on standard error:
+ *   `TIME LEVEL PART: Short sentence. key=value key="a value"`
+ * - JSON, on standard output: an object with `time`, `level`, `part`,
+ *   `event` (the sentence) and a field for each key.
+ *
+ * The JSON form never blocks and keeps to a budget of lines and bytes a
+ * second. Records that it leaves out are counted and told of in a record of
+ * their own; warnings and errors are kept before the rest.
  */
 #ifndef LAURELLIFT_KERNEL_LOG_H
 #define LAURELLIFT_KERNEL_LOG_H
@@ -12,6 +19,9 @@
     LOG_LEVEL_ERROR,
 } LogLevel;
 
+/** Writes JSON on standard output from now on. */
+void Log_UseJson(void);
+
 /** Drops records below @p level. */
 void Log_SetLevel(LogLevel level);
 
--- /dev/null
+++ b/src/kernel/log_json.c
@@ -0,0 +1,195 @@
+/** @file
+ * JSON records: splits a sentence with its keys into fields.
+ */
+#include "kernel/log_json.h"
+
+#include <ctype.h>
+#include <poll.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+#include <glib.h>
+#include <jansson.h>
+
+/* Part of the budget that is kept for warnings and errors. */
+#define RESERVE 0.25
+/* A pipe that polls as writable takes this many bytes without blocking. */
+#define ATOMIC_BYTES 4096
+
+static GMutex lock;
+static LogBudget budget = {
+    .lines = LOG_BUDGET_LINES,
+    .bytes = LOG_BUDGET_BYTES,
+};
+
+bool
+LogBudget_Take(LogBudget *held, LogLevel level, size_t bytes, TimeUs now)
+{
+    if (held->filled_at != 0) {
+        double seconds = (double)(now - held->filled_at) / (double)US_PER_S;
+        held->lines =
+            MIN(held->lines + seconds * LOG_BUDGET_LINES, LOG_BUDGET_LINES);
+        held->bytes =
+            MIN(held->bytes + seconds * LOG_BUDGET_BYTES, LOG_BUDGET_BYTES);
+    }
+    held->filled_at = now;
+    double floor = level >= LOG_LEVEL_WARN ? 0 : RESERVE;
+    if (held->lines - 1 < floor * LOG_BUDGET_LINES ||
+        held->bytes - (double)bytes < floor * LOG_BUDGET_BYTES)
+    {
+        held->left_out++;
+        return false;
+    }
+    held->lines -= 1;
+    held->bytes -= (double)bytes;
+    return true;
+}
+
+/* The first ` key=` of a record, or NULL. */
+static const char *
+find_key(const char *text)
+{
+    for (const char *at = strchr(text, ' '); at != NULL;
+         at = strchr(at + 1, ' ')) {
+        const char *end = at + 1;
+        while (isalnum((unsigned char)*end) || *end == '_') {
+            end++;
+        }
+        if (end > at + 1 && *end == '=') {
+            return at;
+        }
+    }
+    return NULL;
+}
+
+static json_t *
+value_of(const char *text, size_t length)
+{
+    char *copy = g_strndup(text, length);
+    char *end = copy;
+    long long number = strtoll(copy, &end, 10);
+    /* A leading zero marks an identifier, not a number. */
+    bool numeric = end != copy && *end == '\0' && length < 18 &&
+                   (copy[0] != '0' || length == 1);
+    json_t *value = numeric ? json_integer(number) : json_string(copy);
+    g_free(copy);
+    return value == NULL ? json_string("(not text)") : value;
+}
+
+/* Adds `key=value` pairs to the object. */
+static void
+add_fields(json_t *record, const char *text)
+{
+    while (text != NULL && *text != '\0') {
+        text += strspn(text, " ");
+        const char *equals = strchr(text, '=');
+        if (equals == NULL) {
+            return;
+        }
+        char *key = g_strndup(text, (gsize)(equals - text));
+        const char *value = equals + 1;
+        size_t length;
+        if (*value == '"') {
+            value++;
+            const char *close = strchr(value, '"');
+            length = close == NULL ? strlen(value) : (size_t)(close - value);
+            text = close == NULL ? NULL : close + 1;
+        }
+        else {
+            length = strcspn(value, " ");
+            text = value + length;
+        }
+        json_object_set_new(record, key, value_of(value, length));
+        g_free(key);
+    }
+}
+
+static void
+format_time(int64_t wall_ms, char *out, size_t size)
+{
+    time_t seconds = (time_t)(wall_ms / 1000);
+    struct tm utc;
+    gmtime_r(&seconds, &utc);
+    size_t used = strftime(out, size, "%Y-%m-%dT%H:%M:%S", &utc);
+    snprintf(out + used, size - used, ".%03dZ", (int)(wall_ms % 1000));
+}
+
+char *
+LogJson_Format(int64_t wall_ms, const char *level, const char *part,
+               const char *text)
+{
+    char when[40];
+    format_time(wall_ms, when, sizeof(when));
+    const char *keys = find_key(text);
+    size_t length = keys == NULL ? strlen(text) : (size_t)(keys - text);
+    json_t *record = json_object();
+    json_object_set_new(record, "time", json_string(when));
+    json_object_set_new(record, "level", json_string(level));
+    json_object_set_new(record, "part", json_string(part));
+    json_t *event = json_stringn(text, length);
+    json_object_set_new(record, "event",
+                        event == NULL ? json_string("(not text)") : event);
+    add_fields(record, keys);
+    char *line = json_dumps(record, JSON_COMPACT);
+    json_decref(record);
+    return line;
+}
+
+/* Writes a line if the reader takes it at once. */
+static bool
+put_line(const char *line, size_t length)
+{
+    struct pollfd out = {.fd = STDOUT_FILENO, .events = POLLOUT};
+    if (length + 1 > ATOMIC_BYTES || poll(&out, 1, 0) != 1 ||
+        (out.revents & POLLOUT) == 0)
+    {
+        return false;
+    }
+    char *bytes = g_strdup_printf("%s\n", line);
+    ssize_t written = write(STDOUT_FILENO, bytes, length + 1);
+    g_free(bytes);
+    return written == (ssize_t)length + 1;
+}
+
+/* Tells of records that were left out, once there is room again. */
+static void
+tell_left_out(TimeUs now)
+{
+    uint64_t count = budget.left_out;
+    if (count == 0) {
+        return;
+    }
+    char text[96];
+    snprintf(text, sizeof(text), "Records were left out. count=%llu",
+             (unsigned long long)count);
+    char *line = LogJson_Format(Clock_WallMs(), "warn", "log", text);
+    if (LogBudget_Take(&budget, LOG_LEVEL_WARN, strlen(line), now) &&
+        put_line(line, strlen(line)))
+    {
+        budget.left_out -= count;
+    }
+    else {
+        budget.left_out = count;
+    }
+    free(line);
+}
+
+void
+LogJson_Write(LogLevel level, const char *name, const char *part,
+              const char *text)
+{
+    char *line = LogJson_Format(Clock_WallMs(), name, part, text);
+    TimeUs now = Clock_Now();
+    g_mutex_lock(&lock);
+    if (LogBudget_Take(&budget, level, strlen(line), now)) {
+        tell_left_out(now);
+        if (!put_line(line, strlen(line))) {
+            budget.left_out++;
+        }
+    }
+    g_mutex_unlock(&lock);
+    free(line);
+}
--- a/src/sched/choose.c
+++ b/src/sched/choose.c
@@ -5,6 +5,9 @@
 
 /* Run time that stands for an unknown one, in milliseconds. */
 #define RUN_UNKNOWN_MS 20
+/* How much longer a request runs on an endpoint whose slots are all but
+ * taken: engines batch, so little. */
+#define BESIDE 0.25
 /* Added wait by distance, in milliseconds: a round trip, and between zones
  * the price of the bytes as well. */
 static const double distance_ms[] = {0, 10, 75};
@@ -13,12 +16,20 @@
 /* One that failed this request comes after every other. */
 #define TRIED_MS 100000
 
+/* Part of a run that others on the endpoint cost a request: beside them it
+ * runs a little slower, behind them it waits for a slot. */
+static double
+wait_part(double load)
+{
+    return load < 1 ? BESIDE * load : BESIDE + (load - 1);
+}
+
 static double
 cost_of(const ChooseCandidate *candidate)
 {
     double run = candidate->run_ms > 0 ? candidate->run_ms : RUN_UNKNOWN_MS;
     unsigned distance = candidate->distance < 2 ? candidate->distance : 2;
-    return run * (1 + candidate->load) + distance_ms[distance] +
+    return run * (1 + wait_part(candidate->load)) + distance_ms[distance] +
            candidate->error_rate * FAILURE_MS +
            (candidate->tried ? TRIED_MS : 0);
 }
--- a/src/wire/http.c
+++ b/src/wire/http.c
@@ -8,6 +8,7 @@
 #include <glib.h>
 
 #include "kernel/counter.h"
+#include "kernel/histogram.h"
 #include "kernel/task.h"
 
 typedef struct ReadyCheck {
@@ -126,6 +127,7 @@
 {
     struct evbuffer *out = evbuffer_new();
     Counter_PrintAll(out);
+    Histogram_PrintAll(out);
     evhttp_add_header(evhttp_request_get_output_headers(request),
                       "Content-Type", "text/plain; version=0.0.4");
     evhttp_send_reply(request, 200, "OK", out);
--- /dev/null
+++ b/test/functional/platform-framing.sh
@@ -0,0 +1,41 @@
+# Raw bytes at a gateway: what is ambiguous or malformed gets a 400 and a
+# closed connection before anything runs; valid forms work.
+. "$(dirname "${BASH_SOURCE[0]}")/lib.sh"
+. "$(dirname "${BASH_SOURCE[0]}")/platform.inc"
+start_platform
+server app-a 127.0.0.2 app
+until_true served 1
+: >app-a.record
+
+# raw TEXT: sends bytes and prints the status lines and outcomes that come
+# back until the gateway closes.
+raw() {
+    exec 3<>"/dev/tcp/127.0.0.1/$FRONT"
+    printf "$1" >&3
+    timeout 3 cat <&3 | tr -d '\r' |
+        grep -aoE '^HTTP/1.1 [0-9]+|"outcome":"[a-z_]+"|"request":"[^"]*"'
+    exec 3>&-
+}
+H='Host: h.example\r\nAuthorization: Bearer key-1\r\nDeadline-Ms: 2000\r\n'
+NEXT="GET /look/x HTTP/1.1\r\n${H}Attempt-Id: smuggled\r\nConnection: close\r\n\r\n"
+
+echo "-- refused"
+raw "POST /once/a HTTP/1.1\r\n${H}Attempt-Id: a1\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nabcd$NEXT"
+raw "POST /once/a HTTP/1.1\r\n${H}Attempt-Id: a2\r\nContent-Length: +4\r\n\r\nabcd$NEXT"
+raw "POST /once/a HTTP/1.1\r\n${H}Attempt-Id: a3\r\nContent-Length : 4\r\n\r\nabcd$NEXT"
+raw "POST /once/a HTTP/1.1\r\n${H}Attempt-Id: a4\r\nTransfer-Encoding: gzip\r\n\r\n$NEXT"
+raw "POST /once/a HTTP/1.1\r\n${H}Attempt-Id: a5\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n$NEXT"
+raw "POST /once/a HTTP/1.1\r\n${H}Host: h.example\r\nAttempt-Id: a6\r\n\r\n$NEXT"
+raw "GET /look/a HTTP/1.1\nHost: h.example\nAttempt-Id: a7\n\n$NEXT"
+raw "GET /look/a HTTP/1.1\r\nAttempt-Id: a8\r\n\r\n$NEXT"
+raw "GET /look/a HTTP/1.1\r\n${H}X: a\\000b\r\nAttempt-Id: a9\r\n\r\n$NEXT"
+echo "-- nothing of it ran"
+cat app-a.record
+
+echo "-- too large"
+raw "POST /once/a HTTP/1.1\r\n${H}Attempt-Id: b1\r\nContent-Length: 99999\r\n\r\n"
+raw "GET /look/a HTTP/1.1\r\n${H}X: $(printf '%%09000d' 1)\r\n\r\n"
+
+echo "-- valid: chunk extensions and trailers, two requests at once"
+raw "POST /once/a HTTP/1.1\r\n${H}Attempt-Id: c1\r\nTransfer-Encoding: chunked\r\n\r\n4;x=y\r\nabcd\r\n0\r\nT: u\r\n\r\nGET /look/x HTTP/1.1\r\n${H}Attempt-Id: c2\r\nConnection: close\r\n\r\n"
+cut -d' ' -f1-3,7 app-a.record
--- /dev/null
+++ b/test/functional/platform-members.sh
@@ -0,0 +1,34 @@
+# Control hosts are lost and replaced; what was acknowledged stays.
+. "$(dirname "${BASH_SOURCE[0]}")/lib.sh"
+. "$(dirname "${BASH_SOURCE[0]}")/platform.inc"
+start_platform
+voters() { curl -s "http://127.0.0.$1:$API/debug/state" | jq -r '.fleet.replica.voters | length'; }
+joined() { [ "$(voters "$1")" = "$2" ]; }
+zone_of() { jq -n --arg zone "$1" '{zone: $zone}'; }
+
+echo "-- the disk of one host is lost; it comes back and votes"
+stop control1 KILL
+rm -rf control1.data
+control_host 1 '{"bootstrap": false}'
+until_true joined 1 3
+read_config 1 | cmp - first.conf && echo same
+
+echo "-- a host is gone for good; another comes at a new address"
+configuration 5 >second.conf
+until_true accepted 2 second.conf
+stop control3 KILL
+control_host 5 '{"bootstrap": false}'
+until_true joined 5 3
+read_config 5 | cmp - second.conf && echo same
+
+echo "-- all are killed at once"
+stop control1 KILL
+stop control2 KILL
+stop control5 KILL
+control_host 1 '{"bootstrap": false}'
+control_host 2 '{"bootstrap": false}'
+control_host 5 '{"bootstrap": false}'
+reads_second() { read_config 5 | cmp -s - second.conf; }
+until_true reads_second && echo same
+configuration 8 >third.conf
+until_true accepted 5 third.conf && echo accepted
--- /dev/null
+++ b/test/functional/platform-stop.sh
@@ -0,0 +1,44 @@
+# A planned stop: what was read is answered, new connections are still taken
+# for a while, the balancer is told at once. SIGHUP changes nothing.
+. "$(dirname "${BASH_SOURCE[0]}")/lib.sh"
+. "$(dirname "${BASH_SOURCE[0]}")/platform.inc"
+start_platform
+keeper 1
+server engine-a 127.0.0.1 engines --events 20 --gap-ms 80
+server app-a 127.0.0.2 app
+until_true served 1
+until_true streamed 1
+
+echo "-- SIGHUP with good and with faulty settings"
+kill -HUP "$(cat gateway1.pid)"
+sleep 0.2
+echo '{' >gateway1.json
+kill -HUP "$(cat gateway1.pid)"
+sleep 0.2
+status 1 GET /look/a id-1
+grep -c 'Settings read again\|Changed settings are refused' gateway1.log
+
+echo "-- SIGTERM while a stream runs"
+ask 1 POST /stream/a id-2 -H 'Model: m' -d prompt >stream.out &
+stream=$!
+sleep 0.3
+kill -TERM "$(cat gateway1.pid)"
+sleep 0.2
+curl -s -o /dev/null -w '%{http_code}\n' "http://127.0.0.1:$READY/api/readyz"
+status 1 GET /look/a id-3
+ask 1 GET /look/a id-4 -D - -o /dev/null | tr -d '\r' | grep -i '^connection'
+wait $stream
+grep -c '^id:' stream.out
+wait "$(cat gateway1.pid)"
+echo "exit $?"
+
+echo "-- a draining server gets nothing new"
+gateway 1
+until_true served 1
+server app-b 127.0.0.4 app
+sleep 1
+kill -USR1 "$(cat app-b.pid)"
+sleep 0.5
+: >app-b.record
+for i in 1 2 3 4 5 6; do status 1 GET /look/a "id-5$i"; done | sort | uniq -c | sed 's/^ *//'
+wc -l <app-b.record
--- a/test/fuzz/log_net.c
+++ b/test/fuzz/log_net.c
@@ -244,7 +244,9 @@
         .disk_id = host->disk.disk_id,
         .timing = {.heartbeat = 100 * US_PER_MS,
                    .election = 500 * US_PER_MS,
-                   .replace = 2 * US_PER_S},
+                   .replace = 2 * US_PER_S,
+                   .zone_voters = net->automatic ? 1 : 0,
+                   .surplus = 1500 * US_PER_MS},
         .seed = (uint32_t)(host->id * 1000 + net->now % 977),
         .now = net->now,
         .image = &host->disk.image,
@@ -533,11 +535,19 @@
     }
 }
 
-Net *
-Net_New(unsigned voters)
+/* Each host stands in a zone of its own. */
+static void
+set_zone(LogMember *member, uint32_t host)
+{
+    g_snprintf(member->zone, LOG_ZONE_BYTES, "zone-%u", host);
+}
+
+static Net *
+new_net(unsigned voters, bool automatic)
 {
     Net *net = g_new0(Net, 1);
     net->voters = voters;
+    net->automatic = automatic;
     net->next_disk = 100;
     net->now = US_PER_S;
     net->bag = g_ptr_array_new_with_free_func(free_message);
@@ -552,6 +562,7 @@
         if (i < voters) {
             config.members[config.count++] = (LogMember){
                 .id = i + 1, .disk_id = net->hosts[i].disk.disk_id};
+            set_zone(&config.members[i], i + 1);
         }
     }
     LogCore_Found(net->hosts[0].core, &config, net->now);
@@ -559,6 +570,36 @@
     return net;
 }
 
+Net *
+Net_New(unsigned voters)
+{
+    return new_net(voters, false);
+}
+
+Net *
+Net_NewAutomatic(unsigned voters)
+{
+    return new_net(voters, true);
+}
+
+void
+Net_Admit(Net *net, uint32_t id, uint32_t like)
+{
+    LogMember member = {
+        .id = id,
+        .disk_id = net->hosts[id - 1].disk.disk_id,
+        .address = "127.0.0.1:1",
+    };
+    set_zone(&member, like);
+    for (unsigned i = 0; i < NET_HOSTS; i++) {
+        NetHost *host = &net->hosts[i];
+        if (host->core != NULL && host->id != id) {
+            LogCore_Admit(host->core, &member, net->now);
+            settle(net, host);
+        }
+    }
+}
+
 void
 Net_Free(Net *net)
 {
--- a/test/fuzz/log_net.h
+++ b/test/fuzz/log_net.h
@@ -43,6 +43,7 @@
 
 typedef struct Net {
     unsigned voters; /**< Hosts that the cluster begins with. */
+    bool automatic;  /**< Membership follows the zones. */
     NetHost hosts[NET_HOSTS];
     GPtrArray *bag; /**< LogMessage */
     bool cut[NET_HOSTS][NET_HOSTS];
@@ -55,6 +56,12 @@
 } Net;
 
 Net *Net_New(unsigned voters);
+
+/** As Net_New; each host stands in a zone of its own that keeps one voter. */
+Net *Net_NewAutomatic(unsigned voters);
+
+/** The host asks every core to join; it stands in the zone of @p like. */
+void Net_Admit(Net *net, uint32_t id, uint32_t like);
 void Net_Free(Net *net);
 
 void Net_Tick(Net *net, unsigned host, TimeUs span);
--- /dev/null
+++ b/test/unit/test_gateway.c
@@ -0,0 +1,135 @@
+/** @file
+ * Gateway: events, account limits, the budget of repeated sends, requests
+ * that crash endpoints.
+ */
+#include "unit.h"
+
+#include <string.h>
+
+#include "gateway/state.h"
+
+static GatewayOptions options = {
+    .name = "test",
+    .zone = "z",
+    .region = "r",
+    .bounds =
+        {
+            .retry_ratio = 0.2,
+            .retry_allowance = 60,
+            .retry_window_ms = 10000,
+            .quota_slack = 0,
+        },
+};
+
+static Gateway
+new_gateway(void)
+{
+    return (Gateway){.options = &options, .gateways = 4};
+}
+
+static size_t
+pass(Events *events, const char *bytes, struct evbuffer *in,
+     struct evbuffer *out)
+{
+    evbuffer_add(in, bytes, strlen(bytes));
+    assert_true(Events_Pass(events, in, out));
+    return evbuffer_get_length(out);
+}
+
+static void
+only_whole_events_pass(void **state)
+{
+    Events events = EVENTS_INIT;
+    struct evbuffer *in = evbuffer_new();
+    struct evbuffer *out = evbuffer_new();
+    assert_int_equal(pass(&events, "id: 1\ndata: a\n", in, out), 0);
+    assert_int_equal(pass(&events, "\nid: 2\nda", in, out), 15);
+    assert_int_equal(events.last_id, 1);
+    assert_int_equal(pass(&events, "ta: b\n\n", in, out), 30);
+    assert_int_equal(events.last_id, 2);
+    assert_int_equal(evbuffer_get_length(in), 0);
+    evbuffer_free(in);
+    evbuffer_free(out);
+}
+
+/* A resumed stream that begins too early does not repeat events. */
+static void
+events_do_not_come_twice(void **state)
+{
+    Events events = {.last_id = 2};
+    struct evbuffer *in = evbuffer_new();
+    struct evbuffer *out = evbuffer_new();
+    pass(&events, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", in, out);
+    assert_int_equal(evbuffer_get_length(out), 0);
+    pass(&events, "id: 3\r\ndata: c\r\n\r\n", in, out);
+    assert_int_equal(events.last_id, 3);
+    assert_int_equal(events.passed, 1);
+    evbuffer_free(in);
+    evbuffer_free(out);
+}
+
+static void
+limits_are_shared_and_returns_spread(void **state)
+{
+    Gateway gateway = new_gateway();
+    Quotas *quotas = Quotas_New(&gateway);
+    RouteAccount account = {
+        .name = "a", .counts_tokens = true, .rate = 4000, .burst = 4000};
+    /* A fourth of the burst is this gateway's until it has a share. */
+    unsigned served = 0;
+    uint32_t wait_ms = 0;
+    while ((wait_ms = Quotas_Take(quotas, &account, 100)) == 0) {
+        served++;
+    }
+    assert_in_range(served, 10, 11);
+    uint32_t later_ms = Quotas_Take(quotas, &account, 100);
+    assert_true(later_ms > wait_ms);
+    assert_in_range(later_ms - wait_ms, 50, 150);
+    RouteAccount unlimited = {.name = "b"};
+    assert_int_equal(Quotas_Take(quotas, &unlimited, 1e9), 0);
+    Quotas_Free(quotas);
+}
+
+static void
+repeated_sends_keep_to_the_budget(void **state)
+{
+    Gateway gateway = new_gateway();
+    Retries *retries = Retries_New(&gateway);
+    for (unsigned i = 0; i < 50; i++) {
+        Retries_Request(retries, "s");
+    }
+    unsigned taken = 0;
+    while (Retries_Take(retries, "s")) {
+        taken++;
+    }
+    /* 0.2 of 50 requests, and 0.8 of a fourth of 60. */
+    assert_int_equal(taken, 22);
+    assert_true(Retries_Take(retries, "other"));
+    Retries_Free(retries);
+}
+
+static void
+requests_that_crash_endpoints_are_barred(void **state)
+{
+    Suspects *suspects = Suspects_New();
+    for (unsigned i = 0; i < 3; i++) {
+        assert_false(Suspects_IsBarred(suspects, 42));
+        Suspects_Crashed(suspects, 42);
+    }
+    assert_true(Suspects_IsBarred(suspects, 42));
+    assert_false(Suspects_IsBarred(suspects, 43));
+    Suspects_Free(suspects);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(only_whole_events_pass),
+        cmocka_unit_test(events_do_not_come_twice),
+        cmocka_unit_test(limits_are_shared_and_returns_spread),
+        cmocka_unit_test(repeated_sends_keep_to_the_budget),
+        cmocka_unit_test(requests_that_crash_endpoints_are_barred),
+    };
+    return cmocka_run_group_tests_name("gateway", tests, NULL, NULL);
+}
--- a/test/unit/test_log_core.c
+++ b/test/unit/test_log_core.c
@@ -232,6 +232,71 @@
     Net_Free(net);
 }
 
+/* A host at a new address takes the place of the lost one of its zone, with
+ * nobody's command and a majority at every step. */
+static void
+new_host_replaces_the_lost_one_of_its_zone(void **state)
+{
+    Net *net = Net_NewAutomatic(3);
+    Net_Run(net, ROUNDS);
+    unsigned leader = leader_of(net);
+    unsigned lost = (leader + 1) % 3;
+    Net_Crash(net, lost);
+    Net_Admit(net, 6, net->hosts[lost].id);
+    Net_Run(net, 2 * ROUNDS);
+    leader = leader_of(net);
+    LogView view = view_of(net, leader);
+    assert_int_equal(LogConfig_VoterCount(view.config), 3);
+    assert_null(LogConfig_Find(view.config, net->hosts[lost].id));
+    assert_true(view_of(net, 5).votes);
+    /* One more loss: what was accepted stays, and more is. */
+    guint committed = net->facts->len;
+    Net_Crash(net,
+              (leader + 1) % 3 == lost ? (leader + 2) % 3 : (leader + 1) % 3);
+    Net_Run(net, ROUNDS);
+    Net_Propose(net, leader_of(net));
+    Net_Run(net, ROUNDS);
+    assert_true(net->facts->len > committed);
+    Net_Free(net);
+}
+
+/* Without another host of its zone a silent voter stays: its disk counts. */
+static void
+silent_voter_stays_while_its_zone_has_no_other(void **state)
+{
+    Net *net = Net_NewAutomatic(3);
+    Net_Run(net, ROUNDS);
+    unsigned leader = leader_of(net);
+    unsigned silent = (leader + 1) % 3;
+    Net_Crash(net, silent);
+    Net_Run(net, 3 * ROUNDS);
+    LogView view = view_of(net, leader_of(net));
+    assert_int_equal(LogConfig_VoterCount(view.config), 3);
+    assert_non_null(LogConfig_Find(view.config, net->hosts[silent].id));
+    Net_Free(net);
+}
+
+/* A planned replacement: the new host comes first, the old one says that it
+ * stops, and is removed without waiting for its silence. */
+static void
+leaving_voter_is_removed_at_once(void **state)
+{
+    Net *net = Net_NewAutomatic(3);
+    Net_Run(net, ROUNDS);
+    unsigned leader = leader_of(net);
+    unsigned old = (leader + 1) % 3;
+    Net_Admit(net, 6, net->hosts[old].id);
+    Net_Run(net, ROUNDS);
+    LogView view = view_of(net, leader_of(net));
+    assert_int_equal(LogConfig_VoterCount(view.config), 4);
+    LogCore_Leaving(net->hosts[leader].core, net->hosts[old].id);
+    Net_Run(net, 10);
+    view = view_of(net, leader_of(net));
+    assert_int_equal(LogConfig_VoterCount(view.config), 3);
+    assert_null(LogConfig_Find(view.config, net->hosts[old].id));
+    Net_Free(net);
+}
+
 int
 main(void)
 {
@@ -242,6 +307,9 @@
         cmocka_unit_test(two_losses_in_a_row_keep_everything),
         cmocka_unit_test(failed_disk_hands_leadership_over),
         cmocka_unit_test(members_change_one_at_a_time),
+        cmocka_unit_test(new_host_replaces_the_lost_one_of_its_zone),
+        cmocka_unit_test(silent_voter_stays_while_its_zone_has_no_other),
+        cmocka_unit_test(leaving_voter_is_removed_at_once),
     };
     return cmocka_run_group_tests_name("log core", tests, NULL, NULL);
 }
--- /dev/null
+++ b/test/unit/test_platform.c
@@ -0,0 +1,207 @@
+/** @file
+ * The adapter: documents, announcements and settings of the platform.
+ */
+#include "unit.h"
+
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "platform/announce.h"
+#include "platform/config.h"
+#include "platform/settings.h"
+
+#define SERVICES                                                              \
+    "\"services\":[{\"name\":\"s\",\"maxConnections\":9,"                     \
+    "\"engine\":{\"slots\":5,\"kvCapacity\":100}},{\"name\":\"t\"}]"
+#define ROUTE(more)                                                           \
+    "{\"name\":\"r\",\"host\":\"h\",\"pathPrefix\":\"/p/\","                  \
+    "\"kind\":\"streaming\",\"timeoutMs\":4000,\"priority\":1," more "}"
+#define DOCUMENT(version, routes, more)                                       \
+    "{\"version\":" version ",\"routeTable\":[" routes "]," SERVICES more "}"
+#define SPLIT(a, b)                                                           \
+    "\"trafficSplit\":[{\"service\":\"s\",\"weight\":" a                      \
+    "},{\"service\":\"t\",\"weight\":" b "}]"
+
+static RouteTable *
+decode(const char *text, Error *err)
+{
+    RouteTable *table = NULL;
+    *err = ERROR_INIT;
+    int result = PlatformConfig_Codec.decode(text, strlen(text), &table, err);
+    assert_true((result == ERR_OK) == (table != NULL));
+    assert_int_equal(err->code, result);
+    return table;
+}
+
+static void
+documents_become_tables(void **state)
+{
+    Error err;
+    RouteTable *table =
+        decode(DOCUMENT("7", ROUTE(SPLIT("90", "10") ",\"resumable\":true"),
+                        ",\"tenants\":[{\"name\":\"a\",\"apiKeys\":[\"k\"],"
+                        "\"priority\":1,\"unit\":\"token\",\"ratePerS\":10.5,"
+                        "\"burst\":20}]"),
+               &err);
+    assert_non_null(table);
+    assert_int_equal(RouteTable_Version(table), 7);
+    const Route *route = RouteTable_Match(table, "h", "/p/x");
+    assert_int_equal(route->kind, ROUTE_STREAM);
+    assert_int_equal(route->timeout_ms, 4000);
+    assert_true(route->resumable);
+    assert_false(route->open);
+    assert_int_equal(route->shares->len, 2);
+    const RouteAccount *account = RouteTable_Account(table, "k");
+    assert_true(account->counts_tokens && account->has_tier);
+    assert_int_equal(account->tier, 1);
+    assert_true(RouteTable_Service(table, "s")->engine);
+    assert_false(RouteTable_Service(table, "t")->engine);
+    RouteTable_Unref(table);
+}
+
+static void
+faulty_documents_are_refused(void **state)
+{
+    static const char *const faulty[] = {
+        "",
+        "{\"version\":7",
+        DOCUMENT("0", ROUTE("\"service\":\"s\""), ""),
+        DOCUMENT("\"7\"", ROUTE("\"service\":\"s\""), ""),
+        DOCUMENT("7", ROUTE("\"service\":\"none\""), ""),
+        DOCUMENT("7", ROUTE(SPLIT("0", "0")), ""),
+        DOCUMENT("7", ROUTE("\"service\":5"), ""),
+        DOCUMENT("7", ROUTE("\"service\":\"s\",\"timeoutMs\":0"), ""),
+        DOCUMENT("7",
+                 ROUTE("\"service\":\"s\"") "," ROUTE("\"service\":\"t\""),
+                 ""),
+        "{\"version\":7," SERVICES "}",
+    };
+    for (size_t i = 0; i < sizeof(faulty) / sizeof(faulty[0]); i++) {
+        Error err;
+        assert_null(decode(faulty[i], &err));
+        assert_true(err.text[0] != '\0');
+    }
+}
+
+static int
+announce(const char *text, EndpointNews *out)
+{
+    static json_t *body;
+    json_decref(body);
+    body = json_loads(text, 0, NULL);
+    Error err = ERROR_INIT;
+    return Announce_Decode("i", body, out, &err);
+}
+
+static void
+announcements_become_news(void **state)
+{
+    EndpointNews out;
+    assert_int_equal(
+        announce("{\"service\":\"s\",\"address\":\"10.0.0.9:80\","
+                 "\"zone\":\"z\",\"slots\":5,\"state\":\"draining\","
+                 "\"coldRemainingMs\":0,\"sequence\":4,\"born\":99}",
+                 &out),
+        ERR_OK);
+    assert_int_equal(out.state, ENDPOINT_DRAINING);
+    assert_int_equal(out.born, 99);
+    assert_int_equal(out.sequence, 4);
+    assert_int_equal(announce("{}", &out), ERR_INVALID);
+    assert_int_equal(announce("[1]", &out), ERR_INVALID);
+    assert_int_equal(
+        announce("{\"service\":\"s\",\"address\":\"nowhere\",\"zone\":\"z\","
+                 "\"slots\":5,\"state\":\"ready\",\"sequence\":4}",
+                 &out),
+        ERR_INVALID);
+    assert_int_equal(
+        announce("{\"service\":\"s\",\"address\":\"10.0.0.9:80\","
+                 "\"zone\":\"z\",\"slots\":5,\"state\":\"asleep\","
+                 "\"sequence\":4}",
+                 &out),
+        ERR_INVALID);
+}
+
+static PlatformSettings *
+load(const char *text, Error *err)
+{
+    char path[] = "/tmp/ll-settings-XXXXXX";
+    int fd = mkstemp(path);
+    assert_true(fd >= 0);
+    assert_int_equal(write(fd, text, strlen(text)), (int)strlen(text));
+    close(fd);
+    *err = ERROR_INIT;
+    PlatformSettings *settings = PlatformSettings_Load(path, err);
+    unlink(path);
+    return settings;
+}
+
+#define SETTINGS(more)                                                        \
+    "{\"nodeId\":\"n\",\"zone\":\"z\",\"region\":\"r\",\"ip\":\"10.0.0.1\","  \
+    "\"zones\":{\"z\":\"r\",\"y\":\"q\"},\"internalPortRange\":[7600,7615],"  \
+    "\"seedNodes\":[\"10.0.0.1:8229\",\"10.0.0.2:8229\"],"                    \
+    "\"bounds\":{\"strictRevocation\":true,\"revokeMs\":5000,\"graceS\":"     \
+    "8}" more "}"
+
+static void
+settings_become_options(void **state)
+{
+    Error err;
+    PlatformSettings *settings =
+        load(SETTINGS(",\"dataDir\":\"/d\",\"bootstrap\":true,"
+                      "\"listenAddrs\":{\"controlPlane\":\"10.0.0.1:8229\"},"
+                      "\"newField\":[1]"),
+             &err);
+    assert_non_null(settings);
+    assert_int_equal(settings->control.control_hosts_count, 2);
+    assert_string_equal(settings->hosts[1].address, "10.0.0.2:7600");
+    assert_int_equal(settings->control_part.id, 0x0a000001);
+    assert_true(settings->control_part.bootstrap);
+    assert_int_equal(settings->gateway.keeper_port, 7601);
+    assert_int_equal(settings->gateway.bounds.revoke_ms, 5000);
+    assert_string_equal(
+        settings->gateway.region_of(settings->gateway.region_arg, "y"), "q");
+    PlatformSettings_Free(settings);
+}
+
+/* A host that is no seed never founds a cluster. */
+static void
+only_seeds_found(void **state)
+{
+    Error err;
+    PlatformSettings *settings =
+        load(SETTINGS(",\"dataDir\":\"/d\",\"bootstrap\":true,"
+                      "\"listenAddrs\":{\"controlPlane\":\"10.0.0.7:8229\"}"),
+             &err);
+    assert_non_null(settings);
+    assert_false(settings->control_part.bootstrap);
+    assert_int_equal(settings->control.control_hosts_count, 3);
+    PlatformSettings_Free(settings);
+}
+
+static void
+faulty_settings_are_named(void **state)
+{
+    Error err;
+    assert_null(load("{\"zone\":\"z\"}", &err));
+    assert_non_null(strstr(err.text, "nodeId"));
+    assert_null(load("not json", &err));
+    assert_null(load(SETTINGS(",\"listenAddrs\":{\"controlPlane\":"
+                              "\"10.0.0.1:8229\"}"),
+                     &err));
+    assert_non_null(strstr(err.text, "dataDir"));
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(documents_become_tables),
+        cmocka_unit_test(faulty_documents_are_refused),
+        cmocka_unit_test(announcements_become_news),
+        cmocka_unit_test(settings_become_options),
+        cmocka_unit_test(only_seeds_found),
+        cmocka_unit_test(faulty_settings_are_named),
+    };
+    return cmocka_run_group_tests_name("platform", tests, NULL, NULL);
+}
--- /dev/null
+++ b/test/unit/test_routes.c
@@ -0,0 +1,187 @@
+/** @file
+ * Route table: look-ups and checks. Directory: news in any order.
+ */
+#include "unit.h"
+
+#include <string.h>
+
+#include "routes/endpoint.h"
+#include "routes/table.h"
+
+static void
+add_route(RouteTable *table, const char *host, const char *prefix,
+          const char *service, uint32_t weight)
+{
+    Route route = {
+        .name = prefix,
+        .host = host,
+        .prefix = prefix,
+        .timeout_ms = 1000,
+        .shares = g_array_new(FALSE, FALSE, sizeof(RouteShare)),
+    };
+    RouteShare share = {.service = service, .weight = weight};
+    g_array_append_val(route.shares, share);
+    RouteTable_AddRoute(table, &route);
+}
+
+static RouteTable *
+new_table(void)
+{
+    RouteTable *table = RouteTable_New(3);
+    RouteTable_AddService(table, &(RouteService){.name = "one"});
+    RouteTable_AddService(table, &(RouteService){.name = "two"});
+    add_route(table, "host.example", "/a/", "one", 1);
+    add_route(table, "host.example", "/a/b/", "two", 1);
+    return table;
+}
+
+static void
+add_account(RouteTable *table, const char *name, const char *key)
+{
+    RouteAccount account = {.name = name, .keys = g_ptr_array_new()};
+    g_ptr_array_add(account.keys, (gpointer)key);
+    RouteTable_AddAccount(table, &account);
+}
+
+static void
+longest_prefix_of_the_host_wins(void **state)
+{
+    RouteTable *table = new_table();
+    Error err = ERROR_INIT;
+    assert_int_equal(RouteTable_Finish(table, &err), ERR_OK);
+    const Route *route = RouteTable_Match(table, "HOST.example:80", "/a/b/c");
+    assert_string_equal(route->prefix, "/a/b/");
+    route = RouteTable_Match(table, "host.example", "/a/x");
+    assert_string_equal(route->prefix, "/a/");
+    assert_null(RouteTable_Match(table, "host.example", "/a"));
+    assert_null(RouteTable_Match(table, "other.example", "/a/x"));
+    RouteTable_Unref(table);
+}
+
+static void
+faulty_tables_are_refused(void **state)
+{
+    Error err = ERROR_INIT;
+    RouteTable *table = new_table();
+    add_route(table, "host.example", "/c/", "three", 1);
+    assert_int_equal(RouteTable_Finish(table, &err), ERR_INVALID);
+    assert_non_null(strstr(err.text, "three"));
+    RouteTable_Unref(table);
+    table = new_table();
+    add_route(table, "Host.example", "/a/", "two", 1);
+    assert_int_equal(RouteTable_Finish(table, &err), ERR_INVALID);
+    RouteTable_Unref(table);
+    table = new_table();
+    add_route(table, "host.example", "/c/", "two", 0);
+    assert_int_equal(RouteTable_Finish(table, &err), ERR_INVALID);
+    RouteTable_Unref(table);
+    table = new_table();
+    add_account(table, "first", "key");
+    add_account(table, "second", "key");
+    assert_int_equal(RouteTable_Finish(table, &err), ERR_INVALID);
+    assert_non_null(strstr(err.text, "share a key"));
+    RouteTable_Unref(table);
+}
+
+static void
+shares_are_kept_over_many_requests(void **state)
+{
+    Route route = {.shares = g_array_new(FALSE, FALSE, sizeof(RouteShare))};
+    RouteShare shares[] = {
+        {.service = "one", .weight = 90},
+        {.service = "two", .weight = 10},
+        {.service = "none", .weight = 0},
+    };
+    g_array_append_vals(route.shares, shares, 3);
+    unsigned second = 0;
+    for (unsigned i = 0; i < 2000; i++) {
+        char id[16];
+        g_snprintf(id, sizeof(id), "%08x", i);
+        const char *service = Route_PickService(&route, id);
+        assert_string_equal(service, Route_PickService(&route, id));
+        assert_string_not_equal(service, "none");
+        second += strcmp(service, "two") == 0 ? 1 : 0;
+    }
+    assert_in_range(second, 140, 260);
+    assert_false(Route_Allows(&route, "none"));
+    g_array_unref(route.shares);
+}
+
+static EndpointNews
+news(const char *id, EndpointState endpoint_state, uint64_t born,
+     uint64_t sequence)
+{
+    return (EndpointNews){
+        .id = id,
+        .service = "one",
+        .address = "10.0.0.1:80",
+        .zone = "z",
+        .state = endpoint_state,
+        .born = born,
+        .sequence = sequence,
+        .slots = 4,
+    };
+}
+
+static void
+late_news_changes_nothing(void **state)
+{
+    Directory *directory = Directory_New();
+    EndpointNews ready = news("i", ENDPOINT_READY, 100, 2);
+    EndpointNews draining = news("i", ENDPOINT_DRAINING, 100, 3);
+    assert_true(Directory_Update(directory, &ready, NULL));
+    assert_true(Directory_Update(directory, &draining, NULL));
+    assert_false(Directory_Update(directory, &ready, NULL));
+    assert_int_equal(Directory_Find(directory, "i")->state, ENDPOINT_DRAINING);
+    EndpointNews gone = {.id = "i", .state = ENDPOINT_GONE};
+    assert_true(Directory_Update(directory, &gone, NULL));
+    EndpointNews again = news("i", ENDPOINT_READY, 100, 9);
+    assert_false(Directory_Update(directory, &again, NULL));
+    Directory_Free(directory);
+}
+
+static void
+another_start_begins_anew(void **state)
+{
+    Directory *directory = Directory_New();
+    EndpointNews first = news("i", ENDPOINT_READY, 100, 50);
+    EndpointNews second = news("i", ENDPOINT_READY, 200, 1);
+    assert_true(Directory_Update(directory, &first, NULL));
+    assert_true(Directory_Update(directory, &second, NULL));
+    EndpointNews late = news("i", ENDPOINT_DRAINING, 100, 51);
+    assert_false(Directory_Update(directory, &late, NULL));
+    assert_int_equal(Directory_Find(directory, "i")->state, ENDPOINT_READY);
+    Directory_Free(directory);
+}
+
+/* An old call that comes after another endpoint took the address. */
+static void
+the_last_start_holds_an_address(void **state)
+{
+    Directory *directory = Directory_New();
+    GPtrArray *superseded = g_ptr_array_new();
+    EndpointNews old = news("old", ENDPOINT_READY, 100, 7);
+    EndpointNews fresh = news("new", ENDPOINT_READY, 200, 1);
+    assert_true(Directory_Update(directory, &fresh, superseded));
+    Directory_Update(directory, &old, superseded);
+    assert_int_equal(superseded->len, 1);
+    assert_string_equal(superseded->pdata[0], "old");
+    assert_int_equal(Directory_Find(directory, "old")->state, ENDPOINT_GONE);
+    assert_int_equal(Directory_Find(directory, "new")->state, ENDPOINT_READY);
+    g_ptr_array_unref(superseded);
+    Directory_Free(directory);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(longest_prefix_of_the_host_wins),
+        cmocka_unit_test(faulty_tables_are_refused),
+        cmocka_unit_test(shares_are_kept_over_many_requests),
+        cmocka_unit_test(late_news_changes_nothing),
+        cmocka_unit_test(another_start_begins_anew),
+        cmocka_unit_test(the_last_start_holds_an_address),
+    };
+    return cmocka_run_group_tests_name("routes", tests, NULL, NULL);
+}
--- /dev/null
+++ b/test/unit/test_shares.c
@@ -0,0 +1,100 @@
+/** @file
+ * Shares of a limit, and the choice of an endpoint.
+ */
+#include "unit.h"
+
+#include "sched/choose.h"
+#include "sched/shares.h"
+
+#define ASSERT_NEAR(value, expected)                                          \
+    assert_true((value) > (expected)-0.01 && (value) < (expected) + 0.01)
+
+static double
+total(double rate, const double *demands, size_t count)
+{
+    double sum = 0;
+    for (size_t i = 0; i < count; i++) {
+        sum += Shares_Split(rate, demands, count, i);
+    }
+    return sum;
+}
+
+/* Load: uneven demand below the limit. All of it is served. */
+static void
+demand_below_the_limit_is_met(void **state)
+{
+    const double demands[] = {70, 10, 0, 0};
+    ASSERT_NEAR(Shares_Split(100, demands, 4, 0), 75);
+    ASSERT_NEAR(Shares_Split(100, demands, 4, 1), 15);
+    ASSERT_NEAR(Shares_Split(100, demands, 4, 3), 5);
+    ASSERT_NEAR(total(100, demands, 4), 100);
+}
+
+/* Load: demand above the limit. Small demands are met, large ones share. */
+static void
+demand_above_the_limit_is_shared(void **state)
+{
+    const double demands[] = {500, 300, 10, 30};
+    ASSERT_NEAR(Shares_Split(100, demands, 4, 2), 10);
+    ASSERT_NEAR(Shares_Split(100, demands, 4, 3), 30);
+    ASSERT_NEAR(Shares_Split(100, demands, 4, 0), 30);
+    ASSERT_NEAR(Shares_Split(100, demands, 4, 1), 30);
+    ASSERT_NEAR(total(100, demands, 4), 100);
+}
+
+static ChooseCandidate
+candidate(unsigned distance, double load, double run_ms)
+{
+    return (ChooseCandidate){
+        .usable = true,
+        .distance = distance,
+        .load = load,
+        .run_ms = run_ms,
+    };
+}
+
+/* Load: light, on unlike endpoints. */
+static void
+the_shortest_expected_wait_wins(void **state)
+{
+    ChooseCandidate candidates[] = {
+        candidate(0, 0.5, 600),
+        candidate(0, 0.5, 200),
+        candidate(2, 0, 200),
+    };
+    assert_int_equal(Choose_Endpoint(candidates, 3, 10), 1);
+    candidates[1].load = 3;
+    assert_int_equal(Choose_Endpoint(candidates, 3, 10), 2);
+    candidates[2].usable = false;
+    assert_int_equal(Choose_Endpoint(candidates, 3, 10), 1);
+    candidates[1].tried = true;
+    assert_int_equal(Choose_Endpoint(candidates, 3, 10), 0);
+    candidates[0].load = 10;
+    candidates[1].load = 10;
+    assert_int_equal(Choose_Endpoint(candidates, 3, 10), -1);
+}
+
+/* Load: one endpoint fails part of its requests while it looks idle. */
+static void
+failing_endpoints_are_used_less(void **state)
+{
+    ChooseCandidate candidates[] = {
+        candidate(0, 0, 30),
+        candidate(1, 1, 30),
+    };
+    assert_int_equal(Choose_Endpoint(candidates, 2, 10), 0);
+    candidates[0].error_rate = 0.4;
+    assert_int_equal(Choose_Endpoint(candidates, 2, 10), 1);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(demand_below_the_limit_is_met),
+        cmocka_unit_test(demand_above_the_limit_is_shared),
+        cmocka_unit_test(the_shortest_expected_wait_wins),
+        cmocka_unit_test(failing_endpoints_are_used_less),
+    };
+    return cmocka_run_group_tests_name("shares", tests, NULL, NULL);
+}
