--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -393,6 +393,18 @@
     return tokens > 0 ? tokens : call->account->default_tokens;
 }
 
+static void
+log_over_limit(const Call *call, const QuotaDecision *quota)
+{
+    LOG_INFO(GATEWAY_PART,
+             "Account is over its share. id=%s account=%s cost=%.0f "
+             "level=%.0f share=%.0f demand=%.0f limit=%.0f share_age_ms=%lld "
+             "retry_after_ms=%u",
+             call->id, call->account->name, call->cost, quota->level,
+             quota->share, quota->demand, call->account->rate,
+             (long long)quota->share_age / US_PER_MS, quota->wait_ms);
+}
+
 /* Whether a stream would still run when a planned stop ends. */
 static bool
 outlasts_stop(const Call *call)
@@ -445,14 +457,15 @@
     }
     if (call->account != NULL) {
         call->cost = cost_of(call);
-        uint32_t wait_ms =
+        QuotaDecision quota =
             Quotas_Take(call->gateway->quotas, call->account, call->cost);
-        if (wait_ms > 0) {
+        if (quota.wait_ms > 0) {
+            log_over_limit(call, &quota);
             Call_Fail(call, &(CallError){
                                 .status = 429,
                                 .code = "over_limit",
                                 .message = "The account is over its limit.",
-                                .retry_after_ms = wait_ms,
+                                .retry_after_ms = quota.wait_ms,
                             });
             return;
         }
--- a/src/gateway/call_answer.c
+++ b/src/gateway/call_answer.c
@@ -245,7 +245,7 @@
         return;
     }
     if (failure == UPSTREAM_BROKEN && call->first_at == 0) {
-        GatewayControl_Crashed(call->gateway->control, call->fingerprint);
+        Endpoint_BrokeOff(call->endpoint, call->fingerprint);
     }
     Call_Retry(call, CALL_MAYBE_RAN, why);
 }
--- a/src/gateway/endpoints.c
+++ b/src/gateway/endpoints.c
@@ -14,6 +14,16 @@
 /* Weight of the newest answer in the moving share of failures. */
 #define ERROR_WEIGHT 0.2
 
+/* Requests that an endpoint broke off, and how long each may explain its
+ * end. */
+#define BROKEN_MAX 16
+#define BROKEN_AGE_US (3 * US_PER_S)
+
+typedef struct Broken {
+    uint64_t fingerprint;
+    TimeUs at;
+} Broken;
+
 static void
 free_endpoint(Endpoint *endpoint)
 {
@@ -21,6 +31,7 @@
     g_free(endpoint->service);
     g_free(endpoint->address);
     g_free(endpoint->zone);
+    g_array_unref(endpoint->broken);
     g_free(endpoint);
 }
 
@@ -49,6 +60,7 @@
     endpoint->address = g_strdup(news->address);
     endpoint->zone = g_strdup(news->zone);
     g_queue_init(&endpoint->idle);
+    endpoint->broken = g_array_new(FALSE, FALSE, sizeof(Broken));
     return endpoint;
 }
 
@@ -106,6 +118,32 @@
     }
 }
 
+void
+Endpoint_BrokeOff(Endpoint *endpoint, uint64_t fingerprint)
+{
+    Broken broken = {.fingerprint = fingerprint, .at = Clock_Now()};
+    g_array_append_val(endpoint->broken, broken);
+    if (endpoint->broken->len > BROKEN_MAX) {
+        g_array_remove_index(endpoint->broken, 0);
+    }
+}
+
+/* The endpoint has ended: the requests that it broke off just before may
+ * have made it crash. */
+static void
+report_crash(Endpoint *endpoint)
+{
+    TimeUs now = Clock_Now();
+    for (guint i = 0; i < endpoint->broken->len; i++) {
+        const Broken *broken = &g_array_index(endpoint->broken, Broken, i);
+        if (now - broken->at <= BROKEN_AGE_US) {
+            GatewayControl_Crashed(endpoint->gateway->control,
+                                   broken->fingerprint);
+        }
+    }
+    g_array_set_size(endpoint->broken, 0);
+}
+
 void
 Endpoints_Update(Gateway *gateway, const EndpointNews *news)
 {
@@ -121,6 +159,7 @@
             /* Started again: nothing of before holds. */
             Endpoint *endpoint = Endpoints_Find(gateway, news->id);
             if (endpoint != NULL) {
+                report_crash(endpoint);
                 remove_endpoint(gateway, endpoint);
             }
         }
@@ -164,6 +203,13 @@
     g_list_free(endpoints);
 }
 
+void
+Endpoint_Unreachable(Endpoint *endpoint, const char *why)
+{
+    report_crash(endpoint);
+    Endpoint_Failed(endpoint, why);
+}
+
 void
 Endpoint_Failed(Endpoint *endpoint, const char *why)
 {
--- a/src/gateway/quotas.c
+++ b/src/gateway/quotas.c
@@ -12,14 +12,16 @@
 #define GATEWAYS_UNKNOWN 8
 /* Time constant of the measured demand. */
 #define DEMAND_US (2 * US_PER_S)
-/* Part of the operators' slack that the gateways' bursts may use. */
-#define SLACK_PART 0.5
+/* Part of the operators' slack that may be saved up; the rest covers requests
+ * that overdraw a share and shares that change at different moments. */
+#define SLACK_PART 0.8
 #define WAIT_MIN_MS 50
 #define WAIT_MAX_MS 30000
 
 typedef struct Quota {
-    double share; /* units a second; below 0: none was given yet */
-    double level; /* units in hand; below 0 after a large request */
+    TimeUs shared_at; /* when the leader gave the share */
+    double share;     /* units a second; below 0: none was given yet */
+    double level;     /* units in hand; below 0 after a large request */
     TimeUs filled_at;
     TimeUs promised_until; /* refused requests were told to return by then */
     double demand;         /* units a second, moving mean */
@@ -48,25 +50,34 @@
     g_free(quotas);
 }
 
+static uint32_t
+gateways_of(const Quotas *quotas)
+{
+    uint32_t known = quotas->gateway->gateways;
+    return known > 0 ? known : GATEWAYS_UNKNOWN;
+}
+
 static double
 share_of(const Quotas *quotas, const Quota *quota, const RouteAccount *account)
 {
     if (quota->share >= 0) {
         return MIN(quota->share, account->rate);
     }
-    uint32_t gateways = quotas->gateway->gateways;
-    return account->rate / (gateways > 0 ? gateways : GATEWAYS_UNKNOWN);
+    return account->rate / gateways_of(quotas);
 }
 
-/* Units that may be saved up. */
+/* Units that may be saved up: the share's part of the burst, and an even part
+ * of the slack, so that a gateway with a small share can take a large request
+ * that is within the account's limit. */
 static double
 capacity_of(const Quotas *quotas, double share, const RouteAccount *account)
 {
     double part = account->rate > 0 ? share / account->rate : 0;
     double slack = account->counts_tokens
-                       ? quotas->gateway->options->bounds.quota_slack
+                       ? quotas->gateway->options->bounds.quota_slack /
+                             gateways_of(quotas)
                        : 0;
-    return part * (account->burst + SLACK_PART * slack);
+    return part * account->burst + SLACK_PART * slack;
 }
 
 static Quota *
@@ -111,11 +122,12 @@
     return (uint32_t)MAX((at - now) / US_PER_MS, WAIT_MIN_MS);
 }
 
-uint32_t
+QuotaDecision
 Quotas_Take(Quotas *quotas, const RouteAccount *account, double cost)
 {
+    QuotaDecision decision = {.wait_ms = 0, .share_age = -1};
     if (account->rate <= 0) {
-        return 0;
+        return decision;
     }
     TimeUs now = Clock_Now();
     Quota *quota = find(quotas, account, now);
@@ -125,11 +137,16 @@
     double seconds = (double)(now - quota->filled_at) / (double)US_PER_S;
     quota->level = MIN(quota->level + share * seconds, capacity);
     quota->filled_at = now;
+    decision.level = quota->level;
+    decision.share = share;
+    decision.demand = quota->demand;
+    decision.share_age = quota->share < 0 ? -1 : now - quota->shared_at;
     if (quota->level > 0) {
         quota->level -= cost;
-        return 0;
+        return decision;
     }
-    return wait_ms(quota, share, cost, now);
+    decision.wait_ms = wait_ms(quota, share, cost, now);
+    return decision;
 }
 
 void
@@ -147,6 +164,7 @@
     Quota *quota = g_hash_table_lookup(quotas->by_account, account);
     if (quota != NULL) {
         quota->share = share;
+        quota->shared_at = Clock_Now();
     }
 }
 
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -102,6 +102,7 @@
     TimeUs avoid_until;
     bool probing;      /* one request tries it after a failure */
     double error_rate; /* share of answers that were failures */
+    GArray *broken;    /* Broken: requests that it did not answer lately */
     double latency_ms; /* moving mean of plain answers */
     GQueue idle;       /* Upstream, most recently used first */
     Upstream *current; /* whose callback runs; NULL once it is freed */
@@ -114,8 +115,13 @@
 void Endpoint_Ref(Endpoint *endpoint);
 void Endpoint_Unref(Endpoint *endpoint);
 
+/* The endpoint broke off before it answered this request. When it proves to
+ * have ended, the request counts as one that crashed it. */
+void Endpoint_BrokeOff(Endpoint *endpoint, uint64_t fingerprint);
+
 /* What a request showed of the endpoint. */
 void Endpoint_Failed(Endpoint *endpoint, const char *why);
+void Endpoint_Unreachable(Endpoint *endpoint, const char *why);
 void Endpoint_Answered(Endpoint *endpoint, bool success);
 void Endpoint_Load(Endpoint *endpoint, const char *report);
 
@@ -341,9 +347,18 @@
 Quotas *Quotas_New(Gateway *gateway);
 void Quotas_Free(Quotas *quotas);
 
-/* Takes the cost of a request.
- * @return 0 when it is within the limit, or a wait in milliseconds. */
-uint32_t Quotas_Take(Quotas *quotas, const RouteAccount *account, double cost);
+/* What decided on a request of an account; units are those of its limit. */
+typedef struct QuotaDecision {
+    uint32_t wait_ms; /* 0: within the limit */
+    double level;     /* units in hand before */
+    double share;     /* units a second that this gateway holds */
+    double demand;    /* units a second asked for lately */
+    TimeUs share_age; /* since the leader gave the share; -1: never */
+} QuotaDecision;
+
+/* Takes the cost of a request out of the account's share. */
+QuotaDecision Quotas_Take(Quotas *quotas, const RouteAccount *account,
+                          double cost);
 void Quotas_GiveBack(Quotas *quotas, const RouteAccount *account, double cost);
 void Quotas_SetShare(Quotas *quotas, const char *account, double share);
 void Quotas_Each(Quotas *quotas,
--- a/src/gateway/upstream.c
+++ b/src/gateway/upstream.c
@@ -76,7 +76,10 @@
     Endpoint_Ref(endpoint);
     free_upstream(upstream);
     if (busy && owner != NULL) {
-        if (failure != UPSTREAM_GARBAGE) {
+        if (failure == UPSTREAM_NOT_SENT) {
+            Endpoint_Unreachable(endpoint, why);
+        }
+        else if (failure == UPSTREAM_BROKEN) {
             Endpoint_Failed(endpoint, why);
         }
         ops->failed(owner, failure, why);
--- a/test/unit/test_gateway.c
+++ b/test/unit/test_gateway.c
@@ -78,18 +78,37 @@
     /* A fourth of the burst is this gateway's until it has a share. */
     unsigned served = 0;
     uint32_t wait_ms = 0;
-    while ((wait_ms = Quotas_Take(quotas, &account, 100)) == 0) {
+    while ((wait_ms = Quotas_Take(quotas, &account, 100).wait_ms) == 0) {
         served++;
     }
     assert_in_range(served, 10, 11);
-    uint32_t later_ms = Quotas_Take(quotas, &account, 100);
+    uint32_t later_ms = Quotas_Take(quotas, &account, 100).wait_ms;
     assert_true(later_ms > wait_ms);
     assert_in_range(later_ms - wait_ms, 50, 150);
     RouteAccount unlimited = {.name = "b"};
-    assert_int_equal(Quotas_Take(quotas, &unlimited, 1e9), 0);
+    assert_int_equal(Quotas_Take(quotas, &unlimited, 1e9).wait_ms, 0);
     Quotas_Free(quotas);
 }
 
+/* Load: uneven, within the account's limit. A gateway whose share is small
+ * takes a large request out of its even part of the slack. */
+static void
+small_shares_take_large_requests(void **state)
+{
+    options.bounds.quota_slack = 40000;
+    Gateway gateway = new_gateway();
+    Quotas *quotas = Quotas_New(&gateway);
+    RouteAccount account = {
+        .name = "a", .counts_tokens = true, .rate = 4000, .burst = 4000};
+    assert_int_equal(Quotas_Take(quotas, &account, 1).wait_ms, 0);
+    Quotas_SetShare(quotas, "a", 10);
+    assert_int_equal(Quotas_Take(quotas, &account, 7000).wait_ms, 0);
+    assert_int_equal(Quotas_Take(quotas, &account, 900).wait_ms, 0);
+    assert_int_not_equal(Quotas_Take(quotas, &account, 900).wait_ms, 0);
+    Quotas_Free(quotas);
+    options.bounds.quota_slack = 0;
+}
+
 static void
 repeated_sends_keep_to_the_budget(void **state)
 {
@@ -128,6 +147,7 @@
         cmocka_unit_test(only_whole_events_pass),
         cmocka_unit_test(events_do_not_come_twice),
         cmocka_unit_test(limits_are_shared_and_returns_spread),
+        cmocka_unit_test(small_shares_take_large_requests),
         cmocka_unit_test(repeated_sends_keep_to_the_budget),
         cmocka_unit_test(requests_that_crash_endpoints_are_barred),
     };
