--- a/test/unit/test_gateway.c
+++ b/test/unit/test_gateway.c
@@ -103,7 +103,7 @@
     assert_int_equal(Quotas_Take(quotas, &account, 1).wait_ms, 0);
     Quotas_SetShare(quotas, "a", 10);
     assert_int_equal(Quotas_Take(quotas, &account, 7000).wait_ms, 0);
-    assert_int_equal(Quotas_Take(quotas, &account, 900).wait_ms, 0);
+    assert_int_equal(Quotas_Take(quotas, &account, 2000).wait_ms, 0);
     assert_int_not_equal(Quotas_Take(quotas, &account, 900).wait_ms, 0);
     Quotas_Free(quotas);
     options.bounds.quota_slack = 0;
