Control hosts keep the directory of endpoints in a file; early first election

Cause: after a power loss of all hosts engines were known only with their next heartbeat, up to 1.2 s after the leader.

--- a/src/control/log_core.c
+++ b/src/control/log_core.c
@@ -103,7 +103,7 @@
         LogCore_Free(core);
         return NULL;
     }
-    LogElection_ResetTimer(core, spec->now);
+    LogElection_StartTimer(core, spec->now);
     if (is_sole_voter(core)) {
         core->election_at = spec->now;
     }
--- a/src/control/log_election.c
+++ b/src/control/log_election.c
@@ -12,6 +12,16 @@
     core->election_at = now + span + extra;
 }
 
+/* After a start nobody may lead. A host asks early then: a leader that is
+ * there refuses the pre-vote and loses nothing. */
+void
+LogElection_StartTimer(LogCore *core, TimeUs now)
+{
+    TimeUs span = core->timing.election;
+    TimeUs extra = g_rand_int_range(core->random, 0, (gint32)(span / 2));
+    core->election_at = now + span / 4 + extra;
+}
+
 void
 LogElection_Follow(LogCore *core, uint64_t term, uint32_t leader, TimeUs now)
 {
--- a/src/control/log_state.h
+++ b/src/control/log_state.h
@@ -134,6 +134,7 @@
 void LogElection_OnVoteReply(LogCore *core, const LogMessage *message,
                              TimeUs now);
 void LogElection_CountOwnVote(LogCore *core, TimeUs now);
+void LogElection_StartTimer(LogCore *core, TimeUs now);
 void LogElection_ResetTimer(LogCore *core, TimeUs now);
 
 /* ---- log_leader.c: the leader's side of replication ---- */
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -7,6 +7,7 @@
 
 #include <sodium.h>
 
+#include "fleet/roster.h"
 #include "fleet/state.h"
 #include "kernel/counter.h"
 #include "kernel/log.h"
@@ -17,6 +18,8 @@
 #define TASK_NAME "fleet"
 /* How often waiting commands and a planned stop are looked at. */
 #define TICK_MS 100
+/* Changes of the directory within this span are saved together. */
+#define SAVE_DELAY_MS 250
 /* A command that is not applied within this span has an open outcome. */
 #define COMMAND_WAIT_US (4 * US_PER_S)
 
@@ -326,6 +329,22 @@
     Replica_ConfirmLeads(fleet->replica, on_read_confirmed, read);
 }
 
+static void
+on_save(evutil_socket_t fd, short events, void *arg)
+{
+    const Fleet *fleet = arg;
+    Roster_Save(fleet->settings->control->data_dir, fleet->directory);
+}
+
+static void
+save_soon(Fleet *fleet)
+{
+    if (!event_pending(fleet->save, EV_TIMEOUT, NULL)) {
+        struct timeval delay = {.tv_usec = SAVE_DELAY_MS * US_PER_MS};
+        event_add(fleet->save, &delay);
+    }
+}
+
 void
 Fleet_Announce(Fleet *fleet, const EndpointNews *news)
 {
@@ -340,6 +359,7 @@
                  (unsigned long long)known->born,
                  (unsigned long long)known->sequence);
         FleetGateways_Tell(fleet, known);
+        save_soon(fleet);
     }
     for (guint i = 0; i < superseded->len; i++) {
         FleetGateways_Tell(
@@ -411,6 +431,8 @@
     fleet->base = Task_Base(self);
     fleet->push = event_new(fleet->base, -1, 0, FleetGateways_OnPush, fleet);
     fleet->tick = event_new(fleet->base, -1, EV_PERSIST, on_tick, fleet);
+    fleet->save = event_new(fleet->base, -1, 0, on_save, fleet);
+    Roster_Load(fleet->settings->control->data_dir, fleet->directory);
     fleet->replica = Replica_Open(fleet->base, fleet->settings, &fleet->self,
                                   &replica_ops, fleet, err);
     if (fleet->replica == NULL) {
@@ -446,6 +468,7 @@
         Link_CloseServer(fleet->links);
     }
     event_free(fleet->push);
+    event_free(fleet->save);
     event_free(fleet->tick);
     RouteTable_Unref(fleet->table);
     Document_Clear(&fleet->document);
--- a/src/fleet/gateways.c
+++ b/src/fleet/gateways.c
@@ -5,6 +5,7 @@
 
 #include "fleet/state.h"
 #include "kernel/log.h"
+#include "routes/endpoint_wire.h"
 #include "sched/shares.h"
 
 /* Changes of the configuration within this span go out as one. */
@@ -253,26 +254,11 @@
     relay(fleet, NULL, &frame);
 }
 
-static void
-fill_record(Wire__EndpointRecord *record, const EndpointNews *news)
-{
-    wire__endpoint_record__init(record);
-    record->id = (char *)news->id;
-    record->service = news->service != NULL ? (char *)news->service : "";
-    record->address = news->address != NULL ? (char *)news->address : "";
-    record->zone = news->zone != NULL ? (char *)news->zone : "";
-    record->state = (Wire__EndpointState)news->state;
-    record->born = news->born;
-    record->sequence = news->sequence;
-    record->slots = news->slots;
-    record->cold_ms = news->cold_ms;
-}
-
 static void
 tell(Link *link, const EndpointNews *news)
 {
     Wire__EndpointRecord record;
-    fill_record(&record, news);
+    EndpointWire_Fill(&record, news);
     Wire__EndpointRecord *pointer = &record;
     Wire__EndpointNews list = WIRE__ENDPOINT_NEWS__INIT;
     list.n_endpoints = 1;
--- /dev/null
+++ b/src/fleet/roster.c
@@ -0,0 +1,151 @@
+/** @file
+ * The directory of endpoints in a file.
+ */
+#include "fleet/roster.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <xxhash.h>
+
+#include "fleet/state.h"
+#include "kernel/log.h"
+#include "routes/endpoint_wire.h"
+
+#define FILE_NAME "endpoints"
+/* Endpoints that are gone are not worth a place; of the others at most. */
+#define ROSTER_MAX 8192
+
+typedef struct Collected {
+    GPtrArray *records; /* Wire__EndpointRecord */
+} Collected;
+
+static void
+collect(void *arg, const EndpointNews *news)
+{
+    Collected *collected = arg;
+    if (news->state == ENDPOINT_GONE || collected->records->len >= ROSTER_MAX)
+    {
+        return;
+    }
+    Wire__EndpointRecord *record = g_new(Wire__EndpointRecord, 1);
+    EndpointWire_Fill(record, news);
+    g_ptr_array_add(collected->records, record);
+}
+
+GBytes *
+Roster_Pack(const Directory *directory)
+{
+    Collected collected = {.records = g_ptr_array_new_with_free_func(g_free)};
+    Directory_Each(directory, collect, &collected);
+    Wire__EndpointNews list = WIRE__ENDPOINT_NEWS__INIT;
+    list.n_endpoints = collected.records->len;
+    list.endpoints = (Wire__EndpointRecord **)collected.records->pdata;
+    size_t size = wire__endpoint_news__get_packed_size(&list);
+    uint8_t *bytes = g_malloc(sizeof(uint64_t) + size);
+    wire__endpoint_news__pack(&list, bytes + sizeof(uint64_t));
+    uint64_t sum = XXH3_64bits(bytes + sizeof(uint64_t), size);
+    memcpy(bytes, &sum, sizeof(sum));
+    g_ptr_array_unref(collected.records);
+    return g_bytes_new_take(bytes, sizeof(uint64_t) + size);
+}
+
+int
+Roster_Unpack(GBytes *bytes, Directory *directory)
+{
+    gsize size;
+    const uint8_t *data = g_bytes_get_data(bytes, &size);
+    uint64_t sum;
+    if (size < sizeof(sum)) {
+        return ERR_CORRUPT;
+    }
+    memcpy(&sum, data, sizeof(sum));
+    if (sum != XXH3_64bits(data + sizeof(sum), size - sizeof(sum))) {
+        return ERR_CORRUPT;
+    }
+    Wire__EndpointNews *list = wire__endpoint_news__unpack(
+        NULL, size - sizeof(sum), data + sizeof(sum));
+    if (list == NULL) {
+        return ERR_CORRUPT;
+    }
+    for (size_t i = 0; i < list->n_endpoints; i++) {
+        EndpointNews news;
+        EndpointWire_Read(list->endpoints[i], &news);
+        Directory_Update(directory, &news, NULL);
+    }
+    wire__endpoint_news__free_unpacked(list, NULL);
+    return ERR_OK;
+}
+
+void
+Roster_Load(const char *folder, Directory *directory)
+{
+    char *path = g_build_filename(folder, FILE_NAME, NULL);
+    char *data;
+    gsize length;
+    if (g_file_get_contents(path, &data, &length, NULL)) {
+        GBytes *bytes = g_bytes_new_take(data, length);
+        if (Roster_Unpack(bytes, directory) != ERR_OK) {
+            LOG_WARN(FLEET_PART, "File of endpoints is damaged; not used.");
+        }
+        g_bytes_unref(bytes);
+    }
+    g_free(path);
+}
+
+/* What the saving thread needs; it owns both. */
+typedef struct Saving {
+    char *folder;
+    GBytes *bytes;
+} Saving;
+
+static bool
+write_all(int file, GBytes *bytes)
+{
+    gsize length;
+    const uint8_t *data = g_bytes_get_data(bytes, &length);
+    while (length > 0) {
+        ssize_t written = write(file, data, length);
+        if (written <= 0) {
+            return false;
+        }
+        data += written;
+        length -= (gsize)written;
+    }
+    return fsync(file) == 0;
+}
+
+static gpointer
+save(gpointer arg)
+{
+    Saving *saving = arg;
+    char *path = g_build_filename(saving->folder, FILE_NAME, NULL);
+    char *fresh = g_strconcat(path, ".new", NULL);
+    int file = open(fresh, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+    bool written = file >= 0 && write_all(file, saving->bytes);
+    if (file >= 0) {
+        close(file);
+    }
+    if (!written || rename(fresh, path) != 0) {
+        LOG_WARN(FLEET_PART, "File of endpoints is not saved. why=\"%s\"",
+                 strerror(errno));
+    }
+    g_free(fresh);
+    g_free(path);
+    g_free(saving->folder);
+    g_bytes_unref(saving->bytes);
+    g_free(saving);
+    return NULL;
+}
+
+void
+Roster_Save(const char *folder, const Directory *directory)
+{
+    Saving *saving = g_new0(Saving, 1);
+    saving->folder = g_strdup(folder);
+    saving->bytes = Roster_Pack(directory);
+    g_thread_unref(g_thread_new("roster", save, saving));
+}
--- a/src/fleet/state.h
+++ b/src/fleet/state.h
@@ -40,6 +40,7 @@
     bool draining;
     bool push_due;
     struct event *push;
+    struct event *save; /* of the directory, some time after a change */
     struct event *tick;
 };
 
--- a/src/gateway/hosts.c
+++ b/src/gateway/hosts.c
@@ -6,6 +6,7 @@
 
 #include "gateway/state.h"
 #include "kernel/log.h"
+#include "routes/endpoint_wire.h"
 #include "wire/address.h"
 #include "wire/deflate.h"
 
@@ -306,18 +307,8 @@
 on_endpoints(Gateway *gateway, const Wire__EndpointNews *list)
 {
     for (size_t i = 0; i < list->n_endpoints; i++) {
-        const Wire__EndpointRecord *record = list->endpoints[i];
-        EndpointNews news = {
-            .id = record->id,
-            .service = record->service[0] != '\0' ? record->service : NULL,
-            .address = record->address[0] != '\0' ? record->address : NULL,
-            .zone = record->zone[0] != '\0' ? record->zone : NULL,
-            .state = (EndpointState)record->state,
-            .born = record->born,
-            .sequence = record->sequence,
-            .slots = record->slots,
-            .cold_ms = record->cold_ms,
-        };
+        EndpointNews news;
+        EndpointWire_Read(list->endpoints[i], &news);
         Endpoints_Update(gateway, &news);
     }
 }
