--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -51,6 +51,9 @@
 extern const CliCommand cli_fleet_commands[];
 extern const size_t cli_fleet_commands_count;
 
+extern const CliCommand cli_trace_commands[];
+extern const size_t cli_trace_commands_count;
+
 /* ---- client.c ---- */
 
 /** A call of the administration API. */
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -26,6 +26,7 @@
     const CommandTable tables[] = {
         {cli_rules_commands, cli_rules_commands_count},
         {cli_fleet_commands, cli_fleet_commands_count},
+        {cli_trace_commands, cli_trace_commands_count},
     };
     return index < G_N_ELEMENTS(tables) ? tables[index]
                                         : (CommandTable){.count = 0};
--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -211,6 +211,13 @@
     return false;
 }
 
+static const char *const outcome_names[] = {
+    [CALL_NOT_SENT] = "not_sent",
+    [CALL_OTHER_INSTANCE] = "other_instance",
+    [CALL_REFUSED] = "not_run",
+    [CALL_MAYBE_RAN] = "unknown",
+};
+
 void
 Call_Retry(Call *call, CallSendOutcome outcome, const char *why)
 {
@@ -226,10 +233,10 @@
     Call_LeaveEndpoint(call, false);
     bool again = may_resend(call, outcome);
     LOG_INFO(GATEWAY_PART,
-             "Endpoint did not serve. id=%s outcome=%d attempts=%u again=%s "
-             "why=\"%s\"",
-             call->id, (int)outcome, call->attempts, again ? "yes" : "no",
-             why);
+             "Endpoint did not serve. id=%s endpoint=%s outcome=%s "
+             "attempts=%u again=%s why=\"%s\"",
+             call->id, call->served_by, outcome_names[outcome], call->attempts,
+             again ? "yes" : "no", why);
     if (again) {
         evbuffer_drain(call->answer, evbuffer_get_length(call->answer));
         evbuffer_drain(call->partial, evbuffer_get_length(call->partial));
--- a/src/gateway/keepers.c
+++ b/src/gateway/keepers.c
@@ -7,6 +7,7 @@
 #include "gateway/state.h"
 #include "kernel/log.h"
 #include "sched/choose.h"
+#include "sched/work.h"
 #include "wire/address.h"
 
 /* Keepers asked at once: the best by expected time to the end. */
@@ -423,6 +424,12 @@
     if (want->asked->len > 0) {
         return;
     }
+    LOG_INFO(GATEWAY_PART,
+             "No slot for the request. id=%s refused=%u last=%s reason=%s "
+             "queued=%u busy=%u want=%llu",
+             want->call->id, want->refused->len, keeper->endpoint_id,
+             Work_ReasonName((RefuseReason)refuse->reason), refuse->queued,
+             refuse->busy, (unsigned long long)id);
     uint32_t retry_after_ms = want->retry_after_ms;
     Call *call = want->call;
     Keepers_End(call, false);
--- a/src/keeper/keeper.c
+++ b/src/keeper/keeper.c
@@ -85,6 +85,13 @@
     refuse.retry_after_ms = action->retry_after_ms;
     refuse.queued = state.queued;
     refuse.busy = state.running + state.granted;
+    LOG_INFO(PART,
+             "Slot refused. want=%llu gateway=%s reason=%s queued=%u busy=%u "
+             "slots=%u decode_tokens_s=%.0f retry_after_ms=%u",
+             (unsigned long long)action->id.low, Link_Peer(link)->name,
+             Work_ReasonName(action->reason), state.queued,
+             state.running + state.granted, state.slots, state.decode_tokens_s,
+             action->retry_after_ms);
     Wire__Frame frame = WIRE__FRAME__INIT;
     frame.body_case = WIRE__FRAME__BODY_SLOT_REFUSE;
     frame.slot_refuse = &refuse;
--- /dev/null
+++ b/test/functional/platform-trace.sh
@@ -0,0 +1,44 @@
+# From a failed request's id to its cause, with the commands of
+# docs/OPERATIONS.md: refused in overload, outcome unknown, ended at its
+# time-out.
+. "$(dirname "${BASH_SOURCE[0]}")/platform.inc"
+start_platform
+trace() { "$LL_BUILD/src/cli/laurellift" trace "$1" ./*.log; }
+# fields FILTER...: these keys of each line, in the order of the line.
+fields() { grep -oE "(: [A-Z][^=]*\.|\b($1)=[^ ]*)" | sed 's/^: //'; }
+known() { grep -q "\"Endpoint changed.\".*\"id\":\"$1\"" gateway1.log; }
+metric() { curl -s "http://127.0.0.1:$READY/metrics" | grep "^laurellift_$1"; }
+
+echo "-- refused in overload: the only slot is taken, the deadline is short"
+keeper 1
+server engine-a 127.0.0.1 engines --slots 1 --events 400 --gap-ms 20
+until_true known engine-a
+sleep 0.5
+ask 1 POST /stream/a long -H 'Model: m' -H 'Token-Usage: 10,200' -d x >long.out &
+until_true grep -q data long.out
+status 1 POST /stream/a refused -H 'Model: m' -H 'Token-Usage: 10,2000' \
+    -H 'Deadline-Ms: 900' -d x
+trace refused | fields 'outcome|status|reason|queued|busy|attempts'
+stop engine-a KILL
+
+echo "-- outcome unknown: the server was lost while it had the request"
+server app-a 127.0.0.2 app --fault cut --fault-count 1
+until_true known app-a
+status 1 POST /once/a unknown -d x
+trace unknown | fields 'outcome|status|endpoint|why|attempts'
+stop app-a KILL
+curl -s -X POST -d '{}' "http://127.0.0.1:$API/api/instances/app-a/deregister" >/dev/null
+
+echo "-- ended at its time-out: the server took it and said nothing"
+server app-b 127.0.0.2 app --fault mute
+until_true known app-b
+status 1 GET /look/a late
+trace late | fields 'outcome|status|endpoint|attempts'
+
+echo "-- the counters show the three"
+metric gateway_failed_total | sed 's/ [0-9]*$//' | sort
+metric 'gateway_request_seconds_count{kind="once",served="no"}' | wc -l
+
+echo "-- a request that no log names"
+trace nobody
+echo "exit $?"
