--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -25,6 +25,8 @@
  * first: what a stream is taken to last while the gateway stops. */
 #define TOKEN_US (10 * US_PER_MS)
 #define STREAM_START_US (1500 * US_PER_MS)
+/* The same for an answer that is no stream. */
+#define PLAIN_US (500 * US_PER_MS)
 /* A request is held for a configuration or lease no longer than this, and
  * than this part of the time that its caller still waits. */
 #define HOLD_MAX_US (1500 * US_PER_MS)
@@ -405,20 +407,38 @@
              (long long)quota->share_age / US_PER_MS, quota->wait_ms);
 }
 
-/* Whether a stream would still run when a planned stop ends. */
+static const CallError stopping = {
+    .status = 503,
+    .code = "stopping",
+    .message = "This host stops before the answer would end; ask another.",
+    .retry_after_ms = RETRY_STOPPING_MS,
+};
+
+/* Whether the call would still run when a planned stop ends. */
 static bool
 outlasts_stop(const Call *call)
 {
     const Gateway *gateway = call->gateway;
-    if (!gateway->stopping || call->route->kind != ROUTE_STREAM) {
+    if (!gateway->stopping || call->route == NULL) {
         return false;
     }
     TimeUs left = gateway->stop_at +
                   gateway->options->bounds.stop_ms * US_PER_MS - Clock_Now();
-    TimeUs run = call->output_tokens * TOKEN_US + STREAM_START_US;
+    TimeUs run = call->route->kind == ROUTE_STREAM
+                     ? call->output_tokens * TOKEN_US + STREAM_START_US
+                     : PLAIN_US;
     return run > left;
 }
 
+void
+Call_CheckStop(Call *call)
+{
+    if (call->state == CALL_WAITING && !call->maybe_ran && outlasts_stop(call))
+    {
+        Call_Fail(call, &stopping);
+    }
+}
+
 /* Keeps a request that came before the configuration or the lease did: the
  * next answer of a control host decides, and callers return only so often. */
 static bool
@@ -471,13 +491,7 @@
         }
     }
     if (outlasts_stop(call)) {
-        Call_Fail(call, &(CallError){
-                            .status = 503,
-                            .code = "stopping",
-                            .message = "This host stops before the stream "
-                                       "would end; ask another.",
-                            .retry_after_ms = RETRY_STOPPING_MS,
-                        });
+        Call_Fail(call, &stopping);
         return;
     }
     call->deadline = MIN(call->caller_deadline,
--- a/src/gateway/conn.c
+++ b/src/gateway/conn.c
@@ -314,6 +314,14 @@
     return evbuffer_get_length(bufferevent_get_output(conn->stream));
 }
 
+void
+Conn_CheckStop(Conn *conn)
+{
+    if (conn->call != NULL) {
+        Call_CheckStop(conn->call);
+    }
+}
+
 void
 Conn_Drain(Conn *conn, bool close_idle)
 {
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -93,12 +93,24 @@
     g_list_free(conns);
 }
 
+/* Refuses requests that still wait and would outlast the stop. */
+static void
+refuse_waiting(Gateway *gateway)
+{
+    GList *conns = g_hash_table_get_keys(gateway->conns);
+    for (GList *at = conns; at != NULL; at = at->next) {
+        Conn_CheckStop(at->data);
+    }
+    g_list_free(conns);
+}
+
 /* Ends a planned stop once the balancer has noticed and all is answered. */
 static void
 on_stop_timer(evutil_socket_t fd, short events, void *arg)
 {
     Gateway *gateway = arg;
     TimeUs now = Clock_Now();
+    refuse_waiting(gateway);
     if (now < gateway->stop_at + STOP_ACCEPT_MS * US_PER_MS) {
         return;
     }
--- a/src/gateway/hosts.c
+++ b/src/gateway/hosts.c
@@ -226,9 +226,10 @@
 static void
 update_hosts(GatewayControl *control, const Wire__ConfigState *state)
 {
+    /* Only what a majority confirmed removes a host. */
     for (guint i = 0; i < control->hosts->len; i++) {
         Host *host = control->hosts->pdata[i];
-        host->listed = false;
+        host->listed = !state->confirmed;
     }
     for (size_t i = 0; i < state->n_hosts; i++) {
         Host *host = find_host(control, state->hosts[i]);
@@ -276,6 +277,9 @@
         return;
     }
     control->nonce = 0;
+    if (state->n_hosts > 0) {
+        update_hosts(control, state);
+    }
     if (!state->confirmed) {
         g_free(control->leader);
         control->leader = state->leader[0] != '\0' &&
@@ -297,9 +301,6 @@
         Quotas_SetShare(gateway->quotas, state->shares[i]->account,
                         state->shares[i]->share);
     }
-    if (state->n_hosts > 0) {
-        update_hosts(control, state);
-    }
     set_timer(control, QUERY_MS);
 }
 
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -81,6 +81,9 @@
 /* A planned stop: closes the connection as soon as nothing is under way. */
 void Conn_Drain(Conn *conn, bool close_idle);
 
+/* A planned stop is under way: refuses what waits and would outlast it. */
+void Conn_CheckStop(Conn *conn);
+
 void Conn_Free(Conn *conn);
 
 /* ---- endpoints.c: endpoints as this gateway knows them ---- */
@@ -225,6 +228,9 @@
 void Call_Start(Conn *conn, Gateway *gateway, const H1Head *head,
                 struct evbuffer *body);
 
+/* Refuses the call if it waits and would outlast a planned stop. */
+void Call_CheckStop(Call *call);
+
 /* A configuration or lease came, or was waited for long enough. */
 void Call_Unhold(Call *call);
 
--- a/test/functional/platform-members.sh
+++ b/test/functional/platform-members.sh
@@ -33,3 +33,21 @@
 until_true reads_second && echo same
 configuration 8 >third.conf
 until_true accepted 5 third.conf && echo accepted
+
+echo "-- a gateway that starts finds a leader that it was not told of"
+leads() { curl -s "http://127.0.0.$1:$API/debug/state" | jq -e '.fleet.replica.leads' >/dev/null; }
+someone_leads() { leads 1 || leads 2 || leads 5; }
+until_true someone_leads
+if ! leads 5; then
+    # The leader hands over to the only host that answers.
+    n=$(leads 1 && echo 1 || echo 2)
+    kill -STOP "$(cat control$((3 - n)).pid)"
+    stop "control$n"
+    kill -CONT "$(cat control$((3 - n)).pid)"
+    control_host "$n" '{"bootstrap": false}'
+    until_true leads 5
+fi
+leads 5 && echo "host 5 leads"
+stop gateway1
+gateway 1
+until_true gateway_ready 1 && echo ready
--- a/test/functional/platform-stop.sh
+++ b/test/functional/platform-stop.sh
@@ -3,7 +3,7 @@
 . "$(dirname "${BASH_SOURCE[0]}")/platform.inc"
 start_platform
 keeper 1
-server engine-a 127.0.0.1 engines --events 20 --gap-ms 80
+server engine-a 127.0.0.1 engines --slots 1 --events 20 --gap-ms 80
 server app-a 127.0.0.2 app
 until_true served 1
 until_true streamed 1
@@ -21,11 +21,20 @@
 ask 1 POST /stream/a id-2 -H 'Model: m' -d prompt >stream.out &
 stream=$!
 sleep 0.3
+ask 1 POST /stream/a id-waits -H 'Model: m' -H 'Token-Usage: 10,800' -d x \
+    -w '%{http_code}\n' >waits.out &
+waits=$!
+sleep 0.2
 kill -TERM "$(cat gateway1.pid)"
 sleep 0.2
 curl -s -o /dev/null -w '%{http_code}\n' "http://127.0.0.1:$READY/api/readyz"
 status 1 GET /look/a id-3
 ask 1 GET /look/a id-4 -D - -o /dev/null | tr -d '\r' | grep -i '^connection'
+echo "-- what waits for a slot and would outlast the stop is refused at once"
+wait $waits
+jq -r '.error.code? // empty' waits.out 2>/dev/null
+tail -n 1 waits.out | grep -o '503$'
+echo "-- the stream ends whole"
 wait $stream
 grep -c '^id:' stream.out
 wait "$(cat gateway1.pid)"
