--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -9,7 +9,6 @@
 
 #include "gateway/state.h"
 #include "kernel/counter.h"
-#include "kernel/histogram.h"
 #include "kernel/log.h"
 
 /* When a refused caller may come back, where nothing says more. */
@@ -31,6 +30,10 @@
  * than this part of the time that its caller still waits. */
 #define HOLD_MAX_US (1500 * US_PER_MS)
 #define HOLD_PART 3
+/* A request over its account's share waits for room rather than be refused:
+ * for this part of its target, and at most this long. */
+#define DELAY_PART 4
+#define DELAY_MAX_MS 250
 #define BEARER "Bearer "
 
 static void admit(Call *call);
@@ -102,77 +105,6 @@
     g_free(call);
 }
 
-#define OUTCOME_ANSWERED "answered"
-
-static const char *
-kind_name(const Call *call)
-{
-    static const char *const names[] = {
-        [ROUTE_IDEMPOTENT] = "idempotent",
-        [ROUTE_ONCE] = "once",
-        [ROUTE_STREAM] = "stream",
-    };
-    return call->route == NULL ? "none" : names[call->route->kind];
-}
-
-static long long
-ms_since(const Call *call, TimeUs at)
-{
-    return at == 0 ? -1 : (long long)((at - call->received) / US_PER_MS);
-}
-
-static void
-measure_end(const Call *call, bool served)
-{
-    char label[64];
-    g_snprintf(label, sizeof(label), "kind=\"%s\",served=\"%s\"",
-               kind_name(call), served ? "yes" : "no");
-    Histogram_Record(Histogram_Get("gateway_request_seconds", label,
-                                   "From the request to its last byte."),
-                     Clock_Now() - call->received);
-    g_snprintf(label, sizeof(label), "tier=\"%u\"", MIN(call->tier, 9));
-    if (call->sent_at != 0) {
-        Histogram_Record(Histogram_Get("gateway_wait_seconds", label,
-                                       "From the request to its sending."),
-                         call->sent_at - call->received);
-    }
-    if (call->first_at != 0 && call->sent_at != 0) {
-        Histogram_Record(Histogram_Get("gateway_first_piece_seconds", label,
-                                       "From the sending to the first "
-                                       "event or the whole answer."),
-                         call->first_at - call->sent_at);
-    }
-}
-
-/* One record tells what decided a request's end; those that were not served
- * are kept before the rest. */
-static void
-log_end(const Call *call, const char *outcome)
-{
-    const Gateway *gateway = call->gateway;
-    TimeUs now = Clock_Now();
-    bool served = strcmp(outcome, OUTCOME_ANSWERED) == 0;
-    measure_end(call, served);
-    Log_Write(served ? LOG_LEVEL_INFO : LOG_LEVEL_WARN, GATEWAY_PART,
-              "Request ended. id=%s outcome=%s status=%u route=%s kind=%s "
-              "account=%s tier=%u rank=%u service=%s endpoint=%s attempts=%u "
-              "waited_ms=%lld first_ms=%lld total_ms=%lld left_ms=%lld "
-              "prompt=%u version=%llu lease_ms=%lld events=%llu",
-              call->id, outcome, call->status,
-              call->route != NULL ? call->route->name : "", kind_name(call),
-              call->account != NULL ? call->account->name : "", call->tier,
-              call->rank, call->service != NULL ? call->service : "",
-              call->served_by, call->attempts, ms_since(call, call->sent_at),
-              ms_since(call, call->first_at), ms_since(call, now),
-              (long long)(call->caller_deadline - now) / US_PER_MS,
-              call->prompt_tokens,
-              call->table != NULL
-                  ? (unsigned long long)RouteTable_Version(call->table)
-                  : 0ULL,
-              (long long)(gateway->lease_until - now) / US_PER_MS,
-              (unsigned long long)call->events.passed);
-}
-
 /* Gives back what the call holds at an endpoint or in a line. */
 static void
 release(Call *call)
@@ -204,7 +136,7 @@
 Call_End(Call *call, const char *outcome)
 {
     Gateway *gateway = call->gateway;
-    log_end(call, outcome);
+    CallLog_End(call, outcome);
     char *service = g_strdup(call->service);
     release(call);
     gateway->calls--;
@@ -222,6 +154,11 @@
     bool promised = error->status == 503 || error->status == 429;
     const char *outcome = promised || !call->maybe_ran ? "not_run" : "unknown";
     call->status = error->status;
+    if (call->cost > 0 && call->account != NULL && !call->maybe_ran) {
+        /* What did not run does not count. */
+        Quotas_GiveBack(call->gateway->quotas, call->account, call->cost);
+        call->cost = 0;
+    }
     Conn *conn = call->conn;
     if (call->state == CALL_PASSING) {
         Call_End(call, error->code);
@@ -395,18 +332,6 @@
     return tokens > 0 ? tokens : call->account->default_tokens;
 }
 
-static void
-log_over_limit(const Call *call, const QuotaDecision *quota)
-{
-    LOG_INFO(GATEWAY_PART,
-             "Account is over its share. id=%s account=%s cost=%.0f "
-             "level=%.0f share=%.0f demand=%.0f limit=%.0f share_age_ms=%lld "
-             "retry_after_ms=%u",
-             call->id, call->account->name, call->cost, quota->level,
-             quota->share, quota->demand, call->account->rate,
-             (long long)quota->share_age / US_PER_MS, quota->wait_ms);
-}
-
 static const CallError stopping = {
     .status = 503,
     .code = "stopping",
@@ -465,6 +390,36 @@
     admit(call);
 }
 
+/* Takes the call's cost out of its account's share.
+ * @return false when the call waits for it, or was refused. */
+static bool
+take_quota(Call *call)
+{
+    if (call->account == NULL || call->cost > 0) {
+        return true;
+    }
+    double cost = cost_of(call);
+    uint32_t delay_ms = MIN(call->route->target_ms / DELAY_PART, DELAY_MAX_MS);
+    QuotaDecision quota =
+        Quotas_Take(call->gateway->quotas, call->account, cost, delay_ms);
+    if (!quota.admitted) {
+        CallLog_OverLimit(call, &quota);
+        Call_Fail(call, &(CallError){
+                            .status = 429,
+                            .code = "over_limit",
+                            .message = "The account is over its limit.",
+                            .retry_after_ms = quota.wait_ms,
+                        });
+        return false;
+    }
+    call->cost = cost;
+    if (quota.wait_ms > 0) {
+        set_timer(call, Clock_Now() + quota.wait_ms * US_PER_MS);
+        return false;
+    }
+    return true;
+}
+
 static void
 admit(Call *call)
 {
@@ -475,20 +430,8 @@
         }
         return;
     }
-    if (call->account != NULL) {
-        call->cost = cost_of(call);
-        QuotaDecision quota =
-            Quotas_Take(call->gateway->quotas, call->account, call->cost);
-        if (quota.wait_ms > 0) {
-            log_over_limit(call, &quota);
-            Call_Fail(call, &(CallError){
-                                .status = 429,
-                                .code = "over_limit",
-                                .message = "The account is over its limit.",
-                                .retry_after_ms = quota.wait_ms,
-                            });
-            return;
-        }
+    if (!take_quota(call)) {
+        return;
     }
     if (outlasts_stop(call)) {
         Call_Fail(call, &stopping);
--- /dev/null
+++ b/src/gateway/call_log.c
@@ -0,0 +1,91 @@
+/** @file
+ * Gateway: what is written and measured of a request's decisions.
+ */
+#include <string.h>
+
+#include "gateway/state.h"
+#include "kernel/histogram.h"
+#include "kernel/log.h"
+
+#define OUTCOME_ANSWERED "answered"
+
+static const char *
+kind_name(const Call *call)
+{
+    static const char *const names[] = {
+        [ROUTE_IDEMPOTENT] = "idempotent",
+        [ROUTE_ONCE] = "once",
+        [ROUTE_STREAM] = "stream",
+    };
+    return call->route == NULL ? "none" : names[call->route->kind];
+}
+
+static long long
+ms_since(const Call *call, TimeUs at)
+{
+    return at == 0 ? -1 : (long long)((at - call->received) / US_PER_MS);
+}
+
+static void
+measure_end(const Call *call, bool served)
+{
+    char label[64];
+    g_snprintf(label, sizeof(label), "kind=\"%s\",served=\"%s\"",
+               kind_name(call), served ? "yes" : "no");
+    Histogram_Record(Histogram_Get("gateway_request_seconds", label,
+                                   "From the request to its last byte."),
+                     Clock_Now() - call->received);
+    g_snprintf(label, sizeof(label), "tier=\"%u\"", MIN(call->tier, 9));
+    if (call->sent_at != 0) {
+        Histogram_Record(Histogram_Get("gateway_wait_seconds", label,
+                                       "From the request to its sending."),
+                         call->sent_at - call->received);
+    }
+    if (call->first_at != 0 && call->sent_at != 0) {
+        Histogram_Record(Histogram_Get("gateway_first_piece_seconds", label,
+                                       "From the sending to the first "
+                                       "event or the whole answer."),
+                         call->first_at - call->sent_at);
+    }
+}
+
+/* One record tells what decided a request's end; those that were not served
+ * are kept before the rest. */
+void
+CallLog_End(const Call *call, const char *outcome)
+{
+    const Gateway *gateway = call->gateway;
+    TimeUs now = Clock_Now();
+    bool served = strcmp(outcome, OUTCOME_ANSWERED) == 0;
+    measure_end(call, served);
+    Log_Write(served ? LOG_LEVEL_INFO : LOG_LEVEL_WARN, GATEWAY_PART,
+              "Request ended. id=%s outcome=%s status=%u route=%s kind=%s "
+              "account=%s tier=%u rank=%u service=%s endpoint=%s attempts=%u "
+              "waited_ms=%lld first_ms=%lld total_ms=%lld left_ms=%lld "
+              "prompt=%u version=%llu lease_ms=%lld events=%llu",
+              call->id, outcome, call->status,
+              call->route != NULL ? call->route->name : "", kind_name(call),
+              call->account != NULL ? call->account->name : "", call->tier,
+              call->rank, call->service != NULL ? call->service : "",
+              call->served_by, call->attempts, ms_since(call, call->sent_at),
+              ms_since(call, call->first_at), ms_since(call, now),
+              (long long)(call->caller_deadline - now) / US_PER_MS,
+              call->prompt_tokens,
+              call->table != NULL
+                  ? (unsigned long long)RouteTable_Version(call->table)
+                  : 0ULL,
+              (long long)(gateway->lease_until - now) / US_PER_MS,
+              (unsigned long long)call->events.passed);
+}
+
+void
+CallLog_OverLimit(const Call *call, const QuotaDecision *quota)
+{
+    LOG_INFO(GATEWAY_PART,
+             "Account is over its share. id=%s account=%s cost=%.0f "
+             "level=%.0f share=%.0f demand=%.0f limit=%.0f share_age_ms=%lld "
+             "retry_after_ms=%u",
+             call->id, call->account->name, call->cost, quota->level,
+             quota->share, quota->demand, call->account->rate,
+             (long long)quota->share_age / US_PER_MS, quota->wait_ms);
+}
--- a/src/gateway/quotas.c
+++ b/src/gateway/quotas.c
@@ -123,9 +123,10 @@
 }
 
 QuotaDecision
-Quotas_Take(Quotas *quotas, const RouteAccount *account, double cost)
+Quotas_Take(Quotas *quotas, const RouteAccount *account, double cost,
+            uint32_t delay_ms)
 {
-    QuotaDecision decision = {.wait_ms = 0, .share_age = -1};
+    QuotaDecision decision = {.admitted = true, .share_age = -1};
     if (account->rate <= 0) {
         return decision;
     }
@@ -141,10 +142,13 @@
     decision.share = share;
     decision.demand = quota->demand;
     decision.share_age = quota->share < 0 ? -1 : now - quota->shared_at;
-    if (quota->level > 0) {
+    double debt_ms = share > 0 ? -quota->level / share * 1000 : WAIT_MAX_MS;
+    if (debt_ms <= delay_ms) {
+        decision.wait_ms = (uint32_t)MAX(debt_ms, 0);
         quota->level -= cost;
         return decision;
     }
+    decision.admitted = false;
     decision.wait_ms = wait_ms(quota, share, cost, now);
     return decision;
 }
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -27,6 +27,7 @@
 typedef struct Retries Retries;
 typedef struct Keepers Keepers;
 typedef struct Suspects Suspects;
+typedef struct QuotaDecision QuotaDecision;
 
 struct Gateway {
     TaskHandle task;
@@ -193,7 +194,7 @@
     const char *service;
     uint32_t tier; /* the account's, or the route's where it has none */
     uint32_t rank; /* the route's, within the tier of an account */
-    double cost;   /* in units of the limit of the account */
+    double cost;   /* in units of the limit of the account; 0: not taken */
     uint32_t prompt_tokens;
     uint32_t output_tokens;
     uint64_t fingerprint;
@@ -282,6 +283,12 @@
 /* Whether a caller's attempt may run more than once. */
 bool Call_Repeatable(const Call *call);
 
+/* ---- call_log.c ---- */
+
+/* One record and the measures of a request's end. */
+void CallLog_End(const Call *call, const char *outcome);
+void CallLog_OverLimit(const Call *call, const QuotaDecision *quota);
+
 /* ---- errors.c ---- */
 
 /* Appends a whole answer with a JSON body. */
@@ -354,17 +361,19 @@
 void Quotas_Free(Quotas *quotas);
 
 /* What decided on a request of an account; units are those of its limit. */
-typedef struct QuotaDecision {
-    uint32_t wait_ms; /* 0: within the limit */
+struct QuotaDecision {
+    bool admitted;    /* its cost is taken */
+    uint32_t wait_ms; /* admitted: until it may go on; else to come back */
     double level;     /* units in hand before */
     double share;     /* units a second that this gateway holds */
     double demand;    /* units a second asked for lately */
     TimeUs share_age; /* since the leader gave the share; -1: never */
-} QuotaDecision;
+};
 
-/* Takes the cost of a request out of the account's share. */
+/* Takes the cost of a request out of the account's share. A request that
+ * finds none left is admitted with a delay of at most @p delay_ms. */
 QuotaDecision Quotas_Take(Quotas *quotas, const RouteAccount *account,
-                          double cost);
+                          double cost, uint32_t delay_ms);
 void Quotas_GiveBack(Quotas *quotas, const RouteAccount *account, double cost);
 void Quotas_SetShare(Quotas *quotas, const char *account, double share);
 void Quotas_Each(Quotas *quotas,
--- a/test/unit/test_gateway.c
+++ b/test/unit/test_gateway.c
@@ -68,6 +68,36 @@
     evbuffer_free(out);
 }
 
+/* Milliseconds after which a refused request may come back; 0: admitted. */
+static uint32_t
+refused_for(Quotas *quotas, const RouteAccount *account, double cost)
+{
+    QuotaDecision decision = Quotas_Take(quotas, account, cost, 0);
+    return decision.admitted ? 0 : decision.wait_ms;
+}
+
+/* Load: a short burst over the share. It is smoothed, not refused. */
+static void
+short_bursts_are_delayed(void **state)
+{
+    Gateway gateway = new_gateway();
+    Quotas *quotas = Quotas_New(&gateway);
+    RouteAccount account = {
+        .name = "a", .counts_tokens = true, .rate = 4000, .burst = 4000};
+    while (Quotas_Take(quotas, &account, 100, 0).admitted) {
+    }
+    QuotaDecision first = Quotas_Take(quotas, &account, 100, 250);
+    QuotaDecision second = Quotas_Take(quotas, &account, 100, 250);
+    assert_true(first.admitted && second.admitted);
+    assert_in_range(second.wait_ms - first.wait_ms, 90, 110);
+    QuotaDecision last = Quotas_Take(quotas, &account, 100, 250);
+    last = Quotas_Take(quotas, &account, 100, 250);
+    assert_false(last.admitted);
+    Quotas_GiveBack(quotas, &account, 100);
+    assert_true(Quotas_Take(quotas, &account, 100, 250).admitted);
+    Quotas_Free(quotas);
+}
+
 static void
 limits_are_shared_and_returns_spread(void **state)
 {
@@ -78,15 +108,15 @@
     /* A fourth of the burst is this gateway's until it has a share. */
     unsigned served = 0;
     uint32_t wait_ms = 0;
-    while ((wait_ms = Quotas_Take(quotas, &account, 100).wait_ms) == 0) {
+    while ((wait_ms = refused_for(quotas, &account, 100)) == 0) {
         served++;
     }
     assert_in_range(served, 10, 11);
-    uint32_t later_ms = Quotas_Take(quotas, &account, 100).wait_ms;
+    uint32_t later_ms = refused_for(quotas, &account, 100);
     assert_true(later_ms > wait_ms);
     assert_in_range(later_ms - wait_ms, 50, 150);
     RouteAccount unlimited = {.name = "b"};
-    assert_int_equal(Quotas_Take(quotas, &unlimited, 1e9).wait_ms, 0);
+    assert_int_equal(refused_for(quotas, &unlimited, 1e9), 0);
     Quotas_Free(quotas);
 }
 
@@ -100,11 +130,11 @@
     Quotas *quotas = Quotas_New(&gateway);
     RouteAccount account = {
         .name = "a", .counts_tokens = true, .rate = 4000, .burst = 4000};
-    assert_int_equal(Quotas_Take(quotas, &account, 1).wait_ms, 0);
+    assert_int_equal(refused_for(quotas, &account, 1), 0);
     Quotas_SetShare(quotas, "a", 10);
-    assert_int_equal(Quotas_Take(quotas, &account, 7000).wait_ms, 0);
-    assert_int_equal(Quotas_Take(quotas, &account, 2000).wait_ms, 0);
-    assert_int_not_equal(Quotas_Take(quotas, &account, 900).wait_ms, 0);
+    assert_int_equal(refused_for(quotas, &account, 7000), 0);
+    assert_int_equal(refused_for(quotas, &account, 2000), 0);
+    assert_int_not_equal(refused_for(quotas, &account, 900), 0);
     Quotas_Free(quotas);
     options.bounds.quota_slack = 0;
 }
@@ -146,6 +176,7 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(only_whole_events_pass),
         cmocka_unit_test(events_do_not_come_twice),
+        cmocka_unit_test(short_bursts_are_delayed),
         cmocka_unit_test(limits_are_shared_and_returns_spread),
         cmocka_unit_test(small_shares_take_large_requests),
         cmocka_unit_test(repeated_sends_keep_to_the_budget),
