--- /dev/null
+++ b/test/fuzz/fuzz_http1.c
@@ -0,0 +1,158 @@
+/** @file
+ * HTTP/1.1 framing. Messages are put together from parts that are known to
+ * be valid or not: one with an invalid part must be refused, one without
+ * must be taken whole, however its bytes arrive, and leave what follows it.
+ * Any other bytes must give the same outcome in one piece and in many.
+ */
+#include "fuzz.h"
+
+#include <stdbool.h>
+#include <string.h>
+
+#include "http1/parser.h"
+
+#define HEAD_MAX 4096
+#define FOLLOWING "GET /next"
+
+typedef struct Part {
+    const char *text;
+    bool valid;
+} Part;
+
+static const Part start_lines[] = {
+    {"POST /a HTTP/1.1\r\n", true},   {"PUT /a?b=c HTTP/1.1\r\n", true},
+    {"POST /a HTTP/1.1\n", false},    {"POST  /a HTTP/1.1\r\n", false},
+    {"POST a HTTP/1.1\r\n", false},   {"POST /a HTTP/3.1\r\n", false},
+    {"POST /a\r\n", false},           {"POST /a b HTTP/1.1\r\n", false},
+    {"PO(ST /a HTTP/1.1\r\n", false}, {" POST /a HTTP/1.1\r\n", false},
+};
+
+static const Part plain_fields[] = {
+    {"X-One: 1\r\n", true},
+    {"X-Two:\r\n", true},
+    {"X-Three:   spaced \r\n", true},
+    {"X-Four : 1\r\n", false},
+    {"X-Five\r\n", false},
+    {": 1\r\n", false},
+    {" folded\r\n", false},
+    {"X-Six: a\rb\r\n", false},
+    {"X-Seven: 1\n", false},
+    {"X(8): 1\r\n", false},
+    {"Host: b\r\n", false},
+    {"Content-Length: 1\r\n", false},
+    {"Transfer-Encoding: chunked\r\n", false},
+};
+
+/* What frames the body "abcd"; every head has exactly one of these. */
+static const Part framings[] = {
+    {"Content-Length: 4\r\n\r\nabcd", true},
+    {"content-length:4\r\n\r\nabcd", true},
+    {"Transfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n0\r\n\r\n", true},
+    {"transfer-encoding: Chunked\r\n\r\n2;a=b\r\nab\r\n02\r\ncd\r\n0\r\nT: "
+     "x\r\n\r\n",
+     true},
+    {"Content-Length: +4\r\n\r\nabcd", false},
+    {"Content-Length: 4 4\r\n\r\nabcd", false},
+    {"Content-Length: 0x4\r\n\r\nabcd", false},
+    {"Content-Length: 99999999999999999999\r\n\r\nabcd", false},
+    {"Transfer-Encoding: identity\r\n\r\nabcd", false},
+    {"Transfer-Encoding: chunked, gzip\r\n\r\n0\r\n\r\n", false},
+    {"Transfer-Encoding: chunked\r\n\r\n4\r\nabcdX\r\n0\r\n\r\n", false},
+    {"Transfer-Encoding: chunked\r\n\r\n-4\r\nabcd\r\n0\r\n\r\n", false},
+    {"Transfer-Encoding: chunked\r\n\r\n"
+     "ffffffffffffffffff\r\nabcd\r\n0\r\n\r\n",
+     false},
+};
+
+static const Part *
+pick(FuzzInput *input, const Part *parts, size_t count)
+{
+    /* Mostly valid parts, so that one invalid part stands alone. */
+    const Part *part = &parts[fuzz_pick(input, (unsigned)count)];
+    for (int i = 0; i < 2 && !part->valid; i++) {
+        part = &parts[fuzz_pick(input, (unsigned)count)];
+    }
+    return part;
+}
+
+typedef struct Outcome {
+    H1Step step;
+    size_t body;
+    size_t left; /* bytes that were not taken */
+} Outcome;
+
+/* Feeds the bytes in pieces that the input decides. */
+static Outcome
+parse(H1Kind kind, const char *bytes, size_t length, FuzzInput *pieces)
+{
+    H1Parser *parser = H1Parser_New(kind, HEAD_MAX);
+    struct evbuffer *in = evbuffer_new();
+    Outcome outcome = {.step = H1_MORE};
+    size_t at = 0;
+    while (at < length && outcome.step == H1_MORE) {
+        size_t size = pieces == NULL ? length : 1 + fuzz_pick(pieces, 24);
+        size = MIN(size, length - at);
+        evbuffer_add(in, bytes + at, size);
+        at += size;
+        Error err = ERROR_INIT;
+        do {
+            outcome.step = H1Parser_Next(parser, in, &err);
+        } while (outcome.step == H1_HEAD || outcome.step == H1_BODY);
+        FUZZ_CHECK(outcome.step != H1_BAD || err.code != ERR_OK,
+                   "refused without a reason");
+    }
+    outcome.body = evbuffer_get_length(H1Parser_Body(parser));
+    outcome.left = evbuffer_get_length(in) + (length - at);
+    evbuffer_free(in);
+    H1Parser_Free(parser);
+    return outcome;
+}
+
+static void
+check_built(FuzzInput *input)
+{
+    GString *text = g_string_new(NULL);
+    const Part *part = pick(input, start_lines, G_N_ELEMENTS(start_lines));
+    bool valid = part->valid;
+    g_string_append(text, part->text);
+    g_string_append(text, "Host: a\r\n");
+    for (unsigned i = fuzz_pick(input, 4); i > 0; i--) {
+        part = pick(input, plain_fields, G_N_ELEMENTS(plain_fields));
+        valid = valid && part->valid;
+        g_string_append(text, part->text);
+    }
+    part = pick(input, framings, G_N_ELEMENTS(framings));
+    valid = valid && part->valid;
+    g_string_append(text, part->text);
+    g_string_append(text, FOLLOWING);
+    Outcome outcome = parse(H1_REQUEST, text->str, text->len, input);
+    FUZZ_CHECK(valid == (outcome.step == H1_DONE), "valid=%d step=%d:\n%s",
+               valid, outcome.step, text->str);
+    FUZZ_CHECK(
+        !valid || (outcome.body == 4 && outcome.left == strlen(FOLLOWING)),
+        "body=%zu left=%zu:\n%s", outcome.body, outcome.left, text->str);
+    g_string_free(text, TRUE);
+}
+
+static void
+check_any(FuzzInput *input, const uint8_t *bytes, size_t length)
+{
+    H1Kind kind = fuzz_pick(input, 2) == 0 ? H1_REQUEST : H1_RESPONSE;
+    const char *text = (const char *)bytes;
+    Outcome whole = parse(kind, text, length, NULL);
+    Outcome pieces = parse(kind, text, length, input);
+    FUZZ_CHECK(whole.step == pieces.step, "step=%d in pieces=%d", whole.step,
+               pieces.step);
+    FUZZ_CHECK(whole.step != H1_DONE ||
+                   (whole.left == pieces.left && whole.body == pieces.body),
+               "another end in pieces");
+}
+
+int
+LLVMFuzzerTestOneInput(const uint8_t *bytes, size_t length)
+{
+    FuzzInput input = fuzz_input(bytes, length);
+    check_built(&input);
+    check_any(&input, bytes, length);
+    return 0;
+}
--- /dev/null
+++ b/test/fuzz/fuzz_platform.c
@@ -0,0 +1,104 @@
+/** @file
+ * What the platform sends, as any bytes: documents, heartbeats and farewells
+ * are taken or refused with a sentence, and what is taken can be used.
+ */
+#include "fuzz.h"
+
+#include <string.h>
+
+#include <jansson.h>
+
+#include "platform/announce.h"
+#include "platform/config.h"
+
+/* A document that is taken; bytes of the input replace some of its own. */
+static const char document[] =
+    "{\"version\":7,\"routeTable\":[{\"name\":\"r\",\"host\":\"h\","
+    "\"pathPrefix\":\"/p/\",\"kind\":\"streaming\",\"timeoutMs\":4000,"
+    "\"priority\":1,\"trafficSplit\":[{\"service\":\"s\",\"weight\":9},"
+    "{\"service\":\"t\",\"weight\":1}],\"maxAttempts\":2}],"
+    "\"services\":[{\"name\":\"s\",\"engine\":{\"slots\":5}},"
+    "{\"name\":\"t\"}],\"limits\":{\"maxBodyBytes\":10},"
+    "\"tenants\":[{\"name\":\"a\",\"apiKeys\":[\"k\"],\"ratePerS\":10}]}";
+
+static const char heartbeat[] =
+    "{\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\","
+    "\"slots\":5,\"state\":\"ready\",\"coldRemainingMs\":0,\"sequence\":4,"
+    "\"born\":99}";
+
+/* A copy with a few bytes replaced. */
+static char *
+damage(FuzzInput *input, const char *text, size_t *length)
+{
+    *length = strlen(text);
+    char *copy = g_strdup(text);
+    for (unsigned i = fuzz_pick(input, 6); i > 0; i--) {
+        size_t at =
+            ((size_t)fuzz_byte(input) << 8 | fuzz_byte(input)) % *length;
+        copy[at] = (char)fuzz_byte(input);
+    }
+    if (fuzz_pick(input, 8) == 0) {
+        *length = fuzz_byte(input) % *length;
+    }
+    return copy;
+}
+
+static void
+check_document(const char *text, size_t length)
+{
+    RouteTable *table = NULL;
+    Error err = ERROR_INIT;
+    int result = PlatformConfig_Codec.decode(text, length, &table, &err);
+    FUZZ_CHECK((result == ERR_OK) == (table != NULL), "no table");
+    FUZZ_CHECK(result == ERR_OK || err.text[0] != '\0', "no sentence");
+    if (table == NULL) {
+        return;
+    }
+    FUZZ_CHECK(RouteTable_Version(table) > 0, "version 0");
+    const Route *route = RouteTable_Match(table, "h", "/p/x");
+    if (route != NULL) {
+        const char *service = Route_PickService(route, "id");
+        FUZZ_CHECK(service != NULL && Route_Allows(route, service),
+                   "no service");
+        FUZZ_CHECK(RouteTable_Service(table, service) != NULL,
+                   "unknown service");
+        FUZZ_CHECK(route->timeout_ms > 0, "time-out 0");
+    }
+    RouteTable_Account(table, "k");
+    RouteTable_Unref(table);
+}
+
+static void
+check_announcement(Directory *directory, const char *text, size_t length)
+{
+    json_t *body = json_loadb(text, length, 0, NULL);
+    EndpointNews news;
+    Error err = ERROR_INIT;
+    if (Announce_Decode("i", body, &news, &err) == ERR_OK) {
+        FUZZ_CHECK(news.service != NULL && news.address != NULL, "no place");
+        Directory_Update(directory, &news, NULL);
+        FUZZ_CHECK(Directory_Find(directory, "i") != NULL, "not kept");
+    }
+    if (Announce_DecodeFarewell("i", body, &news, &err) == ERR_OK) {
+        FUZZ_CHECK(news.state == ENDPOINT_GONE, "no farewell");
+    }
+    json_decref(body);
+}
+
+int
+LLVMFuzzerTestOneInput(const uint8_t *bytes, size_t length)
+{
+    FuzzInput input = fuzz_input(bytes, length);
+    Directory *directory = Directory_New();
+    size_t size;
+    char *text = damage(&input, document, &size);
+    check_document(text, size);
+    g_free(text);
+    text = damage(&input, heartbeat, &size);
+    check_announcement(directory, text, size);
+    g_free(text);
+    check_document((const char *)bytes, length);
+    check_announcement(directory, (const char *)bytes, length);
+    Directory_Free(directory);
+    return 0;
+}
