--- a/test/fuzz/fuzz_http1.c
+++ b/test/fuzz/fuzz_http1.c
@@ -57,6 +57,7 @@
     {"Content-Length: 99999999999999999999\r\n\r\nabcd", false},
     {"Transfer-Encoding: identity\r\n\r\nabcd", false},
     {"Transfer-Encoding: chunked, gzip\r\n\r\n0\r\n\r\n", false},
+    {"Transfer-Encoding: gzip, chunked\r\n\r\n4\r\nabcd\r\n0\r\n\r\n", false},
     {"Transfer-Encoding: chunked\r\n\r\n4\r\nabcdX\r\n0\r\n\r\n", false},
     {"Transfer-Encoding: chunked\r\n\r\n-4\r\nabcd\r\n0\r\n\r\n", false},
     {"Transfer-Encoding: chunked\r\n\r\n"
