--- a/src/keeper/keeper.c
+++ b/src/keeper/keeper.c
@@ -346,6 +346,7 @@
         .prefill_tokens_s = PREFILL_GUESS,
         .decode_tokens_s = DECODE_GUESS,
         .seed = keeper->self.incarnation,
+        .refuse_early = true,
     };
     keeper->queue = Queue_New(&config);
     keeper->owners =
--- a/src/sched/queue.c
+++ b/src/sched/queue.c
@@ -12,6 +12,10 @@
 
 /* How often waiting requests are checked against their deadlines. */
 #define PLAN_PERIOD (50 * US_PER_MS)
+/* Time constant of the share of slots that a class takes. */
+#define CLASS_SPAN (2 * US_PER_S)
+/* Share beyond which better work counts as taking all but a twentieth. */
+#define BETTER_MAX 0.95
 /* A tier whose requests would wait this long is refused by entries. */
 #define SHED_WAIT (30 * US_PER_S)
 /* Weight of one sample in the share of wants that are dispatched here. */
@@ -174,6 +178,50 @@
     }
 }
 
+static unsigned
+class_of(const Work *work)
+{
+    unsigned tier = MIN(work->tier, WORK_TIERS - 1);
+    unsigned rank = MIN(work->rank, QUEUE_CLASS_RANKS - 1);
+    return tier * QUEUE_CLASS_RANKS + rank;
+}
+
+/* Follows how much of the slots each class takes. */
+static void
+sample_classes(WantQueue *queue, TimeUs now)
+{
+    double part = (double)(now - queue->sampled_at) / (double)CLASS_SPAN;
+    part = MIN(part, 1);
+    queue->sampled_at = now;
+    double busy[QUEUE_CLASSES] = {0};
+    for (uint32_t i = 0; i < queue->busy_count; i++) {
+        busy[class_of(&QueueItems_Busy(queue, i)->work)] += 1;
+    }
+    for (unsigned c = 0; c < QUEUE_CLASSES; c++) {
+        double share = busy[c] / queue->config.slots;
+        queue->taken[c] += part * (share - queue->taken[c]);
+    }
+}
+
+/* Longer wait than planned: while work that goes first keeps coming, only
+ * what it leaves of the slots serves the rest. Answers sustained overload,
+ * where lower work would else wait in vain until its deadline. */
+static TimeUs
+wait_behind_better(const WantQueue *queue, const Work *work, TimeUs planned,
+                   TimeUs run)
+{
+    if (!queue->config.refuse_early) {
+        return planned;
+    }
+    double better = 0;
+    for (unsigned c = 0; c < class_of(work); c++) {
+        better += queue->taken[c];
+    }
+    double left = 1 - MIN(better, BETTER_MAX);
+    double residual = (double)run / queue->config.slots;
+    return (TimeUs)(((double)planned + residual * better) / left);
+}
+
 /* Refuses the waiting requests whose planned finish is past their deadline,
  * in grant order, so that each is weighed against what goes before it. */
 static void
@@ -181,6 +229,7 @@
 {
     Plan plan;
     plan_busy(queue, &plan, now);
+    sample_classes(queue, now);
     queue->planned_at = now;
     queue->lowest_tier = WORK_TIERS - 1;
     uint32_t at = 0;
@@ -188,7 +237,10 @@
         Item *item = QueueItems_Waiting(queue, at);
         TimeUs start = Plan_Next(&plan);
         TimeUs span = run_time(queue, item);
-        TimeUs late = start + safe_run_time(queue, item) - item->work.deadline;
+        TimeUs wait_more =
+            wait_behind_better(queue, &item->work, start - now, span);
+        TimeUs late =
+            now + wait_more + safe_run_time(queue, item) - item->work.deadline;
         if (late > 0) {
             refuse_waiting(queue, item, REFUSE_DEADLINE, late);
             continue;
--- a/src/sched/queue.h
+++ b/src/sched/queue.h
@@ -20,7 +20,10 @@
     double prefill_tokens_s; /**< First guess; measured afterwards. */
     double decode_tokens_s;  /**< Of one stream. */
     uint64_t seed;           /**< Makes grant ids differ by incarnation. */
-    bool no_priority;        /**< Switches for measurements. */
+    /** Refuse work early that better work keeps from starting. For wants that
+     * stand in several queues and end only when all refuse. */
+    bool refuse_early;
+    bool no_priority; /**< Switches for measurements. */
     bool no_deadline;
 } QueueConfig;
 
--- a/src/sched/queue_items.h
+++ b/src/sched/queue_items.h
@@ -17,6 +17,10 @@
 /** The endpoint, as holder of its blocks. */
 #define QUEUE_CACHE_HOLDER 1
 
+/** Tiers and ranks, in the order of granting; higher ones share the last. */
+#define QUEUE_CLASS_RANKS 4
+#define QUEUE_CLASSES (WORK_TIERS * QUEUE_CLASS_RANKS)
+
 typedef enum ItemState {
     ITEM_WAITING,
     ITEM_GRANTED,
@@ -67,6 +71,8 @@
     double margin; /* factor that predicted run times rarely exceed */
     double kept;   /* share of wants that are dispatched here */
     TimeUs planned_at;
+    TimeUs sampled_at;
+    double taken[QUEUE_CLASSES]; /* moving share of slots, by class */
     uint32_t lowest_tier;
     uint32_t retry_after_ms;
 };
--- a/test/unit/test_queue.c
+++ b/test/unit/test_queue.c
@@ -91,6 +91,48 @@
     Queue_Free(queue);
 }
 
+/* Load: sustained overload by better work on the only slot. Lower work that
+ * would wait in vain is refused within a few seconds, not at its deadline;
+ * where better work leaves slots it is kept. */
+static void
+lower_work_is_refused_early(void **state)
+{
+    for (int early = 0; early < 2; early++) {
+        WantQueue *queue = Queue_New(&(QueueConfig){
+            .max_wants = 8,
+            .max_tombstones = 64,
+            .slots = 1,
+            .grant_ttl = TTL,
+            .decode_tokens_s = 10,
+            .refuse_early = early == 1,
+        });
+        uint64_t grant = 0;
+        TimeUs now = 1;
+        want(queue, 100, 0, 1000 * US_PER_S, now);
+        assert_granted(queue, 100, &grant);
+        Queue_Dispatch(queue, (RequestId){.low = 100}, grant, now);
+        want(queue, 1, 2, 30 * US_PER_S, now);
+        TimeUs refused_at = 0;
+        for (uint64_t id = 101; id < 112; id++) {
+            want(queue, id, 0, 1000 * US_PER_S, now);
+            now += US_PER_S;
+            Queue_Tick(queue, now);
+            finish(queue, id - 1, now);
+            QueueAction action;
+            while (Queue_TakeActions(queue, &action, 1) == 1) {
+                if (action.kind == QUEUE_REFUSE) {
+                    refused_at = now;
+                    continue;
+                }
+                Queue_Dispatch(queue, action.id, action.grant_id, now);
+            }
+        }
+        assert_true(early == 1 ? refused_at > 0 && refused_at < 8 * US_PER_S
+                               : refused_at == 0);
+        Queue_Free(queue);
+    }
+}
+
 /* Load: a burst within one rank. What is late anyway lets those go first
  * whose first piece can still come in time; both are served. */
 static void
@@ -283,6 +325,7 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(grants_by_tier_then_deadline),
         cmocka_unit_test(grants_by_rank_within_a_tier),
+        cmocka_unit_test(lower_work_is_refused_early),
         cmocka_unit_test(late_work_waits_for_work_on_time),
         cmocka_unit_test(long_work_starts_in_time),
         cmocka_unit_test(refuses_hopeless_want_at_once),
