--- a/src/gateway/call_answer.c
+++ b/src/gateway/call_answer.c
@@ -114,6 +114,9 @@
         /* Another endpoint has the address now. */
         Endpoint_Failed(call->endpoint, "another instance has the address");
     }
+    else {
+        Endpoint_Answered(call->endpoint, false);
+    }
     drop_exchange(call);
     Call_Retry(call, other ? CALL_OTHER_INSTANCE : CALL_REFUSED,
                other ? "another instance" : "endpoint is full");
--- a/src/gateway/endpoints.c
+++ b/src/gateway/endpoints.c
@@ -1,6 +1,7 @@
 /** @file
  * Gateway: endpoints, what they say of themselves and what requests showed.
  */
+#include <math.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -13,6 +14,8 @@
 #define AVOID_MAX_MS 4000
 /* Weight of the newest answer in the moving share of failures. */
 #define ERROR_WEIGHT 0.2
+/* Time constant with which the share fades while nothing is sent. */
+#define ERROR_FADE_US (4 * US_PER_S)
 
 /* Requests that an endpoint broke off, and how long each may explain its
  * end. */
@@ -225,11 +228,20 @@
              endpoint->id, endpoint->failures, (long long)rest, why);
 }
 
+double
+Endpoint_ErrorRate(const Endpoint *endpoint, TimeUs now)
+{
+    double age = (double)(now - endpoint->error_at) / (double)ERROR_FADE_US;
+    return endpoint->error_rate * exp(-age);
+}
+
 void
 Endpoint_Answered(Endpoint *endpoint, bool success)
 {
-    endpoint->error_rate +=
-        ERROR_WEIGHT * ((success ? 0 : 1) - endpoint->error_rate);
+    TimeUs now = Clock_Now();
+    double rate = Endpoint_ErrorRate(endpoint, now);
+    endpoint->error_rate = rate + ERROR_WEIGHT * ((success ? 0 : 1) - rate);
+    endpoint->error_at = now;
     endpoint->failures = 0;
     endpoint->probing = false;
     endpoint->avoid_until = 0;
--- a/src/gateway/line.c
+++ b/src/gateway/line.c
@@ -138,7 +138,7 @@
             .tried = Endpoint_WasTried(endpoint, call),
             .distance = Endpoint_Distance(endpoint),
             .load = load_of(endpoint, now),
-            .error_rate = endpoint->error_rate,
+            .error_rate = Endpoint_ErrorRate(endpoint, now),
             .run_ms = endpoint->latency_ms,
         };
     }
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -105,7 +105,8 @@
     unsigned failures; /* in a row */
     TimeUs avoid_until;
     bool probing;      /* one request tries it after a failure */
-    double error_rate; /* share of answers that were failures */
+    double error_rate; /* share of answers that were failures, as of then */
+    TimeUs error_at;
     GArray *broken;    /* Broken: requests that it did not answer lately */
     double latency_ms; /* moving mean of plain answers */
     GQueue idle;       /* Upstream, most recently used first */
@@ -129,6 +130,9 @@
 void Endpoint_Answered(Endpoint *endpoint, bool success);
 void Endpoint_Load(Endpoint *endpoint, const char *report);
 
+/* Moving share of failures; it fades while nothing is sent there. */
+double Endpoint_ErrorRate(const Endpoint *endpoint, TimeUs now);
+
 /* Whether the call has failed there before. */
 bool Endpoint_WasTried(const Endpoint *endpoint, const Call *call);
 
--- a/src/gateway/wants.c
+++ b/src/gateway/wants.c
@@ -16,6 +16,8 @@
  * only for requests that would wait longer than it takes. */
 #define ASK_REGION_MS 12
 #define ASK_ALL_MS 90
+/* Share of failures beyond which an engine is left out. */
+#define ERROR_RATE_MAX 0.3
 /* Loads that a keeper told fade over this span. */
 #define LOAD_FADE_US (300 * US_PER_MS)
 /* Pace of an engine that has not told its own, in tokens a second. */
@@ -183,7 +185,7 @@
             .tried = Endpoint_WasTried(endpoint, call),
             .distance = Endpoint_Distance(endpoint),
             .load = load_of(keeper, endpoint, now),
-            .error_rate = endpoint->error_rate,
+            .error_rate = Endpoint_ErrorRate(endpoint, now),
             .run_ms = run_ms(keeper, call),
         };
     }
@@ -214,11 +216,20 @@
     }
 }
 
+/* Leaves out what is beyond reach, and failing engines while there are
+ * others: one that fails at once is always free and would draw all work. */
 static void
 limit_reach(Choice *choice, unsigned reach)
 {
+    bool others = false;
     for (size_t i = 0; i < choice->count; i++) {
-        if (choice->candidates[i].distance > reach) {
+        ChooseCandidate *candidate = &choice->candidates[i];
+        candidate->usable = candidate->usable && candidate->distance <= reach;
+        others = others || (candidate->usable &&
+                            candidate->error_rate <= ERROR_RATE_MAX);
+    }
+    for (size_t i = 0; i < choice->count && others; i++) {
+        if (choice->candidates[i].error_rate > ERROR_RATE_MAX) {
             choice->candidates[i].usable = false;
         }
     }
--- a/src/keeper/keeper.c
+++ b/src/keeper/keeper.c
@@ -8,6 +8,7 @@
 
 #include <glib.h>
 
+#include "keeper/probe.h"
 #include "kernel/clock.h"
 #include "kernel/counter.h"
 #include "kernel/log.h"
@@ -43,6 +44,7 @@
     struct event *timer;
     Counter *queued;
     Counter *busy;
+    Probe *probe; /* NULL: none */
 } Keeper;
 
 static uint64_t
@@ -269,6 +271,19 @@
     .frame = on_frame,
 };
 
+/* Wants of an engine that does not answer are refused, so that gateways send
+ * them to others. */
+static void
+on_engine(void *owner, bool answers)
+{
+    Keeper *keeper = owner;
+    LOG_WARN(PART, "Engine %s. address=%s",
+             answers ? "answers again" : "does not answer",
+             keeper->options->engine);
+    Queue_SetLeaving(keeper->queue, !answers, Clock_Now());
+    carry_out(keeper);
+}
+
 static int
 start(TaskHandle self, void *state, Error *err)
 {
@@ -281,6 +296,14 @@
     if (result != ERR_OK) {
         return result;
     }
+    if (keeper->options->engine != NULL) {
+        keeper->probe =
+            Probe_New(keeper->base, keeper->options->engine,
+                      keeper->options->probe_path, on_engine, keeper, err);
+        if (keeper->probe == NULL) {
+            return err->code;
+        }
+    }
     keeper->links = Link_Listen(keeper->base, &keeper->self, &address,
                                 &link_ops, keeper, err);
     return keeper->links == NULL ? err->code : ERR_OK;
@@ -298,6 +321,9 @@
     if (keeper->links != NULL) {
         Link_CloseServer(keeper->links);
     }
+    if (keeper->probe != NULL) {
+        Probe_Free(keeper->probe);
+    }
     event_free(keeper->timer);
     Queue_Free(keeper->queue);
     g_hash_table_destroy(keeper->owners);
--- a/src/keeper/keeper.h
+++ b/src/keeper/keeper.h
@@ -10,7 +10,9 @@
     const char *name;
     const char *zone;
     const char *region;
-    const char *listen; /**< IP:PORT for links of gateways. */
+    const char *listen;     /**< IP:PORT for links of gateways. */
+    const char *engine;     /**< IP:PORT of the engine; NULL: not watched. */
+    const char *probe_path; /**< A page of it that costs it nothing. */
 } KeeperOptions;
 
 /** Adds the task. @p options outlive the kernel. */
--- /dev/null
+++ b/src/keeper/probe.c
@@ -0,0 +1,115 @@
+/** @file
+ * Probe of the engine beside the keeper.
+ */
+#include "keeper/probe.h"
+
+#include <event2/http.h>
+#include <glib.h>
+
+#include "kernel/clock.h"
+#include "wire/address.h"
+
+/* Between probes: a crash shows on the open connection at once, so this is
+ * for engines that fall silent and for their return. */
+#define PERIOD_MS 250
+/* An engine that takes longer counts as silent for this probe. */
+#define TIMEOUT_MS 300
+/* Failures in a row that count; the second try follows the first at once. */
+#define FAILURES 2
+
+struct Probe {
+    struct event_base *base;
+    Address address;
+    char *path;
+    void (*changed)(void *owner, bool answers);
+    void *owner;
+    struct evhttp_connection *connection;
+    struct event *timer;
+    unsigned failures;
+    bool silent;
+    bool freed; /* a callback must not start anew */
+};
+
+static void
+set_timer(Probe *probe, unsigned ms)
+{
+    struct timeval span = {.tv_usec = ms * US_PER_MS};
+    event_add(probe->timer, &span);
+}
+
+static void
+judge(Probe *probe, bool answered)
+{
+    probe->failures = answered ? 0 : probe->failures + 1;
+    bool silent = probe->failures >= FAILURES;
+    if (silent != probe->silent) {
+        probe->silent = silent;
+        probe->changed(probe->owner, !silent);
+    }
+}
+
+static void
+on_answer(struct evhttp_request *request, void *arg)
+{
+    Probe *probe = arg;
+    if (probe->freed) {
+        return;
+    }
+    bool answered =
+        request != NULL && evhttp_request_get_response_code(request) > 0;
+    judge(probe, answered);
+    set_timer(probe, answered || probe->failures != 1 ? PERIOD_MS : 0);
+}
+
+static void
+ask(Probe *probe)
+{
+    struct evhttp_request *request = evhttp_request_new(on_answer, probe);
+    evhttp_add_header(evhttp_request_get_output_headers(request), "Host",
+                      probe->address.host);
+    if (evhttp_make_request(probe->connection, request, EVHTTP_REQ_GET,
+                            probe->path) != 0)
+    {
+        judge(probe, false);
+        set_timer(probe, PERIOD_MS);
+    }
+}
+
+static void
+on_timer(evutil_socket_t fd, short events, void *arg)
+{
+    ask(arg);
+}
+
+Probe *
+Probe_New(struct event_base *base, const char *address, const char *path,
+          void (*changed)(void *owner, bool answers), void *owner, Error *err)
+{
+    Address parsed;
+    if (Address_Parse(address, &parsed, err) != ERR_OK) {
+        return NULL;
+    }
+    Probe *probe = g_new0(Probe, 1);
+    probe->base = base;
+    probe->address = parsed;
+    probe->path = g_strdup(path);
+    probe->changed = changed;
+    probe->owner = owner;
+    probe->connection =
+        evhttp_connection_base_new(base, NULL, parsed.host, parsed.port);
+    struct timeval limit = {.tv_usec = TIMEOUT_MS * US_PER_MS};
+    evhttp_connection_set_timeout_tv(probe->connection, &limit);
+    probe->timer = event_new(base, -1, 0, on_timer, probe);
+    set_timer(probe, PERIOD_MS);
+    return probe;
+}
+
+void
+Probe_Free(Probe *probe)
+{
+    probe->freed = true;
+    evhttp_connection_free(probe->connection);
+    event_free(probe->timer);
+    g_free(probe->path);
+    g_free(probe);
+}
