--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -368,12 +368,6 @@
     g_ptr_array_unref(superseded);
 }
 
-bool
-Fleet_Ready(const Fleet *fleet)
-{
-    return !fleet->draining;
-}
-
 /* ---- The task ---- */
 
 static void
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -51,7 +51,4 @@
 /** Takes news of an endpoint and passes changes on to every gateway. */
 void Fleet_Announce(Fleet *fleet, const EndpointNews *news);
 
-/** Whether this host can serve its API at present. */
-bool Fleet_Ready(const Fleet *fleet);
-
 #endif
--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -489,8 +489,9 @@
     call->answer = evbuffer_new();
     call->partial = evbuffer_new();
     call->events = EVENTS_INIT;
-    call->resume_after = after == NULL ? -1 : strtoll(after, NULL, 10);
-    call->events.last_id = call->resume_after;
+    if (after != NULL) {
+        call->events.last_id = strtoll(after, NULL, 10);
+    }
     copy_fields(call, head);
     read_tokens(call, head);
     call->fingerprint = fingerprint_of(call);
--- a/src/gateway/call_answer.c
+++ b/src/gateway/call_answer.c
@@ -221,6 +221,9 @@
         Call_Retry(call, CALL_MAYBE_RAN, "the stream ended inside an event");
         return;
     }
+    if (!call->streams && call->status < 500) {
+        Endpoint_Took(call->endpoint, Clock_Now() - call->sent_at);
+    }
     Call_LeaveEndpoint(call, true);
     if (call->streams) {
         finish_stream(call);
--- a/src/gateway/endpoints.c
+++ b/src/gateway/endpoints.c
@@ -14,6 +14,8 @@
 #define AVOID_MAX_MS 4000
 /* Weight of the newest answer in the moving share of failures. */
 #define ERROR_WEIGHT 0.2
+/* The same in the moving mean of run times. */
+#define RUN_WEIGHT 0.1
 /* Time constant with which the share fades while nothing is sent. */
 #define ERROR_FADE_US (4 * US_PER_S)
 
@@ -228,6 +230,16 @@
              endpoint->id, endpoint->failures, (long long)rest, why);
 }
 
+void
+Endpoint_Took(Endpoint *endpoint, TimeUs span)
+{
+    double ms = (double)span / (double)US_PER_MS;
+    if (endpoint->run_ms <= 0) {
+        endpoint->run_ms = ms;
+    }
+    endpoint->run_ms += RUN_WEIGHT * (ms - endpoint->run_ms);
+}
+
 double
 Endpoint_ErrorRate(const Endpoint *endpoint, TimeUs now)
 {
--- a/src/gateway/keepers.c
+++ b/src/gateway/keepers.c
@@ -24,7 +24,6 @@
 {
     Link_Close(keeper->link);
     g_free(keeper->endpoint_id);
-    g_free(keeper->address);
     g_free(keeper);
 }
 
@@ -211,10 +210,10 @@
         g_free(text);
         return NULL;
     }
+    g_free(text);
     Keeper *keeper = g_new0(Keeper, 1);
     keeper->keepers = keepers;
     keeper->endpoint_id = g_strdup(endpoint->id);
-    keeper->address = text;
     keeper->link = Link_Dial(keepers->gateway->base, &keepers->gateway->self,
                              &address, &link_ops, keeper);
     g_hash_table_insert(keepers->by_endpoint, keeper->endpoint_id, keeper);
--- a/src/gateway/keepers.h
+++ b/src/gateway/keepers.h
@@ -13,7 +13,6 @@
 typedef struct Keeper {
     Keepers *keepers;
     char *endpoint_id;
-    char *address;
     Link *link;
     unsigned held; /* slots that this gateway holds */
     unsigned busy; /* slots that all gateways held, as last told */
--- a/src/gateway/line.c
+++ b/src/gateway/line.c
@@ -139,7 +139,7 @@
             .distance = Endpoint_Distance(endpoint),
             .load = load_of(endpoint, now),
             .error_rate = Endpoint_ErrorRate(endpoint, now),
-            .run_ms = endpoint->latency_ms,
+            .run_ms = endpoint->run_ms,
         };
     }
     const RouteService *service =
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -108,7 +108,7 @@
     double error_rate; /* share of answers that were failures, as of then */
     TimeUs error_at;
     GArray *broken;    /* Broken: requests that it did not answer lately */
-    double latency_ms; /* moving mean of plain answers */
+    double run_ms;     /* moving mean of plain answers; 0: none yet */
     GQueue idle;       /* Upstream, most recently used first */
     Upstream *current; /* whose callback runs; NULL once it is freed */
     bool removed;
@@ -130,6 +130,9 @@
 void Endpoint_Answered(Endpoint *endpoint, bool success);
 void Endpoint_Load(Endpoint *endpoint, const char *report);
 
+/* It gave a whole answer that is no stream after this span. */
+void Endpoint_Took(Endpoint *endpoint, TimeUs span);
+
 /* Moving share of failures; it fades while nothing is sent there. */
 double Endpoint_ErrorRate(const Endpoint *endpoint, TimeUs now);
 
@@ -218,12 +221,10 @@
     /* The answer under way. */
     unsigned status;
     bool streams;
-    bool discard; /* the answer is being dropped */
     struct evbuffer *answer_head;
     struct evbuffer *answer;
     struct evbuffer *partial; /* of an event */
     Events events;
-    int64_t resume_after; /* the caller's own; -1: none */
     GList *line_node;
     Line *line;
     uint64_t grant; /* want at slot keepers; 0: none */
--- a/src/gateway/upstream.c
+++ b/src/gateway/upstream.c
@@ -43,7 +43,6 @@
     char *request_id;
     bool connected;
     bool busy;
-    bool head_passed;
     bool foreign; /* the answer being read is to another request */
     TimeUs idle_since;
     uint32_t idle_limit_ms;
@@ -164,7 +163,6 @@
     if (load != NULL) {
         Endpoint_Load(upstream->endpoint, load);
     }
-    upstream->head_passed = true;
     if (upstream->owner != NULL) {
         /* The owner may cancel, which frees the upstream. */
         Endpoint *endpoint = upstream->endpoint;
@@ -387,7 +385,6 @@
     upstream->owner = owner;
     upstream->closes = false;
     upstream->foreign = false;
-    upstream->head_passed = false;
     g_free(upstream->request_id);
     upstream->request_id = g_strdup(request_id);
     bufferevent_write_buffer(upstream->stream, request);
--- a/test/fuzz/fuzz_platform.c
+++ b/test/fuzz/fuzz_platform.c
@@ -8,8 +8,8 @@
 
 #include <jansson.h>
 
-#include "platform/announce.h"
-#include "platform/config.h"
+#include "../../platform/announce.h"
+#include "../../platform/config.h"
 
 /* A document that is taken; bytes of the input replace some of its own. */
 static const char document[] =
