A refusal that may not be true becomes 502; nothing of an old route table is used after it

Found by reading: a repeatable request that may have run could end as 503 when the lease was lost while it waited again (unit/test_gateway: refusals_are_true); a waiting request whose route was dropped used the freed table's strings.

--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -148,11 +148,11 @@
 }
 
 void
-Call_Fail(Call *call, const CallError *error)
+Call_Fail(Call *call, const CallError *reason)
 {
     const GatewayFields *fields = call->gateway->options->fields;
-    bool promised = error->status == 503 || error->status == 429;
-    const char *outcome = promised || !call->maybe_ran ? "not_run" : "unknown";
+    const CallError *error = GatewayErrors_Honest(reason, call->maybe_ran);
+    const char *outcome = call->maybe_ran ? "unknown" : "not_run";
     call->status = error->status;
     if (call->cost > 0 && call->account != NULL && !call->maybe_ran) {
         /* What did not run does not count. */
@@ -292,6 +292,9 @@
     if (gateway->table == NULL) {
         return &unready;
     }
+    /* Nothing of the old table may be used any more. */
+    call->service = NULL;
+    call->account = NULL;
     RouteTable_Unref(call->table);
     call->table = RouteTable_Ref(gateway->table);
     call->route = RouteTable_Match(call->table, call->host, call->target);
@@ -474,6 +477,7 @@
     call->conn = conn;
     call->id = g_strdup(id != NULL ? id : "");
     call->method = g_strdup(head->method);
+    call->head_only = strcmp(head->method, "HEAD") == 0;
     call->target = g_strdup(head->target);
     call->host = g_strdup(host != NULL ? host : "");
     if (key != NULL && g_ascii_strncasecmp(key, BEARER, strlen(BEARER)) == 0) {
--- a/src/gateway/call_answer.c
+++ b/src/gateway/call_answer.c
@@ -14,12 +14,6 @@
  * caller. */
 #define BACKLOG_BYTES (256u * 1024)
 
-static bool
-is_promise(unsigned status)
-{
-    return status == 429 || status == 503 || status == 408 || status == 421;
-}
-
 /* The head as the caller gets it, without framing. */
 static void
 print_head(Call *call, const H1Head *head)
@@ -42,11 +36,11 @@
 print_framing(Call *call, bool whole)
 {
     struct evbuffer *out = call->answer_head;
-    if (whole) {
+    if (whole && !call->head_only) {
         evbuffer_add_printf(out, "Content-Length: %zu\r\n",
                             evbuffer_get_length(call->answer));
     }
-    else if (!Conn_IsHttp10(call->conn)) {
+    else if (!whole && !Conn_IsHttp10(call->conn)) {
         evbuffer_add_printf(out, "Transfer-Encoding: chunked\r\n");
     }
     if (Conn_WillClose(call->conn)) {
@@ -140,7 +134,8 @@
         on_refused(call, head);
         return;
     }
-    bool failure = head->status >= 500 || is_promise(head->status);
+    bool failure =
+        head->status >= 500 || GatewayErrors_IsPromise(head->status);
     Endpoint_Answered(call->endpoint, !failure);
     const char *fault = find_fault(call, head);
     if (fault != NULL) {
@@ -152,7 +147,7 @@
     bool again = failure && Call_Repeatable(call) &&
                  call->attempts < call->route->max_attempts;
     if (again || (failure && call->state == CALL_PASSING) ||
-        is_promise(head->status))
+        GatewayErrors_IsPromise(head->status))
     {
         drop_exchange(call);
         Call_Retry(call, CALL_MAYBE_RAN, "the endpoint failed");
--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -106,7 +106,7 @@
                             (long long)call->events.last_id);
     }
     size_t length = evbuffer_get_length(call->body);
-    if (length > 0 || strcmp(call->method, "GET") != 0) {
+    if (length > 0 || (strcmp(call->method, "GET") != 0 && !call->head_only)) {
         evbuffer_add_printf(out, "Content-Length: %zu\r\n", length);
     }
     evbuffer_add(out, "\r\n", 2);
@@ -141,9 +141,13 @@
     }
     struct evbuffer *request = evbuffer_new();
     print_request(call, endpoint, request);
-    bool fresh = !Call_Repeatable(call);
-    call->upstream = Upstream_Send(endpoint, request, call->id, fresh,
-                                   &Call_UpstreamOps, call);
+    UpstreamRequest sent = {
+        .bytes = request,
+        .id = call->id,
+        .fresh = !Call_Repeatable(call),
+        .head_only = call->head_only,
+    };
+    call->upstream = Upstream_Send(endpoint, &sent, &Call_UpstreamOps, call);
     evbuffer_free(request);
     if (call->upstream == NULL) {
         Endpoint_Failed(endpoint, "no connection");
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -161,10 +161,16 @@
     void (*failed)(void *owner, UpstreamFailure failure, const char *why);
 } UpstreamOps;
 
-/* Sends a request on an idle or new connection. @p request is drained.
- * @param fresh  the connection must be new or surely alive. */
-Upstream *Upstream_Send(Endpoint *endpoint, struct evbuffer *request,
-                        const char *request_id, bool fresh,
+/* What is sent. */
+typedef struct UpstreamRequest {
+    struct evbuffer *bytes; /* drained */
+    const char *id;
+    bool fresh;     /* the connection must be new or surely alive */
+    bool head_only; /* the answer has no body */
+} UpstreamRequest;
+
+/* Sends a request on an idle or new connection. */
+Upstream *Upstream_Send(Endpoint *endpoint, const UpstreamRequest *request,
                         const UpstreamOps *ops, void *owner);
 
 /* Breaks the exchange off; no callback follows. */
@@ -220,6 +226,7 @@
     TimeUs first_at; /* first event or answer */
     /* The answer under way. */
     unsigned status;
+    bool head_only; /* the caller asked for no body */
     bool streams;
     struct evbuffer *answer_head;
     struct evbuffer *answer;
@@ -259,6 +266,13 @@
 
 void Call_Fail(Call *call, const CallError *error);
 
+/* The error that may be answered: one that promises that the request has not
+ * run is replaced where it may have. */
+const CallError *GatewayErrors_Honest(const CallError *error, bool maybe_ran);
+
+/* Whether a status promises that the request has not run. */
+bool GatewayErrors_IsPromise(unsigned status);
+
 /* How an endpoint did not serve a call. */
 typedef enum CallSendOutcome {
     CALL_NOT_SENT,       /* no byte reached it */
--- a/src/gateway/upstream.c
+++ b/src/gateway/upstream.c
@@ -370,11 +370,10 @@
 }
 
 Upstream *
-Upstream_Send(Endpoint *endpoint, struct evbuffer *request,
-              const char *request_id, bool fresh, const UpstreamOps *ops,
-              void *owner)
+Upstream_Send(Endpoint *endpoint, const UpstreamRequest *request,
+              const UpstreamOps *ops, void *owner)
 {
-    Upstream *upstream = take_idle(endpoint, fresh);
+    Upstream *upstream = take_idle(endpoint, request->fresh);
     if (upstream == NULL) {
         upstream = dial(endpoint);
     }
@@ -385,9 +384,12 @@
     upstream->owner = owner;
     upstream->closes = false;
     upstream->foreign = false;
+    if (request->head_only) {
+        H1Parser_ExpectNoBody(upstream->parser);
+    }
     g_free(upstream->request_id);
-    upstream->request_id = g_strdup(request_id);
-    bufferevent_write_buffer(upstream->stream, request);
+    upstream->request_id = g_strdup(request->id);
+    bufferevent_write_buffer(upstream->stream, request->bytes);
     return upstream;
 }
 
--- a/test/unit/test_gateway.c
+++ b/test/unit/test_gateway.c
@@ -163,6 +163,16 @@
     Retries_Free(retries);
 }
 
+static void
+refusals_are_true(void **state)
+{
+    const CallError refused = {.status = 503, .code = "no_lease"};
+    const CallError denied = {.status = 401, .code = "denied"};
+    assert_ptr_equal(GatewayErrors_Honest(&refused, false), &refused);
+    assert_int_equal(GatewayErrors_Honest(&refused, true)->status, 502);
+    assert_ptr_equal(GatewayErrors_Honest(&denied, true), &denied);
+}
+
 static void
 requests_that_crash_endpoints_are_barred(void **state)
 {
@@ -186,6 +196,7 @@
         cmocka_unit_test(limits_are_shared_and_returns_spread),
         cmocka_unit_test(small_shares_take_large_requests),
         cmocka_unit_test(repeated_sends_keep_to_the_budget),
+        cmocka_unit_test(refusals_are_true),
         cmocka_unit_test(requests_that_crash_endpoints_are_barred),
     };
     return cmocka_run_group_tests_name("gateway", tests, NULL, NULL);
