--- a/Makefile
+++ b/Makefile
@@ -41,6 +41,13 @@
 demo: build ## Starts the embedded default and sends real requests to it.
 	@scripts/demo.sh $(BUILD)
 
+SEED ?= 1
+SECONDS ?= 60
+
+.PHONY: soak
+soak: build ## Runs the fault soak: make soak SEED=7 SECONDS=60.
+	@scripts/run-soak.sh $(BUILD) $(SEED) $(SECONDS)
+
 .PHONY: fuzz
 fuzz: deps ## Long fuzz runs under AddressSanitizer.
 	@scripts/run-fuzz.sh
--- /dev/null
+++ b/scripts/run-soak.sh
@@ -0,0 +1,19 @@
+#!/usr/bin/env bash
+# Runs the fault soak once. Usage: run-soak.sh BUILD SEED SECONDS [FIRST_PORT]
+# Exits 0 when every promise held; records and logs stay in
+# BUILD/soak/SEED.
+set -uo pipefail
+cd "$(dirname "$0")/.."
+build=$(realpath "$1")
+work=$build/soak/$2
+rm -rf "$work"
+mkdir -p "$work"
+LL_BUILD=$build LL_WORK=$work LL_PORT_BASE=${4:-20000} SEED=$2 SOAK_SECONDS=$3 \
+    bash test/functional/platform-soak.sh >"$work/out" 2>"$work/err"
+if diff test/functional/platform-soak.expected "$work/out" >"$work/diff"; then
+    echo "soak: seed $2 held for $3 s, $(wc -l <"$work/asked.all") requests, $(wc -l <"$work/faults.list") faults"
+    exit 0
+fi
+cat "$work/diff"
+echo "soak: seed $2 FAILED, see $work"
+exit 1
