--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -105,11 +105,11 @@
     g_free(call);
 }
 
-/* Gives back what the call holds at an endpoint or in a line. */
+/* Gives back what the call holds at an endpoint or in a queue. */
 static void
 release(Call *call)
 {
-    Line_Remove(call);
+    ServiceQueue_Remove(call);
     g_queue_remove(&call->gateway->held, call);
     if (call->upstream != NULL) {
         Upstream_Cancel(call->upstream);
@@ -142,7 +142,7 @@
     gateway->calls--;
     free_call(call);
     if (service != NULL) {
-        Line_Pump(gateway, service);
+        ServiceQueue_Pump(gateway, service);
         g_free(service);
     }
 }
@@ -444,7 +444,7 @@
                          call->received + call->route->timeout_ms * US_PER_MS);
     set_timer(call, call->deadline);
     Retries_Request(call->gateway->retries, call->service);
-    Line_Add(call->gateway, call);
+    ServiceQueue_Add(call->gateway, call);
 }
 
 static uint64_t
--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -136,7 +136,7 @@
     if (!Route_Allows(call->route, endpoint->service)) {
         /* The new configuration sends it elsewhere. */
         Keepers_End(call, false);
-        Line_Add(call->gateway, call);
+        ServiceQueue_Add(call->gateway, call);
         return;
     }
     struct evbuffer *request = evbuffer_new();
@@ -244,7 +244,7 @@
     if (again) {
         evbuffer_drain(call->answer, evbuffer_get_length(call->answer));
         evbuffer_drain(call->partial, evbuffer_get_length(call->partial));
-        Line_Add(call->gateway, call);
+        ServiceQueue_Add(call->gateway, call);
     }
     else if (call->maybe_ran) {
         fail_unknown(call);
--- a/src/gateway/endpoints.c
+++ b/src/gateway/endpoints.c
@@ -185,7 +185,7 @@
     g_ptr_array_unref(superseded);
     known = Directory_Find(gateway->directory, news->id);
     if (known != NULL && known->service != NULL) {
-        Line_Pump(gateway, known->service);
+        ServiceQueue_Pump(gateway, known->service);
     }
 }
 
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -182,7 +182,7 @@
     }
     event_free(gateway->stop_timer);
     GatewayControl_Free(gateway->control);
-    Line_FreeAll(gateway);
+    ServiceQueue_FreeAll(gateway);
     Keepers_Free(gateway->keepers);
     Quotas_Free(gateway->quotas);
     Retries_Free(gateway->retries);
@@ -192,7 +192,7 @@
     RouteTable_Unref(gateway->table);
     g_hash_table_destroy(gateway->conns);
     g_hash_table_destroy(gateway->endpoints);
-    g_hash_table_destroy(gateway->lines);
+    g_hash_table_destroy(gateway->queues);
     g_free(gateway);
 }
 
@@ -236,7 +236,7 @@
     g_queue_init(&gateway->held);
     gateway->directory = Directory_New();
     gateway->endpoints = g_hash_table_new(g_str_hash, g_str_equal);
-    gateway->lines = g_hash_table_new(g_str_hash, g_str_equal);
+    gateway->queues = g_hash_table_new(g_str_hash, g_str_equal);
     gateway->conns = g_hash_table_new(NULL, NULL);
     TaskSpec spec = {.name = TASK_NAME, .ops = &task_ops, .state = gateway};
     Kernel_AddTask(kernel, &spec);
--- a/src/gateway/hosts.c
+++ b/src/gateway/hosts.c
@@ -102,7 +102,7 @@
     Link_Send(host->link, &frame);
 }
 
-/* Asks the leader, or the next host that is in touch. */
+/* Asks the leader, or the next host that is connected. */
 static void
 ask(GatewayControl *control)
 {
@@ -318,7 +318,8 @@
 on_up(Link *link, void *owner)
 {
     Host *host = owner;
-    LOG_INFO(GATEWAY_PART, "Control host in touch. address=%s", host->address);
+    LOG_INFO(GATEWAY_PART, "Control host connected. address=%s",
+             host->address);
     if (host->control->nonce == 0) {
         ask(host->control);
     }
--- a/src/gateway/keepers.c
+++ b/src/gateway/keepers.c
@@ -45,7 +45,7 @@
 on_up(Link *link, void *owner)
 {
     const Keeper *keeper = owner;
-    LOG_INFO(GATEWAY_PART, "Slot keeper in touch. endpoint=%s",
+    LOG_INFO(GATEWAY_PART, "Slot keeper connected. endpoint=%s",
              keeper->endpoint_id);
 }
 
@@ -78,7 +78,7 @@
         }
     }
     for (guint i = 0; i < stranded->len; i++) {
-        Line_Add(keepers->gateway, stranded->pdata[i]);
+        ServiceQueue_Add(keepers->gateway, stranded->pdata[i]);
     }
     g_ptr_array_unref(stranded);
 }
@@ -110,7 +110,7 @@
         if (want->asked->len == 0) {
             Call *call = want->call;
             Keepers_End(call, false);
-            Line_Add(keepers->gateway, call);
+            ServiceQueue_Add(keepers->gateway, call);
         }
         return;
     }
--- a/src/gateway/line.c
+++ b/src/gateway/service_queue.c
@@ -1,6 +1,6 @@
 /** @file
  * Gateway: requests that wait for an endpoint of a service. Model work waits
- * at the keepers of the engines' slots where these are in touch; all else
+ * at the keepers of the engines' slots where these are connected; all else
  * waits here, by tier and then by deadline.
  */
 #include <string.h>
@@ -11,12 +11,12 @@
 /* Requests of this gateway at one endpoint, over its slots, beyond which
  * further ones wait here. */
 #define LOAD_MAX 1.5
-/* The same for an engine whose keeper is out of touch: engines run in order
+/* The same for an engine whose keeper is unreachable: engines run in order
  * of arrival, so little may wait there. */
 #define LOAD_MAX_ENGINE 0.5
 /* Reports of other gateways' requests fade over this span. */
 #define REPORT_FADE_US (1 * US_PER_S)
-/* How often a line is looked at while all endpoints rest. */
+/* How often a queue is looked at while all endpoints rest. */
 #define RETRY_MS 50
 
 /* Part of its time that a request waits while no endpoint can be sent more. */
@@ -29,7 +29,7 @@
     .retry_after_ms = 250,
 };
 
-struct Line {
+struct ServiceQueue {
     Gateway *gateway;
     char *service;
     GQueue waiting; /* Call, in the order of sending */
@@ -52,57 +52,57 @@
 static void
 on_again(evutil_socket_t fd, short events, void *arg)
 {
-    Line *line = arg;
-    Line_Pump(line->gateway, line->service);
+    ServiceQueue *queue = arg;
+    ServiceQueue_Pump(queue->gateway, queue->service);
 }
 
-static Line *
-find_line(Gateway *gateway, const char *service)
+static ServiceQueue *
+find_queue(Gateway *gateway, const char *service)
 {
-    Line *line = g_hash_table_lookup(gateway->lines, service);
-    if (line == NULL) {
-        line = g_new0(Line, 1);
-        line->gateway = gateway;
-        line->service = g_strdup(service);
-        g_queue_init(&line->waiting);
-        line->again = event_new(gateway->base, -1, 0, on_again, line);
-        g_hash_table_insert(gateway->lines, line->service, line);
+    ServiceQueue *queue = g_hash_table_lookup(gateway->queues, service);
+    if (queue == NULL) {
+        queue = g_new0(ServiceQueue, 1);
+        queue->gateway = gateway;
+        queue->service = g_strdup(service);
+        g_queue_init(&queue->waiting);
+        queue->again = event_new(gateway->base, -1, 0, on_again, queue);
+        g_hash_table_insert(gateway->queues, queue->service, queue);
     }
-    return line;
+    return queue;
 }
 
 static void
-insert(Line *line, Call *call)
+insert(ServiceQueue *queue, Call *call)
 {
-    GList *at = line->waiting.tail;
+    GList *at = queue->waiting.tail;
     while (at != NULL && goes_before(call, at->data)) {
         at = at->prev;
     }
     if (at == NULL) {
-        g_queue_push_head(&line->waiting, call);
-        call->line_node = line->waiting.head;
+        g_queue_push_head(&queue->waiting, call);
+        call->queue_node = queue->waiting.head;
     }
     else {
-        g_queue_insert_after(&line->waiting, at, call);
-        call->line_node = at->next;
+        g_queue_insert_after(&queue->waiting, at, call);
+        call->queue_node = at->next;
     }
-    call->line = line;
+    call->queue = queue;
 }
 
 void
-Line_Add(Gateway *gateway, Call *call)
+ServiceQueue_Add(Gateway *gateway, Call *call)
 {
-    insert(find_line(gateway, call->service), call);
-    Line_Pump(gateway, call->service);
+    insert(find_queue(gateway, call->service), call);
+    ServiceQueue_Pump(gateway, call->service);
 }
 
 void
-Line_Remove(Call *call)
+ServiceQueue_Remove(Call *call)
 {
-    if (call->line != NULL) {
-        g_queue_delete_link(&call->line->waiting, call->line_node);
-        call->line = NULL;
-        call->line_node = NULL;
+    if (call->queue != NULL) {
+        g_queue_delete_link(&call->queue->waiting, call->queue_node);
+        call->queue = NULL;
+        call->queue_node = NULL;
     }
 }
 
@@ -116,9 +116,9 @@
 
 /* The endpoint for a call, or NULL while none may be sent more. */
 static Endpoint *
-choose(const Call *call, const Line *line)
+choose(const Call *call, const ServiceQueue *queue)
 {
-    const Gateway *gateway = line->gateway;
+    const Gateway *gateway = queue->gateway;
     TimeUs now = Clock_Now();
     guint size = g_hash_table_size(gateway->endpoints);
     ChooseCandidate *candidates = g_new0(ChooseCandidate, size + 1);
@@ -129,7 +129,7 @@
     g_hash_table_iter_init(&iter, gateway->endpoints);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         Endpoint *endpoint = value;
-        if (strcmp(endpoint->service, line->service) != 0) {
+        if (strcmp(endpoint->service, queue->service) != 0) {
             continue;
         }
         endpoints[count] = endpoint;
@@ -143,7 +143,7 @@
         };
     }
     const RouteService *service =
-        RouteTable_Service(call->table, line->service);
+        RouteTable_Service(call->table, queue->service);
     bool engine = service != NULL && service->engine;
     int best = Choose_Endpoint(candidates, count,
                                engine ? LOAD_MAX_ENGINE : LOAD_MAX);
@@ -164,57 +164,57 @@
 }
 
 void
-Line_Pump(Gateway *gateway, const char *service)
+ServiceQueue_Pump(Gateway *gateway, const char *service)
 {
-    Line *line = g_hash_table_lookup(gateway->lines, service);
-    if (line == NULL || line->pumping) {
+    ServiceQueue *queue = g_hash_table_lookup(gateway->queues, service);
+    if (queue == NULL || queue->pumping) {
         return;
     }
-    line->pumping = true;
+    queue->pumping = true;
     Call *call;
-    while ((call = g_queue_peek_head(&line->waiting)) != NULL) {
+    while ((call = g_queue_peek_head(&queue->waiting)) != NULL) {
         if (Keepers_Want(call)) {
-            Line_Remove(call);
+            ServiceQueue_Remove(call);
             continue;
         }
-        Endpoint *endpoint = choose(call, line);
+        Endpoint *endpoint = choose(call, queue);
         if (endpoint == NULL && waited_enough(call)) {
             Call_Fail(call, &no_endpoint);
             continue;
         }
         if (endpoint == NULL) {
             struct timeval span = {.tv_usec = RETRY_MS * US_PER_MS};
-            event_add(line->again, &span);
+            event_add(queue->again, &span);
             break;
         }
-        Line_Remove(call);
+        ServiceQueue_Remove(call);
         Call_SendTo(call, endpoint);
     }
-    line->pumping = false;
+    queue->pumping = false;
 }
 
 void
-Line_PumpAll(Gateway *gateway)
+ServiceQueue_PumpAll(Gateway *gateway)
 {
     GHashTableIter iter;
     gpointer key;
-    g_hash_table_iter_init(&iter, gateway->lines);
+    g_hash_table_iter_init(&iter, gateway->queues);
     while (g_hash_table_iter_next(&iter, &key, NULL)) {
-        Line_Pump(gateway, key);
+        ServiceQueue_Pump(gateway, key);
     }
 }
 
 void
-Line_FreeAll(Gateway *gateway)
+ServiceQueue_FreeAll(Gateway *gateway)
 {
     GHashTableIter iter;
     gpointer value;
-    g_hash_table_iter_init(&iter, gateway->lines);
+    g_hash_table_iter_init(&iter, gateway->queues);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        Line *line = value;
-        event_free(line->again);
-        g_free(line->service);
-        g_free(line);
+        ServiceQueue *queue = value;
+        event_free(queue->again);
+        g_free(queue->service);
+        g_free(queue);
         g_hash_table_iter_remove(&iter);
     }
 }
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -21,7 +21,7 @@
 typedef struct Call Call;
 typedef struct Upstream Upstream;
 typedef struct Endpoint Endpoint;
-typedef struct Line Line;
+typedef struct ServiceQueue ServiceQueue;
 typedef struct GatewayControl GatewayControl;
 typedef struct Quotas Quotas;
 typedef struct Retries Retries;
@@ -37,10 +37,10 @@
     struct evconnlistener *listener;
     RouteTable *table;  /* NULL: no configuration yet */
     TimeUs lease_until; /* the table is the newest until then */
-    uint32_t gateways;  /* in touch with the leader, this one included */
+    uint32_t gateways;  /* connected to the leader, this one included */
     Directory *directory;
     GHashTable *endpoints; /* id -> Endpoint */
-    GHashTable *lines;     /* service -> Line */
+    GHashTable *queues;    /* service -> ServiceQueue */
     GHashTable *conns;     /* set of Conn */
     GatewayControl *control;
     Quotas *quotas;
@@ -232,8 +232,8 @@
     struct evbuffer *answer;
     struct evbuffer *partial; /* of an event */
     Events events;
-    GList *line_node;
-    Line *line;
+    GList *queue_node;
+    ServiceQueue *queue;
     uint64_t grant; /* want at slot keepers; 0: none */
 };
 
@@ -315,15 +315,15 @@
                          const char *request_id, const char *outcome,
                          bool close);
 
-/* ---- line.c: what waits for an endpoint of a service ---- */
+/* ---- service_queue.c: what waits for an endpoint of a service ---- */
 
-void Line_Add(Gateway *gateway, Call *call);
-void Line_Remove(Call *call);
+void ServiceQueue_Add(Gateway *gateway, Call *call);
+void ServiceQueue_Remove(Call *call);
 
 /* Sends what can be sent. */
-void Line_Pump(Gateway *gateway, const char *service);
-void Line_PumpAll(Gateway *gateway);
-void Line_FreeAll(Gateway *gateway);
+void ServiceQueue_Pump(Gateway *gateway, const char *service);
+void ServiceQueue_PumpAll(Gateway *gateway);
+void ServiceQueue_FreeAll(Gateway *gateway);
 
 /* ---- hosts.c: links to control hosts ---- */
 
@@ -331,7 +331,7 @@
 void GatewayControl_Free(GatewayControl *control);
 
 /* Whether a configuration and lease may soon come: it has just started, or
- * a control host is in touch. */
+ * a control host is connected. */
 bool GatewayControl_IsHopeful(const GatewayControl *control);
 
 /* Passes on that an endpoint broke off while it ran this request. */
@@ -343,7 +343,7 @@
 void Keepers_Free(Keepers *keepers);
 
 /* Asks for slots of engines of the call's service; a grant sends the call.
- * @return false when no keeper of the service is in touch. */
+ * @return false when no keeper of the service is connected. */
 bool Keepers_Want(Call *call);
 /* Keeps a link to the keeper of an engine's slots. */
 void Keepers_Watch(Keepers *keepers, const Endpoint *endpoint);
--- a/src/keeper/keeper.c
+++ b/src/keeper/keeper.c
@@ -1,6 +1,6 @@
 /** @file
  * Keeper task. The queue itself is sched/queue; a granted slot counts as
- * taken until its gateway gives it back or is out of touch.
+ * taken until its gateway gives it back or disconnects.
  */
 #include "keeper/keeper.h"
 
@@ -102,8 +102,8 @@
     Link_Send(link, &frame);
 }
 
-/* Takes a granted slot for its gateway, or gives it back when that is out of
- * touch. */
+/* Takes a granted slot for its gateway, or gives it back when that has
+ * disconnected. */
 static void
 take_slot(Keeper *keeper, const QueueAction *action)
 {
@@ -241,7 +241,7 @@
     Link_SetData(link, (void *)(uintptr_t)serial);
     g_hash_table_insert(keeper->owners, g_memdup2(&serial, sizeof(serial)),
                         link);
-    LOG_INFO(PART, "Gateway in touch. gateway=%s", Link_Peer(link)->name);
+    LOG_INFO(PART, "Gateway connected. gateway=%s", Link_Peer(link)->name);
 }
 
 /* Slots of a lost gateway are free: it withdrew or is gone, and a request
