Run times follow the caller's estimate of its output, not the longest one

Cause: the longest output that a request may ask for is the same for every request of a route and several times what it makes, so keepers' run times, their margins and the order within a rank were guesses. Test: functional/platform-hint, fails before.

--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -84,6 +84,10 @@
         rest != NULL && *rest == ',' ? strtoul(rest + 1, NULL, 10) : 0;
     call->prompt_tokens = (uint32_t)MIN(in, UINT32_MAX);
     call->output_tokens = (uint32_t)MIN(out, UINT32_MAX);
+    const char *hint =
+        H1Head_Get(head, call->gateway->options->fields->length_hint);
+    uint64_t expected = parse_number(hint, out);
+    call->expected_tokens = (uint32_t)MIN(expected, call->output_tokens);
 }
 
 static void
@@ -353,7 +357,7 @@
     TimeUs left = gateway->stop_at +
                   gateway->options->bounds.stop_ms * US_PER_MS - Clock_Now();
     TimeUs run = call->route->kind == ROUTE_STREAM
-                     ? call->output_tokens * TOKEN_US + STREAM_START_US
+                     ? call->expected_tokens * TOKEN_US + STREAM_START_US
                      : PLAIN_US;
     return run > left;
 }
--- a/src/gateway/call_answer.c
+++ b/src/gateway/call_answer.c
@@ -64,6 +64,11 @@
         Conn_Head(call->conn, call->answer_head);
         Keepers_FirstEvent(call);
     }
+    TimeUs now = Clock_Now();
+    if (call->event_at != 0) {
+        call->pause = MAX(call->pause, now - call->event_at);
+    }
+    call->event_at = now;
     if (!Conn_IsHttp10(call->conn)) {
         struct evbuffer *size = evbuffer_new();
         evbuffer_add_printf(size, "%zx\r\n", length);
--- a/src/gateway/call_log.c
+++ b/src/gateway/call_log.c
@@ -62,7 +62,8 @@
               "Request ended. id=%s outcome=%s status=%u route=%s kind=%s "
               "account=%s tier=%u rank=%u service=%s endpoint=%s attempts=%u "
               "waited_ms=%lld first_ms=%lld total_ms=%lld left_ms=%lld "
-              "prompt=%u version=%llu lease_ms=%lld events=%llu",
+              "prompt=%u output=%u expected=%u version=%llu lease_ms=%lld "
+              "events=%llu pause_ms=%lld",
               call->id, outcome, call->status,
               call->route != NULL ? call->route->name : "", kind_name(call),
               call->account != NULL ? call->account->name : "", call->tier,
@@ -70,12 +71,13 @@
               call->served_by, call->attempts, ms_since(call, call->sent_at),
               ms_since(call, call->first_at), ms_since(call, now),
               (long long)(call->caller_deadline - now) / US_PER_MS,
-              call->prompt_tokens,
+              call->prompt_tokens, call->output_tokens, call->expected_tokens,
               call->table != NULL
                   ? (unsigned long long)RouteTable_Version(call->table)
                   : 0ULL,
               (long long)(gateway->lease_until - now) / US_PER_MS,
-              (unsigned long long)call->events.passed);
+              (unsigned long long)call->events.passed,
+              (long long)call->pause / US_PER_MS);
 }
 
 void
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -15,6 +15,7 @@
     const char *request_id;
     const char *deadline_ms; /**< Time that the caller still waits. */
     const char *tokens;      /**< "IN,OUT": prompt and longest output. */
+    const char *length_hint; /**< Output tokens that the caller expects. */
     const char *last_event;  /**< Resume a stream after this event. */
     const char *proof;       /**< An endpoint's signature of its answer. */
     const char *account;     /**< Set for the endpoint. */
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -209,7 +209,8 @@
     uint32_t rank; /* the route's, within the tier of an account */
     double cost;   /* in units of the limit of the account; 0: not taken */
     uint32_t prompt_tokens;
-    uint32_t output_tokens;
+    uint32_t output_tokens;   /* most */
+    uint32_t expected_tokens; /* of output, as far as the caller knows */
     uint64_t fingerprint;
     TimeUs received;
     TimeUs caller_deadline;
@@ -224,6 +225,8 @@
     Upstream *upstream;
     TimeUs sent_at;
     TimeUs first_at; /* first event or answer */
+    TimeUs event_at; /* newest event */
+    TimeUs pause;    /* longest between two events */
     /* The answer under way. */
     unsigned status;
     bool head_only; /* the caller asked for no body */
--- a/src/gateway/wants.c
+++ b/src/gateway/wants.c
@@ -113,7 +113,7 @@
         call->received + call->route->target_ms * US_PER_MS - Clock_Now();
     message.first_ms = (uint32_t)MAX(first / US_PER_MS, 0);
     message.prompt_tokens = call->prompt_tokens;
-    message.output_tokens = call->output_tokens;
+    message.output_tokens = call->expected_tokens;
     message.slots = slots;
     Wire__Frame frame = WIRE__FRAME__INIT;
     frame.body_case = WIRE__FRAME__BODY_SLOT_WANT;
@@ -140,7 +140,7 @@
     double decode =
         keeper->decode_tokens_s > 0 ? keeper->decode_tokens_s : DECODE_UNKNOWN;
     return 1000 *
-           (call->prompt_tokens / prefill + call->output_tokens / decode);
+           (call->prompt_tokens / prefill + call->expected_tokens / decode);
 }
 
 /* Keepers that a call may ask. */
