Accounts over their limit serve urgent requests first

Now the bucket keeps a reserve while more urgent ranks find too little, and lets small requests pass. The decision is sched/bucket; unit/test_bucket plays an account at twice its limit and fails without the reserve.

--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -405,23 +405,26 @@
     if (call->account == NULL || call->cost > 0) {
         return true;
     }
-    double cost = cost_of(call);
-    uint32_t delay_ms = MIN(call->route->target_ms / DELAY_PART, DELAY_MAX_MS);
+    BucketRequest request = {
+        .cost = cost_of(call),
+        .rank = call->route->tier,
+        .delay_ms = MIN(call->route->target_ms / DELAY_PART, DELAY_MAX_MS),
+    };
     QuotaDecision quota =
-        Quotas_Take(call->gateway->quotas, call->account, cost, delay_ms);
-    if (!quota.admitted) {
+        Quotas_Take(call->gateway->quotas, call->account, &request);
+    if (!quota.answer.admitted) {
         CallLog_OverLimit(call, &quota);
         Call_Fail(call, &(CallError){
                             .status = 429,
                             .code = "over_limit",
                             .message = "The account is over its limit.",
-                            .retry_after_ms = quota.wait_ms,
+                            .retry_after_ms = quota.answer.wait_ms,
                         });
         return false;
     }
-    call->cost = cost;
-    if (quota.wait_ms > 0) {
-        set_timer(call, Clock_Now() + quota.wait_ms * US_PER_MS);
+    call->cost = request.cost;
+    if (quota.answer.wait_ms > 0) {
+        set_timer(call, Clock_Now() + quota.answer.wait_ms * US_PER_MS);
         return false;
     }
     return true;
--- a/src/gateway/call_log.c
+++ b/src/gateway/call_log.c
@@ -84,10 +84,11 @@
 CallLog_OverLimit(const Call *call, const QuotaDecision *quota)
 {
     LOG_INFO(GATEWAY_PART,
-             "Account is over its share. id=%s account=%s cost=%.0f "
-             "level=%.0f share=%.0f demand=%.0f limit=%.0f share_age_ms=%lld "
-             "retry_after_ms=%u",
-             call->id, call->account->name, call->cost, quota->level,
-             quota->share, quota->demand, call->account->rate,
-             (long long)quota->share_age / US_PER_MS, quota->wait_ms);
+             "Account is over its share. id=%s account=%s rank=%u "
+             "level=%.0f reserve=%.0f share=%.0f demand=%.0f limit=%.0f "
+             "share_age_ms=%lld retry_after_ms=%u",
+             call->id, call->account->name, call->route->tier,
+             quota->answer.level, quota->answer.reserve, quota->share,
+             quota->demand, call->account->rate,
+             (long long)quota->share_age / US_PER_MS, quota->answer.wait_ms);
 }
--- a/src/gateway/quotas.c
+++ b/src/gateway/quotas.c
@@ -6,7 +6,6 @@
 #include <math.h>
 
 #include "gateway/state.h"
-#include "kernel/log.h"
 
 /* Gateways assumed before the leader has said how many there are. */
 #define GATEWAYS_UNKNOWN 8
@@ -15,16 +14,12 @@
 /* Part of the operators' slack that may be saved up; the rest covers requests
  * that overdraw a share and shares that change at different moments. */
 #define SLACK_PART 0.8
-#define WAIT_MIN_MS 50
-#define WAIT_MAX_MS 30000
 
 typedef struct Quota {
     TimeUs shared_at; /* when the leader gave the share */
     double share;     /* units a second; below 0: none was given yet */
-    double level;     /* units in hand; below 0 after a large request */
-    TimeUs filled_at;
-    TimeUs promised_until; /* refused requests were told to return by then */
-    double demand;         /* units a second, moving mean */
+    Bucket bucket;
+    double demand; /* units a second, moving mean */
     TimeUs demand_at;
 } Quota;
 
@@ -66,18 +61,23 @@
     return account->rate / gateways_of(quotas);
 }
 
-/* Units that may be saved up: the share's part of the burst, and an even part
- * of the slack, so that a gateway with a small share can take a large request
- * that is within the account's limit. */
-static double
-capacity_of(const Quotas *quotas, double share, const RouteAccount *account)
+/* The part of a limit that this gateway holds. What may be saved up is the
+ * share's part of the burst, and an even part of the slack, so that a gateway
+ * with a small share can take a large request that is within the account's
+ * limit. */
+static BucketLimit
+limit_of(const Quotas *quotas, const Quota *quota, const RouteAccount *account)
 {
+    double share = share_of(quotas, quota, account);
     double part = account->rate > 0 ? share / account->rate : 0;
     double slack = account->counts_tokens
                        ? quotas->gateway->options->bounds.quota_slack /
                              gateways_of(quotas)
                        : 0;
-    return part * account->burst + SLACK_PART * slack;
+    return (BucketLimit){
+        .rate = share,
+        .capacity = part * account->burst + SLACK_PART * slack,
+    };
 }
 
 static Quota *
@@ -87,10 +87,9 @@
     if (quota == NULL) {
         quota = g_new0(Quota, 1);
         quota->share = -1;
-        quota->filled_at = now;
         quota->demand_at = now;
-        quota->level =
-            capacity_of(quotas, share_of(quotas, quota, account), account);
+        BucketLimit limit = limit_of(quotas, quota, account);
+        Bucket_Init(&quota->bucket, &limit, now);
         g_hash_table_insert(quotas->by_account, g_strdup(account->name),
                             quota);
     }
@@ -107,49 +106,22 @@
     quota->demand_at = now;
 }
 
-/* When a refused request finds room: after the debt and after those that
- * were refused before it, so that they do not all return at once. */
-static uint32_t
-wait_ms(Quota *quota, double share, double cost, TimeUs now)
-{
-    if (share <= 0) {
-        return WAIT_MAX_MS;
-    }
-    TimeUs free_at = now + (TimeUs)(-quota->level / share * US_PER_S);
-    TimeUs at = MAX(free_at, quota->promised_until);
-    at = MIN(at, now + WAIT_MAX_MS * US_PER_MS);
-    quota->promised_until = at + (TimeUs)(cost / share * US_PER_S);
-    return (uint32_t)MAX((at - now) / US_PER_MS, WAIT_MIN_MS);
-}
-
 QuotaDecision
-Quotas_Take(Quotas *quotas, const RouteAccount *account, double cost,
-            uint32_t delay_ms)
+Quotas_Take(Quotas *quotas, const RouteAccount *account,
+            const BucketRequest *request)
 {
-    QuotaDecision decision = {.admitted = true, .share_age = -1};
+    QuotaDecision decision = {.answer.admitted = true, .share_age = -1};
     if (account->rate <= 0) {
         return decision;
     }
     TimeUs now = Clock_Now();
     Quota *quota = find(quotas, account, now);
-    measure_demand(quota, cost, now);
-    double share = share_of(quotas, quota, account);
-    double capacity = capacity_of(quotas, share, account);
-    double seconds = (double)(now - quota->filled_at) / (double)US_PER_S;
-    quota->level = MIN(quota->level + share * seconds, capacity);
-    quota->filled_at = now;
-    decision.level = quota->level;
-    decision.share = share;
+    measure_demand(quota, request->cost, now);
+    BucketLimit limit = limit_of(quotas, quota, account);
+    decision.answer = Bucket_Take(&quota->bucket, &limit, request, now);
+    decision.share = limit.rate;
     decision.demand = quota->demand;
     decision.share_age = quota->share < 0 ? -1 : now - quota->shared_at;
-    double debt_ms = share > 0 ? -quota->level / share * 1000 : WAIT_MAX_MS;
-    if (debt_ms <= delay_ms) {
-        decision.wait_ms = (uint32_t)MAX(debt_ms, 0);
-        quota->level -= cost;
-        return decision;
-    }
-    decision.admitted = false;
-    decision.wait_ms = wait_ms(quota, share, cost, now);
     return decision;
 }
 
@@ -158,7 +130,7 @@
 {
     Quota *quota = g_hash_table_lookup(quotas->by_account, account->name);
     if (quota != NULL) {
-        quota->level += cost;
+        Bucket_GiveBack(&quota->bucket, cost);
     }
 }
 
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -13,6 +13,7 @@
 #include "http1/parser.h"
 #include "kernel/clock.h"
 #include "routes/endpoint.h"
+#include "sched/bucket.h"
 #include "wire/link.h"
 
 #define GATEWAY_PART "gateway"
@@ -384,18 +385,15 @@
 
 /* What decided on a request of an account; units are those of its limit. */
 struct QuotaDecision {
-    bool admitted;    /* its cost is taken */
-    uint32_t wait_ms; /* admitted: until it may go on; else to come back */
-    double level;     /* units in hand before */
+    BucketAnswer answer;
     double share;     /* units a second that this gateway holds */
     double demand;    /* units a second asked for lately */
     TimeUs share_age; /* since the leader gave the share; -1: never */
 };
 
-/* Takes the cost of a request out of the account's share. A request that
- * finds none left is admitted with a delay of at most @p delay_ms. */
+/* Takes the cost of a request out of the account's share. */
 QuotaDecision Quotas_Take(Quotas *quotas, const RouteAccount *account,
-                          double cost, uint32_t delay_ms);
+                          const BucketRequest *request);
 void Quotas_GiveBack(Quotas *quotas, const RouteAccount *account, double cost);
 void Quotas_SetShare(Quotas *quotas, const char *account, double share);
 void Quotas_Each(Quotas *quotas,
--- /dev/null
+++ b/src/sched/bucket.c
@@ -0,0 +1,106 @@
+/** @file
+ * Token bucket with reserves by rank.
+ */
+#include "sched/bucket.h"
+
+#include <glib.h>
+
+/* Part of the capacity that is kept for each more urgent rank that lately
+ * found too little. */
+#define RESERVE_PART 0.3
+#define RESERVE_MAX 0.9
+/* How long a rank counts as short of units after a request found too few:
+ * longer than the pauses between requests of one rank in a busy account. */
+#define PRESSED_US (2 * US_PER_S)
+/* Requests below this part of the mean cost pass the reserve, and a debt of
+ * this many mean costs: refusing them would leave hardly more for others. */
+#define SMALL_PART 0.25
+#define SMALL_DEBT 2
+#define COST_WEIGHT 0.05
+#define WAIT_MIN_MS 50
+#define WAIT_MAX_MS 30000
+
+void
+Bucket_Init(Bucket *bucket, const BucketLimit *limit, TimeUs now)
+{
+    *bucket = (Bucket){.level = limit->capacity, .filled_at = now};
+}
+
+static void
+fill(Bucket *bucket, const BucketLimit *limit, TimeUs now)
+{
+    double seconds = (double)(now - bucket->filled_at) / (double)US_PER_S;
+    bucket->level =
+        MIN(bucket->level + limit->rate * seconds, limit->capacity);
+    bucket->filled_at = now;
+}
+
+/* Units that must be in hand. */
+static double
+reserve_of(const Bucket *bucket, const BucketLimit *limit,
+           const BucketRequest *request, TimeUs now)
+{
+    if (request->cost < SMALL_PART * bucket->mean_cost) {
+        return -SMALL_DEBT * bucket->mean_cost;
+    }
+    double part = 0;
+    for (uint32_t r = 0; r < request->rank && r < BUCKET_RANKS; r++) {
+        part += now < bucket->pressed_until[r] ? RESERVE_PART : 0;
+    }
+    return MIN(part, RESERVE_MAX) * limit->capacity;
+}
+
+/* When a refused request finds room: after what is missing and after those
+ * that were refused before it, so that they do not all return at once. */
+static uint32_t
+return_ms(Bucket *bucket, const BucketLimit *limit,
+          const BucketRequest *request, double missing, TimeUs now)
+{
+    if (limit->rate <= 0) {
+        return WAIT_MAX_MS;
+    }
+    uint32_t rank = MIN(request->rank, BUCKET_RANKS - 1);
+    TimeUs at = now + (TimeUs)(missing / limit->rate * US_PER_S);
+    for (uint32_t r = 0; r <= rank; r++) {
+        at = MAX(at, bucket->promised_until[r]);
+    }
+    at = MIN(at, now + WAIT_MAX_MS * US_PER_MS);
+    bucket->promised_until[rank] =
+        at + (TimeUs)(request->cost / limit->rate * US_PER_S);
+    return (uint32_t)MAX((at - now) / US_PER_MS, WAIT_MIN_MS);
+}
+
+BucketAnswer
+Bucket_Take(Bucket *bucket, const BucketLimit *limit,
+            const BucketRequest *request, TimeUs now)
+{
+    fill(bucket, limit, now);
+    double reserve = reserve_of(bucket, limit, request, now);
+    BucketAnswer answer = {.level = bucket->level, .reserve = reserve};
+    double missing = reserve - bucket->level;
+    double wait_ms =
+        limit->rate > 0 ? missing / limit->rate * 1000 : WAIT_MAX_MS;
+    bucket->mean_cost =
+        bucket->mean_cost == 0
+            ? request->cost
+            : bucket->mean_cost +
+                  COST_WEIGHT * (request->cost - bucket->mean_cost);
+    if (missing > 0) {
+        uint32_t rank = MIN(request->rank, BUCKET_RANKS - 1);
+        bucket->pressed_until[rank] = now + PRESSED_US;
+    }
+    if (wait_ms <= request->delay_ms) {
+        answer.admitted = true;
+        answer.wait_ms = (uint32_t)MAX(wait_ms, 0);
+        bucket->level -= request->cost;
+        return answer;
+    }
+    answer.wait_ms = return_ms(bucket, limit, request, missing, now);
+    return answer;
+}
+
+void
+Bucket_GiveBack(Bucket *bucket, double cost)
+{
+    bucket->level += cost;
+}
--- /dev/null
+++ b/test/unit/test_bucket.c
@@ -0,0 +1,115 @@
+/** @file
+ * Token buckets that keep room for urgent requests.
+ */
+#include "unit.h"
+
+#include "sched/bucket.h"
+
+#define SPAN_S 40
+#define STEPS_PER_S 20
+
+typedef struct Stream {
+    BucketRequest request;
+    double per_s;
+    double due;
+    unsigned asked;
+    unsigned admitted;
+} Stream;
+
+/* Plays requests that come evenly for SPAN_S seconds. Returns the units that
+ * were admitted after the first 5 s. */
+static double
+play(const BucketLimit *limit, Stream *streams, size_t count)
+{
+    Bucket bucket;
+    Bucket_Init(&bucket, limit, 1);
+    double units = 0;
+    for (int step = 0; step < SPAN_S * STEPS_PER_S; step++) {
+        TimeUs now = 1 + step * (US_PER_S / STEPS_PER_S);
+        for (size_t i = 0; i < count; i++) {
+            Stream *stream = &streams[i];
+            stream->due += stream->per_s / STEPS_PER_S;
+            for (; stream->due >= 1; stream->due -= 1) {
+                bool admitted =
+                    Bucket_Take(&bucket, limit, &stream->request, now)
+                        .admitted;
+                if (now > 5 * US_PER_S) {
+                    stream->asked++;
+                    stream->admitted += admitted;
+                    units += admitted ? stream->request.cost : 0;
+                }
+            }
+        }
+    }
+    return units;
+}
+
+static double
+served(const Stream *stream)
+{
+    return (double)stream->admitted / stream->asked;
+}
+
+/* Load: an account that asks for twice its limit. Its urgent requests and its
+ * small ones are served, the rest takes what is left, and none of the limit
+ * is wasted. */
+static void
+urgent_requests_go_before_others(void **state)
+{
+    BucketLimit limit = {.rate = 10000, .capacity = 10000};
+    Stream streams[] = {
+        {.request = {.cost = 3000, .rank = 0, .delay_ms = 200}, .per_s = 2},
+        {.request = {.cost = 2000, .rank = 1, .delay_ms = 250}, .per_s = 4},
+        {.request = {.cost = 3400, .rank = 2, .delay_ms = 250}, .per_s = 2},
+        {.request = {.cost = 200, .rank = 2, .delay_ms = 50}, .per_s = 4},
+    };
+    double units = play(&limit, streams, 4);
+    assert_true(served(&streams[0]) >= 0.95);
+    assert_true(served(&streams[3]) >= 0.95);
+    assert_true(served(&streams[1]) >= served(&streams[2]));
+    assert_true(units >= 0.97 * limit.rate * (SPAN_S - 5));
+    assert_true(units <= limit.rate * (SPAN_S - 5) + 2 * limit.capacity);
+}
+
+/* Load: an account that stays within its limit. Nothing is refused, whatever
+ * its rank. */
+static void
+nothing_is_kept_back_within_the_limit(void **state)
+{
+    BucketLimit limit = {.rate = 10000, .capacity = 10000};
+    Stream streams[] = {
+        {.request = {.cost = 3000, .rank = 0, .delay_ms = 200}, .per_s = 1},
+        {.request = {.cost = 3400, .rank = 2, .delay_ms = 250}, .per_s = 2},
+    };
+    play(&limit, streams, 2);
+    assert_true(streams[0].admitted == streams[0].asked);
+    assert_true(streams[1].admitted == streams[1].asked);
+}
+
+/* Load: refused requests of one rank. They return one after the other, and
+ * less urgent ones after them. */
+static void
+refused_requests_return_in_order(void **state)
+{
+    BucketLimit limit = {.rate = 1000, .capacity = 1000};
+    Bucket bucket;
+    Bucket_Init(&bucket, &limit, 1);
+    BucketRequest large = {.cost = 2000, .rank = 0};
+    BucketRequest urgent = {.cost = 500, .rank = 0};
+    BucketRequest later = {.cost = 500, .rank = 1};
+    assert_true(Bucket_Take(&bucket, &limit, &large, 1).admitted);
+    assert_int_equal(Bucket_Take(&bucket, &limit, &urgent, 1).wait_ms, 1000);
+    assert_int_equal(Bucket_Take(&bucket, &limit, &urgent, 1).wait_ms, 1500);
+    assert_true(Bucket_Take(&bucket, &limit, &later, 1).wait_ms >= 2000);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(urgent_requests_go_before_others),
+        cmocka_unit_test(nothing_is_kept_back_within_the_limit),
+        cmocka_unit_test(refused_requests_return_in_order),
+    };
+    return cmocka_run_group_tests_name("bucket", tests, NULL, NULL);
+}
--- a/test/unit/test_gateway.c
+++ b/test/unit/test_gateway.c
@@ -69,11 +69,19 @@
 }
 
 /* Milliseconds after which a refused request may come back; 0: admitted. */
+static BucketAnswer
+take(Quotas *quotas, const RouteAccount *account, double cost,
+     uint32_t delay_ms)
+{
+    BucketRequest request = {.cost = cost, .delay_ms = delay_ms};
+    return Quotas_Take(quotas, account, &request).answer;
+}
+
 static uint32_t
 refused_for(Quotas *quotas, const RouteAccount *account, double cost)
 {
-    QuotaDecision decision = Quotas_Take(quotas, account, cost, 0);
-    return decision.admitted ? 0 : decision.wait_ms;
+    BucketAnswer answer = take(quotas, account, cost, 0);
+    return answer.admitted ? 0 : answer.wait_ms;
 }
 
 /* Load: a short burst over the share. It is smoothed, not refused. */
@@ -84,23 +92,23 @@
     Quotas *quotas = Quotas_New(&gateway);
     RouteAccount account = {
         .name = "a", .counts_tokens = true, .rate = 4000, .burst = 4000};
-    while (Quotas_Take(quotas, &account, 100, 0).admitted) {
+    while (take(quotas, &account, 100, 0).admitted) {
     }
     TimeUs from = Clock_Now();
-    QuotaDecision first = Quotas_Take(quotas, &account, 100, 250);
-    QuotaDecision second = Quotas_Take(quotas, &account, 100, 250);
+    BucketAnswer first = take(quotas, &account, 100, 250);
+    BucketAnswer second = take(quotas, &account, 100, 250);
     assert_true(first.admitted && second.admitted);
     /* 100 units at 1,000 a second, less what passed between the two. */
     int64_t passed_ms = (Clock_Now() - from) / US_PER_MS + 1;
     int64_t apart_ms = (int64_t)second.wait_ms - first.wait_ms;
     assert_true(apart_ms <= 101 && apart_ms >= 99 - passed_ms);
     unsigned more = 0;
-    while (Quotas_Take(quotas, &account, 100, 250).admitted) {
+    while (take(quotas, &account, 100, 250).admitted) {
         more++;
     }
     assert_true(more <= 1 + passed_ms / 100 + 1);
     Quotas_GiveBack(quotas, &account, 100);
-    assert_true(Quotas_Take(quotas, &account, 100, 250).admitted);
+    assert_true(take(quotas, &account, 100, 250).admitted);
     Quotas_Free(quotas);
 }
 
