--- a/src/keeper/keeper.c
+++ b/src/keeper/keeper.c
@@ -29,6 +29,12 @@
 /* Slots until the first want names them. */
 #define SLOTS_GUESS 1
 #define ACTIONS_AT_ONCE 32
+/* Requests on their way to a full engine: one covers the end of another, its
+ * news and the next grant, up to two round trips between regions. */
+#define AHEAD 1
+/* A want asks more engines of its region after 12 ms; one that still waits
+ * after this long finds none free there. */
+#define AHEAD_AFTER_US (30 * US_PER_MS)
 
 typedef struct Keeper {
     TaskHandle task;
@@ -375,6 +381,8 @@
         .decode_tokens_s = DECODE_GUESS,
         .seed = keeper->self.incarnation,
         .refuse_early = true,
+        .ahead = AHEAD,
+        .ahead_after = AHEAD_AFTER_US,
     };
     keeper->queue = Queue_New(&config);
     keeper->owners =
--- a/src/sched/queue.c
+++ b/src/sched/queue.c
@@ -152,13 +152,24 @@
     return now + safe > work->first_by;
 }
 
+/* Whether one more request may be sent to the endpoint. */
+static bool
+has_room(const WantQueue *queue, const Item *item, TimeUs now)
+{
+    const QueueConfig *config = &queue->config;
+    bool waited = now - item->wanted >= config->ahead_after;
+    uint32_t most = config->slots + (waited ? config->ahead : 0);
+    return config->slots > 0 && queue->busy_count < MIN(most, QUEUE_SLOTS_MAX);
+}
+
 static void
 grant_free_slots(WantQueue *queue, TimeUs now)
 {
-    while (!queue->leaving && queue->order_count > 0 &&
-           queue->busy_count < queue->config.slots && !held_alone(queue))
-    {
+    while (!queue->leaving && queue->order_count > 0 && !held_alone(queue)) {
         Item *item = QueueItems_Waiting(queue, 0);
+        if (!has_room(queue, item, now)) {
+            return;
+        }
         if (is_newly_late(queue, item, now)) {
             QueueItems_Delay(queue, item);
             continue;
@@ -183,7 +194,8 @@
 plan_busy(const WantQueue *queue, Plan *plan, TimeUs now)
 {
     plan->count = 0;
-    for (uint32_t i = 0; i < queue->busy_count; i++) {
+    for (uint32_t i = 0; i < MIN(queue->busy_count, queue->config.slots); i++)
+    {
         const Item *item = QueueItems_Busy(queue, i);
         TimeUs frees = item->started + run_time(queue, item);
         Plan_Add(plan, MAX(frees, now));
@@ -191,6 +203,9 @@
     for (uint32_t i = queue->busy_count; i < queue->config.slots; i++) {
         Plan_Add(plan, now);
     }
+    for (uint32_t i = queue->config.slots; i < queue->busy_count; i++) {
+        Plan_Take(plan, run_time(queue, QueueItems_Busy(queue, i)));
+    }
 }
 
 static unsigned
@@ -325,7 +340,7 @@
                clamp_retry(queue->retry_after_ms * US_PER_MS));
         return;
     }
-    QueueItems_Add(queue, work, owner);
+    QueueItems_Add(queue, work, owner, now);
     update(queue, now);
 }
 
--- a/src/sched/queue.h
+++ b/src/sched/queue.h
@@ -23,6 +23,13 @@
     /** Refuse work early that better work keeps from starting. For wants that
      * stand in several queues and end only when all refuse. */
     bool refuse_early;
+    /** Requests that may be on their way to the endpoint beyond its slots, so
+     * that a slot does not stand idle while its end and the next grant
+     * travel. */
+    uint32_t ahead;
+    /** Only for wants that waited this long: others may yet find a free slot
+     * elsewhere. */
+    TimeUs ahead_after;
     bool no_priority; /**< Switches for measurements. */
     bool no_deadline;
 } QueueConfig;
--- a/src/sched/queue_items.c
+++ b/src/sched/queue_items.c
@@ -263,7 +263,7 @@
 }
 
 void
-QueueItems_Add(WantQueue *queue, const Work *work, uint64_t owner)
+QueueItems_Add(WantQueue *queue, const Work *work, uint64_t owner, TimeUs now)
 {
     INVARIANT(queue->unused_count > 0);
     uint32_t index = queue->unused[--queue->unused_count];
@@ -272,6 +272,7 @@
         .state = ITEM_WAITING,
         .work = *work,
         .owner = owner,
+        .wanted = now,
         .sequence = queue->next_sequence++,
         .cached_blocks =
             Blocks_Leading(queue->blocks, work, QUEUE_CACHE_HOLDER),
--- a/src/sched/queue_items.h
+++ b/src/sched/queue_items.h
@@ -32,6 +32,7 @@
     Work work;
     uint64_t owner;
     uint64_t sequence; /* order of arrival */
+    TimeUs wanted;     /* when it came */
     TimeUs start_by;   /* orders the items of one tier and rank */
     bool late;         /* its first piece would come after first_by */
     uint64_t grant_id;
@@ -80,7 +81,8 @@
 };
 
 /** Takes in a new waiting request; there must be room. */
-void QueueItems_Add(WantQueue *queue, const Work *work, uint64_t owner);
+void QueueItems_Add(WantQueue *queue, const Work *work, uint64_t owner,
+                    TimeUs now);
 
 /** The item of a request that waits, is granted or runs, or NULL. */
 Item *QueueItems_Find(const WantQueue *queue, RequestId id);
--- a/test/unit/test_queue.c
+++ b/test/unit/test_queue.c
@@ -201,6 +201,44 @@
     Queue_Free(queue);
 }
 
+/* Load: sustained overload of an engine whose gateways are far. One request
+ * is on its way while all slots are taken, but none that may find a free slot
+ * elsewhere, and never two. */
+static void
+one_request_is_sent_ahead(void **state)
+{
+    WantQueue *queue = Queue_New(&(QueueConfig){
+        .max_wants = 8,
+        .max_tombstones = 4,
+        .slots = 1,
+        .grant_ttl = TTL,
+        .decode_tokens_s = 10,
+        .ahead = 1,
+        .ahead_after = 30 * US_PER_MS,
+    });
+    uint64_t grant = 0;
+    TimeUs now = US_PER_S;
+    want(queue, 1, 1, 100 * US_PER_S, now);
+    assert_granted(queue, 1, &grant);
+    Queue_Dispatch(queue, (RequestId){.low = 1}, grant, now);
+    want(queue, 2, 1, 100 * US_PER_S, now);
+    want(queue, 3, 1, 100 * US_PER_S, now);
+    assert_none(queue);
+    now += 29 * US_PER_MS;
+    Queue_Tick(queue, now);
+    assert_none(queue);
+    now += US_PER_MS;
+    Queue_Tick(queue, now);
+    assert_granted(queue, 2, &grant);
+    Queue_Dispatch(queue, (RequestId){.low = 2}, grant, now);
+    now += US_PER_S;
+    Queue_Tick(queue, now);
+    assert_none(queue);
+    finish(queue, 1, now);
+    assert_granted(queue, 3, &grant);
+    Queue_Free(queue);
+}
+
 /* Load: long and short work of one rank. Long work must start early to meet
  * its deadline, so short work that is due a little earlier waits. */
 static void
@@ -369,6 +407,7 @@
         cmocka_unit_test(lower_work_is_refused_early),
         cmocka_unit_test(late_work_waits_for_work_on_time),
         cmocka_unit_test(work_at_the_edge_counts_as_late),
+        cmocka_unit_test(one_request_is_sent_ahead),
         cmocka_unit_test(long_work_starts_in_time),
         cmocka_unit_test(refuses_hopeless_want_at_once),
         cmocka_unit_test(sheds_the_last_in_order_when_full),
