--- a/src/sched/queue.c
+++ b/src/sched/queue.c
@@ -208,6 +208,18 @@
     }
 }
 
+/* Time between two ends of requests on a full endpoint. */
+static TimeUs
+mean_turn(const WantQueue *queue)
+{
+    TimeUs sum = 0;
+    for (uint32_t i = 0; i < queue->busy_count; i++) {
+        sum += run_time(queue, QueueItems_Busy(queue, i));
+    }
+    uint32_t count = MAX(queue->busy_count, 1);
+    return sum / count / MAX(queue->config.slots, 1);
+}
+
 static unsigned
 class_of(const Work *work)
 {
@@ -238,7 +250,7 @@
  * where lower work would else wait in vain until its deadline. */
 static TimeUs
 wait_behind_better(const WantQueue *queue, const Work *work, TimeUs planned,
-                   TimeUs run)
+                   TimeUs turn)
 {
     if (!queue->config.refuse_early) {
         return planned;
@@ -248,8 +260,7 @@
         better += queue->taken[c];
     }
     double left = 1 - MIN(better, BETTER_MAX);
-    double residual = (double)run / queue->config.slots;
-    return (TimeUs)(((double)planned + residual * better) / left);
+    return (TimeUs)(((double)planned + (double)turn * better) / left);
 }
 
 /* Refuses the waiting requests whose planned finish is past their deadline,
@@ -262,13 +273,14 @@
     sample_classes(queue, now);
     queue->planned_at = now;
     queue->lowest_tier = WORK_TIERS - 1;
+    TimeUs turn = mean_turn(queue);
     uint32_t at = 0;
     while (at < queue->order_count) {
         Item *item = QueueItems_Waiting(queue, at);
         TimeUs start = Plan_Next(&plan);
         TimeUs span = run_time(queue, item);
         TimeUs wait_more =
-            wait_behind_better(queue, &item->work, start - now, span);
+            wait_behind_better(queue, &item->work, start - now, turn);
         TimeUs late =
             now + wait_more + safe_run_time(queue, item) - item->work.deadline;
         if (late > 0) {
--- a/test/unit/test_queue.c
+++ b/test/unit/test_queue.c
@@ -133,6 +133,41 @@
     }
 }
 
+/* Load: sustained overload by short better work. Lower work is not refused
+ * for its own length while it can end in time. */
+static void
+long_lower_work_is_kept_as_long_as_short(void **state)
+{
+    WantQueue *queue = Queue_New(&(QueueConfig){
+        .max_wants = 8,
+        .max_tombstones = 64,
+        .slots = 2,
+        .grant_ttl = TTL,
+        .decode_tokens_s = 100,
+        .refuse_early = true,
+    });
+    TimeUs now = US_PER_S;
+    uint64_t grant = 0;
+    Work lengthy = new_work(1, 2, now + 40 * US_PER_S, 600);
+    Work brief = new_work(2, 2, now + 40 * US_PER_S, 20);
+    for (uint64_t id = 100; id < 102; id++) {
+        want(queue, id, 0, 1000 * US_PER_S, now);
+        assert_granted(queue, id, &grant);
+        Queue_Dispatch(queue, (RequestId){.low = id}, grant, now);
+    }
+    Queue_Want(queue, &lengthy, 1, now);
+    Queue_Want(queue, &brief, 1, now);
+    for (uint64_t id = 102; id < 202; id++) {
+        want(queue, id, 0, 1000 * US_PER_S, now);
+        now += 50 * US_PER_MS;
+        Queue_Tick(queue, now);
+        finish(queue, id - 2, now);
+        assert_granted(queue, id, &grant);
+        Queue_Dispatch(queue, (RequestId){.low = id}, grant, now);
+    }
+    Queue_Free(queue);
+}
+
 /* Load: a burst within one rank. What is late anyway lets those go first
  * whose first piece can still come in time; both are served. */
 static void
@@ -405,6 +440,7 @@
         cmocka_unit_test(grants_by_tier_then_deadline),
         cmocka_unit_test(grants_by_rank_within_a_tier),
         cmocka_unit_test(lower_work_is_refused_early),
+        cmocka_unit_test(long_lower_work_is_kept_as_long_as_short),
         cmocka_unit_test(late_work_waits_for_work_on_time),
         cmocka_unit_test(work_at_the_edge_counts_as_late),
         cmocka_unit_test(one_request_is_sent_ahead),
