Early refusals leave the length of a request out of account

Cause: what is left of the bias against long requests. The wait behind better work is a guess; long requests were still refused on it before short ones. Now they are refused for their own length only when the plan itself says that they cannot end in time.

--- a/src/sched/queue.c
+++ b/src/sched/queue.c
@@ -208,16 +208,15 @@
     }
 }
 
-/* Time between two ends of requests on a full endpoint. */
+/* Mean run time of what the endpoint has. */
 static TimeUs
-mean_turn(const WantQueue *queue)
+mean_run(const WantQueue *queue)
 {
     TimeUs sum = 0;
     for (uint32_t i = 0; i < queue->busy_count; i++) {
         sum += run_time(queue, QueueItems_Busy(queue, i));
     }
-    uint32_t count = MAX(queue->busy_count, 1);
-    return sum / count / MAX(queue->config.slots, 1);
+    return sum / MAX(queue->busy_count, 1);
 }
 
 static unsigned
@@ -246,21 +245,37 @@
 }
 
 /* Longer wait than planned: while work that goes first keeps coming, only
- * what it leaves of the slots serves the rest. Answers sustained overload,
- * where lower work would else wait in vain until its deadline. */
+ * what it leaves of the slots serves the rest. @p mean: run time of what the
+ * endpoint has. */
 static TimeUs
 wait_behind_better(const WantQueue *queue, const Work *work, TimeUs planned,
-                   TimeUs turn)
+                   TimeUs mean)
 {
-    if (!queue->config.refuse_early) {
-        return planned;
-    }
     double better = 0;
     for (unsigned c = 0; c < class_of(work); c++) {
         better += queue->taken[c];
     }
     double left = 1 - MIN(better, BETTER_MAX);
-    return (TimeUs)(((double)planned + (double)turn * better) / left);
+    double turn = (double)mean / queue->config.slots;
+    return (TimeUs)(((double)planned + turn * better) / left);
+}
+
+/* How far a waiting request is expected to miss its deadline; 0 or less: not
+ * at all. Answers sustained overload, where lower work would wait in vain
+ * until its deadline. The longer wait is a guess, so long requests are not
+ * refused before others for it: there they count as long as the mean. */
+static TimeUs
+lateness(const WantQueue *queue, const Item *item, TimeUs planned, TimeUs mean,
+         TimeUs now)
+{
+    TimeUs run = safe_run_time(queue, item);
+    TimeUs late = now + planned + run - item->work.deadline;
+    if (!queue->config.refuse_early) {
+        return late;
+    }
+    TimeUs wait = wait_behind_better(queue, &item->work, planned, mean);
+    TimeUs usual = MIN(run, (TimeUs)((double)mean * queue->margin));
+    return MAX(late, now + wait + usual - item->work.deadline);
 }
 
 /* Refuses the waiting requests whose planned finish is past their deadline,
@@ -273,16 +288,13 @@
     sample_classes(queue, now);
     queue->planned_at = now;
     queue->lowest_tier = WORK_TIERS - 1;
-    TimeUs turn = mean_turn(queue);
+    TimeUs mean = mean_run(queue);
     uint32_t at = 0;
     while (at < queue->order_count) {
         Item *item = QueueItems_Waiting(queue, at);
         TimeUs start = Plan_Next(&plan);
         TimeUs span = run_time(queue, item);
-        TimeUs wait_more =
-            wait_behind_better(queue, &item->work, start - now, turn);
-        TimeUs late =
-            now + wait_more + safe_run_time(queue, item) - item->work.deadline;
+        TimeUs late = lateness(queue, item, start - now, mean, now);
         if (late > 0) {
             refuse_waiting(queue, item, REFUSE_DEADLINE, late);
             continue;
