Waiting requests go on asking engines until all are asked

Cause: a request asked 14 engines at most, the fastest first. Long outputs prefer fast engines most, so on a fleet of 47 they were refused by the 14 fastest while slower ones had room. Now a request that waits asks six more each 90 ms, and one that all refused asks on. Test: functional/platform-many, fails before.

--- a/src/gateway/keepers.c
+++ b/src/gateway/keepers.c
@@ -138,8 +138,7 @@
         want->retry_after_ms == 0
             ? refuse->retry_after_ms
             : MIN(want->retry_after_ms, refuse->retry_after_ms);
-    while (want->asked->len == 0 && want->reach <= REACH_ALL) {
-        Wants_Widen(want);
+    while (want->asked->len == 0 && Wants_Widen(want)) {
     }
     if (want->asked->len > 0) {
         return;
--- a/src/gateway/keepers.h
+++ b/src/gateway/keepers.h
@@ -46,7 +46,8 @@
 /* Withdraws what was not granted. */
 void Wants_Withdraw(Want *want);
 
-/* Asks more keepers within the want's reach, and reaches farther next. */
-void Wants_Widen(Want *want);
+/* Asks more keepers within the want's reach, and reaches farther next.
+ * @return false once all have been asked. */
+bool Wants_Widen(Want *want);
 
 #endif
--- a/src/gateway/wants.c
+++ b/src/gateway/wants.c
@@ -203,21 +203,23 @@
     g_free(choice->slots);
 }
 
-/* Asks up to @p most keepers within the want's reach, best first. */
-static void
+/* Asks up to @p most keepers within the want's reach, best first.
+ * @return how many were asked. */
+static guint
 ask(Want *want, Choice *choice, guint most)
 {
     for (guint asked = 0; asked < most; asked++) {
         int best =
             Choose_Endpoint(choice->candidates, choice->count, G_MAXDOUBLE);
         if (best < 0) {
-            return;
+            return asked;
         }
         choice->candidates[best].usable = false;
         Keeper *keeper = choice->keepers[best];
         g_ptr_array_add(want->asked, keeper);
         send_want(want, keeper, choice->slots[best]);
     }
+    return most;
 }
 
 /* Leaves out what is beyond reach, and failing engines while there are
@@ -246,19 +248,20 @@
     event_add(want->widen, &span);
 }
 
-/* Asks more keepers within the want's reach, and reaches farther next. */
-void
+bool
 Wants_Widen(Want *want)
 {
     Choice choice;
     fill_choice(&choice, want->call, want);
     limit_reach(&choice, want->reach);
-    ask(want, &choice, ASKED_MORE);
+    guint asked = ask(want, &choice, ASKED_MORE);
     clear_choice(&choice);
-    if (want->reach == REACH_REGION) {
-        set_widen(want, ASK_ALL_MS - ASK_REGION_MS);
+    bool more = asked > 0 || want->reach < REACH_ALL;
+    if (more) {
+        set_widen(want, ASK_ALL_MS);
     }
-    want->reach++;
+    want->reach = REACH_ALL;
+    return more;
 }
 
 /* The request still waits. */
