--- a/src/wire/link.c
+++ b/src/wire/link.c
@@ -35,6 +35,7 @@
     struct evbuffer *bulk;    /* packed bulk frames */
     Wire__Frame *hello;       /* of the other side; NULL: not up */
     TimeUs opened_at;
+    uint32_t connect_ms; /* dialled: time for the next connection */
     TimeUs heard_at;
     uint64_t connections; /* opened so far */
     uint64_t bytes_in;
@@ -157,6 +158,13 @@
     Frame_Write(bufferevent_get_output(link->connection), &frame);
 }
 
+static void
+set_heartbeat(Link *link, uint32_t period_ms)
+{
+    struct timeval period = {.tv_usec = period_ms * US_PER_MS};
+    event_add(link->heartbeat, &period);
+}
+
 /* Takes the first frame. The link is up when it is a fitting hello. */
 static int
 accept_hello(Link *link, Wire__Frame *frame, Error *err)
@@ -173,6 +181,8 @@
     }
     link->hello = frame;
     link->warned = false;
+    link->connect_ms = LINK_CONNECT_MS;
+    set_heartbeat(link, LINK_HEARTBEAT_MS);
     link->ops->up(link, link->owner);
     return ERR_OK;
 }
@@ -277,6 +287,14 @@
                                                  : "connection failed");
 }
 
+/* Whether a dialled connection took too long to come up. */
+static bool
+is_overdue(const Link *link, TimeUs now)
+{
+    return link->server == NULL && link->hello == NULL &&
+           now - link->opened_at >= link->connect_ms * US_PER_MS;
+}
+
 static void
 on_heartbeat(evutil_socket_t fd, short events, void *arg)
 {
@@ -290,6 +308,12 @@
         lose_connection(link, "no hello");
         return;
     }
+    if (is_overdue(link, now)) {
+        uint32_t most = (uint32_t)(LINK_SILENT_US / US_PER_MS);
+        link->connect_ms = MIN(2 * link->connect_ms, most);
+        lose_connection(link, "not up in time");
+        return;
+    }
     Wire__Heartbeat heartbeat = WIRE__HEARTBEAT__INIT;
     Wire__Frame frame = WIRE__FRAME__INIT;
     frame.body_case = WIRE__FRAME__BODY_HEARTBEAT;
@@ -316,6 +340,7 @@
     link->bulk = evbuffer_new();
     link->heartbeat = event_new(base, -1, EV_PERSIST, on_heartbeat, link);
     link->redial = event_new(base, -1, 0, on_redial, link);
+    link->connect_ms = LINK_CONNECT_MS;
     return link;
 }
 
@@ -332,8 +357,10 @@
     link->connections++;
     link->opened_at = Clock_Now();
     link->heard_at = link->opened_at;
-    struct timeval period = {.tv_usec = LINK_HEARTBEAT_MS * US_PER_MS};
-    event_add(link->heartbeat, &period);
+    bool dialled = link->server == NULL;
+    uint32_t period_ms =
+        dialled ? MIN(link->connect_ms, LINK_HEARTBEAT_MS) : LINK_HEARTBEAT_MS;
+    set_heartbeat(link, period_ms);
 }
 
 static void
--- a/test/unit/test_link.c
+++ b/test/unit/test_link.c
@@ -336,6 +336,34 @@
     close(server);
 }
 
+/* A host that was dark when it was dialled is dialled again well before it
+ * would count as silent, then at longer intervals. */
+static void
+gives_up_a_connection_that_does_not_come_up(void **state)
+{
+    Fixture *fixture = *state;
+    int server = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+    const struct sockaddr *at = (const void *)&fixture->address.storage;
+    assert_int_equal(bind(server, at, fixture->address.length), 0);
+    assert_int_equal(listen(server, 4), 0);
+    TimeUs from = Clock_Now();
+    Link *link = Link_Dial(fixture->base, &self, &fixture->address, &ops,
+                           &fixture->dialling);
+    int first = accept_raw(fixture, server);
+    int second = accept_raw(fixture, server);
+    TimeUs silent = LINK_SILENT_HEARTBEATS * LINK_HEARTBEAT_MS * US_PER_MS;
+    assert_true(Clock_Now() - from < silent);
+    int third = accept_raw(fixture, server);
+    assert_true(Clock_Now() - from >= 3 * LINK_CONNECT_MS * US_PER_MS);
+    write_hello(third, LINK_PROTOCOL_VERSION);
+    run_until(fixture, &fixture->dialling.ups, 1);
+    Link_Close(link);
+    close(first);
+    close(second);
+    close(third);
+    close(server);
+}
+
 #define LINK_TEST(name)                                                       \
     cmocka_unit_test_setup_teardown(name, set_up, tear_down)
 
@@ -350,6 +378,7 @@
         LINK_TEST(drops_an_accepted_link_that_is_silent),
         LINK_TEST(drops_a_connection_without_hello),
         LINK_TEST(replaces_a_dialled_connection_that_is_silent),
+        LINK_TEST(gives_up_a_connection_that_does_not_come_up),
     };
     return cmocka_run_group_tests_name("link", tests, NULL, NULL);
 }
