Fingerprints are computed on demand; one guess of the number of gateways; dead code removed

What the last reading of the code left open: ServiceQueue_PumpAll had no caller, gateways sent a share that nobody read, two guesses of the number of gateways (8 and 12; 12 stays), each body was hashed though only requests that broke an endpoint off need it. functional/platform-stop failed since keepers send one request ahead: its second stream no longer waits. It now has one more request, sent ahead and answered whole; the third waits and is refused as before.

--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -454,9 +454,12 @@
     ServiceQueue_Add(call->gateway, call);
 }
 
-static uint64_t
-fingerprint_of(const Call *call)
+uint64_t
+Call_Fingerprint(Call *call)
 {
+    if (call->fingerprint != 0) {
+        return call->fingerprint;
+    }
     XXH3_state_t *state = XXH3_createState();
     XXH3_64bits_reset(state);
     XXH3_64bits_update(state, call->target, strlen(call->target));
@@ -465,9 +468,9 @@
     }
     size_t length = evbuffer_get_length(call->body);
     XXH3_64bits_update(state, evbuffer_pullup(call->body, -1), length);
-    uint64_t hash = XXH3_64bits_digest(state);
+    call->fingerprint = XXH3_64bits_digest(state);
     XXH3_freeState(state);
-    return hash;
+    return call->fingerprint;
 }
 
 void
@@ -505,7 +508,6 @@
     }
     copy_fields(call, head);
     read_tokens(call, head);
-    call->fingerprint = fingerprint_of(call);
     gateway->calls++;
     Conn_SetCall(conn, call);
     if (id == NULL) {
--- a/src/gateway/call_answer.c
+++ b/src/gateway/call_answer.c
@@ -251,7 +251,7 @@
         return;
     }
     if (failure == UPSTREAM_BROKEN && call->first_at == 0) {
-        Endpoint_BrokeOff(call->endpoint, call->fingerprint);
+        Endpoint_BrokeOff(call->endpoint, Call_Fingerprint(call));
     }
     Call_Retry(call, CALL_MAYBE_RAN, why);
 }
--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -129,7 +129,10 @@
     if (!Call_Reroute(call)) {
         return;
     }
-    if (Suspects_IsBarred(call->gateway->suspects, call->fingerprint)) {
+    const Suspects *suspects = call->gateway->suspects;
+    if (Suspects_Any(suspects) &&
+        Suspects_IsBarred(suspects, Call_Fingerprint(call)))
+    {
         fail_barred(call);
         return;
     }
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -18,6 +18,10 @@
 #define STOP_ACCEPT_MS 3000
 #define STOP_POLL_MS 50
 #define BACKLOG 512
+/* Gateways assumed before the leader has said how many there are: a few dozen
+ * at most share a limit, and too small a share for a second does less harm
+ * than too large a one. */
+#define GATEWAYS_UNKNOWN 12
 
 bool
 Gateway_HasLease(const Gateway *gateway)
@@ -49,6 +53,12 @@
     }
 }
 
+uint32_t
+Gateway_Count(const Gateway *gateway)
+{
+    return gateway->gateways > 0 ? gateway->gateways : GATEWAYS_UNKNOWN;
+}
+
 void
 Gateway_ReleaseHeld(Gateway *gateway)
 {
--- a/src/gateway/hosts.c
+++ b/src/gateway/hosts.c
@@ -67,7 +67,7 @@
 } Uses;
 
 static void
-add_use(void *arg, const char *account, double demand, double share)
+add_use(void *arg, const char *account, double demand)
 {
     Uses *uses = arg;
     if (uses->count == ACCOUNTS_MAX) {
@@ -77,7 +77,6 @@
     wire__account_use__init(use);
     use->account = (char *)account;
     use->demand = demand;
-    use->share = share;
     uses->pointers[uses->count++] = use;
 }
 
--- a/src/gateway/quotas.c
+++ b/src/gateway/quotas.c
@@ -7,8 +7,6 @@
 
 #include "gateway/state.h"
 
-/* Gateways assumed before the leader has said how many there are. */
-#define GATEWAYS_UNKNOWN 8
 /* Time constant of the measured demand. */
 #define DEMAND_US (2 * US_PER_S)
 /* Part of the operators' slack that may be saved up; the rest covers requests
@@ -45,20 +43,13 @@
     g_free(quotas);
 }
 
-static uint32_t
-gateways_of(const Quotas *quotas)
-{
-    uint32_t known = quotas->gateway->gateways;
-    return known > 0 ? known : GATEWAYS_UNKNOWN;
-}
-
 static double
 share_of(const Quotas *quotas, const Quota *quota, const RouteAccount *account)
 {
     if (quota->share >= 0) {
         return MIN(quota->share, account->rate);
     }
-    return account->rate / gateways_of(quotas);
+    return account->rate / Gateway_Count(quotas->gateway);
 }
 
 /* The part of a limit that this gateway holds. What may be saved up is the
@@ -72,7 +63,7 @@
     double part = account->rate > 0 ? share / account->rate : 0;
     double slack = account->counts_tokens
                        ? quotas->gateway->options->bounds.quota_slack /
-                             gateways_of(quotas)
+                             Gateway_Count(quotas->gateway)
                        : 0;
     return (BucketLimit){
         .rate = share,
@@ -146,8 +137,7 @@
 
 void
 Quotas_Each(Quotas *quotas,
-            void (*visit)(void *arg, const char *account, double demand,
-                          double share),
+            void (*visit)(void *arg, const char *account, double demand),
             void *arg)
 {
     TimeUs now = Clock_Now();
@@ -158,6 +148,6 @@
     while (g_hash_table_iter_next(&iter, &key, &value)) {
         Quota *quota = value;
         measure_demand(quota, 0, now);
-        visit(arg, key, quota->demand, MAX(quota->share, 0));
+        visit(arg, key, quota->demand);
     }
 }
--- a/src/gateway/retries.c
+++ b/src/gateway/retries.c
@@ -7,8 +7,6 @@
 
 /* Steps that a window is counted in; the oldest one leaves as a whole. */
 #define STEPS 20
-/* Gateways assumed before the leader has said how many there are. */
-#define GATEWAYS_UNKNOWN 12
 /* Part of the allowance that is shared out; the rest covers gateways that
  * are not counted, such as one that starts. */
 #define ALLOWANCE_PART 0.8
@@ -83,9 +81,7 @@
         requests += window->requests[i];
         taken += window->retries[i];
     }
-    uint32_t gateways = retries->gateway->gateways > 0
-                            ? retries->gateway->gateways
-                            : GATEWAYS_UNKNOWN;
+    uint32_t gateways = Gateway_Count(retries->gateway);
     double allowed = bounds->retry_ratio * requests +
                      ALLOWANCE_PART * bounds->retry_allowance / gateways;
     if (taken + 1 > allowed) {
--- a/src/gateway/service_queue.c
+++ b/src/gateway/service_queue.c
@@ -193,17 +193,6 @@
     queue->pumping = false;
 }
 
-void
-ServiceQueue_PumpAll(Gateway *gateway)
-{
-    GHashTableIter iter;
-    gpointer key;
-    g_hash_table_iter_init(&iter, gateway->queues);
-    while (g_hash_table_iter_next(&iter, &key, NULL)) {
-        ServiceQueue_Pump(gateway, key);
-    }
-}
-
 void
 ServiceQueue_FreeAll(Gateway *gateway)
 {
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -38,7 +38,7 @@
     struct evconnlistener *listener;
     RouteTable *table;  /* NULL: no configuration yet */
     TimeUs lease_until; /* the table is the newest until then */
-    uint32_t gateways;  /* connected to the leader, this one included */
+    uint32_t gateways;  /* connected to the leader; 0: not told yet */
     Directory *directory;
     GHashTable *endpoints; /* id -> Endpoint */
     GHashTable *queues;    /* service -> ServiceQueue */
@@ -212,7 +212,7 @@
     uint32_t prompt_tokens;
     uint32_t output_tokens;   /* most */
     uint32_t expected_tokens; /* of output, as far as the caller knows */
-    uint64_t fingerprint;
+    uint64_t fingerprint;     /* 0: not computed yet */
     TimeUs received;
     TimeUs caller_deadline;
     TimeUs deadline; /* final answer until then */
@@ -257,6 +257,9 @@
 /* What was written to the caller has left. */
 void Call_CallerDrained(Call *call);
 
+/* Hash of what the caller asks, the same whenever it is asked again. */
+uint64_t Call_Fingerprint(Call *call);
+
 /* Sends the call to an endpoint. */
 void Call_SendTo(Call *call, Endpoint *endpoint);
 
@@ -326,7 +329,6 @@
 
 /* Sends what can be sent. */
 void ServiceQueue_Pump(Gateway *gateway, const char *service);
-void ServiceQueue_PumpAll(Gateway *gateway);
 void ServiceQueue_FreeAll(Gateway *gateway);
 
 /* ---- hosts.c: links to control hosts ---- */
@@ -358,6 +360,9 @@
 
 /* ---- gateway.c ---- */
 
+/* Gateways that share limits and budgets, this one included. */
+uint32_t Gateway_Count(const Gateway *gateway);
+
 /* Whether the table is surely the newest. */
 bool Gateway_HasLease(const Gateway *gateway);
 
@@ -375,6 +380,9 @@
 /* An endpoint broke off while it ran the request. */
 void Suspects_Crashed(Suspects *suspects, uint64_t fingerprint);
 
+/* Whether any request is remembered. */
+bool Suspects_Any(const Suspects *suspects);
+
 /* Whether the request crashed too many endpoints to be sent again. */
 bool Suspects_IsBarred(const Suspects *suspects, uint64_t fingerprint);
 
@@ -397,8 +405,7 @@
 void Quotas_GiveBack(Quotas *quotas, const RouteAccount *account, double cost);
 void Quotas_SetShare(Quotas *quotas, const char *account, double share);
 void Quotas_Each(Quotas *quotas,
-                 void (*visit)(void *arg, const char *account, double demand,
-                               double share),
+                 void (*visit)(void *arg, const char *account, double demand),
                  void *arg);
 
 /* ---- retries.c ---- */
--- a/src/gateway/suspects.c
+++ b/src/gateway/suspects.c
@@ -60,6 +60,12 @@
     suspect->at = now;
 }
 
+bool
+Suspects_Any(const Suspects *suspects)
+{
+    return g_hash_table_size(suspects->by_fingerprint) > 0;
+}
+
 bool
 Suspects_IsBarred(const Suspects *suspects, uint64_t fingerprint)
 {
--- a/test/functional/platform-stop.sh
+++ b/test/functional/platform-stop.sh
@@ -21,6 +21,10 @@
 ask 1 POST /stream/a id-2 -H 'Model: m' -d prompt >stream.out &
 stream=$!
 sleep 0.3
+# The keeper sends one more ahead of the slot's end; the third waits.
+ask 1 POST /stream/a id-ahead -H 'Model: m' -d prompt >ahead.out &
+ahead=$!
+sleep 0.2
 ask 1 POST /stream/a id-waits -H 'Model: m' -H 'Token-Usage: 10,800' -d x \
     -w '%{http_code}\n' >waits.out &
 waits=$!
@@ -34,9 +38,10 @@
 wait $waits
 jq -r '.error.code? // empty' waits.out 2>/dev/null
 tail -n 1 waits.out | grep -o '503$'
-echo "-- the stream ends whole"
-wait $stream
+echo "-- the streams end whole"
+wait $stream $ahead
 grep -c '^id:' stream.out
+grep -c '^id:' ahead.out
 wait "$(cat gateway1.pid)"
 echo "exit $?"
 
