Keepers refuse work for an engine that was replaced

Now the first gateway that is told says so to the keeper beside the engine, which refuses what names the engine before. Tests: unit/test_queue, functional/platform-replaced (8 sends before, 1 now).

--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -119,14 +119,14 @@
         Upstream_Cancel(call->upstream);
         call->upstream = NULL;
     }
-    Call_LeaveEndpoint(call, false);
+    Call_LeaveEndpoint(call, SLOT_NOT_SERVED);
 }
 
 void
-Call_LeaveEndpoint(Call *call, bool complete)
+Call_LeaveEndpoint(Call *call, SlotOutcome outcome)
 {
     Endpoint *endpoint = call->endpoint;
-    Keepers_End(call, complete);
+    Keepers_End(call, outcome);
     if (endpoint == NULL) {
         return;
     }
--- a/src/gateway/call_answer.c
+++ b/src/gateway/call_answer.c
@@ -224,7 +224,7 @@
     if (!call->streams && call->status < 500) {
         Endpoint_Took(call->endpoint, Clock_Now() - call->sent_at);
     }
-    Call_LeaveEndpoint(call, true);
+    Call_LeaveEndpoint(call, SLOT_SERVED);
     if (call->streams) {
         finish_stream(call);
     }
--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -138,7 +138,7 @@
     }
     if (!Route_Allows(call->route, endpoint->service)) {
         /* The new configuration sends it elsewhere. */
-        Keepers_End(call, false);
+        Keepers_End(call, SLOT_NOT_SERVED);
         ServiceQueue_Add(call->gateway, call);
         return;
     }
@@ -237,7 +237,9 @@
         call->attempts--;
     }
     call->maybe_ran = call->maybe_ran || outcome == CALL_MAYBE_RAN;
-    Call_LeaveEndpoint(call, false);
+    Call_LeaveEndpoint(call, outcome == CALL_OTHER_INSTANCE
+                                 ? SLOT_OTHER_INSTANCE
+                                 : SLOT_NOT_SERVED);
     bool again = may_resend(call, outcome);
     LOG_INFO(GATEWAY_PART,
              "Endpoint did not serve. id=%s endpoint=%s outcome=%s "
--- a/src/gateway/keepers.c
+++ b/src/gateway/keepers.c
@@ -101,15 +101,15 @@
     Want *want = g_hash_table_lookup(keepers->wants, &id);
     Endpoint *endpoint = Endpoints_Find(keepers->gateway, keeper->endpoint_id);
     if (want == NULL || want->holder != NULL || endpoint == NULL) {
-        Wants_SendEnd(keeper, id, false);
+        Wants_SendEnd(keeper, id, SLOT_NOT_SERVED);
         return;
     }
     g_ptr_array_remove_fast(want->asked, keeper);
     if (!Endpoint_Usable(endpoint, Clock_Now())) {
-        Wants_SendEnd(keeper, id, false);
+        Wants_SendEnd(keeper, id, SLOT_NOT_SERVED);
         if (want->asked->len == 0) {
             Call *call = want->call;
-            Keepers_End(call, false);
+            Keepers_End(call, SLOT_NOT_SERVED);
             ServiceQueue_Add(keepers->gateway, call);
         }
         return;
@@ -151,7 +151,7 @@
              refuse->busy, (unsigned long long)id);
     uint32_t retry_after_ms = want->retry_after_ms;
     Call *call = want->call;
-    Keepers_End(call, false);
+    Keepers_End(call, SLOT_NOT_SERVED);
     if (call->maybe_ran) {
         Call_Fail(call, &(CallError){
                             .status = 502,
--- a/src/gateway/keepers.h
+++ b/src/gateway/keepers.h
@@ -40,8 +40,8 @@
 
 void Wants_Free(gpointer want);
 
-/* Gives a slot or a want back. @p ran: the request was served whole. */
-void Wants_SendEnd(Keeper *keeper, uint64_t id, bool ran);
+/* Gives a slot or a want back. */
+void Wants_SendEnd(Keeper *keeper, uint64_t id, SlotOutcome outcome);
 
 /* Withdraws what was not granted. */
 void Wants_Withdraw(Want *want);
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -185,6 +185,13 @@
 
 /* ---- call.c, call_send.c, call_answer.c: the life of a request ---- */
 
+/* What became of a slot that a call held. */
+typedef enum SlotOutcome {
+    SLOT_NOT_SERVED,
+    SLOT_SERVED,         /* whole */
+    SLOT_OTHER_INSTANCE, /* the endpoint is gone, another has its address */
+} SlotOutcome;
+
 typedef enum CallState {
     CALL_WAITING, /* for an endpoint */
     CALL_SENT,    /* an endpoint has it; no byte of an answer went out */
@@ -291,8 +298,8 @@
 /* Tries another endpoint or ends the call. */
 void Call_Retry(Call *call, CallSendOutcome outcome, const char *why);
 
-/* The call's endpoint has it no longer. @p complete: it served it whole. */
-void Call_LeaveEndpoint(Call *call, bool complete);
+/* The call's endpoint has it no longer. */
+void Call_LeaveEndpoint(Call *call, SlotOutcome outcome);
 
 /* Whether a field concerns one connection only. */
 bool Call_IsHopField(const char *name);
@@ -356,7 +363,7 @@
 void Keepers_Unwatch(Keepers *keepers, const char *endpoint_id);
 
 void Keepers_FirstEvent(Call *call);
-void Keepers_End(Call *call, bool complete);
+void Keepers_End(Call *call, SlotOutcome outcome);
 
 /* ---- gateway.c ---- */
 
--- a/src/gateway/wants.c
+++ b/src/gateway/wants.c
@@ -40,11 +40,14 @@
 /* ---- Wants ---- */
 
 void
-Wants_SendEnd(Keeper *keeper, uint64_t id, bool ran)
+Wants_SendEnd(Keeper *keeper, uint64_t id, SlotOutcome outcome)
 {
     Wire__SlotEnd end = WIRE__SLOT_END__INIT;
     end.id = id;
-    end.ran = ran;
+    end.ran = outcome == SLOT_SERVED;
+    if (outcome == SLOT_OTHER_INSTANCE) {
+        end.gone_endpoint = keeper->endpoint_id;
+    }
     Wire__Frame frame = WIRE__FRAME__INIT;
     frame.body_case = WIRE__FRAME__BODY_SLOT_END;
     frame.slot_end = &end;
@@ -56,14 +59,14 @@
 Wants_Withdraw(Want *want)
 {
     for (guint i = 0; i < want->asked->len; i++) {
-        Wants_SendEnd(want->asked->pdata[i], want->id, false);
+        Wants_SendEnd(want->asked->pdata[i], want->id, SLOT_NOT_SERVED);
     }
     g_ptr_array_set_size(want->asked, 0);
     event_del(want->widen);
 }
 
 void
-Keepers_End(Call *call, bool complete)
+Keepers_End(Call *call, SlotOutcome outcome)
 {
     Keepers *keepers = call->gateway->keepers;
     Want *want = call->grant == 0
@@ -76,7 +79,7 @@
     Wants_Withdraw(want);
     if (want->holder != NULL) {
         want->holder->held--;
-        Wants_SendEnd(want->holder, want->id, complete);
+        Wants_SendEnd(want->holder, want->id, outcome);
     }
     g_hash_table_remove(keepers->wants, &want->id);
 }
@@ -115,6 +118,7 @@
     message.prompt_tokens = call->prompt_tokens;
     message.output_tokens = call->expected_tokens;
     message.longest_output_tokens = call->output_tokens;
+    message.endpoint = keeper->endpoint_id;
     message.slots = slots;
     Wire__Frame frame = WIRE__FRAME__INIT;
     frame.body_case = WIRE__FRAME__BODY_SLOT_WANT;
--- a/src/keeper/keeper.c
+++ b/src/keeper/keeper.c
@@ -29,6 +29,9 @@
 /* Slots until the first want names them. */
 #define SLOTS_GUESS 1
 #define ACTIONS_AT_ONCE 32
+/* When to come back for an engine that was replaced: its successor announces
+ * itself within about a heartbeat. */
+#define GONE_RETRY_MS 500
 /* Callers' estimates of long outputs are off by half as often as not; at a
  * higher share no engine would take those that most engines can end in time.
  */
@@ -48,6 +51,7 @@
     LinkServer *links;
     WantQueue *queue;
     uint32_t slots;
+    uint64_t gone; /* Work_Target of an engine that was here; 0: none */
     uint64_t serial;
     GHashTable *owners; /* serial -> Link */
     GHashTable *held;   /* RequestId -> itself: granted slots */
@@ -181,6 +185,19 @@
     carry_out(keeper);
 }
 
+/* The gateway has not heard yet that this engine was replaced. */
+static void
+refuse_gone(Keeper *keeper, Link *link, RequestId id)
+{
+    QueueAction action = {
+        .kind = QUEUE_REFUSE,
+        .id = id,
+        .reason = REFUSE_LEAVING,
+        .retry_after_ms = GONE_RETRY_MS,
+    };
+    send_refuse(keeper, link, &action);
+}
+
 static void
 on_want(Keeper *keeper, Link *link, const Wire__SlotWant *want)
 {
@@ -193,6 +210,7 @@
     }
     Work work = {
         .id = id_of(link, want->id),
+        .target = Work_Target(false, want->endpoint),
         .tier = MIN(want->tier, WORK_TIERS - 1),
         .rank = want->rank,
         .deadline = now + want->deadline_ms * US_PER_MS,
@@ -201,6 +219,10 @@
         .output_tokens = want->output_tokens,
         .longest_output_tokens = want->longest_output_tokens,
     };
+    if (work.target == keeper->gone) {
+        refuse_gone(keeper, link, work.id);
+        return;
+    }
     Queue_Want(keeper->queue, &work, serial_of(link), now);
 }
 
@@ -211,11 +233,27 @@
     Queue_Finished(keeper->queue, id, &result, now);
 }
 
+/* Another engine answered at this address: what waits for the one before
+ * would be refused by it too, one after the other. */
+static void
+note_gone(Keeper *keeper, const char *endpoint, TimeUs now)
+{
+    uint64_t target = Work_Target(false, endpoint);
+    if (target != keeper->gone) {
+        LOG_INFO(PART, "Engine was replaced. before=%s", endpoint);
+        keeper->gone = target;
+        Queue_RefuseTarget(keeper->queue, target, now);
+    }
+}
+
 static void
 on_end(Keeper *keeper, Link *link, const Wire__SlotEnd *end)
 {
     RequestId id = id_of(link, end->id);
     TimeUs now = Clock_Now();
+    if (end->gone_endpoint[0] != '\0') {
+        note_gone(keeper, end->gone_endpoint, now);
+    }
     if (g_hash_table_remove(keeper->held, &id)) {
         end_slot(keeper, id, end->ran, now);
         return;
--- a/src/sched/queue.c
+++ b/src/sched/queue.c
@@ -500,6 +500,18 @@
     update(queue, now);
 }
 
+void
+Queue_RefuseTarget(WantQueue *queue, uint64_t target, TimeUs now)
+{
+    for (uint32_t i = queue->order_count; i > 0; i--) {
+        Item *item = QueueItems_Waiting(queue, i - 1);
+        if (item->work.target == target) {
+            refuse_waiting(queue, item, REFUSE_LEAVING, 0);
+        }
+    }
+    update(queue, now);
+}
+
 void
 Queue_SetLeaving(WantQueue *queue, bool leaving, TimeUs now)
 {
--- a/src/sched/queue.h
+++ b/src/sched/queue.h
@@ -106,6 +106,9 @@
 /** The owner's link is gone: forgets its wants and unused grants. */
 void Queue_OwnerGone(WantQueue *queue, uint64_t owner, TimeUs now);
 
+/** The target is gone: refuses the wants that wait for it. */
+void Queue_RefuseTarget(WantQueue *queue, uint64_t target, TimeUs now);
+
 /** While leaving, wants and dispatches are refused. */
 void Queue_SetLeaving(WantQueue *queue, bool leaving, TimeUs now);
 
--- a/test/unit/test_queue.c
+++ b/test/unit/test_queue.c
@@ -452,6 +452,32 @@
     Queue_Free(queue);
 }
 
+/* An engine was replaced: what waits for the one before is refused, what
+ * waits for its successor stays. */
+static void
+wants_for_a_gone_target_are_refused(void **state)
+{
+    WantQueue *queue = new_queue(1);
+    uint64_t grant = 0;
+    want(queue, 1, 0, 100 * US_PER_S, 0);
+    assert_granted(queue, 1, &grant);
+    Queue_Dispatch(queue, (RequestId){.low = 1}, grant, 0);
+    Work before = new_work(2, 0, 100 * US_PER_S, 10);
+    before.target = 7;
+    Work after = new_work(3, 0, 100 * US_PER_S, 10);
+    after.target = 8;
+    Queue_Want(queue, &before, 1, 1);
+    Queue_Want(queue, &after, 1, 1);
+    assert_none(queue);
+    Queue_RefuseTarget(queue, 7, 2);
+    QueueAction action = take(queue);
+    assert_int_equal(action.id.low, 2);
+    assert_int_equal(action.reason, REFUSE_LEAVING);
+    finish(queue, 1, US_PER_S);
+    assert_granted(queue, 3, &grant);
+    Queue_Free(queue);
+}
+
 static void
 leaving_refuses_all_that_waits(void **state)
 {
@@ -485,6 +511,7 @@
         cmocka_unit_test(lapsed_grant_never_runs),
         cmocka_unit_test(refused_dispatch_of_unknown_id_is_kept),
         cmocka_unit_test(alone_runs_with_nothing_beside_it),
+        cmocka_unit_test(wants_for_a_gone_target_are_refused),
         cmocka_unit_test(leaving_refuses_all_that_waits),
     };
     return cmocka_run_group_tests_name("queue", tests, NULL, NULL);
