Requests for votes that were lost are sent again as links come up

Cause: when all control hosts start at once, the first requests for votes go out before the links are up and are lost; the next follow an election timeout later. Test: unit/test_log_core.

--- a/src/control/log_core.h
+++ b/src/control/log_core.h
@@ -51,6 +51,10 @@
  * member whose disk was lost, or completes one with no known disk. */
 void LogCore_Met(LogCore *core, uint32_t id, uint64_t disk_id, TimeUs now);
 
+/** A link to a host came up: a request for its vote may have been lost. After
+ * a restart of all hosts the first requests go out before the links are. */
+void LogCore_Reached(LogCore *core, uint32_t id);
+
 /** A host that is no member asks to join: a leader adds it as a learner,
  * which is promoted when it has caught up. */
 void LogCore_Admit(LogCore *core, const LogMember *candidate, TimeUs now);
--- a/src/control/log_election.c
+++ b/src/control/log_election.c
@@ -57,24 +57,39 @@
 }
 
 static void
-send_vote_requests(LogCore *core, bool pre_vote, bool transfer)
+ask_vote(LogCore *core, const LogMember *member, bool pre_vote, bool transfer)
+{
+    if (member->learner || member->id == core->id) {
+        return;
+    }
+    LogMessage message = {
+        .type = LOG_VOTE,
+        .to = member->id,
+        .to_disk = member->disk_id,
+        .term = core->term + (pre_vote ? 1 : 0),
+        .index = LogEntries_Last(core),
+        .log_term = LogEntries_LastTerm(core),
+        .pre_vote = pre_vote,
+        .transfer = transfer,
+    };
+    LogCore_Send(core, &message, !pre_vote);
+}
+
+static void
+ask_votes(LogCore *core, bool pre_vote, bool transfer)
 {
     for (unsigned i = 0; i < core->config.count; i++) {
-        const LogMember *member = &core->config.members[i];
-        if (member->learner || member->id == core->id) {
-            continue;
-        }
-        LogMessage message = {
-            .type = LOG_VOTE,
-            .to = member->id,
-            .to_disk = member->disk_id,
-            .term = core->term + (pre_vote ? 1 : 0),
-            .index = LogEntries_Last(core),
-            .log_term = LogEntries_LastTerm(core),
-            .pre_vote = pre_vote,
-            .transfer = transfer,
-        };
-        LogCore_Send(core, &message, !pre_vote);
+        ask_vote(core, &core->config.members[i], pre_vote, transfer);
+    }
+}
+
+void
+LogCore_Reached(LogCore *core, uint32_t id)
+{
+    bool pre_vote = core->role == LOG_PRE_CANDIDATE;
+    const LogMember *member = LogConfig_Find(&core->config, id);
+    if (member != NULL && (pre_vote || core->role == LOG_CANDIDATE)) {
+        ask_vote(core, member, pre_vote, false);
     }
 }
 
@@ -86,7 +101,7 @@
     LogElection_ResetTimer(core, now);
     if (pre_vote) {
         core->role = LOG_PRE_CANDIDATE;
-        send_vote_requests(core, true, false);
+        ask_votes(core, true, false);
         if (grant(core, core->id, core->disk_id)) {
             LogElection_Campaign(core, false, false, now);
         }
@@ -97,7 +112,7 @@
     core->vote = core->id;
     LogEntries_SaveState(core);
     core->self_vote_after = LogEntries_NeededSequence(core);
-    send_vote_requests(core, false, transfer);
+    ask_votes(core, false, transfer);
 }
 
 void
--- a/src/control/replica_links.c
+++ b/src/control/replica_links.c
@@ -100,6 +100,7 @@
         LogCore_Leaving(replica->core, hello->id);
     }
     learn_members(replica, hello->members);
+    LogCore_Reached(replica->core, hello->id);
     LOG_INFO(REPLICA_PART, "Control host met. id=%u disk=%016llx", hello->id,
              (unsigned long long)hello->disk_id);
 }
--- a/test/unit/test_log_core.c
+++ b/test/unit/test_log_core.c
@@ -42,6 +42,18 @@
     }
 }
 
+static unsigned
+drop_messages(LogCore *core)
+{
+    unsigned votes = 0;
+    LogMessage message;
+    while (LogCore_TakeMessage(core, &message)) {
+        votes += message.type == LOG_VOTE;
+        LogMessage_Clear(&message);
+    }
+    return votes;
+}
+
 /* A host that was cut off comes back and does not depose the leader. */
 static void
 pre_vote_keeps_a_good_leader(void **state)
@@ -111,6 +123,51 @@
                                     .success = true});
 }
 
+/* All hosts start at once: the first requests for votes are lost because no
+ * link is up yet. They are sent again as links come up, not an election
+ * timeout later. */
+static void
+lost_requests_for_votes_are_sent_again(void **state)
+{
+    LogConfig config = five_voters();
+    StoreImage image = {.term = 2, .entries = StoreEntry_NewArray()};
+    append_entry(image.entries, 1, LOG_ENTRY_MEMBERS, LogConfig_Pack(&config));
+    LogCoreSpec spec = {
+        .id = 1,
+        .disk_id = 100,
+        .timing = {.heartbeat = US_PER_S, .election = US_PER_S},
+        .image = &image,
+    };
+    Error err = ERROR_INIT;
+    LogCore *core = LogCore_New(&spec, &err);
+    LogCore_Reached(core, 2);
+    assert_int_equal(drop_messages(core), 0);
+    LogCore_Tick(core, US_PER_S);
+    assert_int_equal(drop_messages(core), VOTERS - 1);
+    LogCore_Reached(core, 2);
+    LogCore_Reached(core, 3);
+    LogCore_Reached(core, 9);
+    assert_int_equal(drop_messages(core), 2);
+    LogMessage vote = {.type = LOG_VOTE_REPLY, .term = 3, .success = true};
+    vote.pre_vote = true;
+    answer_twice(core, vote);
+    save_all(core);
+    assert_int_equal(drop_messages(core), VOTERS - 1);
+    LogCore_Reached(core, 2);
+    assert_int_equal(drop_messages(core), 1);
+    vote.pre_vote = false;
+    answer_twice(core, vote);
+    save_all(core);
+    LogView view;
+    LogCore_View(core, &view);
+    assert_true(view.leads);
+    drop_messages(core);
+    LogCore_Reached(core, 2);
+    assert_int_equal(drop_messages(core), 0);
+    LogCore_Free(core);
+    StoreImage_Clear(&image);
+}
+
 /* An entry of an older term on a majority's disks is committed only
  * together with one of the leader's own term. */
 static void
@@ -302,6 +359,7 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(pre_vote_keeps_a_good_leader),
+        cmocka_unit_test(lost_requests_for_votes_are_sent_again),
         cmocka_unit_test(older_term_is_not_committed_by_counting),
         cmocka_unit_test(snapshot_reaches_a_slow_follower),
         cmocka_unit_test(two_losses_in_a_row_keep_everything),
