Links give up early only connections that were not answered

A peer that is slow to say hello, such as one of hundreds of hosts that start at once on little processor, is left the time of silence; only a lost opening packet is dialled again after 250 ms.

--- a/src/wire/link.c
+++ b/src/wire/link.c
@@ -35,7 +35,8 @@
     struct evbuffer *bulk;    /* packed bulk frames */
     Wire__Frame *hello;       /* of the other side; NULL: not up */
     TimeUs opened_at;
-    uint32_t connect_ms; /* dialled: time for the next connection */
+    bool connected;      /* dialled: the other host answered */
+    uint32_t connect_ms; /* dialled: time for that */
     TimeUs heard_at;
     uint64_t connections; /* opened so far */
     uint64_t bytes_in;
@@ -181,8 +182,6 @@
     }
     link->hello = frame;
     link->warned = false;
-    link->connect_ms = LINK_CONNECT_MS;
-    set_heartbeat(link, LINK_HEARTBEAT_MS);
     link->ops->up(link, link->owner);
     return ERR_OK;
 }
@@ -279,6 +278,9 @@
     Link *link = arg;
     if (events & BEV_EVENT_CONNECTED) {
         link->heard_at = Clock_Now();
+        link->connected = true;
+        link->connect_ms = LINK_CONNECT_MS;
+        set_heartbeat(link, LINK_HEARTBEAT_MS);
         disable_nagle(link);
         send_hello(link);
         return;
@@ -287,11 +289,11 @@
                                                  : "connection failed");
 }
 
-/* Whether a dialled connection took too long to come up. */
+/* Whether the other host has not answered a dialled connection in time. */
 static bool
 is_overdue(const Link *link, TimeUs now)
 {
-    return link->server == NULL && link->hello == NULL &&
+    return link->server == NULL && !link->connected &&
            now - link->opened_at >= link->connect_ms * US_PER_MS;
 }
 
@@ -311,7 +313,7 @@
     if (is_overdue(link, now)) {
         uint32_t most = (uint32_t)(LINK_SILENT_US / US_PER_MS);
         link->connect_ms = MIN(2 * link->connect_ms, most);
-        lose_connection(link, "not up in time");
+        lose_connection(link, "no answer");
         return;
     }
     Wire__Heartbeat heartbeat = WIRE__HEARTBEAT__INIT;
@@ -355,6 +357,7 @@
                              LINK_SOCKET_BACKLOG_BYTES / 2, 0);
     bufferevent_enable(link->connection, EV_READ | EV_WRITE);
     link->connections++;
+    link->connected = false;
     link->opened_at = Clock_Now();
     link->heard_at = link->opened_at;
     bool dialled = link->server == NULL;
--- a/src/wire/link.h
+++ b/src/wire/link.h
@@ -5,7 +5,7 @@
  * A dialled link outlives its connections: it dials again until closed. An
  * accepted link lives as long as its connection. A connection on which
  * nothing was heard for LINK_SILENT_HEARTBEATS heartbeats is dropped, and a
- * dialled one that is not up after LINK_CONNECT_MS.
+ * dialled one that is not answered within LINK_CONNECT_MS.
  */
 #ifndef LAURELLIFT_WIRE_LINK_H
 #define LAURELLIFT_WIRE_LINK_H
@@ -23,9 +23,9 @@
 #define LINK_HEARTBEAT_MS 500
 #define LINK_SILENT_HEARTBEATS 3
 #define LINK_REDIAL_MS 200
-/* A dialled connection that is not up by then is given up: the kernel sends
- * the opening packet again only after a second, and a host that was dark may
- * be back. Twice as long after each failure, for a peer that is slow. */
+/* A dialled connection that the other host has not answered by then is given
+ * up: the kernel sends the opening packet again only after a second, and a
+ * host that was dark may be back. Twice as long after each failure. */
 #define LINK_CONNECT_MS 250
 #define LINK_QUEUE_MAX_BYTES (64u * 1024 * 1024)
 
