--- a/src/sched/queue.c
+++ b/src/sched/queue.c
@@ -7,15 +7,10 @@
 
 #include <glib.h>
 
-#include "sched/plan.h"
-#include "sched/queue_items.h"
+#include "sched/queue_times.h"
 
 /* How often waiting requests are checked against their deadlines. */
 #define PLAN_PERIOD (50 * US_PER_MS)
-/* Time constant of the share of slots that a class takes. */
-#define CLASS_SPAN (2 * US_PER_S)
-/* Share beyond which better work counts as taking all but a twentieth. */
-#define BETTER_MAX 0.95
 /* A tier whose requests would wait this long is refused by entries. */
 #define SHED_WAIT (30 * US_PER_S)
 /* Weight of one sample in the share of wants that are dispatched here. */
@@ -26,14 +21,6 @@
 /* An engine that does not stream sends its first piece at the end; its
  * prompt counts as computed after this. */
 #define STARTING_MAX (2 * US_PER_S)
-/* The margin on predicted run times follows this quantile of their error,
- * unless the settings name another. */
-#define MARGIN_QUANTILE 0.98
-#define MARGIN_STEP 0.1
-/* The margin on predicted first pieces. Engines compute prompts in turn, so
- * their times spread: at the mean, half of those at the edge would be late. */
-#define FIRST_QUANTILE 0.9
-#define MARGIN_MAX 3
 #define RETRY_MIN_MS 100
 #define RETRY_MAX_MS 60000
 
@@ -62,41 +49,6 @@
     return Blocks_Leading(queue->blocks, work, QUEUE_CACHE_HOLDER);
 }
 
-static TimeUs
-run_time(const WantQueue *queue, const Item *item)
-{
-    return Pace_RunTime(&queue->pace, &item->work, item->cached_blocks);
-}
-
-/* A factor that follows a quantile of measured over predicted times. */
-static void
-follow_quantile(double *margin, double quantile, TimeUs took, TimeUs predicted)
-{
-    if (predicted > 0) {
-        bool longer = (double)took > *margin * (double)predicted;
-        *margin += MARGIN_STEP * (longer ? quantile : quantile - 1);
-        *margin = CLAMP(*margin, 1, MARGIN_MAX);
-    }
-}
-
-/* Run time that is rarely exceeded: expected outputs may be far off, but none
- * is longer than the longest. */
-static TimeUs
-safe_run_time(const WantQueue *queue, const Item *item)
-{
-    TimeUs expected = run_time(queue, item);
-    TimeUs safe = (TimeUs)((double)expected * queue->margin);
-    const Work *work = &item->work;
-    if (work->longest_output_tokens == 0) {
-        return safe;
-    }
-    Work longest = *work;
-    longest.output_tokens =
-        MAX(work->longest_output_tokens, work->output_tokens);
-    return MIN(safe,
-               Pace_RunTime(&queue->pace, &longest, item->cached_blocks));
-}
-
 static void
 refuse_waiting(WantQueue *queue, Item *item, RefuseReason reason, TimeUs wait)
 {
@@ -149,21 +101,6 @@
     return prompts >= STARTING_PROMPTS && tokens >= STARTING_TOKENS;
 }
 
-/* Whether its first piece is likely to come too late. Answers a burst within
- * one tier and rank: those that can still be on time go before those that
- * are late anyway. */
-static bool
-is_newly_late(const WantQueue *queue, const Item *item, TimeUs now)
-{
-    const Work *work = &item->work;
-    if (work->first_by == 0 || item->late) {
-        return false;
-    }
-    TimeUs prompt = Pace_PromptTime(&queue->pace, work, item->cached_blocks);
-    TimeUs safe = (TimeUs)((double)prompt * queue->first_margin);
-    return now + safe > work->first_by;
-}
-
 /* Whether one more request may be sent to the endpoint. */
 static bool
 has_room(const WantQueue *queue, const Item *item, TimeUs now)
@@ -182,11 +119,11 @@
         if (!has_room(queue, item, now)) {
             return;
         }
-        if (is_newly_late(queue, item, now)) {
+        if (QueueTimes_IsNewlyLate(queue, item, now)) {
             QueueItems_Delay(queue, item);
             continue;
         }
-        TimeUs finish = now + safe_run_time(queue, item);
+        TimeUs finish = now + QueueTimes_SafeRun(queue, item);
         if (!queue->config.no_deadline && finish > item->work.deadline) {
             refuse_waiting(queue, item, REFUSE_DEADLINE,
                            finish - item->work.deadline);
@@ -202,111 +139,23 @@
     }
 }
 
-static void
-plan_busy(const WantQueue *queue, Plan *plan, TimeUs now)
-{
-    plan->count = 0;
-    for (uint32_t i = 0; i < MIN(queue->busy_count, queue->config.slots); i++)
-    {
-        const Item *item = QueueItems_Busy(queue, i);
-        TimeUs frees = item->started + run_time(queue, item);
-        Plan_Add(plan, MAX(frees, now));
-    }
-    for (uint32_t i = queue->busy_count; i < queue->config.slots; i++) {
-        Plan_Add(plan, now);
-    }
-    for (uint32_t i = queue->config.slots; i < queue->busy_count; i++) {
-        Plan_Take(plan, run_time(queue, QueueItems_Busy(queue, i)));
-    }
-}
-
-/* Mean run time of what the endpoint has. */
-static TimeUs
-mean_run(const WantQueue *queue)
-{
-    TimeUs sum = 0;
-    for (uint32_t i = 0; i < queue->busy_count; i++) {
-        sum += run_time(queue, QueueItems_Busy(queue, i));
-    }
-    return sum / MAX(queue->busy_count, 1);
-}
-
-static unsigned
-class_of(const Work *work)
-{
-    unsigned tier = MIN(work->tier, WORK_TIERS - 1);
-    unsigned rank = MIN(work->rank, QUEUE_CLASS_RANKS - 1);
-    return tier * QUEUE_CLASS_RANKS + rank;
-}
-
-/* Follows how much of the slots each class takes. */
-static void
-sample_classes(WantQueue *queue, TimeUs now)
-{
-    double part = (double)(now - queue->sampled_at) / (double)CLASS_SPAN;
-    part = MIN(part, 1);
-    queue->sampled_at = now;
-    double busy[QUEUE_CLASSES] = {0};
-    for (uint32_t i = 0; i < queue->busy_count; i++) {
-        busy[class_of(&QueueItems_Busy(queue, i)->work)] += 1;
-    }
-    for (unsigned c = 0; c < QUEUE_CLASSES; c++) {
-        double share = busy[c] / queue->config.slots;
-        queue->taken[c] += part * (share - queue->taken[c]);
-    }
-}
-
-/* Longer wait than planned: while work that goes first keeps coming, only
- * what it leaves of the slots serves the rest. @p mean: run time of what the
- * endpoint has. */
-static TimeUs
-wait_behind_better(const WantQueue *queue, const Work *work, TimeUs planned,
-                   TimeUs mean)
-{
-    double better = 0;
-    for (unsigned c = 0; c < class_of(work); c++) {
-        better += queue->taken[c];
-    }
-    double left = 1 - MIN(better, BETTER_MAX);
-    double turn = (double)mean / queue->config.slots;
-    return (TimeUs)(((double)planned + turn * better) / left);
-}
-
-/* How far a waiting request is expected to miss its deadline; 0 or less: not
- * at all. Answers sustained overload, where lower work would wait in vain
- * until its deadline. The longer wait is a guess, so long requests are not
- * refused before others for it: there they count as long as the mean. */
-static TimeUs
-lateness(const WantQueue *queue, const Item *item, TimeUs planned, TimeUs mean,
-         TimeUs now)
-{
-    TimeUs run = safe_run_time(queue, item);
-    TimeUs late = now + planned + run - item->work.deadline;
-    if (!queue->config.refuse_early) {
-        return late;
-    }
-    TimeUs wait = wait_behind_better(queue, &item->work, planned, mean);
-    TimeUs usual = MIN(run, (TimeUs)((double)mean * queue->margin));
-    return MAX(late, now + wait + usual - item->work.deadline);
-}
-
 /* Refuses the waiting requests whose planned finish is past their deadline,
  * in grant order, so that each is weighed against what goes before it. */
 static void
 shed_hopeless(WantQueue *queue, TimeUs now)
 {
     Plan plan;
-    plan_busy(queue, &plan, now);
-    sample_classes(queue, now);
+    QueueTimes_PlanBusy(queue, &plan, now);
+    QueueTimes_SampleClasses(queue, now);
     queue->planned_at = now;
     queue->lowest_tier = WORK_TIERS - 1;
-    TimeUs mean = mean_run(queue);
+    TimeUs mean = QueueTimes_MeanRun(queue);
     uint32_t at = 0;
     while (at < queue->order_count) {
         Item *item = QueueItems_Waiting(queue, at);
         TimeUs start = Plan_Next(&plan);
-        TimeUs span = run_time(queue, item);
-        TimeUs late = lateness(queue, item, start - now, mean, now);
+        TimeUs span = QueueTimes_Run(queue, item);
+        TimeUs late = QueueTimes_Lateness(queue, item, start - now, mean, now);
         if (late > 0) {
             refuse_waiting(queue, item, REFUSE_DEADLINE, late);
             continue;
@@ -421,7 +270,7 @@
     item->state = ITEM_RUNNING;
     item->started = now;
     item->cached_blocks = cached_blocks(queue, &item->work);
-    item->predicted = run_time(queue, item);
+    item->predicted = QueueTimes_Run(queue, item);
     item->predicted_first =
         Pace_PromptTime(&queue->pace, &item->work, item->cached_blocks);
     queue->running++;
@@ -438,45 +287,19 @@
         return;
     }
     item->first_piece = now;
+    QueueTimes_MeasureFirst(queue, item, now);
     const Work *work = &item->work;
-    uint32_t cached = item->cached_blocks * WORK_BLOCK_TOKENS;
-    if (cached < work->prompt_tokens) {
-        follow_quantile(&queue->first_margin, FIRST_QUANTILE,
-                        now - item->started, item->predicted_first);
-        Pace_FirstPiece(&queue->pace, work->prompt_tokens - cached,
-                        now - item->started);
-    }
     Queue_Cached(queue, work->prefix, work->prefix_count, true);
     update(queue, now);
 }
 
-static void
-measure(WantQueue *queue, const Item *item, const QueueResult *result,
-        TimeUs now)
-{
-    if (!result->complete) {
-        return;
-    }
-    Pace_Ran(&queue->pace, now - item->started);
-    double quantile = queue->config.run_quantile > 0
-                          ? queue->config.run_quantile
-                          : MARGIN_QUANTILE;
-    follow_quantile(&queue->margin, quantile, now - item->started,
-                    item->predicted);
-    uint32_t tokens = result->output_tokens > 0 ? result->output_tokens
-                                                : item->work.output_tokens;
-    if (item->first_piece != 0) {
-        Pace_Decoded(&queue->pace, tokens, now - item->first_piece);
-    }
-}
-
 void
 Queue_Finished(WantQueue *queue, RequestId id, const QueueResult *result,
                TimeUs now)
 {
     Item *item = QueueItems_Find(queue, id);
     if (item != NULL && item->state == ITEM_RUNNING) {
-        measure(queue, item, result, now);
+        QueueTimes_MeasureRun(queue, item, result, now);
         QueueItems_Bury(queue, item);
         update(queue, now);
     }
--- /dev/null
+++ b/src/sched/queue_times.c
@@ -0,0 +1,179 @@
+/** @file
+ * What the queue expects of times: run times and their margins, when slots
+ * free, how late a waiting request would be.
+ */
+#include "sched/queue_times.h"
+
+#include <glib.h>
+
+/* Time constant of the share of slots that a class takes. */
+#define CLASS_SPAN (2 * US_PER_S)
+/* Share beyond which better work counts as taking all but a twentieth. */
+#define BETTER_MAX 0.95
+/* The margin on predicted run times follows this quantile of their error,
+ * unless the settings name another. */
+#define MARGIN_QUANTILE 0.98
+#define MARGIN_STEP 0.1
+/* The margin on predicted first pieces. Engines compute prompts in turn, so
+ * their times spread: at the mean, half of those at the edge would be late. */
+#define FIRST_QUANTILE 0.9
+#define MARGIN_MAX 3
+
+TimeUs
+QueueTimes_Run(const WantQueue *queue, const Item *item)
+{
+    return Pace_RunTime(&queue->pace, &item->work, item->cached_blocks);
+}
+
+TimeUs
+QueueTimes_SafeRun(const WantQueue *queue, const Item *item)
+{
+    TimeUs expected = QueueTimes_Run(queue, item);
+    TimeUs safe = (TimeUs)((double)expected * queue->margin);
+    const Work *work = &item->work;
+    if (work->longest_output_tokens == 0) {
+        return safe;
+    }
+    Work longest = *work;
+    longest.output_tokens =
+        MAX(work->longest_output_tokens, work->output_tokens);
+    return MIN(safe,
+               Pace_RunTime(&queue->pace, &longest, item->cached_blocks));
+}
+
+bool
+QueueTimes_IsNewlyLate(const WantQueue *queue, const Item *item, TimeUs now)
+{
+    const Work *work = &item->work;
+    if (work->first_by == 0 || item->late) {
+        return false;
+    }
+    TimeUs prompt = Pace_PromptTime(&queue->pace, work, item->cached_blocks);
+    TimeUs safe = (TimeUs)((double)prompt * queue->first_margin);
+    return now + safe > work->first_by;
+}
+
+void
+QueueTimes_PlanBusy(const WantQueue *queue, Plan *plan, TimeUs now)
+{
+    plan->count = 0;
+    for (uint32_t i = 0; i < MIN(queue->busy_count, queue->config.slots); i++)
+    {
+        const Item *item = QueueItems_Busy(queue, i);
+        TimeUs frees = item->started + QueueTimes_Run(queue, item);
+        Plan_Add(plan, MAX(frees, now));
+    }
+    for (uint32_t i = queue->busy_count; i < queue->config.slots; i++) {
+        Plan_Add(plan, now);
+    }
+    for (uint32_t i = queue->config.slots; i < queue->busy_count; i++) {
+        Plan_Take(plan, QueueTimes_Run(queue, QueueItems_Busy(queue, i)));
+    }
+}
+
+TimeUs
+QueueTimes_MeanRun(const WantQueue *queue)
+{
+    TimeUs sum = 0;
+    for (uint32_t i = 0; i < queue->busy_count; i++) {
+        sum += QueueTimes_Run(queue, QueueItems_Busy(queue, i));
+    }
+    return sum / MAX(queue->busy_count, 1);
+}
+
+static unsigned
+class_of(const Work *work)
+{
+    unsigned tier = MIN(work->tier, WORK_TIERS - 1);
+    unsigned rank = MIN(work->rank, QUEUE_CLASS_RANKS - 1);
+    return tier * QUEUE_CLASS_RANKS + rank;
+}
+
+void
+QueueTimes_SampleClasses(WantQueue *queue, TimeUs now)
+{
+    double part = (double)(now - queue->sampled_at) / (double)CLASS_SPAN;
+    part = MIN(part, 1);
+    queue->sampled_at = now;
+    double busy[QUEUE_CLASSES] = {0};
+    for (uint32_t i = 0; i < queue->busy_count; i++) {
+        busy[class_of(&QueueItems_Busy(queue, i)->work)] += 1;
+    }
+    for (unsigned c = 0; c < QUEUE_CLASSES; c++) {
+        double share = busy[c] / queue->config.slots;
+        queue->taken[c] += part * (share - queue->taken[c]);
+    }
+}
+
+/* Longer wait than planned: while work that goes first keeps coming, only
+ * what it leaves of the slots serves the rest. @p mean: run time of what the
+ * endpoint has. */
+static TimeUs
+wait_behind_better(const WantQueue *queue, const Work *work, TimeUs planned,
+                   TimeUs mean)
+{
+    double better = 0;
+    for (unsigned c = 0; c < class_of(work); c++) {
+        better += queue->taken[c];
+    }
+    double left = 1 - MIN(better, BETTER_MAX);
+    double turn = (double)mean / queue->config.slots;
+    return (TimeUs)(((double)planned + turn * better) / left);
+}
+
+TimeUs
+QueueTimes_Lateness(const WantQueue *queue, const Item *item, TimeUs planned,
+                    TimeUs mean, TimeUs now)
+{
+    TimeUs run = QueueTimes_SafeRun(queue, item);
+    TimeUs late = now + planned + run - item->work.deadline;
+    if (!queue->config.refuse_early) {
+        return late;
+    }
+    TimeUs wait = wait_behind_better(queue, &item->work, planned, mean);
+    TimeUs usual = MIN(run, (TimeUs)((double)mean * queue->margin));
+    return MAX(late, now + wait + usual - item->work.deadline);
+}
+
+/* A factor that follows a quantile of measured over predicted times. */
+static void
+follow_quantile(double *margin, double quantile, TimeUs took, TimeUs predicted)
+{
+    if (predicted > 0) {
+        bool longer = (double)took > *margin * (double)predicted;
+        *margin += MARGIN_STEP * (longer ? quantile : quantile - 1);
+        *margin = CLAMP(*margin, 1, MARGIN_MAX);
+    }
+}
+
+void
+QueueTimes_MeasureFirst(WantQueue *queue, const Item *item, TimeUs now)
+{
+    uint32_t cached = item->cached_blocks * WORK_BLOCK_TOKENS;
+    if (cached < item->work.prompt_tokens) {
+        follow_quantile(&queue->first_margin, FIRST_QUANTILE,
+                        now - item->started, item->predicted_first);
+        Pace_FirstPiece(&queue->pace, item->work.prompt_tokens - cached,
+                        now - item->started);
+    }
+}
+
+void
+QueueTimes_MeasureRun(WantQueue *queue, const Item *item,
+                      const QueueResult *result, TimeUs now)
+{
+    if (!result->complete) {
+        return;
+    }
+    Pace_Ran(&queue->pace, now - item->started);
+    double quantile = queue->config.run_quantile > 0
+                          ? queue->config.run_quantile
+                          : MARGIN_QUANTILE;
+    follow_quantile(&queue->margin, quantile, now - item->started,
+                    item->predicted);
+    uint32_t tokens = result->output_tokens > 0 ? result->output_tokens
+                                                : item->work.output_tokens;
+    if (item->first_piece != 0) {
+        Pace_Decoded(&queue->pace, tokens, now - item->first_piece);
+    }
+}
