--- a/src/keeper/keeper.c
+++ b/src/keeper/keeper.c
@@ -32,6 +32,9 @@
 /* When to come back for an engine that was replaced: its successor announces
  * itself within about a heartbeat. */
 #define GONE_RETRY_MS 500
+/* How long that is believed: gateways hear of the successor within two
+ * heartbeats, and an engine may come back under the id that it had. */
+#define GONE_US (3 * US_PER_S)
 /* Callers' estimates of long outputs are off by half as often as not; at a
  * higher share no engine would take those that most engines can end in time.
  */
@@ -51,7 +54,8 @@
     LinkServer *links;
     WantQueue *queue;
     uint32_t slots;
-    uint64_t gone; /* Work_Target of an engine that was here; 0: none */
+    uint64_t gone;     /* Work_Target of an engine that was here */
+    TimeUs gone_until; /* it may be back under its id after that */
     uint64_t serial;
     GHashTable *owners; /* serial -> Link */
     GHashTable *held;   /* RequestId -> itself: granted slots */
@@ -219,7 +223,7 @@
         .output_tokens = want->output_tokens,
         .longest_output_tokens = want->longest_output_tokens,
     };
-    if (work.target == keeper->gone) {
+    if (work.target == keeper->gone && now < keeper->gone_until) {
         refuse_gone(keeper, link, work.id);
         return;
     }
@@ -238,12 +242,10 @@
 static void
 note_gone(Keeper *keeper, const char *endpoint, TimeUs now)
 {
-    uint64_t target = Work_Target(false, endpoint);
-    if (target != keeper->gone) {
-        LOG_INFO(PART, "Engine was replaced. before=%s", endpoint);
-        keeper->gone = target;
-        Queue_RefuseTarget(keeper->queue, target, now);
-    }
+    LOG_INFO(PART, "Engine was replaced. before=%s", endpoint);
+    keeper->gone = Work_Target(false, endpoint);
+    keeper->gone_until = now + GONE_US;
+    Queue_RefuseTarget(keeper->queue, keeper->gone, now);
 }
 
 static void
--- a/test/functional/platform-replaced.sh
+++ b/test/functional/platform-replaced.sh
@@ -23,3 +23,10 @@
 cat gateway?.log | grep -c '"why":"another instance"'
 grep -c 'Engine was replaced' keeper1.log
 grep 'Slot refused' keeper1.log | grep -c leaving
+
+echo "-- the engine comes back under its id"
+stop engine-b KILL
+server engine-a 127.0.0.1 engines --slots 1 --events 3
+until_true streamed 1
+until_true streamed 2
+status 1 POST /stream/a id-back -H 'Model: m' -d x
