--- a/src/gateway/wants.c
+++ b/src/gateway/wants.c
@@ -11,11 +11,11 @@
 
 /* Keepers asked at once: the best by expected time to the end. */
 #define ASKED_FIRST 2
-/* A request that waits this long asks more keepers of its region, and after
- * the longer span some beyond: a round trip between regions is worth it
- * only for requests that would wait longer than it takes. */
+/* A request that waits this long asks more keepers of its region, and each
+ * time after the longer span some anywhere: a round trip between regions is
+ * worth it only for requests that would wait longer than it takes. */
 #define ASK_REGION_MS 12
-#define ASK_ALL_MS 90
+#define ASK_MORE_MS 90
 /* Share of failures beyond which an engine is left out. */
 #define ERROR_RATE_MAX 0.3
 /* Keepers that are asked more each time: enough that a free slot is found,
@@ -262,7 +262,7 @@
     clear_choice(&choice);
     bool more = asked > 0 || want->reach < REACH_ALL;
     if (more) {
-        set_widen(want, ASK_ALL_MS);
+        set_widen(want, ASK_MORE_MS);
     }
     want->reach = REACH_ALL;
     return more;
--- a/src/keeper/keeper.c
+++ b/src/keeper/keeper.c
@@ -35,9 +35,9 @@
 /* How long that is believed: gateways hear of the successor within two
  * heartbeats, and an engine may come back under the id that it had. */
 #define GONE_US (3 * US_PER_S)
-/* Callers' estimates of long outputs are off by half as often as not; at a
- * higher share no engine would take those that most engines can end in time.
- */
+/* Share of runs that the margin on run times covers. Callers' estimates are
+ * often far off: at a higher share no engine would take the longest requests,
+ * most of which end in time. */
 #define RUN_QUANTILE 0.75
 /* Requests on their way to a full engine: one covers the end of another, its
  * news and the next grant, up to two round trips between regions. */
--- a/src/sched/bucket.c
+++ b/src/sched/bucket.c
@@ -35,7 +35,7 @@
     bucket->filled_at = now;
 }
 
-/* Units that must be in hand. */
+/* Units that must be in hand; below 0: a debt that may stand. */
 static double
 reserve_of(const Bucket *bucket, const BucketLimit *limit,
            const BucketRequest *request, TimeUs now)
