--- a/src/gateway/quotas.c
+++ b/src/gateway/quotas.c
@@ -110,6 +110,7 @@
     measure_demand(quota, request->cost, now);
     BucketLimit limit = limit_of(quotas, quota, account);
     decision.answer = Bucket_Take(&quota->bucket, &limit, request, now);
+    decision.cost = request->cost;
     decision.share = limit.rate;
     decision.demand = quota->demand;
     decision.share_age = quota->share < 0 ? -1 : now - quota->shared_at;
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -401,6 +401,7 @@
 /* What decided on a request of an account; units are those of its limit. */
 struct QuotaDecision {
     BucketAnswer answer;
+    double cost;      /* of the request */
     double share;     /* units a second that this gateway holds */
     double demand;    /* units a second asked for lately */
     TimeUs share_age; /* since the leader gave the share; -1: never */
--- a/src/sched/bucket.c
+++ b/src/sched/bucket.c
@@ -16,7 +16,11 @@
  * this many mean costs: refusing them would leave hardly more for others. */
 #define SMALL_PART 0.25
 #define SMALL_DEBT 2
+/* Weight of the newest request in the mean cost: some twenty requests, so that
+ * a run of small ones does not make the usual ones large. */
 #define COST_WEIGHT 0.05
+/* Bounds of the time to return: a caller's own round trip, and the longest
+ * that is worth telling. */
 #define WAIT_MIN_MS 50
 #define WAIT_MAX_MS 30000
 
--- a/src/sched/queue_times.c
+++ b/src/sched/queue_times.c
@@ -13,10 +13,12 @@
 /* The margin on predicted run times follows this quantile of their error,
  * unless the settings name another. */
 #define MARGIN_QUANTILE 0.98
+/* How far one sample moves a margin. */
 #define MARGIN_STEP 0.1
 /* The margin on predicted first pieces. Engines compute prompts in turn, so
  * their times spread: at the mean, half of those at the edge would be late. */
 #define FIRST_QUANTILE 0.9
+/* A margin beyond this would come from samples that fit no prediction. */
 #define MARGIN_MAX 3
 
 TimeUs
