--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -91,6 +91,19 @@
     call->expected_tokens = (uint32_t)MIN(expected, call->output_tokens);
 }
 
+/* Reads the ids of the prompt's parts except the last. */
+static void
+read_prompt_parts(Call *call, const H1Head *head)
+{
+    const char *at =
+        H1Head_Get(head, call->gateway->options->fields->prompt_parts);
+    const char *next;
+    for (; at != NULL && (next = strchr(at, ',')) != NULL; at = next + 1) {
+        at += strspn(at, " \t");
+        Subjects_AddPart(&call->subjects, at, strcspn(at, ":,"));
+    }
+}
+
 static void
 free_call(Call *call)
 {
@@ -500,8 +513,8 @@
 uint64_t
 Call_Fingerprint(Call *call)
 {
-    if (call->fingerprint != 0) {
-        return call->fingerprint;
+    if (call->subjects.request != 0) {
+        return call->subjects.request;
     }
     /* An account may send the request again with another of its keys. */
     const char *caller = call->account != NULL ? call->account->name
@@ -512,8 +525,8 @@
         length > 0 ? (const char *)evbuffer_pullup(call->body, -1) : "";
     uint64_t hash = XXH3_64bits(call->target, strlen(call->target));
     hash = XXH3_64bits_withSeed(caller, strlen(caller), hash);
-    call->fingerprint = XXH3_64bits_withSeed(body, length, hash);
-    return call->fingerprint;
+    call->subjects.request = XXH3_64bits_withSeed(body, length, hash);
+    return call->subjects.request;
 }
 
 const char *
@@ -563,6 +576,7 @@
     }
     copy_fields(call, head);
     read_tokens(call, head);
+    read_prompt_parts(call, head);
     gateway->call_count++;
     Conn_SetCall(conn, call);
     if (id == NULL) {
--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -250,13 +250,16 @@
                                    ? SLOT_OTHER_INSTANCE
                                    : SLOT_NOT_SERVED);
     bool retry = may_retry(call, outcome);
+    char parts[SUBJECTS_TEXT_BYTES];
     LOG_INFO(GATEWAY_PART,
              "Endpoint did not serve. id=%s endpoint=%s outcome=%s "
-             "attempts=%u again=%s events=%llu fingerprint=%016llx why=\"%s\"",
+             "attempts=%u again=%s events=%llu fingerprint=%016llx parts=%s "
+             "why=\"%s\"",
              call->id, call->last_endpoint_id, outcome_names[outcome],
              call->attempts, retry ? "yes" : "no",
              (unsigned long long)call->events.forwarded_count,
-             (unsigned long long)Call_Fingerprint(call), why);
+             (unsigned long long)Call_Fingerprint(call),
+             Subjects_PrintParts(&call->subjects, parts), why);
     if (retry) {
         if (call->state == CALL_DISPATCHED) {
             call->state = CALL_WAITING;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -13,15 +13,18 @@
 /** Names of the header fields that callers and endpoints use. */
 typedef struct GatewayFields {
     const char *request_id;
-    const char *deadline_ms; /**< Time that the caller still waits. */
-    const char *tokens;      /**< "IN,OUT": prompt tokens, longest output. */
-    const char *length_hint; /**< Output tokens that the caller expects. */
-    const char *last_event;  /**< Id of the event to resume a stream after. */
-    const char *signature;   /**< Endpoint's signature of its answer. */
-    const char *account;     /**< Account name, set by the gateway. */
-    const char *instance;    /**< Id of the intended endpoint, set by the
-                                gateway. */
-    const char *load;        /**< Endpoint's load: "RUNNING,WAITING,SLOTS". */
+    const char *deadline_ms;  /**< Time that the caller still waits. */
+    const char *tokens;       /**< "IN,OUT": prompt tokens, longest output. */
+    const char *prompt_parts; /**< "ID:TOKENS,...": parts of the prompt in
+                                 order, the last of which other requests do not
+                                 share. */
+    const char *length_hint;  /**< Output tokens that the caller expects. */
+    const char *last_event;   /**< Id of the event to resume a stream after. */
+    const char *signature;    /**< Endpoint's signature of its answer. */
+    const char *account;      /**< Account name, set by the gateway. */
+    const char *instance;     /**< Id of the intended endpoint, set by the
+                                 gateway. */
+    const char *load;         /**< Endpoint's load: "RUNNING,WAITING,SLOTS". */
     const char *engine_version;  /**< Engine version that the caller wants; an
                                     engine with another one answers 421. */
     const char *not_run;         /**< Marks a request that the endpoint did not
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -15,6 +15,7 @@
 #include "routes/endpoint.h"
 #include "sched/bucket.h"
 #include "sched/run_history.h"
+#include "sched/subjects.h"
 #include "wire/link.h"
 
 #define GATEWAY_PART "gateway"
@@ -290,7 +291,8 @@
     uint32_t prompt_tokens;
     uint32_t output_tokens;   /* longest output that the caller allows */
     uint32_t expected_tokens; /* output length that the caller expects */
-    uint64_t fingerprint;     /* 0 until Call_Fingerprint computes it */
+    Subjects subjects;        /* the hash of the request is 0 until
+                                 Call_Fingerprint computes it */
     TimeUs received_at;
     TimeUs caller_deadline; /* end of the time that the caller waits */
     TimeUs deadline;        /* earlier of the caller's and the route's; 0 until
