--- a/test/fakes/fake_deadly.c
+++ b/test/fakes/fake_deadly.c
@@ -11,6 +11,7 @@
 #include <arpa/inet.h>
 #include <event2/event.h>
 #include <event2/util.h>
+#include <glib.h>
 #include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
@@ -45,6 +46,26 @@
     return DEADLY_NEVER;
 }
 
+char *
+Deadly_Target(char *const *parts, const char *prompt, const char *target)
+{
+    for (int i = 0; prompt != NULL && parts != NULL && parts[i] != NULL; i++) {
+        gchar **part = g_strsplit(parts[i], ":", 2);
+        char *entry = g_strdup_printf("%s:", part[0]);
+        const char *found = strstr(prompt, entry);
+        char *result =
+            found != NULL && strchr(found, ',') != NULL
+                ? g_strdup_printf("/part/%s/" PREFIX "%s", part[0], part[1])
+                : NULL;
+        g_free(entry);
+        g_strfreev(part);
+        if (result != NULL) {
+            return result;
+        }
+    }
+    return g_strdup(target);
+}
+
 static void
 on_end(evutil_socket_t fd, short events, void *arg)
 {
--- a/test/fakes/fake_deadly.h
+++ b/test/fakes/fake_deadly.h
@@ -7,7 +7,8 @@
  * `body` (in the middle of the body or stream), `end` (after the whole answer)
  * or `later` (seconds after it closed the connection). HOW is what a caller
  * sees: `close`, `reset`, or `dark` (nothing on any connection, and no
- * connection is accepted).
+ * connection is accepted). If a target contains `bare`, a stream is answered
+ * with neither a length nor chunks.
  */
 #ifndef LAURELLIFT_TEST_FAKES_FAKE_DEADLY_H
 #define LAURELLIFT_TEST_FAKES_FAKE_DEADLY_H
@@ -29,6 +30,13 @@
 /** Returns when a request with this target ends the server. */
 DeadlyWhen Deadly_When(const char *target);
 
+/** Returns "/part/ID/deadly-WHEN-HOW" if the prompt has a deadly part that is
+ * not its last, else a copy of the target. The caller frees it.
+ * @param parts  "ID:WHEN-HOW", NULL-terminated; may be NULL.
+ * @param prompt  "ID:TOKENS,..."; may be NULL. */
+char *Deadly_Target(char *const *parts, const char *prompt,
+                    const char *target);
+
 /** Ends the server in the way that @p target names, or makes it dark and ends
  * it DEADLY_DARK_MS later.
  * @param listener  becomes unable to accept connections if it goes dark. */
--- a/test/fakes/fake_server.c
+++ b/test/fakes/fake_server.c
@@ -36,14 +36,15 @@
     gchar *fault;     /* kind of fault; NULL for none */
     gint fault_count; /* number of further requests that get the fault */
     gint slots;
-    gint events;     /* number of events in a stream */
-    gint gap_ms;     /* time between events */
-    gint delay_ms;   /* time before an answer */
-    gint restart_ms; /* pause before a new start; 0: it ends for good */
-    gboolean new_id; /* each start has an id of its own */
-    gboolean leaves; /* each start deregisters the one before it */
-    gint moves;      /* each start listens at the next of so many hosts */
-    gint silent_ms;  /* time after a start before it announces itself */
+    gint events;          /* number of events in a stream */
+    gint gap_ms;          /* time between events */
+    gint delay_ms;        /* time before an answer */
+    gint restart_ms;      /* pause before a new start; 0: it ends for good */
+    gboolean new_id;      /* each start has an id of its own */
+    gboolean leaves;      /* each start deregisters the one before it */
+    gint moves;           /* each start listens at the next of so many hosts */
+    gchar **deadly_parts; /* ID:WHEN-HOW of parts of prompts that end it */
+    gint silent_ms;       /* time after a start before it announces itself */
     struct evconnlistener *listener;
     gchar **control_hosts;
     guint host_index; /* index of the control host in use, modulo the number of
@@ -64,8 +65,10 @@
     struct event *timer;
     char *id; /* Attempt-Id of the request */
     char *target;
+    char *deadly_target; /* names how the request ends the server */
     DeadlyWhen deadly;
     bool streamed;
+    bool bare;      /* the stream has neither a length nor chunks */
     int next_event; /* id of the next event */
     /* Kind of fault; empty for none. "close" makes on_timer() close the
      * connection. */
@@ -94,6 +97,7 @@
     H1Parser_Free(connection->parser);
     g_free(connection->id);
     g_free(connection->target);
+    g_free(connection->deadly_target);
     g_free(connection);
 }
 
@@ -101,13 +105,14 @@
 end_server(Connection *connection)
 {
     Server *server = connection->server;
-    if (g_hash_table_add(server->ended_under, g_strdup(connection->target))) {
-        record(server, "ended-under %s %lld\n", connection->target,
+    if (g_hash_table_add(server->ended_under,
+                         g_strdup(connection->deadly_target))) {
+        record(server, "ended-under %s %lld\n", connection->deadly_target,
                (long long)Clock_WallMs());
     }
     event_del(server->announce_timer);
     Deadly_End(server->base, server->listener, connection->bev,
-               connection->target);
+               connection->deadly_target);
 }
 
 static struct evbuffer *
@@ -138,6 +143,15 @@
     evbuffer_add_printf(output_of(connection), "%s", more_fields);
 }
 
+/* Closes the connection once its output is written. */
+static void
+close_after_flush(Connection *connection)
+{
+    bufferevent_flush(connection->bev, EV_WRITE, BEV_FINISHED);
+    g_strlcpy(connection->fault, "close", sizeof(connection->fault));
+    schedule(connection, 20);
+}
+
 static void
 answer_plain(Connection *connection)
 {
@@ -167,15 +181,17 @@
         return;
     }
     if (cut || unframed) {
-        bufferevent_flush(connection->bev, EV_WRITE, BEV_FINISHED);
-        g_strlcpy(connection->fault, "close", sizeof(connection->fault));
-        schedule(connection, 20);
+        close_after_flush(connection);
     }
 }
 
 static void
 write_chunk(Connection *connection, const char *text)
 {
+    if (connection->bare) {
+        evbuffer_add_printf(output_of(connection), "%s", text);
+        return;
+    }
     evbuffer_add_printf(output_of(connection), "%zx\r\n%s\r\n", strlen(text),
                         text);
 }
@@ -203,12 +219,17 @@
         return;
     }
     if (connection->next_event++ >= server->events) {
-        evbuffer_add_printf(output_of(connection), "0\r\n\r\n");
+        if (!connection->bare) {
+            evbuffer_add_printf(output_of(connection), "0\r\n\r\n");
+        }
         record(server, "ended %s\n", connection->id);
         H1Parser_Reset(connection->parser);
         if (connection->deadly == DEADLY_AFTER_END) {
             end_server(connection);
         }
+        else if (connection->bare) {
+            close_after_flush(connection);
+        }
         return;
     }
     schedule(connection, server->gap_ms);
@@ -257,6 +278,8 @@
     connection->id = g_strdup(id != NULL ? id : "none");
     g_free(connection->target);
     connection->target = g_strdup(head->target);
+    g_free(connection->deadly_target);
+    connection->deadly_target = NULL;
     connection->deadly = DEADLY_NEVER;
     connection->fault[0] = '\0';
     if (expected_id != NULL && strcmp(expected_id, server->id) != 0) {
@@ -279,9 +302,11 @@
            last_event != NULL ? last_event : "-", has_key ? "yes" : "no",
            evbuffer_get_length(body));
     connection->streamed = H1Head_Get(head, "Model") != NULL;
-    connection->deadly = Deadly_When(head->target);
+    connection->deadly_target = Deadly_Target(
+        server->deadly_parts, H1Head_Get(head, "Prefix-Hash"), head->target);
+    connection->deadly = Deadly_When(connection->deadly_target);
     if (connection->deadly != DEADLY_NEVER) {
-        record(server, "sent-deadly %s %lld\n", head->target,
+        record(server, "sent-deadly %s %lld\n", connection->deadly_target,
                (long long)Clock_WallMs());
     }
     if (strcmp(connection->fault, "mute") == 0) {
@@ -291,9 +316,12 @@
                     connection->deadly != DEADLY_LATER;
     if (connection->streamed && has_head) {
         connection->next_event = last_event == NULL ? 1 : atoi(last_event) + 1;
+        connection->bare = strstr(connection->deadly_target, "bare") != NULL;
         write_head(connection, 200,
-                   "Content-Type: text/event-stream\r\n"
-                   "Transfer-Encoding: chunked\r\n\r\n");
+                   connection->bare ? "Content-Type: text/event-stream\r\n"
+                                      "Connection: close\r\n\r\n"
+                                    : "Content-Type: text/event-stream\r\n"
+                                      "Transfer-Encoding: chunked\r\n\r\n");
     }
     schedule(connection, server->delay_ms);
 }
@@ -450,6 +478,9 @@
          "Deregister the start before, which has ended", NULL},
         {"moves", 0, 0, G_OPTION_ARG_INT, &server->moves,
          "Listen at the next of N IP addresses at each start", "N"},
+        {"deadly-part", 0, 0, G_OPTION_ARG_STRING_ARRAY, &server->deadly_parts,
+         "Part of a prompt that ends it, and how (fake_deadly.h)",
+         "ID:WHEN-HOW"},
         {"silent-ms", 0, 0, G_OPTION_ARG_INT, &server->silent_ms,
          "Time after a start before the first announcement", "MS"},
         {NULL},
