Gateways count crashes against the parts of a prompt too

Cause: a crash was counted against the hash of the whole request. The class: evidence that is filed under one name only, where the cause may have another.

Now each run has subjects: its request and each part of its prompt but the last. Tables are the same on all hosts, as control hosts pass every crash on, not only those of barred requests.

An endpoint survives only what it wrote a successful answer to. An answer that ends with its connection counts as unanswered until the endpoint is heard of again, since an end looks the same; a stream without a length would else acquit the part that ended its engine.

--- a/src/agent/crash.c
+++ b/src/agent/crash.c
@@ -89,6 +89,12 @@
     send_report(watch, report);
 }
 
+static void
+add_fingerprint(void *arg, const EndedRun *run)
+{
+    g_array_append_val((GArray *)arg, run->subjects.request);
+}
+
 /* Reports the end of the endpoint with the runs that ended in one of the ways
  * (mask of RunEnd). */
 static void
@@ -96,9 +102,11 @@
 {
     stop_probe(watch);
     watch->ended_at = Clock_Now();
-    uint64_t suspects[RUN_HISTORY_MAX];
-    size_t count = RunHistory_Take(&watch->history, ends, suspects);
+    GArray *fingerprints = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    size_t count =
+        RunHistory_Take(&watch->history, ends, add_fingerprint, fingerprints);
     if (count == 0) {
+        g_array_free(fingerprints, TRUE);
         return;
     }
     LOG_WARN(AGENT_PART,
@@ -108,8 +116,6 @@
     Counter_Add(Counter_Get("agent_crashes_total",
                             "Crashes of endpoints with requests in flight."),
                 1);
-    GArray *fingerprints = g_array_new(FALSE, FALSE, sizeof(uint64_t));
-    g_array_append_vals(fingerprints, suspects, (guint)count);
     add_report(watch, WIRE__COMMAND_KIND__COMMAND_CRASH, fingerprints);
 }
 
@@ -130,12 +136,12 @@
 {
     CrashWatch *watch = arg;
     if (run->end != RUN_ANSWERED || !run->alone ||
-        !AgentControl_IsSuspected(watch->agent, run->fingerprint))
+        !AgentControl_IsSuspected(watch->agent, run->subjects.request))
     {
         return;
     }
     GArray *fingerprints = g_array_new(FALSE, FALSE, sizeof(uint64_t));
-    g_array_append_val(fingerprints, run->fingerprint);
+    g_array_append_val(fingerprints, run->subjects.request);
     add_report(watch, WIRE__COMMAND_KIND__COMMAND_SUSPECT_CLEAR, fingerprints);
 }
 
@@ -261,6 +267,7 @@
 AgentCrash_Free(CrashWatch *watch)
 {
     stop_probe(watch);
+    RunHistory_Clear(&watch->history);
     event_free(watch->probe);
     g_ptr_array_free(watch->reports, TRUE);
     g_free(watch);
--- a/src/agent/run.c
+++ b/src/agent/run.c
@@ -118,7 +118,7 @@
     }
     bool complete = ending->outcome == WIRE__END_OUTCOME__END_COMPLETE;
     EndedRun ended = {
-        .fingerprint = run->fingerprint,
+        .subjects = {.request = run->fingerprint},
         .end = complete    ? RUN_ANSWERED
                : cancelled ? RUN_CANCELLED
                            : RUN_BROKEN,
--- a/src/fleet/crashes.c
+++ b/src/fleet/crashes.c
@@ -1,7 +1,7 @@
 /** @file
  * Fleet task: the crash table of a control host. Gateways report crashes to
- * every control host; each tells all gateways which requests are barred, and
- * keeps its table in a state file. No agreement is needed, since tables with
+ * every control host; each passes new ones on to all gateways, and keeps its
+ * table in a state file. No agreement is needed, since tables with
  * the same crashes are equal whatever their order.
  */
 #include "fleet/state.h"
@@ -16,11 +16,16 @@
 update_gauges(const Fleet *fleet)
 {
     Counter_Set(Counter_Get("fleet_suspects",
-                            "Requests with crashes that are not barred."),
-                (int64_t)CrashTable_Count(fleet->crashes, false));
+                            "Requests and parts of prompts with crashes."),
+                (int64_t)(CrashTable_Count(fleet->crashes, false) +
+                          CrashTable_Count(fleet->crashes, true)));
     Counter_Set(Counter_Get("fleet_barred",
-                            "Requests that crashed too many endpoints."),
+                            "Those with so many crashes that they may be "
+                            "barred."),
                 (int64_t)CrashTable_Count(fleet->crashes, true));
+    Counter_Set(Counter_Get("fleet_suspects_displaced",
+                            "Those forgotten because there are too many."),
+                (int64_t)CrashTable_Displaced(fleet->crashes));
 }
 
 static void
@@ -33,62 +38,69 @@
     }
 }
 
-/* Adds a reported crash. If the request is barred, adds all its crashes to
- * @p barred.
- * @return true when the crash is new. */
-static bool
-add_crash(Fleet *fleet, const Crash *crash, CrashNews *barred, TimeUs now)
+/* Adds a reported crash, and to @p changes too if it is new. */
+static void
+add_crash(Fleet *fleet, const Crash *crash, CrashNews *changes, TimeUs now)
 {
     if (!CrashTable_AddCrash(fleet->crashes, crash, now)) {
-        return false;
+        return;
     }
-    unsigned count = CrashTable_CrashCount(fleet->crashes, crash->fingerprint);
     LOG_INFO(FLEET_PART,
-             "Crash counted. fingerprint=%016llx incarnation=%016llx "
+             "Crash counted. subject=%016llx kind=%s incarnation=%016llx "
              "crashes=%u barred=%s",
-             (unsigned long long)crash->fingerprint,
-             (unsigned long long)crash->incarnation, count,
-             count >= CRASHES_TO_BAR ? "yes" : "no");
-    if (count >= CRASHES_TO_BAR) {
-        CrashTable_ForEachCrash(fleet->crashes, crash->fingerprint,
-                                CrashNews_AddCrash, barred);
+             (unsigned long long)crash->subject.hash,
+             Subject_KindName(crash->subject),
+             (unsigned long long)crash->incarnation,
+             CrashTable_CrashCount(fleet->crashes, crash->subject),
+             CrashTable_IsBarred(fleet->crashes, crash->subject, now) ? "yes"
+                                                                      : "no");
+    CrashNews_AddCrash(changes, crash);
+}
+
+/* Changes of the table that are being sent to the gateways. */
+typedef struct Changes {
+    Fleet *fleet;
+    CrashNews *news;
+    TimeUs now;
+} Changes;
+
+static void
+on_acquittal(void *arg, Subject subject)
+{
+    const Changes *changes = arg;
+    if (CrashTable_Acquit(changes->fleet->crashes, subject, changes->now)) {
+        LOG_INFO(FLEET_PART, "Subject acquitted. subject=%016llx kind=%s",
+                 (unsigned long long)subject.hash, Subject_KindName(subject));
+        CrashNews_AddAcquittal(changes->news, subject);
     }
-    return true;
 }
 
 void
 FleetCrashes_OnNews(Fleet *fleet, const Wire__CrashNews *news)
 {
     TimeUs now = Clock_Now();
-    CrashNews *changes = CrashNews_New(now);
-    bool changed = false;
+    Changes changes = {
+        .fleet = fleet,
+        .news = CrashNews_New(now),
+        .now = now,
+    };
     for (size_t i = 0; i < news->n_crashes; i++) {
         Crash crash = CrashNews_ReadCrash(news->crashes[i], now);
-        changed = add_crash(fleet, &crash, changes, now) || changed;
-    }
-    for (size_t i = 0; i < news->n_acquitted; i++) {
-        uint64_t fingerprint = news->acquitted[i];
-        if (CrashTable_Acquit(fleet->crashes, fingerprint, now)) {
-            LOG_INFO(FLEET_PART, "Request acquitted. fingerprint=%016llx",
-                     (unsigned long long)fingerprint);
-            CrashNews_AddAcquittal(changes, fingerprint);
-            changed = true;
-        }
-    }
-    if (!CrashNews_IsEmpty(changes)) {
-        FleetGateways_Broadcast(fleet, CrashNews_Frame(changes));
+        add_crash(fleet, &crash, changes.news, now);
     }
-    CrashNews_Free(changes);
-    if (changed) {
+    CrashNews_ForEachAcquittal(news, on_acquittal, &changes);
+    if (!CrashNews_IsEmpty(changes.news)) {
+        FleetGateways_Broadcast(fleet, CrashNews_Frame(changes.news));
         schedule_save(fleet);
     }
+    CrashNews_Free(changes.news);
 }
 
 void
-FleetCrashes_SendBarred(const Fleet *fleet, Link *link)
+FleetCrashes_SendAll(const Fleet *fleet, Link *link)
 {
     CrashNews *news = CrashNews_New(Clock_Now());
-    CrashTable_ForEach(fleet->crashes, true, CrashNews_AddCrash, news);
+    CrashTable_ForEach(fleet->crashes, CrashNews_AddCrash, news);
     if (!CrashNews_IsEmpty(news)) {
         Link_Send(link, CrashNews_Frame(news));
     }
@@ -100,7 +112,7 @@
 {
     const Fleet *fleet = arg;
     CrashNews *news = CrashNews_New(Clock_Now());
-    CrashTable_ForEach(fleet->crashes, false, CrashNews_AddCrash, news);
+    CrashTable_ForEach(fleet->crashes, CrashNews_AddCrash, news);
     Wire__CrashNews *message = CrashNews_Message(news);
     message->saved_at_ms = (uint64_t)Clock_WallMs();
     size_t size = wire__crash_news__get_packed_size(message);
@@ -132,7 +144,7 @@
         crash.at -= MAX(age_ms, 0) * US_PER_MS;
         CrashTable_AddCrash(fleet->crashes, &crash, now);
     }
-    LOG_INFO(FLEET_PART, "Crashes loaded. suspects=%zu barred=%zu",
+    LOG_INFO(FLEET_PART, "Crashes loaded. few=%zu many=%zu",
              CrashTable_Count(fleet->crashes, false),
              CrashTable_Count(fleet->crashes, true));
     update_gauges(fleet);
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -193,7 +193,7 @@
     if (Link_Peer(link)->role == WIRE__ROLE__ROLE_GATEWAY) {
         peer->is_gateway = true;
         FleetGateways_SendDirectory(fleet, link);
-        FleetCrashes_SendBarred(fleet, link);
+        FleetCrashes_SendAll(fleet, link);
     }
 }
 
--- a/src/fleet/state.h
+++ b/src/fleet/state.h
@@ -9,7 +9,7 @@
 #include "fleet/fleet.h"
 #include "fleet/state_file.h"
 #include "kernel/clock.h"
-#include "routes/crash_table.h"
+#include "sched/crash_table.h"
 #include "wire/link.h"
 
 #define FLEET_PART "fleet"
@@ -75,8 +75,8 @@
 /* Applies crashes and acquittals that a gateway reports. */
 void FleetCrashes_OnNews(Fleet *fleet, const Wire__CrashNews *news);
 
-/* Sends the crashes of all barred requests to one gateway. */
-void FleetCrashes_SendBarred(const Fleet *fleet, Link *link);
+/* Sends all crashes to one gateway. */
+void FleetCrashes_SendAll(const Fleet *fleet, Link *link);
 
 /* Loads the crash table from its file. */
 void FleetCrashes_Load(Fleet *fleet);
--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -402,10 +402,11 @@
 void
 Call_CheckBarred(Call *call)
 {
+    Subject barred;
     if (call->state == CALL_WAITING && call->route != NULL &&
-        Suspects_IsBarred(call->gateway->suspects, call))
+        Suspects_FindBarred(call->gateway->suspects, call, &barred))
     {
-        Call_FailBarred(call);
+        Call_FailBarred(call, barred);
     }
 }
 
@@ -491,8 +492,9 @@
         }
         return;
     }
-    if (Suspects_IsBarred(call->gateway->suspects, call)) {
-        Call_FailBarred(call);
+    Subject barred;
+    if (Suspects_FindBarred(call->gateway->suspects, call, &barred)) {
+        Call_FailBarred(call, barred);
         return;
     }
     if (!take_quota(call)) {
--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -116,18 +116,20 @@
 }
 
 void
-Call_FailBarred(Call *call)
+Call_FailBarred(Call *call, Subject subject)
 {
-    uint64_t fingerprint = Call_Fingerprint(call);
     LOG_WARN(GATEWAY_PART,
-             "Request is quarantined. id=%s fingerprint=%016llx crashes=%u",
-             call->id, (unsigned long long)fingerprint,
-             Suspects_CrashCount(call->gateway->suspects, fingerprint));
+             "Request is quarantined. id=%s subject=%016llx kind=%s "
+             "crashes=%u",
+             call->id, (unsigned long long)subject.hash,
+             Subject_KindName(subject),
+             Suspects_CrashCount(call->gateway->suspects, subject));
     Call_Fail(call, &(CallError){
                         .status = call->maybe_ran ? 502 : 503,
                         .code = "quarantined",
-                        .message = "The request is quarantined because it "
-                                   "crashed several endpoints.",
+                        .message = "The request is quarantined because it or "
+                                   "a part of its prompt crashed several "
+                                   "endpoints.",
                     });
 }
 
@@ -143,16 +145,19 @@
         ServiceQueue_Add(call->gateway, call);
         return;
     }
-    if (!Suspects_MaySend(call->gateway->suspects, call)) {
-        Call_FailBarred(call);
+    Subject barred;
+    if (Suspects_FindBarred(call->gateway->suspects, call, &barred)) {
+        Call_FailBarred(call, barred);
         return;
     }
+    Suspects_OnSend(call->gateway->suspects, call);
+    Call_Fingerprint(call);
     struct evbuffer *request = evbuffer_new();
     print_request(call, endpoint, request);
     UpstreamRequest sent = {
         .bytes = request,
         .id = call->id,
-        .fingerprint = Call_Fingerprint(call),
+        .subjects = &call->subjects,
         .require_live = !Call_IsRepeatable(call),
         .head_only = call->head_only,
     };
--- a/src/gateway/end_watch.c
+++ b/src/gateway/end_watch.c
@@ -10,7 +10,7 @@
 #include "gateway/state.h"
 #include "kernel/counter.h"
 #include "kernel/log.h"
-#include "routes/crash_table.h"
+#include "sched/crash_table.h"
 #include "wire/address.h"
 
 /* Delay of the probe after a run that was not answered. The probe is left out
@@ -50,7 +50,7 @@
 void
 EndWatch_Clear(Endpoint *endpoint)
 {
-    endpoint->watch.history.count = 0;
+    RunHistory_Clear(&endpoint->watch.history);
     end_probing(endpoint);
 }
 
@@ -78,22 +78,20 @@
 count_end(Endpoint *endpoint, EndEvidence evidence, const char *why)
 {
     EndWatch *watch = &endpoint->watch;
-    uint64_t fingerprints[RUN_HISTORY_MAX];
-    size_t count = RunHistory_Take(
-        &watch->history, suspect_ends(endpoint, evidence), fingerprints);
+    size_t count = Suspects_AddCrashes(
+        endpoint->gateway->suspects, &watch->history,
+        suspect_ends(endpoint, evidence),
+        CrashTable_Incarnation(endpoint->id, endpoint->born));
     watch->unanswered = 0;
     watch->ended = MAX(watch->ended, evidence);
     if (evidence == END_PROVED) {
         watch->history.count = 0;
     }
-    if (count == 0) {
-        return;
+    if (count > 0) {
+        LOG_INFO(GATEWAY_PART,
+                 "Endpoint ended. id=%s born=%llu requests=%zu why=\"%s\"",
+                 endpoint->id, (unsigned long long)endpoint->born, count, why);
     }
-    LOG_INFO(GATEWAY_PART,
-             "Endpoint ended. id=%s born=%llu requests=%zu why=\"%s\"",
-             endpoint->id, (unsigned long long)endpoint->born, count, why);
-    Suspects_AddCrashes(endpoint->gateway->suspects, fingerprints, count,
-                        CrashTable_Incarnation(endpoint->id, endpoint->born));
 }
 
 void
@@ -217,8 +215,8 @@
 on_survived(void *arg, const EndedRun *run)
 {
     const Endpoint *endpoint = arg;
-    if (run->end == RUN_ANSWERED) {
-        Suspects_OnSurvived(endpoint->gateway->suspects, run->fingerprint);
+    if (run->wrote) {
+        Suspects_OnSurvived(endpoint->gateway->suspects, &run->subjects);
     }
 }
 
@@ -254,7 +252,8 @@
     }
     TimeUs silent = run->at - MAX(run->started_at, watch->heard_at);
     if (!is_probing(watch) &&
-        (run->end == RUN_BROKEN || silent >= SILENCE_MIN_US)) {
+        (run->end != RUN_CANCELLED || silent >= SILENCE_MIN_US))
+    {
         schedule_probe(endpoint, PROBE_DELAY_MS);
     }
 }
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -229,9 +229,9 @@
 } UpstreamOps;
 
 typedef struct UpstreamRequest {
-    struct evbuffer *bytes; /* head and body; Upstream_Send drains them */
-    const char *id;         /* the answer must carry the same request id */
-    uint64_t fingerprint;   /* of the request */
+    struct evbuffer *bytes;   /* head and body; Upstream_Send drains them */
+    const char *id;           /* the answer must carry the same request id */
+    const Subjects *subjects; /* of the request */
     /* Use a new connection, or one idle for so short a time that the endpoint
      * cannot have closed it. */
     bool require_live;
@@ -346,13 +346,13 @@
  * repeat of the request. Needs the account. */
 uint64_t Call_Fingerprint(Call *call);
 
-/* Starts an attempt at the endpoint. Fails or queues the call instead if its
- * fingerprint is quarantined or the newest configuration routes it to another
+/* Starts an attempt at the endpoint. Fails or queues the call instead if a
+ * subject of it is barred or the newest configuration routes it to another
  * service. */
 void Call_SendTo(Call *call, Endpoint *endpoint);
 
-/* Fails the call because its request is barred. */
-void Call_FailBarred(Call *call);
+/* Fails the call because the subject is barred. */
+void Call_FailBarred(Call *call, Subject subject);
 
 /* Returns the value of a field of the request, or NULL. */
 const char *Call_Field(const Call *call, const char *name);
@@ -501,14 +501,16 @@
 Suspects *Suspects_New(Gateway *gateway);
 void Suspects_Free(Suspects *suspects);
 
-/* Counts an endpoint that ended under the requests, and reports it to the
- * control hosts. @p incarnation is CrashTable_Incarnation() of the endpoint.
- */
-void Suspects_AddCrashes(Suspects *suspects, const uint64_t *fingerprints,
-                         size_t count, uint64_t incarnation);
+/* Counts the end of an endpoint against the subjects of the runs that ended in
+ * one of the ways (mask of RunEnd), removes these from the history, and
+ * reports the crashes to the control hosts.
+ * @param incarnation  CrashTable_Incarnation() of the endpoint.
+ * @return the number of runs. */
+size_t Suspects_AddCrashes(Suspects *suspects, RunHistory *history,
+                           unsigned ends, uint64_t incarnation);
 
-/* Records that an endpoint survived the request. */
-void Suspects_OnSurvived(Suspects *suspects, uint64_t fingerprint);
+/* Records that an endpoint survived a request. */
+void Suspects_OnSurvived(Suspects *suspects, const Subjects *subjects);
 
 /* Applies the news of a control host. */
 void Suspects_OnNews(Suspects *suspects, const Wire__CrashNews *news);
@@ -516,15 +518,18 @@
 /* Sends all known crashes to a control host. */
 void Suspects_SendAll(const Suspects *suspects, Link *link);
 
-/* Returns the number of endpoints that ended under the request. */
-unsigned Suspects_CrashCount(const Suspects *suspects, uint64_t fingerprint);
+/* Returns the number of endpoints that ended under the subject. */
+unsigned Suspects_CrashCount(const Suspects *suspects, Subject subject);
 
-/* Returns whether the request crashed too many endpoints to be sent again. */
-bool Suspects_IsBarred(const Suspects *suspects, Call *call);
+/* Finds a subject of the call that crashed too many endpoints for the call to
+ * be sent.
+ * @return false when there is none. */
+bool Suspects_FindBarred(const Suspects *suspects, Call *call,
+                         Subject *barred);
 
-/* Returns whether the request may be sent to an endpoint now. Must be followed
- * by the sending, as a barred request may be tried only once. */
-bool Suspects_MaySend(const Suspects *suspects, Call *call);
+/* Records that the call is sent, as one with a barred subject may be tried
+ * only once. */
+void Suspects_OnSend(const Suspects *suspects, const Call *call);
 
 /* ---- quotas.c ---- */
 
--- a/src/gateway/suspects.c
+++ b/src/gateway/suspects.c
@@ -1,13 +1,13 @@
 /** @file
- * Gateway: requests under which endpoints ended. The gateway counts the ends
- * that it sees, reports them to all control hosts, and receives the crashes of
- * requests that are barred in the whole fleet.
+ * Gateway: subjects under which endpoints ended. The gateway counts the ends
+ * that it sees, reports them to all control hosts, and receives the crashes
+ * that the others count.
  */
 #include "gateway/state.h"
 #include "kernel/counter.h"
 #include "kernel/log.h"
 #include "routes/crash_news.h"
-#include "routes/crash_table.h"
+#include "sched/crash_table.h"
 
 struct Suspects {
     Gateway *gateway;
@@ -36,84 +36,125 @@
 static bool
 add_crash(const Suspects *suspects, const Crash *crash, const char *seen_by)
 {
-    if (!CrashTable_AddCrash(suspects->table, crash, Clock_Now())) {
+    TimeUs now = Clock_Now();
+    if (!CrashTable_AddCrash(suspects->table, crash, now)) {
         return false;
     }
     LOG_INFO(GATEWAY_PART,
-             "Crash counted. fingerprint=%016llx incarnation=%016llx "
-             "seen_by=%s crashes=%u",
-             (unsigned long long)crash->fingerprint,
+             "Crash counted. subject=%016llx kind=%s incarnation=%016llx "
+             "seen_by=%s crashes=%u barred=%s",
+             (unsigned long long)crash->subject.hash,
+             Subject_KindName(crash->subject),
              (unsigned long long)crash->incarnation, seen_by,
-             CrashTable_CrashCount(suspects->table, crash->fingerprint));
+             CrashTable_CrashCount(suspects->table, crash->subject),
+             CrashTable_IsBarred(suspects->table, crash->subject, now) ? "yes"
+                                                                       : "no");
     Counter_Add(Counter_Get("gateway_crashes_counted_total",
-                            "Crashes counted against a request."),
+                            "Crashes counted against a request or a part of a "
+                            "prompt."),
                 1);
     return true;
 }
 
-void
-Suspects_AddCrashes(Suspects *suspects, const uint64_t *fingerprints,
-                    size_t count, uint64_t incarnation)
+/* An end of an endpoint that is being counted. */
+typedef struct CountedEnd {
+    Suspects *suspects;
+    uint64_t incarnation;
+    CrashNews *news;
+} CountedEnd;
+
+static void
+add_crashes_of_run(void *arg, const EndedRun *run)
 {
-    TimeUs now = Clock_Now();
-    CrashNews *news = CrashNews_New(now);
-    for (size_t i = 0; i < count; i++) {
+    const CountedEnd *end = arg;
+    for (uint32_t i = 0; i < subject_count(&run->subjects); i++) {
         Crash crash = {
-            .fingerprint = fingerprints[i],
-            .incarnation = incarnation,
-            .at = now,
+            .subject = subject_at(&run->subjects, i),
+            .incarnation = end->incarnation,
+            .at = Clock_Now(),
             .own = true,
         };
-        if (add_crash(suspects, &crash, "own")) {
-            CrashNews_AddCrash(news, &crash);
+        if (add_crash(end->suspects, &crash, "own")) {
+            CrashNews_AddCrash(end->news, &crash);
         }
     }
-    if (!CrashNews_IsEmpty(news)) {
+}
+
+size_t
+Suspects_AddCrashes(Suspects *suspects, RunHistory *history, unsigned ends,
+                    uint64_t incarnation)
+{
+    CountedEnd end = {
+        .suspects = suspects,
+        .incarnation = incarnation,
+        .news = CrashNews_New(Clock_Now()),
+    };
+    size_t count = RunHistory_Take(history, ends, add_crashes_of_run, &end);
+    if (!CrashNews_IsEmpty(end.news)) {
         GatewayControl_SendAll(suspects->gateway->control,
-                               CrashNews_Frame(news));
+                               CrashNews_Frame(end.news));
         Gateway_FailBarred(suspects->gateway);
     }
-    CrashNews_Free(news);
+    CrashNews_Free(end.news);
+    return count;
 }
 
 static void
-send_acquittal(const Suspects *suspects, uint64_t fingerprint)
+log_acquittal(Subject subject)
 {
-    LOG_INFO(GATEWAY_PART, "Request acquitted. fingerprint=%016llx",
-             (unsigned long long)fingerprint);
-    CrashNews *news = CrashNews_New(Clock_Now());
-    CrashNews_AddAcquittal(news, fingerprint);
-    GatewayControl_SendAll(suspects->gateway->control, CrashNews_Frame(news));
-    CrashNews_Free(news);
+    LOG_INFO(GATEWAY_PART, "Subject acquitted. subject=%016llx kind=%s",
+             (unsigned long long)subject.hash, Subject_KindName(subject));
 }
 
 void
-Suspects_OnSurvived(Suspects *suspects, uint64_t fingerprint)
+Suspects_OnSurvived(Suspects *suspects, const Subjects *subjects)
 {
-    if (CrashTable_Acquit(suspects->table, fingerprint, Clock_Now())) {
-        send_acquittal(suspects, fingerprint);
+    CrashNews *news = CrashNews_New(Clock_Now());
+    for (uint32_t i = 0; i < subject_count(subjects); i++) {
+        Subject subject = subject_at(subjects, i);
+        if (CrashTable_Acquit(suspects->table, subject, Clock_Now())) {
+            log_acquittal(subject);
+            CrashNews_AddAcquittal(news, subject);
+        }
     }
+    if (!CrashNews_IsEmpty(news)) {
+        GatewayControl_SendAll(suspects->gateway->control,
+                               CrashNews_Frame(news));
+    }
+    CrashNews_Free(news);
+}
+
+static void
+on_acquittal(void *arg, Subject subject)
+{
+    const Suspects *suspects = arg;
+    CrashTable_Acquit(suspects->table, subject, Clock_Now());
 }
 
 void
 Suspects_OnNews(Suspects *suspects, const Wire__CrashNews *news)
 {
     TimeUs now = Clock_Now();
-    uint64_t answered = 0; /* fingerprint of the last acquittal sent */
-    for (size_t i = 0; i < news->n_acquitted; i++) {
-        CrashTable_Acquit(suspects->table, news->acquitted[i], now);
-    }
+    CrashNews *reply = CrashNews_New(now);
+    uint64_t answered = 0; /* subject of the last acquittal added */
+    CrashNews_ForEachAcquittal(news, on_acquittal, suspects);
     for (size_t i = 0; i < news->n_crashes; i++) {
         Crash crash = CrashNews_ReadCrash(news->crashes[i], now);
         if (!add_crash(suspects, &crash, "others") &&
-            crash.fingerprint != answered &&
-            CrashTable_IsAcquitted(suspects->table, crash.fingerprint, now))
+            crash.subject.hash != answered &&
+            CrashTable_IsAcquitted(suspects->table, crash.subject, now))
         {
-            /* Endpoints that this gateway uses survive the request. */
-            answered = crash.fingerprint;
-            send_acquittal(suspects, crash.fingerprint);
+            /* Endpoints that this gateway uses survive the subject. */
+            answered = crash.subject.hash;
+            log_acquittal(crash.subject);
+            CrashNews_AddAcquittal(reply, crash.subject);
         }
     }
+    if (!CrashNews_IsEmpty(reply)) {
+        GatewayControl_SendAll(suspects->gateway->control,
+                               CrashNews_Frame(reply));
+    }
+    CrashNews_Free(reply);
     Gateway_FailBarred(suspects->gateway);
 }
 
@@ -121,7 +162,7 @@
 Suspects_SendAll(const Suspects *suspects, Link *link)
 {
     CrashNews *news = CrashNews_New(Clock_Now());
-    CrashTable_ForEach(suspects->table, false, CrashNews_AddCrash, news);
+    CrashTable_ForEach(suspects->table, CrashNews_AddCrash, news);
     if (!CrashNews_IsEmpty(news)) {
         Link_Send(link, CrashNews_Frame(news));
     }
@@ -129,40 +170,53 @@
 }
 
 unsigned
-Suspects_CrashCount(const Suspects *suspects, uint64_t fingerprint)
+Suspects_CrashCount(const Suspects *suspects, Subject subject)
+{
+    return CrashTable_CrashCount(suspects->table, subject);
+}
+
+/* Returns whether requests with the subject may be sent. */
+static bool
+may_send(const Suspects *suspects, Subject subject)
 {
-    return CrashTable_CrashCount(suspects->table, fingerprint);
+    TimeUs now = Clock_Now();
+    return !CrashTable_IsBarred(suspects->table, subject, now) ||
+           CrashTable_MayTry(suspects->table, subject, now, false);
 }
 
 bool
-Suspects_IsBarred(const Suspects *suspects, Call *call)
+Suspects_FindBarred(const Suspects *suspects, Call *call, Subject *barred)
 {
     if (!CrashTable_HasAny(suspects->table)) {
         return false;
     }
-    TimeUs now = Clock_Now();
-    uint64_t fingerprint = Call_Fingerprint(call);
-    return CrashTable_IsBarred(suspects->table, fingerprint, now) &&
-           !CrashTable_MayTry(suspects->table, fingerprint, now, false);
+    Call_Fingerprint(call);
+    for (uint32_t i = 0; i < subject_count(&call->subjects); i++) {
+        *barred = subject_at(&call->subjects, i);
+        if (!may_send(suspects, *barred)) {
+            return true;
+        }
+    }
+    return false;
 }
 
-bool
-Suspects_MaySend(const Suspects *suspects, Call *call)
+void
+Suspects_OnSend(const Suspects *suspects, const Call *call)
 {
     if (!CrashTable_HasAny(suspects->table)) {
-        return true;
+        return;
     }
     TimeUs now = Clock_Now();
-    uint64_t fingerprint = Call_Fingerprint(call);
-    if (!CrashTable_IsBarred(suspects->table, fingerprint, now)) {
-        return true;
-    }
-    bool trial = CrashTable_MayTry(suspects->table, fingerprint, now, true);
-    if (trial) {
-        LOG_INFO(
-            GATEWAY_PART,
-            "Barred request is tried once more. id=%s fingerprint=%016llx",
-            call->id, (unsigned long long)fingerprint);
+    for (uint32_t i = 0; i < subject_count(&call->subjects); i++) {
+        Subject subject = subject_at(&call->subjects, i);
+        if (CrashTable_IsBarred(suspects->table, subject, now) &&
+            CrashTable_MayTry(suspects->table, subject, now, true))
+        {
+            LOG_INFO(GATEWAY_PART,
+                     "Barred request is tried once more. id=%s "
+                     "subject=%016llx kind=%s",
+                     call->id, (unsigned long long)subject.hash,
+                     Subject_KindName(subject));
+        }
     }
-    return trial;
 }
--- a/src/gateway/upstream.c
+++ b/src/gateway/upstream.c
@@ -39,8 +39,9 @@
     const UpstreamOps *ops;
     void *owner; /* NULL when the answer is to be discarded */
     char *request_id;
-    uint64_t fingerprint; /* of the request */
+    Subjects subjects; /* of the request */
     TimeUs sent_at;
+    bool success;   /* the head of the answer has a status of success */
     bool not_run;   /* the endpoint states that it did not run the request */
     bool confirmed; /* the endpoint itself has answered, no other instance */
     bool connected;
@@ -73,8 +74,10 @@
         return;
     }
     EndedRun run = {
-        .fingerprint = upstream->fingerprint,
+        .subjects = upstream->subjects,
         .end = end,
+        .wrote =
+            upstream->success && (end == RUN_ANSWERED || end == RUN_CLOSED),
         .started_at = upstream->sent_at,
         .at = Clock_Now(),
     };
@@ -157,12 +160,12 @@
 }
 
 static void
-finish_answer(Upstream *upstream)
+finish_answer(Upstream *upstream, RunEnd end)
 {
     const UpstreamOps *ops = upstream->ops;
     void *owner = upstream->owner;
     upstream->owner = NULL;
-    record_run(upstream, RUN_ANSWERED);
+    record_run(upstream, end);
     keep_or_close(upstream);
     if (owner != NULL) {
         ops->done(owner);
@@ -196,6 +199,7 @@
         return true;
     }
     upstream->close_after_answer = !head->keep_alive;
+    upstream->success = head->status < 300;
     upstream->not_run =
         GatewayFields_SayNotRun(upstream->gateway->options->fields, head);
     if (head->status != HTTP_OTHER_INSTANCE) {
@@ -266,7 +270,7 @@
             break;
         case H1_DONE:
             if (!upstream->skip_answer) {
-                finish_answer(upstream);
+                finish_answer(upstream, RUN_ANSWERED);
                 return;
             }
             upstream->skip_answer = false;
@@ -326,7 +330,7 @@
         if (!handle_body(upstream)) {
             return;
         }
-        finish_answer(upstream);
+        finish_answer(upstream, RUN_CLOSED);
         return;
     }
     fail_upstream(upstream, UPSTREAM_BROKEN, "connection broke off");
@@ -445,7 +449,8 @@
     upstream->owner = owner;
     upstream->close_after_answer = false;
     upstream->skip_answer = false;
-    upstream->fingerprint = request->fingerprint;
+    upstream->subjects = *request->subjects;
+    upstream->success = false;
     upstream->sent_at = Clock_Now();
     upstream->not_run = false;
     if (request->head_only) {
--- a/src/routes/crash_news.h
+++ b/src/routes/crash_news.h
@@ -7,10 +7,12 @@
 
 #include <glib.h>
 
-#include "routes/crash_table.h"
+#include "sched/crash_table.h"
 #include "wire/generated/wire.pb-c.h"
 
-/** Maximum number of crashes, and of acquittals, in one message. */
+/** Maximum number of crashes, and of acquittals of either kind, in one
+ * message.
+ */
 #define CRASH_NEWS_MAX 4096
 
 /** A message that is being filled. */
@@ -24,7 +26,7 @@
 void CrashNews_AddCrash(void *news, const Crash *crash);
 
 /** Adds an acquittal, unless the message has CRASH_NEWS_MAX of them. */
-void CrashNews_AddAcquittal(CrashNews *news, uint64_t fingerprint);
+void CrashNews_AddAcquittal(CrashNews *news, Subject subject);
 
 bool CrashNews_IsEmpty(const CrashNews *news);
 
@@ -37,4 +39,9 @@
 /** Reads a received crash. */
 Crash CrashNews_ReadCrash(const Wire__CrashRecord *record, TimeUs now);
 
+/** Visits the acquittals of a received message. */
+void CrashNews_ForEachAcquittal(const Wire__CrashNews *news,
+                                void (*visit)(void *arg, Subject subject),
+                                void *arg);
+
 #endif
--- a/src/sched/run_history.c
+++ b/src/sched/run_history.c
@@ -12,17 +12,32 @@
  * may break connections off seconds before it ends. */
 #define ANSWERED_SURVIVAL_US (250 * US_PER_MS)
 #define UNANSWERED_SURVIVAL_US (5 * US_PER_S)
+/* Runs for which memory is allocated first. */
+#define RUN_HISTORY_MIN 4
 
 static TimeUs
 survival_time(const EndedRun *run)
 {
-    return run->at + (run->end == RUN_ANSWERED ? ANSWERED_SURVIVAL_US
-                                               : UNANSWERED_SURVIVAL_US);
+    bool whole = run->end == RUN_ANSWERED || run->end == RUN_CLOSED;
+    return run->at + (whole ? ANSWERED_SURVIVAL_US : UNANSWERED_SURVIVAL_US);
+}
+
+void
+RunHistory_Clear(RunHistory *history)
+{
+    g_free(history->runs);
+    *history = (RunHistory){.runs = NULL};
 }
 
 void
 RunHistory_Add(RunHistory *history, const EndedRun *run)
 {
+    if (history->count == history->capacity &&
+        history->capacity < RUN_HISTORY_MAX) {
+        history->capacity =
+            MIN(MAX(2 * history->capacity, RUN_HISTORY_MIN), RUN_HISTORY_MAX);
+        history->runs = g_renew(EndedRun, history->runs, history->capacity);
+    }
     if (history->count == RUN_HISTORY_MAX) {
         history->count--;
         memmove(&history->runs[0], &history->runs[1],
@@ -68,14 +83,16 @@
 }
 
 size_t
-RunHistory_Take(RunHistory *history, unsigned ends, uint64_t *fingerprints)
+RunHistory_Take(RunHistory *history, unsigned ends,
+                void (*take)(void *arg, const EndedRun *run), void *arg)
 {
     size_t taken = 0;
     unsigned kept = 0;
     for (unsigned i = 0; i < history->count; i++) {
         EndedRun run = history->runs[i];
         if ((run.end & ends) != 0) {
-            fingerprints[taken++] = run.fingerprint;
+            taken++;
+            take(arg, &run);
         }
         else {
             history->runs[kept++] = run;
--- a/src/sched/run_history.h
+++ b/src/sched/run_history.h
@@ -10,36 +10,45 @@
 #include <stdint.h>
 
 #include "kernel/clock.h"
+#include "sched/subjects.h"
 
 /** Runs in a history; beyond it the oldest is dropped. */
 #define RUN_HISTORY_MAX 128
 
 /** How a run ended. The values are bits of a mask. */
 typedef enum RunEnd {
-    RUN_ANSWERED = 1,  /**< The answer is complete. */
+    RUN_ANSWERED = 1,  /**< The answer is complete by its length or chunks. */
     RUN_BROKEN = 2,    /**< The endpoint broke it off or answered malformed
                           HTTP. */
     RUN_CANCELLED = 4, /**< The connection was closed before its end. */
+    RUN_CLOSED = 8,    /**< The answer ended with its connection, so that it is
+                          complete or was broken off. */
 } RunEnd;
 
-#define RUN_UNANSWERED (RUN_BROKEN | RUN_CANCELLED)
+#define RUN_UNANSWERED (RUN_BROKEN | RUN_CANCELLED | RUN_CLOSED)
 #define RUN_ANY (RUN_ANSWERED | RUN_UNANSWERED)
 
 typedef struct EndedRun {
-    uint64_t fingerprint; /**< Of the request. */
+    Subjects subjects; /**< Of the request. */
     RunEnd end;
+    bool wrote; /**< The endpoint wrote a successful answer, to the end as far
+                   as can be seen. */
     bool alone; /**< No other request ran at the endpoint meanwhile. */
     TimeUs started_at;
     TimeUs at; /**< When it ended. */
 } EndedRun;
 
 typedef struct RunHistory {
-    EndedRun runs[RUN_HISTORY_MAX]; /**< Oldest first. */
+    EndedRun *runs; /**< Oldest first; allocated as needed. */
     unsigned count;
+    unsigned capacity;
     TimeUs
         next_survival_at; /**< When the endpoint has survived one of them. */
 } RunHistory;
 
+/** Forgets all runs and frees their memory. */
+void RunHistory_Clear(RunHistory *history);
+
 void RunHistory_Add(RunHistory *history, const EndedRun *run);
 
 /** Removes the runs that an endpoint has survived which existed at @p now.
@@ -55,9 +64,10 @@
 
 /** Removes the runs that ended in one of the ways (mask of RunEnd), after the
  * endpoint has ended.
- * @param fingerprints  receives those of the runs, RUN_HISTORY_MAX at most.
+ * @param take  called for each.
  * @return their number. */
 size_t RunHistory_Take(RunHistory *history, unsigned ends,
-                       uint64_t *fingerprints);
+                       void (*take)(void *arg, const EndedRun *run),
+                       void *arg);
 
 #endif
--- a/src/sched/subjects.c
+++ b/src/sched/subjects.c
@@ -11,6 +11,12 @@
 /* Differs from the seeds of whole requests. */
 #define PART_SEED 1
 
+const char *
+Subject_KindName(Subject subject)
+{
+    return subject.is_part ? "part" : "request";
+}
+
 void
 Subjects_AddPart(Subjects *subjects, const void *id, size_t length)
 {
--- a/src/sched/subjects.h
+++ b/src/sched/subjects.h
@@ -17,6 +17,12 @@
 /** Bytes that hold the text of Subjects_PrintParts(). */
 #define SUBJECTS_TEXT_BYTES (SUBJECT_PARTS_MAX * 17 + 1)
 
+/** One subject. */
+typedef struct Subject {
+    uint64_t hash;
+    bool is_part; /**< A part of a prompt, not a whole request. */
+} Subject;
+
 /** The subjects of one request. */
 typedef struct Subjects {
     uint64_t request; /**< Hash of the whole request; 0 if unknown. */
@@ -24,6 +30,25 @@
     uint64_t parts[SUBJECT_PARTS_MAX]; /**< Hashes, in the prompt's order. */
 } Subjects;
 
+/** Returns the number of subjects, the whole request included. */
+static inline uint32_t
+subject_count(const Subjects *subjects)
+{
+    return subjects->part_count + 1;
+}
+
+/** Returns the whole request for index 0, else a part. */
+static inline Subject
+subject_at(const Subjects *subjects, uint32_t index)
+{
+    return index == 0 ? (Subject){.hash = subjects->request}
+                      : (Subject){.hash = subjects->parts[index - 1],
+                                  .is_part = true};
+}
+
+/** Returns "part" or "request", for logs. */
+const char *Subject_KindName(Subject subject);
+
 /** Appends a part of the prompt. Beyond SUBJECT_PARTS_MAX it replaces one from
  * the middle. The last part of a prompt belongs to its request only and is not
  * added. */
--- a/test/unit/test_end_watch.c
+++ b/test/unit/test_end_watch.c
@@ -6,7 +6,7 @@
 #include <string.h>
 
 #include "gateway/state.h"
-#include "routes/crash_table.h"
+#include "sched/crash_table.h"
 #include "wire/address.h"
 
 #define RUN 42 /* fingerprint of the run under test */
@@ -63,8 +63,9 @@
 end_run(Fixture *fixture, uint64_t fingerprint, RunEnd end, int age_ms)
 {
     EndedRun run = {
-        .fingerprint = fingerprint,
+        .subjects = {.request = fingerprint},
         .end = end,
+        .wrote = end == RUN_ANSWERED || end == RUN_CLOSED,
         .at = Clock_Now() - age_ms * US_PER_MS,
     };
     run.started_at = run.at - 10 * US_PER_MS;
@@ -82,7 +83,8 @@
 static bool
 is_counted(const Fixture *fixture, uint64_t fingerprint)
 {
-    return Suspects_CrashCount(fixture->gateway.suspects, fingerprint) > 0;
+    return Suspects_CrashCount(fixture->gateway.suspects,
+                               (Subject){.hash = fingerprint}) > 0;
 }
 
 static void
@@ -146,7 +148,9 @@
         EndWatch_OnEnded(&fixture->endpoint, "ended");
         restart(fixture);
     }
-    assert_int_equal(Suspects_CrashCount(fixture->gateway.suspects, RUN), 2);
+    assert_int_equal(
+        Suspects_CrashCount(fixture->gateway.suspects, (Subject){.hash = RUN}),
+        2);
     end_run(fixture, RUN, RUN_ANSWERED, 1000);
     EndWatch_OnHeard(&fixture->endpoint);
     assert_false(is_counted(fixture, RUN));
@@ -155,6 +159,36 @@
     assert_false(is_counted(fixture, RUN));
 }
 
+static void
+failure_that_is_survived_acquits_nothing(void **state)
+{
+    Fixture *fixture = *state;
+    end_run(fixture, RUN, RUN_BROKEN, 0);
+    EndWatch_OnEnded(&fixture->endpoint, "ended");
+    restart(fixture);
+    EndedRun failure = {
+        .subjects = {.request = RUN},
+        .end = RUN_ANSWERED,
+        .at = Clock_Now() - US_PER_S,
+    };
+    EndWatch_OnRunEnded(&fixture->endpoint, &failure);
+    EndWatch_OnHeard(&fixture->endpoint);
+    assert_true(is_counted(fixture, RUN));
+}
+
+static void
+answer_without_length_counts_until_it_is_survived(void **state)
+{
+    Fixture *fixture = *state;
+    end_run(fixture, RUN, RUN_CLOSED, 0);
+    end_run(fixture, RUN + 1, RUN_CLOSED, 1000);
+    EndWatch_OnHeard(&fixture->endpoint);
+    EndWatch_OnUnanswered(&fixture->endpoint);
+    EndWatch_OnUnanswered(&fixture->endpoint);
+    assert_true(is_counted(fixture, RUN));
+    assert_false(is_counted(fixture, RUN + 1));
+}
+
 /* A network that loses connections must not bar what was answered. */
 static void
 silence_counts_against_unanswered_runs_only(void **state)
@@ -233,6 +267,8 @@
         WATCH_TEST(endpoint_that_ends_after_a_whole_answer_counts),
         WATCH_TEST(survived_runs_do_not_count),
         WATCH_TEST(survived_request_is_acquitted),
+        WATCH_TEST(failure_that_is_survived_acquits_nothing),
+        WATCH_TEST(answer_without_length_counts_until_it_is_survived),
         WATCH_TEST(silence_counts_against_unanswered_runs_only),
         WATCH_TEST(silent_endpoint_that_proves_to_have_ended_counts_fully),
         WATCH_TEST(one_lost_connection_attempt_proves_nothing),
