Gateway: a closed connection is no sign that an endpoint survived

Cause: a server that hung and then ended closed its connections, which counted as a sign of life at that time, so that the request was acquitted and its crashes were ignored for a minute. An end closes connections as a live server does; only bytes prove anything.

--- a/src/gateway/end_watch.c
+++ b/src/gateway/end_watch.c
@@ -220,13 +220,6 @@
     }
 }
 
-void
-EndWatch_OnClosed(Endpoint *endpoint)
-{
-    RunHistory_RemoveSurvived(&endpoint->watch.history, Clock_Now(),
-                              on_survived, endpoint);
-}
-
 void
 EndWatch_OnHeard(Endpoint *endpoint)
 {
@@ -234,7 +227,8 @@
     watch->heard_at = Clock_Now();
     watch->unanswered = 0;
     watch->ended = END_UNKNOWN;
-    EndWatch_OnClosed(endpoint);
+    RunHistory_RemoveSurvived(&watch->history, watch->heard_at, on_survived,
+                              endpoint);
 }
 
 void
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -129,10 +129,6 @@
 /* Records that bytes came from the endpoint. */
 void EndWatch_OnHeard(Endpoint *endpoint);
 
-/* Records that the endpoint closed a connection without a reset. Until then it
- * existed. */
-void EndWatch_OnClosed(Endpoint *endpoint);
-
 /* Counts a crash for the recorded runs, since the endpoint has ended. */
 void EndWatch_OnEnded(Endpoint *endpoint, const char *why);
 
--- a/src/gateway/upstream.c
+++ b/src/gateway/upstream.c
@@ -41,9 +41,8 @@
     char *request_id;
     Subjects subjects; /* of the request */
     TimeUs sent_at;
-    bool success;   /* the head of the answer has a status of success */
-    bool not_run;   /* the endpoint states that it did not run the request */
-    bool confirmed; /* the endpoint itself has answered, no other instance */
+    bool success; /* the head of the answer has a status of success */
+    bool not_run; /* the endpoint states that it did not run the request */
     bool connected;
     bool busy;        /* carries a request */
     bool skip_answer; /* the parsed answer is interim or to another request */
@@ -203,7 +202,6 @@
     upstream->not_run =
         GatewayFields_SayNotRun(upstream->gateway->options->fields, head);
     if (head->status != HTTP_OTHER_INSTANCE) {
-        upstream->confirmed = true;
         EndWatch_OnHeard(upstream->endpoint);
     }
     upstream->idle_limit_ms = parse_idle_limit(head);
@@ -308,11 +306,6 @@
         event_del(upstream->timer);
         return;
     }
-    if (upstream->confirmed && (events & BEV_EVENT_EOF) != 0 &&
-        (events & BEV_EVENT_ERROR) == 0)
-    {
-        EndWatch_OnClosed(upstream->endpoint);
-    }
     if (!upstream->busy) {
         free_upstream(upstream);
         return;
