Crash table: crashes of one request are not explained by another

Cause: each crash counted against the request with the most crashes only, so that the others were barred late. Only a part of a prompt may explain the crashes of a request. unit/test_crash_table: requests_do_not_explain_each_other.

--- a/src/sched/crash_table.c
+++ b/src/sched/crash_table.c
@@ -275,10 +275,14 @@
 
 /* Returns whether crashes of both count against @p a only. Of a request and
  * its own parts that crashed the same endpoints, the request is the narrower
- * explanation. */
+ * explanation. One request never explains the crashes of another, as that
+ * would put off barring it. */
 static bool
 outranks(const Suspect *a, const Suspect *b)
 {
+    if (!a->subject.is_part && !b->subject.is_part) {
+        return false;
+    }
     return a->crash_count != b->crash_count
                ? a->crash_count > b->crash_count
                : !a->subject.is_part && b->subject.is_part;
--- a/src/sched/crash_table.h
+++ b/src/sched/crash_table.h
@@ -9,11 +9,11 @@
  * ignored for some time.
  *
  * Requests that ran beside the one that crashes an endpoint are suspected too.
- * A crash counts only against the subject with the most crashes among those
- * that it is blamed on. A request is barred after CRASHES_TO_BAR such crashes;
- * a part of a prompt too if it is the only one that explains them and if it
- * explains at least half of all ends meanwhile, else after
- * CRASHES_TO_BAR_IN_DOUBT.
+ * A crash counts only against the part with the most crashes among those that
+ * it is blamed on, and against the requests with as many. A request is barred
+ * after CRASHES_TO_BAR such crashes; a part of a prompt too if it is the only
+ * one that explains them and if it explains at least half of all ends
+ * meanwhile, else after CRASHES_TO_BAR_IN_DOUBT.
  */
 #ifndef LAURELLIFT_SCHED_CRASH_TABLE_H
 #define LAURELLIFT_SCHED_CRASH_TABLE_H
--- a/test/unit/test_crash_table.c
+++ b/test/unit/test_crash_table.c
@@ -347,6 +347,18 @@
     CrashTable_Free(table);
 }
 
+static void
+requests_do_not_explain_each_other(void **state)
+{
+    CrashTable *table = CrashTable_New();
+    for (uint64_t i = 1; i <= 5; i++) {
+        add(table, 42, i, START_US);
+    }
+    bar(table, 43, START_US);
+    assert_true(CrashTable_IsBarred(table, request(43), START_US));
+    CrashTable_Free(table);
+}
+
 /* Endpoints that end for other reasons, each under some parts. */
 static void
 part_that_explains_few_ends_is_not_barred(void **state)
@@ -427,6 +439,7 @@
         cmocka_unit_test(parts_beside_the_deadly_one_are_not_barred),
         cmocka_unit_test(doubt_ends_with_the_fifth_crash_and_a_trial),
         cmocka_unit_test(repeated_request_does_not_bar_its_parts),
+        cmocka_unit_test(requests_do_not_explain_each_other),
         cmocka_unit_test(part_that_explains_few_ends_is_not_barred),
         cmocka_unit_test(two_deadly_parts_are_both_barred),
         cmocka_unit_test(new_parts_do_not_displace_a_deadly_one),
