Agents and control count crashes against the messages of a prompt

Control counted crashes against fingerprints of account, route and body only.

The entry now hashes each message of the prompt but the last; wants, dispatches and crash reports carry these parts, and the replicated state decides with the crash table that gateways use (control/part_suspects). A suspected part does not make its requests run alone, since sound requests share it.

--- a/src/agent/control.c
+++ b/src/agent/control.c
@@ -9,6 +9,7 @@
 typedef enum SuspectFlag {
     SUSPECT_ALONE = 1,       /* no other request may run at the same time */
     SUSPECT_QUARANTINED = 2, /* must not run */
+    SUSPECT_PART = 4,        /* a part of a prompt, not a request */
 } SuspectFlag;
 
 #define QUARANTINE_REQUEST_INTERVAL_MS 1000
@@ -59,9 +60,15 @@
 }
 
 bool
-AgentControl_IsQuarantined(const Agent *agent, uint64_t fingerprint)
+AgentControl_IsQuarantined(const Agent *agent, const Subjects *subjects)
 {
-    return has_flag(agent, fingerprint, SUSPECT_QUARANTINED);
+    for (uint32_t i = 0; i < subject_count(subjects); i++) {
+        if (has_flag(agent, subject_at(subjects, i).hash, SUSPECT_QUARANTINED))
+        {
+            return true;
+        }
+    }
+    return false;
 }
 
 bool
@@ -70,6 +77,12 @@
     return has_flag(agent, fingerprint, SUSPECT_ALONE);
 }
 
+bool
+AgentControl_IsListedPart(const Agent *agent, uint64_t part)
+{
+    return has_flag(agent, part, SUSPECT_PART);
+}
+
 static void
 on_quarantine(Agent *agent, const Wire__Quarantine *message)
 {
@@ -80,7 +93,9 @@
     g_hash_table_remove_all(agent->suspects);
     for (size_t i = 0; i < message->n_entries; i++) {
         const Wire__QuarantineEntry *entry = message->entries[i];
-        int flags = (entry->crashes > 0 ? SUSPECT_ALONE : 0) |
+        int flags = (entry->is_part       ? SUSPECT_PART
+                     : entry->crashes > 0 ? SUSPECT_ALONE
+                                          : 0) |
                     (entry->quarantined ? SUSPECT_QUARANTINED : 0);
         g_hash_table_insert(agent->suspects, key_of(entry->fingerprint),
                             GINT_TO_POINTER(flags));
--- a/src/agent/crash.c
+++ b/src/agent/crash.c
@@ -10,9 +10,11 @@
 
 #include <event2/bufferevent.h>
 #include <sodium.h>
+#include <xxhash.h>
 
 #include "kernel/counter.h"
 #include "kernel/log.h"
+#include "sched/crash_table.h"
 
 #define REPORTS_MAX 64
 #define RESEND_INTERVAL_MS 500
@@ -25,6 +27,8 @@
     Wire__CommandKind kind;
     uint8_t id[COMMAND_ID_BYTES];
     GArray *fingerprints; /* uint64_t */
+    GArray *parts;        /* uint64_t; hashes of parts of prompts */
+    uint64_t incarnation; /* of the endpoint that crashed */
 } CrashReport;
 
 struct CrashWatch {
@@ -32,6 +36,9 @@
     RunHistory history;
     TimeUs unanswered_at; /* end of the first unanswered run in the history */
     TimeUs ended_at;      /* when the endpoint's newest end was detected */
+    uint64_t restart_count; /* restarts of the endpoint */
+    uint64_t agent_hash;    /* of the agent's name and incarnation */
+    CrashTable *survived;   /* parts of prompts that the endpoint survived */
     struct event *probe;
     struct bufferevent *connection; /* of the probe */
     GPtrArray *reports;             /* of CrashReport */
@@ -43,6 +50,7 @@
 {
     CrashReport *report = data;
     g_array_free(report->fingerprints, TRUE);
+    g_array_free(report->parts, TRUE);
     g_free(report);
 }
 
@@ -67,32 +75,57 @@
     command.subject = watch->agent->own->name;
     command.fingerprints = (uint64_t *)report->fingerprints->data;
     command.n_fingerprints = report->fingerprints->len;
+    command.parts = (uint64_t *)report->parts->data;
+    command.n_parts = report->parts->len;
+    command.incarnation = report->incarnation;
     Wire__Frame frame = WIRE__FRAME__INIT;
     frame.body_case = WIRE__FRAME__BODY_COMMAND;
     frame.command = &command;
     AgentControl_SendAll(watch->agent, &frame);
 }
 
-/* Sends a report and stores it until it is recorded. Takes ownership of
- * @p fingerprints. */
+static CrashReport *
+new_report(CrashWatch *watch, Wire__CommandKind kind)
+{
+    CrashReport *report = g_new0(CrashReport, 1);
+    report->kind = kind;
+    report->fingerprints = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    report->parts = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    randombytes_buf(report->id, sizeof(report->id));
+    return report;
+}
+
+/* Sends a report and stores it until it is recorded. */
 static void
-add_report(CrashWatch *watch, Wire__CommandKind kind, GArray *fingerprints)
+add_report(CrashWatch *watch, CrashReport *report)
 {
     if (watch->reports->len == REPORTS_MAX) {
+        LOG_WARN(AGENT_PART, "Crash reports are not recorded; dropping one.");
         g_ptr_array_remove_index(watch->reports, 0);
     }
-    CrashReport *report = g_new0(CrashReport, 1);
-    report->kind = kind;
-    report->fingerprints = fingerprints;
-    randombytes_buf(report->id, sizeof(report->id));
     g_ptr_array_add(watch->reports, report);
     send_report(watch, report);
 }
 
+/* A crash report that is being filled. */
+typedef struct CrashedRuns {
+    const CrashWatch *watch;
+    CrashReport *report;
+} CrashedRuns;
+
 static void
-add_fingerprint(void *arg, const EndedRun *run)
+add_run(void *arg, const EndedRun *run)
 {
-    g_array_append_val((GArray *)arg, run->subjects.request);
+    const CrashedRuns *crashed = arg;
+    const Subjects *subjects = &run->subjects;
+    g_array_append_val(crashed->report->fingerprints, subjects->request);
+    for (uint32_t i = 1; i < subject_count(subjects); i++) {
+        Subject part = subject_at(subjects, i);
+        if (!CrashTable_IsAcquitted(crashed->watch->survived, part,
+                                    Clock_Now())) {
+            g_array_append_val(crashed->report->parts, part.hash);
+        }
+    }
 }
 
 /* Reports the end of the endpoint with the runs that ended in one of the ways
@@ -102,21 +135,24 @@
 {
     stop_probe(watch);
     watch->ended_at = Clock_Now();
-    GArray *fingerprints = g_array_new(FALSE, FALSE, sizeof(uint64_t));
-    size_t count =
-        RunHistory_Take(&watch->history, ends, add_fingerprint, fingerprints);
+    CrashReport *report = new_report(watch, WIRE__COMMAND_KIND__COMMAND_CRASH);
+    report->incarnation =
+        XXH3_64bits_withSeed(&watch->restart_count,
+                             sizeof(watch->restart_count), watch->agent_hash);
+    CrashedRuns crashed = {.watch = watch, .report = report};
+    size_t count = RunHistory_Take(&watch->history, ends, add_run, &crashed);
     if (count == 0) {
-        g_array_free(fingerprints, TRUE);
+        free_report(report);
         return;
     }
     LOG_WARN(AGENT_PART,
              "Endpoint crashed with requests in flight. endpoint=%s "
-             "requests=%zu why=\"%s\"",
-             watch->agent->own->name, count, why);
+             "requests=%zu parts=%u why=\"%s\"",
+             watch->agent->own->name, count, report->parts->len, why);
     Counter_Add(Counter_Get("agent_crashes_total",
                             "Crashes of endpoints with requests in flight."),
                 1);
-    add_report(watch, WIRE__COMMAND_KIND__COMMAND_CRASH, fingerprints);
+    add_report(watch, report);
 }
 
 /* Reports an end that is proved. The agent sees all runs of its endpoint, so
@@ -129,20 +165,32 @@
     watch->history.count = 0;
 }
 
-/* Reports a suspect that the endpoint has survived while it ran alone, so that
- * control clears it. */
+/* Reports what the endpoint has survived, so that control clears it: a suspect
+ * that ran alone, and suspected parts of a prompt that was answered. */
 static void
 on_survived(void *arg, const EndedRun *run)
 {
     CrashWatch *watch = arg;
-    if (run->end != RUN_ANSWERED || !run->alone ||
-        !AgentControl_IsSuspected(watch->agent, run->subjects.request))
+    const Subjects *subjects = &run->subjects;
+    CrashReport *report =
+        new_report(watch, WIRE__COMMAND_KIND__COMMAND_SUSPECT_CLEAR);
+    if (run->end == RUN_ANSWERED && run->alone &&
+        AgentControl_IsSuspected(watch->agent, subjects->request))
     {
+        g_array_append_val(report->fingerprints, subjects->request);
+    }
+    for (uint32_t i = 1; run->wrote && i < subject_count(subjects); i++) {
+        Subject part = subject_at(subjects, i);
+        CrashTable_Acquit(watch->survived, part, Clock_Now());
+        if (AgentControl_IsListedPart(watch->agent, part.hash)) {
+            g_array_append_val(report->parts, part.hash);
+        }
+    }
+    if (report->fingerprints->len + report->parts->len == 0) {
+        free_report(report);
         return;
     }
-    GArray *fingerprints = g_array_new(FALSE, FALSE, sizeof(uint64_t));
-    g_array_append_val(fingerprints, run->subjects.request);
-    add_report(watch, WIRE__COMMAND_KIND__COMMAND_SUSPECT_CLEAR, fingerprints);
+    add_report(watch, report);
 }
 
 static void
@@ -203,6 +251,7 @@
 {
     if (restarted) {
         report_proved_crash(watch, "it restarted");
+        watch->restart_count++;
         return;
     }
     RunHistory_RemoveSurvived(&watch->history, Clock_Now(), on_survived,
@@ -259,6 +308,9 @@
     CrashWatch *watch = g_new0(CrashWatch, 1);
     watch->agent = agent;
     watch->reports = g_ptr_array_new_with_free_func(free_report);
+    watch->survived = CrashTable_New();
+    watch->agent_hash = XXH3_64bits_withSeed(
+        agent->own->name, strlen(agent->own->name), agent->self.incarnation);
     watch->probe = event_new(agent->base, -1, 0, start_probe, watch);
     return watch;
 }
@@ -270,5 +322,6 @@
     RunHistory_Clear(&watch->history);
     event_free(watch->probe);
     g_ptr_array_free(watch->reports, TRUE);
+    CrashTable_Free(watch->survived);
     g_free(watch);
 }
--- a/src/agent/dispatch.c
+++ b/src/agent/dispatch.c
@@ -102,7 +102,9 @@
     if (dispatch->deadline_ms == 0) {
         return REFUSE_DEADLINE;
     }
-    if (AgentControl_IsQuarantined(agent, dispatch->fingerprint)) {
+    Subjects subjects = AgentLinks_ReadSubjects(
+        dispatch->fingerprint, dispatch->parts, dispatch->n_parts);
+    if (AgentControl_IsQuarantined(agent, &subjects)) {
         return REFUSE_QUARANTINED;
     }
     return REFUSE_NONE;
--- a/src/agent/links.c
+++ b/src/agent/links.c
@@ -246,6 +246,18 @@
     AgentControl_SendAll(agent, &frame);
 }
 
+Subjects
+AgentLinks_ReadSubjects(uint64_t fingerprint, const uint64_t *parts,
+                        size_t count)
+{
+    Subjects subjects = {
+        .request = fingerprint,
+        .part_count = (uint32_t)MIN(count, SUBJECT_PARTS_MAX),
+    };
+    memcpy(subjects.parts, parts, subjects.part_count * sizeof(parts[0]));
+    return subjects;
+}
+
 static void
 fill_work(const Agent *agent, const Wire__Want *want, TimeUs now,
           WorkSpec *work)
@@ -255,7 +267,8 @@
         .id = {.high = want->id->high, .low = want->id->low},
         .target =
             Work_TargetHash(is_model, is_model ? want->model : want->service),
-        .fingerprint = want->fingerprint,
+        .subjects = AgentLinks_ReadSubjects(want->fingerprint, want->parts,
+                                            want->n_parts),
         .tier = want->tier,
         .deadline = now + want->deadline_ms * US_PER_MS,
         .prompt_tokens = want->prompt_tokens,
@@ -281,7 +294,7 @@
     TimeUs now = Clock_Now();
     WorkSpec work;
     fill_work(agent, want, now, &work);
-    if (AgentControl_IsQuarantined(agent, work.fingerprint)) {
+    if (AgentControl_IsQuarantined(agent, &work.subjects)) {
         send_refuse(agent, &(QueueAction){
                                .kind = QUEUE_REFUSE,
                                .id = work.id,
--- a/src/agent/run.c
+++ b/src/agent/run.c
@@ -33,7 +33,8 @@
     Agent *agent;
     Answer *answer;
     RequestId id;
-    uint64_t fingerprint;
+    Subjects subjects;
+    int status;    /* of the answer; 0 before its head */
     bool has_work; /* the want was found, so that work is valid */
     WorkSpec work;
     /* Number of leading blocks that the cache model held at the start. */
@@ -112,13 +113,14 @@
 {
     bool cancelled = ending->outcome == WIRE__END_OUTCOME__END_CANCELLED;
     if (ending->outcome == WIRE__END_OUTCOME__END_NOT_RUN ||
-        run->fingerprint == 0 || (cancelled && run->first_piece_at != 0))
+        run->subjects.request == 0 || (cancelled && run->first_piece_at != 0))
     {
         return;
     }
     bool complete = ending->outcome == WIRE__END_OUTCOME__END_COMPLETE;
     EndedRun ended = {
-        .subjects = {.request = run->fingerprint},
+        .subjects = run->subjects,
+        .wrote = complete && run->status >= 200 && run->status < 300,
         .end = complete    ? RUN_ANSWERED
                : cancelled ? RUN_CANCELLED
                            : RUN_BROKEN,
@@ -168,6 +170,7 @@
     const char *type = evhttp_find_header(
         evhttp_request_get_input_headers(run->request), "Content-Type");
     int status = evhttp_request_get_response_code(run->request);
+    run->status = status;
     AgentAnswer_SetHead(run->answer, (uint32_t)status,
                         type == NULL ? "" : type);
 }
@@ -376,7 +379,8 @@
     Run *run = g_new0(Run, 1);
     run->agent = agent;
     run->id = (RequestId){dispatch->id->high, dispatch->id->low};
-    run->fingerprint = dispatch->fingerprint;
+    run->subjects = AgentLinks_ReadSubjects(
+        dispatch->fingerprint, dispatch->parts, dispatch->n_parts);
     run->started_at = Clock_Now();
     WantInfo *info = Wants_Find(agent->wants, run->id);
     if (info != NULL) {
--- a/src/agent/state.h
+++ b/src/agent/state.h
@@ -125,12 +125,21 @@
 void AgentControl_Tick(Agent *agent);
 /** Sends a frame to all control hosts. */
 void AgentControl_SendAll(Agent *agent, const Wire__Frame *frame);
-/** Returns true if control has quarantined the fingerprint. */
-bool AgentControl_IsQuarantined(const Agent *agent, uint64_t fingerprint);
+/** Returns true if control has quarantined the request or a part of its
+ * prompt.
+ */
+bool AgentControl_IsQuarantined(const Agent *agent, const Subjects *subjects);
 /** Adds the suspects listed by control to a state dump. */
 void AgentControl_Dump(const Agent *agent, json_t *out);
 /** Returns true if control lists the fingerprint as in flight at a crash. */
 bool AgentControl_IsSuspected(const Agent *agent, uint64_t fingerprint);
+/** Returns true if control lists the part of a prompt as in flight at crashes.
+ */
+bool AgentControl_IsListedPart(const Agent *agent, uint64_t part);
+/** Copies the subjects of a want or dispatch, SUBJECT_PARTS_MAX parts at most.
+ */
+Subjects AgentLinks_ReadSubjects(uint64_t fingerprint, const uint64_t *parts,
+                                 size_t count);
 
 /** Runs a dispatched request, or replies why it does not run. */
 void AgentDispatch_OnDispatch(Agent *agent, Link *link,
--- a/src/control/admin_fleet.c
+++ b/src/control/admin_fleet.c
@@ -27,8 +27,7 @@
         (json_int_t)Rulebook_Version(State_Rulebook(control->state)), "claims",
         (json_int_t)Claims_Count(claims), "claims_running",
         (json_int_t)Claims_RunningCount(claims), "quarantine",
-        (json_int_t)Quarantine_Count(State_Quarantine(control->state)),
-        "entries",
+        (json_int_t)State_QuarantineCount(control->state), "entries",
         (json_int_t)Members_Count(control->members, WIRE__ROLE__ROLE_ENTRY),
         "agents",
         (json_int_t)Members_Count(control->members, WIRE__ROLE__ROLE_AGENT));
@@ -148,7 +147,7 @@
 {
     size_t count;
     Wire__QuarantineEntry **entries =
-        Quarantine_List(State_Quarantine(call->control->state), &count);
+        State_ListQuarantine(call->control->state, &count);
     json_t *list = json_array();
     for (size_t i = 0; i < count; i++) {
         json_array_append_new(list, suspect_to_json(entries[i]));
--- a/src/control/control.c
+++ b/src/control/control.c
@@ -378,10 +378,10 @@
         (json_int_t)Claims_RunningCount(claims), "claim_answer_bytes",
         (json_int_t)Claims_AnswerBytes(claims), "commands_waiting",
         (json_int_t)g_hash_table_size(control->waiters), "quarantine",
-        (json_int_t)Quarantine_Count(State_Quarantine(control->state)),
-        "entries", Members_ToJson(control->members, WIRE__ROLE__ROLE_ENTRY),
-        "agents", Members_ToJson(control->members, WIRE__ROLE__ROLE_AGENT),
-        "links", links_to_json(control));
+        (json_int_t)State_QuarantineCount(control->state), "entries",
+        Members_ToJson(control->members, WIRE__ROLE__ROLE_ENTRY), "agents",
+        Members_ToJson(control->members, WIRE__ROLE__ROLE_AGENT), "links",
+        links_to_json(control));
     json_object_update(out, values);
     json_decref(values);
 }
--- a/src/control/queries.c
+++ b/src/control/queries.c
@@ -50,8 +50,8 @@
 {
     Wire__Quarantine quarantine = WIRE__QUARANTINE__INIT;
     quarantine.version = State_QuarantineVersion(control->state);
-    quarantine.entries = Quarantine_List(State_Quarantine(control->state),
-                                         &quarantine.n_entries);
+    quarantine.entries =
+        State_ListQuarantine(control->state, &quarantine.n_entries);
     Wire__Frame frame = WIRE__FRAME__INIT;
     frame.body_case = WIRE__FRAME__BODY_QUARANTINE;
     frame.quarantine = &quarantine;
--- a/src/control/state.c
+++ b/src/control/state.c
@@ -6,6 +6,8 @@
 
 #include <string.h>
 
+#include "control/part_suspects.h"
+#include "control/quarantine.h"
 #include "control/replies.h"
 
 #define CLAIMS_LOST_OWNERS_MAX 4096
@@ -22,6 +24,7 @@
     Rulebook *rulebook;
     Claims *claims;
     Quarantine *quarantine;
+    PartSuspects *part_suspects;
     uint64_t quarantine_version;
     GHashTable *fences; /* subject -> latest number (uint64_t) */
     Replies *operator_replies;
@@ -36,6 +39,7 @@
     state->rulebook = Rulebook_New();
     state->claims = Claims_New(&limits->claims);
     state->quarantine = Quarantine_New();
+    state->part_suspects = PartSuspects_New();
     state->fences =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     state->operator_replies = Replies_New(limits->operator_replies);
@@ -52,6 +56,7 @@
     Rulebook_Free(state->rulebook);
     Claims_Free(state->claims);
     Quarantine_Free(state->quarantine);
+    PartSuspects_Free(state->part_suspects);
     g_hash_table_destroy(state->fences);
     Replies_Free(state->operator_replies);
     Replies_Free(state->claim_replies);
@@ -76,10 +81,26 @@
     return state->claims;
 }
 
-Quarantine *
-State_Quarantine(State *state)
+Wire__QuarantineEntry **
+State_ListQuarantine(const State *state, size_t *count)
 {
-    return state->quarantine;
+    Wire__QuarantineEntry **entries =
+        Quarantine_List(state->quarantine, count);
+    GPtrArray *all = g_ptr_array_new();
+    for (size_t i = 0; i < *count; i++) {
+        g_ptr_array_add(all, entries[i]);
+    }
+    g_free(entries);
+    PartSuspects_List(state->part_suspects, state->clock_ms, all);
+    *count = all->len;
+    return (Wire__QuarantineEntry **)g_ptr_array_free(all, FALSE);
+}
+
+size_t
+State_QuarantineCount(const State *state)
+{
+    return Quarantine_Count(state->quarantine) +
+           PartSuspects_Count(state->part_suspects);
 }
 
 uint64_t
@@ -151,27 +172,37 @@
 apply_crash(State *state, uint64_t index, const Wire__Command *command,
             Wire__CommandReply *reply)
 {
-    if (command->n_fingerprints > QUARANTINE_REPORT_FINGERPRINTS_MAX) {
+    if (command->n_fingerprints > QUARANTINE_REPORT_FINGERPRINTS_MAX ||
+        command->n_parts > PART_SUSPECTS_REPORT_MAX)
+    {
         reply->code = ERR_TOO_LARGE;
-        reply->text = "A crash report names at most 1024 fingerprints.";
+        reply->text = "A crash report names at most 1024 fingerprints and "
+                      "4096 parts.";
         return;
     }
-    if (command->n_fingerprints == 0) {
-        return;
+    bool changed = PartSuspects_RecordCrash(
+        state->part_suspects, command->parts, command->n_parts,
+        command->incarnation, state->clock_ms);
+    if (command->n_fingerprints > 0) {
+        Quarantine_RecordCrash(state->quarantine, command->fingerprints,
+                               command->n_fingerprints, command->subject,
+                               state->clock_ms);
+        changed = true;
+    }
+    if (changed) {
+        state->quarantine_version = index;
     }
-    Quarantine_RecordCrash(state->quarantine, command->fingerprints,
-                           command->n_fingerprints, command->subject,
-                           state->clock_ms);
-    state->quarantine_version = index;
 }
 
 static void
 apply_suspect_clear(State *state, uint64_t index, const Wire__Command *command,
                     Wire__CommandReply *reply)
 {
-    if (Quarantine_Clear(state->quarantine, command->fingerprints,
-                         command->n_fingerprints))
-    {
+    size_t parts = PartSuspects_Acquit(state->part_suspects, command->parts,
+                                       command->n_parts, state->clock_ms);
+    bool cleared = Quarantine_Clear(state->quarantine, command->fingerprints,
+                                    command->n_fingerprints);
+    if (parts > 0 || cleared) {
         state->quarantine_version = index;
     }
 }
@@ -180,9 +211,12 @@
 apply_quarantine_lift(State *state, uint64_t index,
                       const Wire__Command *command, Wire__CommandReply *reply)
 {
-    if (Quarantine_Lift(state->quarantine, command->fingerprints,
-                        command->n_fingerprints) == 0)
-    {
+    size_t lifted =
+        Quarantine_Lift(state->quarantine, command->fingerprints,
+                        command->n_fingerprints) +
+        PartSuspects_Acquit(state->part_suspects, command->fingerprints,
+                            command->n_fingerprints, state->clock_ms);
+    if (lifted == 0) {
         reply->code = ERR_NOT_FOUND;
         reply->text = "This fingerprint is not quarantined.";
         return;
@@ -224,7 +258,9 @@
     }
     state->clock_ms = clock_ms;
     Claims_Expire(state->claims, clock_ms);
-    if (Quarantine_Expire(state->quarantine, clock_ms)) {
+    bool requests = Quarantine_Expire(state->quarantine, clock_ms);
+    bool parts = PartSuspects_Expire(state->part_suspects, clock_ms);
+    if (requests || parts) {
         state->quarantine_version = index;
     }
 }
@@ -340,6 +376,7 @@
     Rulebook_Save(state->rulebook, &snapshot);
     Claims_Save(state->claims, &snapshot);
     Quarantine_Save(state->quarantine, &snapshot);
+    PartSuspects_Save(state->part_suspects, state->clock_ms, &snapshot);
     save_fences(state, &snapshot);
     snapshot.operator_replies =
         Replies_Save(state->operator_replies, &snapshot.n_operator_replies);
@@ -351,6 +388,9 @@
     free_records(snapshot.ended, snapshot.n_ended);
     free_records(snapshot.running, snapshot.n_running);
     free_records(snapshot.suspects, snapshot.n_suspects);
+    free_records(snapshot.part_crashes, snapshot.n_part_crashes);
+    free_records(snapshot.part_acquittals, snapshot.n_part_acquittals);
+    free_records(snapshot.endpoint_ends, snapshot.n_endpoint_ends);
     free_records(snapshot.fences, snapshot.n_fences);
     free_records(snapshot.operator_replies, snapshot.n_operator_replies);
     free_records(snapshot.claim_replies, snapshot.n_claim_replies);
@@ -373,6 +413,7 @@
     state->clock_ms = snapshot->clock_ms;
     state->quarantine_version = snapshot->quarantine_version;
     Quarantine_Load(state->quarantine, snapshot);
+    PartSuspects_Load(state->part_suspects, snapshot);
     load_fences(state, snapshot);
     for (size_t i = 0; i < snapshot->n_operator_replies; i++) {
         Replies_Load(state->operator_replies, snapshot->operator_replies[i]);
--- a/src/control/state.h
+++ b/src/control/state.h
@@ -53,7 +53,15 @@
 
 Rulebook *State_Rulebook(State *state);
 Claims *State_Claims(State *state);
-Quarantine *State_Quarantine(State *state);
+
+/** Returns the suspected and quarantined fingerprints, then the parts of
+ * prompts with two crashes or more. The reasons stay owned by the state; the
+ * caller frees each entry and the array with g_free. */
+Wire__QuarantineEntry **State_ListQuarantine(const State *state,
+                                             size_t *count);
+
+/** Number of suspected and quarantined fingerprints and parts of prompts. */
+size_t State_QuarantineCount(const State *state);
 
 /** Log index of the last command that changed the quarantine. */
 uint64_t State_QuarantineVersion(const State *state);
--- a/src/entry/caller.c
+++ b/src/entry/caller.c
@@ -147,7 +147,7 @@
     if (error != NULL) {
         return error;
     }
-    if (EntrySuspects_Check(entry->suspects, request->work.fingerprint,
+    if (EntrySuspects_Check(entry->suspects, &request->work.subjects,
                             &request->work.alone))
     {
         return &error_quarantined;
--- a/src/entry/reader.c
+++ b/src/entry/reader.c
@@ -168,11 +168,16 @@
     GString *prompt = g_string_new(NULL);
     size_t index;
     json_t *message;
+    WorkSpec *work = &request->work;
     json_array_foreach(messages, index, message)
     {
+        gsize start = prompt->len;
         append_message(prompt, message);
+        if (index + 1 < json_array_size(messages)) {
+            Subjects_AddPart(&work->subjects, prompt->str + start,
+                             prompt->len - start);
+        }
     }
-    WorkSpec *work = &request->work;
     work->prompt_tokens = (uint32_t)(prompt->len / BYTES_PER_TOKEN) + 1;
     json_int_t max_tokens =
         json_integer_value(json_object_get(body, "max_tokens"));
@@ -249,7 +254,7 @@
                     XXH3_64bits(request->path, strlen(request->path));
     request->body_hash =
         XXH3_64bits_withSeed(request->body, request->body_length, seed);
-    request->work.fingerprint = request->body_hash;
+    request->work.subjects.request = request->body_hash;
     request->work.id = (RequestId){
         .high = entry->self.incarnation,
         .low = ++entry->last_request_id,
--- a/src/entry/send.c
+++ b/src/entry/send.c
@@ -81,7 +81,9 @@
     want.output_tokens = work->output_tokens;
     want.prefix_hash = (uint64_t *)work->prefix;
     want.n_prefix_hash = work->prefix_count;
-    want.fingerprint = work->fingerprint;
+    want.fingerprint = work->subjects.request;
+    want.parts = (uint64_t *)work->subjects.parts;
+    want.n_parts = work->subjects.part_count;
     want.alone = work->alone;
     Wire__Frame frame = WIRE__FRAME__INIT;
     frame.body_case = WIRE__FRAME__BODY_WANT;
@@ -107,7 +109,9 @@
     message.n_headers = request->content_type == NULL ? 0 : 1;
     message.body.data = (uint8_t *)request->body;
     message.body.len = request->body_length;
-    message.fingerprint = request->work.fingerprint;
+    message.fingerprint = request->work.subjects.request;
+    message.parts = request->work.subjects.parts;
+    message.n_parts = request->work.subjects.part_count;
     message.idempotent = request->idempotency_key == NULL;
     Wire__Frame frame = WIRE__FRAME__INIT;
     frame.body_case = WIRE__FRAME__BODY_DISPATCH;
--- a/src/entry/state.h
+++ b/src/entry/state.h
@@ -194,11 +194,11 @@
 void EntrySuspects_Free(Suspects *suspects);
 uint64_t EntrySuspects_Version(const Suspects *suspects);
 void EntrySuspects_Set(Suspects *suspects, const Wire__Quarantine *list);
-/** Looks up the fingerprint of a request.
- * @param alone  set to whether the fingerprint is suspect. The endpoint of a
- *               suspect request may run no other one at the same time.
- * @return true if the fingerprint is quarantined. */
-bool EntrySuspects_Check(const Suspects *suspects, uint64_t fingerprint,
+/** Looks up the subjects of a request.
+ * @param alone  set to whether the request is suspect. The endpoint of a
+ * suspect request may run no other one at the same time.
+ * @return true if the request or a part of its prompt is quarantined. */
+bool EntrySuspects_Check(const Suspects *suspects, const Subjects *subjects,
                          bool *alone);
 
 /* ---- caller.c, reader.c: HTTP requests from callers ---- */
--- a/src/entry/suspects.c
+++ b/src/entry/suspects.c
@@ -1,12 +1,13 @@
 /** @file
- * Request fingerprints that crashed endpoints, as listed by control. A suspect
- * request runs alone at its endpoint; a quarantined one is refused.
+ * Requests and parts of prompts that crashed endpoints, as listed by control.
+ * A suspect request runs alone at its endpoint; one that is quarantined, or
+ * has a quarantined part, is refused.
  */
 #include "entry/state.h"
 
 struct Suspects {
     uint64_t version;
-    GHashTable *quarantined; /* set of fingerprints */
+    GHashTable *quarantined; /* set of fingerprints and hashes of parts */
     GHashTable *suspected;   /* set of fingerprints */
 };
 
@@ -50,6 +51,9 @@
     g_hash_table_remove_all(suspects->suspected);
     for (size_t i = 0; i < list->n_entries; i++) {
         const Wire__QuarantineEntry *item = list->entries[i];
+        if (item->is_part && !item->quarantined) {
+            continue;
+        }
         GHashTable *set =
             item->quarantined ? suspects->quarantined : suspects->suspected;
         g_hash_table_add(
@@ -58,9 +62,15 @@
 }
 
 bool
-EntrySuspects_Check(const Suspects *suspects, uint64_t fingerprint,
+EntrySuspects_Check(const Suspects *suspects, const Subjects *subjects,
                     bool *alone)
 {
-    *alone = g_hash_table_contains(suspects->suspected, &fingerprint);
-    return g_hash_table_contains(suspects->quarantined, &fingerprint);
+    *alone = g_hash_table_contains(suspects->suspected, &subjects->request);
+    for (uint32_t i = 0; i < subject_count(subjects); i++) {
+        Subject subject = subject_at(subjects, i);
+        if (g_hash_table_contains(suspects->quarantined, &subject.hash)) {
+            return true;
+        }
+    }
+    return false;
 }
--- a/src/sched/crash_table.c
+++ b/src/sched/crash_table.c
@@ -27,11 +27,10 @@
 
 typedef struct Suspect {
     Subject subject;
-    unsigned crash_count;
     TimeUs newest_at;
     bool tried; /* sent once more while it was barred */
     Verdict verdict;
-    size_t stored;                     /* number of valid crashes */
+    unsigned count;                    /* of crashes, the newest only */
     Crash crashes[CRASHES_STORED_MAX]; /* newest last */
     GList node; /* in CrashTable.few or CrashTable.many */
 } Suspect;
@@ -92,7 +91,7 @@
 static GQueue *
 queue_of(CrashTable *table, const Suspect *suspect)
 {
-    return suspect->crash_count >= CRASHES_TO_BAR ? &table->many : &table->few;
+    return suspect->count >= CRASHES_TO_BAR ? &table->many : &table->few;
 }
 
 static void
@@ -163,7 +162,7 @@
 static bool
 has_crash(const Suspect *suspect, uint64_t incarnation)
 {
-    for (size_t i = 0; i < suspect->stored; i++) {
+    for (unsigned i = 0; i < suspect->count; i++) {
         if (suspect->crashes[i].incarnation == incarnation) {
             return true;
         }
@@ -179,20 +178,19 @@
     if (has_crash(suspect, crash->incarnation)) {
         return true;
     }
-    return suspect->stored == CRASHES_STORED_MAX &&
+    return suspect->count == CRASHES_STORED_MAX &&
            crash->at <= suspect->crashes[0].at;
 }
 
 static void
 store_crash(Suspect *suspect, const Crash *crash)
 {
-    if (suspect->stored == CRASHES_STORED_MAX) {
-        suspect->stored--;
+    if (suspect->count == CRASHES_STORED_MAX) {
+        suspect->count--;
         memmove(&suspect->crashes[0], &suspect->crashes[1],
-                suspect->stored * sizeof(Crash));
+                suspect->count * sizeof(Crash));
     }
-    suspect->crashes[suspect->stored++] = *crash;
-    suspect->crash_count++;
+    suspect->crashes[suspect->count++] = *crash;
     suspect->newest_at = MAX(suspect->newest_at, crash->at);
 }
 
@@ -245,9 +243,7 @@
 bool
 CrashTable_Acquit(CrashTable *table, Subject subject, TimeUs now)
 {
-    Acquittal *slots = subject.is_part ? table->parts : table->requests;
-    slots[subject.hash % ACQUITTALS_MAX] =
-        (Acquittal){.hash = subject.hash, .at = now};
+    CrashTable_RestoreAcquittal(table, subject, now);
     Suspect *suspect = find_suspect(table, subject);
     if (suspect == NULL) {
         return false;
@@ -268,7 +264,7 @@
 CrashTable_CrashCount(const CrashTable *table, Subject subject)
 {
     const Suspect *suspect = find_suspect(table, subject);
-    return suspect == NULL ? 0 : suspect->crash_count;
+    return suspect == NULL ? 0 : suspect->count;
 }
 
 /* ---- Verdicts ---- */
@@ -283,9 +279,8 @@
     if (!a->subject.is_part && !b->subject.is_part) {
         return false;
     }
-    return a->crash_count != b->crash_count
-               ? a->crash_count > b->crash_count
-               : !a->subject.is_part && b->subject.is_part;
+    return a->count != b->count ? a->count > b->count
+                                : !a->subject.is_part && b->subject.is_part;
 }
 
 /* Returns whether a crash of the suspect counts against another one. */
@@ -312,13 +307,13 @@
     for (const GList *node = table->many.head; node != NULL; node = node->next)
     {
         const Suspect *other = node->data;
-        size_t shared = 0;
-        for (size_t i = 0; i < suspect->stored; i++) {
+        unsigned shared = 0;
+        for (unsigned i = 0; i < suspect->count; i++) {
             shared +=
                 has_crash(other, suspect->crashes[i].incarnation) ? 1 : 0;
         }
         if (other != suspect && other->subject.is_part &&
-            shared == suspect->stored) {
+            shared == suspect->count) {
             return true;
         }
     }
@@ -335,7 +330,7 @@
     for (size_t i = 0; i < MIN(table->end_count, ENDS_MAX); i++) {
         ends += table->ends[i].at >= since ? 1 : 0;
     }
-    return 2 * suspect->stored >= ends;
+    return 2 * suspect->count >= ends;
 }
 
 static const Verdict *
@@ -345,8 +340,8 @@
     if (verdict->generation == table->generation) {
         return verdict;
     }
-    unsigned count = suspect->crash_count;
-    for (size_t i = 0; i < suspect->stored; i++) {
+    unsigned count = suspect->count;
+    for (unsigned i = 0; i < suspect->count; i++) {
         if (is_explained(table, suspect, suspect->crashes[i].incarnation)) {
             count--;
         }
@@ -364,10 +359,10 @@
 CrashTable_IsBarred(CrashTable *table, Subject subject, TimeUs now)
 {
     Suspect *suspect = find_suspect(table, subject);
-    if (suspect == NULL || suspect->crash_count < CRASHES_TO_BAR) {
+    if (suspect == NULL || suspect->count < CRASHES_TO_BAR) {
         return false;
     }
-    unsigned doublings = MIN(suspect->crash_count - CRASHES_TO_BAR, 5);
+    unsigned doublings = MIN(suspect->count - CRASHES_TO_BAR, 5);
     TimeUs span = MIN(CRASHES_BAR_FIRST_US << doublings, CRASHES_BAR_MAX_US);
     return now - suspect->newest_at <= span && judge(table, suspect)->barred;
 }
@@ -377,8 +372,8 @@
 {
     Suspect *suspect = find_suspect(table, subject);
     if (suspect == NULL || suspect->tried ||
-        (!subject.is_part && suspect->crash_count != CRASHES_TO_BAR) ||
-        !suspect->crashes[suspect->stored - 1].own)
+        (!subject.is_part && suspect->count != CRASHES_TO_BAR) ||
+        !suspect->crashes[suspect->count - 1].own)
     {
         return false;
     }
@@ -418,9 +413,51 @@
     for (size_t i = 0; i < G_N_ELEMENTS(queues); i++) {
         for (GList *node = queues[i]->tail; node != NULL; node = node->prev) {
             const Suspect *suspect = node->data;
-            for (size_t j = 0; j < suspect->stored; j++) {
+            for (unsigned j = 0; j < suspect->count; j++) {
                 visit(arg, &suspect->crashes[j]);
             }
         }
     }
 }
+
+void
+CrashTable_Save(const CrashTable *table, TimeUs now,
+                const CrashTableVisitor *visitor, void *arg)
+{
+    const GQueue *queues[] = {&table->many, &table->few};
+    for (size_t i = 0; i < G_N_ELEMENTS(queues); i++) {
+        for (GList *node = queues[i]->head; node != NULL; node = node->next) {
+            const Suspect *suspect = node->data;
+            for (unsigned j = 0; j < suspect->count; j++) {
+                visitor->crash(arg, &suspect->crashes[j]);
+            }
+        }
+    }
+    for (size_t i = 0; i < ACQUITTALS_MAX; i++) {
+        const Acquittal *acquittal = &table->parts[i];
+        Subject subject = {.hash = acquittal->hash, .is_part = true};
+        if (acquittal->at != 0 && is_in_force(acquittal, subject, now)) {
+            visitor->acquittal(arg, subject, acquittal->at);
+        }
+    }
+    uint64_t first =
+        table->end_count > ENDS_MAX ? table->end_count - ENDS_MAX : 0;
+    for (uint64_t i = first; i < table->end_count; i++) {
+        const End *end = &table->ends[i % ENDS_MAX];
+        visitor->end(arg, end->incarnation, end->at);
+    }
+}
+
+void
+CrashTable_RestoreAcquittal(CrashTable *table, Subject subject, TimeUs at)
+{
+    Acquittal *slots = subject.is_part ? table->parts : table->requests;
+    slots[subject.hash % ACQUITTALS_MAX] =
+        (Acquittal){.hash = subject.hash, .at = at};
+}
+
+void
+CrashTable_RestoreEnd(CrashTable *table, uint64_t incarnation, TimeUs at)
+{
+    add_end(table, &(Crash){.incarnation = incarnation, .at = at});
+}
--- a/src/sched/crash_table.h
+++ b/src/sched/crash_table.h
@@ -80,7 +80,8 @@
 bool CrashTable_IsAcquitted(const CrashTable *table, Subject subject,
                             TimeUs now);
 
-/** Returns the number of crashes counted for the subject. */
+/** Returns the number of crashes counted for the subject, CRASHES_STORED_MAX
+ * at most. */
 unsigned CrashTable_CrashCount(const CrashTable *table, Subject subject);
 
 /** Returns whether requests with the subject may not be sent to endpoints. */
@@ -110,4 +111,20 @@
                         void (*visit)(void *arg, const Crash *crash),
                         void *arg);
 
+/** Receives the content of a table. */
+typedef struct CrashTableVisitor {
+    void (*crash)(void *arg, const Crash *crash);
+    void (*acquittal)(void *arg, Subject subject, TimeUs at);
+    void (*end)(void *arg, uint64_t incarnation, TimeUs at);
+} CrashTableVisitor;
+
+/** Visits the crashes, then the acquittals of parts in force, then the ends of
+ * endpoints, in the order in which they are to be restored: ends first, then
+ * crashes with CrashTable_AddCrash(), then acquittals. */
+void CrashTable_Save(const CrashTable *table, TimeUs now,
+                     const CrashTableVisitor *visitor, void *arg);
+void CrashTable_RestoreAcquittal(CrashTable *table, Subject subject,
+                                 TimeUs at);
+void CrashTable_RestoreEnd(CrashTable *table, uint64_t incarnation, TimeUs at);
+
 #endif
--- a/src/sched/work.h
+++ b/src/sched/work.h
@@ -9,6 +9,7 @@
 
 #include "kernel/clock.h"
 #include "kernel/error.h"
+#include "sched/subjects.h"
 
 #define WORK_TIERS 4
 /** Maximum number of prefix hashes stored for one request. */
@@ -24,11 +25,12 @@
 /** Request data that scheduling decisions use. */
 typedef struct WorkSpec {
     RequestId id;
-    uint64_t target;      /**< Work_TargetHash of the model or service. */
-    uint64_t fingerprint; /**< Hash of account, route and body. */
-    uint32_t tier;        /**< 0 is the highest. */
-    uint32_t rank;        /**< Order within the tier; 0 is the highest. */
-    TimeUs deadline;      /**< By the clock of this process. */
+    uint64_t target;   /**< Work_TargetHash of the model or service. */
+    Subjects subjects; /**< Hashes of account, route and body, and of the
+                          prompt's messages except the last. */
+    uint32_t tier;     /**< 0 is the highest. */
+    uint32_t rank;     /**< Order within the tier; 0 is the highest. */
+    TimeUs deadline;   /**< By the clock of this process. */
     /** Time by which the first piece should arrive; a request that misses it
      * is delayed, not refused. 0 if only the deadline counts. */
     TimeUs first_piece_deadline;
--- a/test/bench/policy_load.c
+++ b/test/bench/policy_load.c
@@ -83,7 +83,7 @@
             {
                 .id = {.high = 1, .low = number + 1},
                 .target = Work_TargetHash(true, "model"),
-                .fingerprint = number + 1,
+                .subjects = {.request = number + 1},
                 .tier = kind->tier,
                 .deadline = now + kind->deadline_s * US_PER_S,
                 .prompt_tokens = vary_tokens(rand, kind->prompt_tokens),
--- a/test/fuzz/fuzz_state.c
+++ b/test/fuzz/fuzz_state.c
@@ -16,6 +16,8 @@
 #define OWNERS 3
 #define SUBJECTS 2
 #define FINGERPRINTS 4
+#define FIRST_PART 1000
+#define INCARNATIONS 12
 #define COMMANDS_MAX 200
 #define RETENTION_MS 1000
 #define ANSWER_BYTES 300
@@ -58,6 +60,8 @@
     unsigned text;
     uint64_t base_version;
     uint64_t fingerprints[2];
+    uint64_t parts[2]; /* of prompts; compared with the reference only */
+    uint64_t incarnation;
     int code;
     uint64_t version;
     unsigned claim;
@@ -251,6 +255,9 @@
     command->subject = (char *)subjects[sent->subject];
     command->fingerprints = (uint64_t *)sent->fingerprints;
     command->n_fingerprints = 2;
+    command->parts = (uint64_t *)sent->parts;
+    command->n_parts = 2;
+    command->incarnation = sent->incarnation;
     command->retention_ms = RETENTION_MS;
     command->clock_ms = run->clock_ms;
     command->status = 201;
@@ -340,6 +347,10 @@
     sent->base_version = choice % 4 == 0 ? run->index / 2 : run->rules_version;
     sent->fingerprints[0] = choice % FINGERPRINTS;
     sent->fingerprints[1] = choice / FINGERPRINTS % FINGERPRINTS;
+    for (int i = 0; i < 2; i++) {
+        sent->parts[i] = sent->fingerprints[i] + FIRST_PART;
+    }
+    sent->incarnation = choice % INCARNATIONS;
     expect_reply(run, sent);
     apply_command(run, run->state, sent, number);
     apply_command(run, run->reference, sent, number);
--- a/test/unit/test_state.c
+++ b/test/unit/test_state.c
@@ -326,7 +326,7 @@
     size_t count;
     int crashes = 0;
     Wire__QuarantineEntry **entries =
-        Quarantine_List(State_Quarantine(fixture->state), &count);
+        State_ListQuarantine(fixture->state, &count);
     for (size_t i = 0; i < count; i++) {
         if (entries[i]->fingerprint == fingerprint) {
             int sign = entries[i]->quarantined ? -1 : 1;
@@ -365,6 +365,39 @@
     assert_int_equal(apply(fixture, lift)->code, ERR_NOT_FOUND);
 }
 
+/* Counts the crash of one incarnation against a part of a prompt. */
+static void
+crash_part(Fixture *fixture, uint64_t part, uint64_t incarnation)
+{
+    Wire__Command command =
+        fingerprint_command(WIRE__COMMAND_KIND__COMMAND_CRASH, NULL, 0);
+    command.parts = &part;
+    command.n_parts = 1;
+    command.incarnation = incarnation;
+    apply(fixture, command);
+}
+
+static void
+third_crash_quarantines_a_part_and_an_answer_clears_it(void **state)
+{
+    Fixture *fixture = *state;
+    fixture->clock_ms = 1000;
+    uint64_t part = 77;
+    crash_part(fixture, part, 1);
+    crash_part(fixture, part, 1);
+    assert_int_equal(crashes_of(fixture, part), 0); /* one is not listed */
+    crash_part(fixture, part, 2);
+    assert_int_equal(crashes_of(fixture, part), 2);
+    crash_part(fixture, part, 3);
+    assert_int_equal(crashes_of(fixture, part), -3);
+    Wire__Command clear = fingerprint_command(
+        WIRE__COMMAND_KIND__COMMAND_SUSPECT_CLEAR, NULL, 0);
+    clear.parts = &part;
+    clear.n_parts = 1;
+    apply(fixture, clear);
+    assert_int_equal(crashes_of(fixture, part), 0);
+}
+
 static void
 suspects_and_quarantine_expire(void **state)
 {
@@ -441,6 +474,7 @@
         TEST(claims_are_bounded),
         TEST(fencing_numbers_increase_by_subject),
         TEST(second_crash_quarantines_and_suspects_are_cleared),
+        TEST(third_crash_quarantines_a_part_and_an_answer_clears_it),
         TEST(suspects_and_quarantine_expire),
         TEST(snapshot_gives_the_same_state),
         TEST(broken_snapshot_is_refused),
