Red: servers get more requests than the limit that they name

functional/platform-limit: two engines and two app servers that name 1 request a second in every answer, two gateways, 10 streams and 10 look-ups a second through each. The servers got 61, 60, 39 and 39 requests in 4 s; allowed are 11.

--- a/test/fakes/fake_server.c
+++ b/test/fakes/fake_server.c
@@ -19,6 +19,7 @@
 #include <jansson.h>
 
 #include "fake_deadly.h"
+#include "fake_limit.h"
 #include "http1/parser.h"
 #include "kernel/clock.h"
 #include "wire/address.h"
@@ -44,6 +45,7 @@
     gboolean leaves;      /* each start deregisters the one before it */
     gint moves;           /* each start listens at the next of so many hosts */
     gchar **deadly_parts; /* ID:WHEN-HOW of parts of prompts that end it */
+    gchar *limit_file;    /* lines are limits to name; read at each answer */
     gint silent_ms;       /* time after a start before it announces itself */
     struct evconnlistener *listener;
     gchar **control_hosts;
@@ -140,6 +142,7 @@
         evbuffer_add_printf(output_of(connection), "Server-Seal: seal-%s\r\n",
                             connection->server->id);
     }
+    FakeLimit_Write(output_of(connection), connection->server->limit_file);
     evbuffer_add_printf(output_of(connection), "%s", more_fields);
 }
 
@@ -282,6 +285,9 @@
     connection->deadly_target = NULL;
     connection->deadly = DEADLY_NEVER;
     connection->fault[0] = '\0';
+    if (server->limit_file != NULL) {
+        record(server, "arrived %lld\n", (long long)Clock_WallMs());
+    }
     if (expected_id != NULL && strcmp(expected_id, server->id) != 0) {
         refuse(connection, 421, "Not-Executed: 1\r\n");
         return;
@@ -481,6 +487,8 @@
         {"deadly-part", 0, 0, G_OPTION_ARG_STRING_ARRAY, &server->deadly_parts,
          "Part of a prompt that ends it, and how (fake_deadly.h)",
          "ID:WHEN-HOW"},
+        {"limit-file", 0, 0, G_OPTION_ARG_STRING, &server->limit_file,
+         "File with limits to name in answers, one a line", "FILE"},
         {"silent-ms", 0, 0, G_OPTION_ARG_INT, &server->silent_ms,
          "Time after a start before the first announcement", "MS"},
         {NULL},
