Gateways and keepers keep to the rate limit that an endpoint names

What callers saw: a server in need that named 1 request a second got 12 to 15 in 4 s, and answered late or not at all.

Cause: no process read the field; placement went by free slots, so that a slot which a long stream had left drew requests at once. The class: a promise to an endpoint that several senders can only keep together.

The keeper of an engine, which grants all its requests, now grants them at the named rate, in order of tiers; gateways report the field of each answer, and return grants that they did not use. To endpoints without a keeper each gateway sends its part of the rate. What the rate does not let start before its deadline is refused, with the time at which it would. A limit ends after four answers without it and 5 s, or with the incarnation; a value that cannot be read is logged once and changes nothing.

--- a/src/gateway/endpoints.c
+++ b/src/gateway/endpoints.c
@@ -5,8 +5,10 @@
 #include <math.h>
 #include <stdio.h>
 #include <string.h>
+#include <strings.h>
 
 #include "gateway/state.h"
+#include "kernel/counter.h"
 #include "kernel/log.h"
 
 /* First and longest ejection of a failing endpoint. The time doubles with each
@@ -51,6 +53,7 @@
     Endpoint *endpoint = g_new0(Endpoint, 1);
     endpoint->gateway = gateway;
     endpoint->references = 1;
+    endpoint->rate_share = -1;
     endpoint->id = g_strdup(record->id);
     endpoint->service = g_strdup(record->service);
     endpoint->address = g_strdup(record->address);
@@ -247,6 +250,69 @@
     endpoint->load_reported_at = Clock_Now();
 }
 
+/* Returns the rate in the field of an answer, 0 if there is none, and -1 if it
+ * cannot be read. */
+static double
+read_rate(const Endpoint *endpoint, const H1Head *head)
+{
+    const char *name = endpoint->gateway->options->fields->rate_limit;
+    double rate = 0;
+    for (guint i = 0; i < head->fields->len; i++) {
+        const H1Field *field = &g_array_index(head->fields, H1Field, i);
+        if (strcasecmp(field->name, name) != 0) {
+            continue;
+        }
+        double value = NamedRate_Parse(field->value);
+        rate = rate == 0 && value > 0 ? value : -1;
+    }
+    return rate;
+}
+
+void
+Endpoint_OnRateField(Endpoint *endpoint, const H1Head *head, TimeUs sent_at)
+{
+    double rate = read_rate(endpoint, head);
+    if (rate < 0) {
+        if (!endpoint->bad_rate_logged) {
+            LOG_WARN(GATEWAY_PART, "Invalid rate limit is ignored. id=%s",
+                     endpoint->id);
+        }
+        endpoint->bad_rate_logged = true;
+        return;
+    }
+    if (rate > 0 || endpoint->rate_limit.rate > 0) {
+        Keepers_ReportRate(endpoint, rate, sent_at);
+    }
+    /* Gateways that learn of a limit at the same time spread their first
+     * requests over the time that their shares allow. */
+    double level =
+        (double)(g_str_hash(endpoint->gateway->options->name) % 100) / 100;
+    if (NamedRate_OnAnswer(&endpoint->rate_limit, rate, sent_at, Clock_Now(),
+                           level))
+    {
+        LOG_INFO(GATEWAY_PART, "Rate limit of an endpoint. id=%s rate=%.3f",
+                 endpoint->id, rate);
+        Counter_Add(Counter_Get("gateway_rate_limits_total",
+                                "Rate limits of endpoints that began, changed "
+                                "or ended."),
+                    1);
+    }
+}
+
+double
+Endpoint_RateWaitMs(const Endpoint *endpoint)
+{
+    double rate = endpoint->rate_limit.rate;
+    return rate > 0 ? 1000 / rate : 0;
+}
+
+double
+Endpoint_RateShare(const Endpoint *endpoint)
+{
+    return endpoint->rate_share >= 0 ? endpoint->rate_share
+                                     : 1.0 / Gateway_Count(endpoint->gateway);
+}
+
 bool
 Endpoint_WasTried(const Endpoint *endpoint, const Call *call)
 {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -25,6 +25,8 @@
     const char *instance;     /**< Id of the intended endpoint, set by the
                                  gateway. */
     const char *load;         /**< Endpoint's load: "RUNNING,WAITING,SLOTS". */
+    const char *rate_limit;   /**< Requests per second that the endpoint takes
+                                     from all senders together. */
     const char *engine_version;  /**< Engine version that the caller wants; an
                                     engine with another one answers 421. */
     const char *not_run;         /**< Marks a request that the endpoint did not
--- a/src/gateway/keepers.c
+++ b/src/gateway/keepers.c
@@ -102,12 +102,12 @@
     Want *want = g_hash_table_lookup(keepers->wants, &id);
     Endpoint *endpoint = Endpoints_Find(keepers->gateway, keeper->endpoint_id);
     if (want == NULL || want->granted_by != NULL || endpoint == NULL) {
-        Want_SendEnd(keeper, id, SLOT_NOT_SERVED);
+        Want_SendEnd(keeper, id, SLOT_UNUSED);
         return;
     }
     g_ptr_array_remove_fast(want->pending, keeper);
     if (!Endpoint_IsUsable(endpoint, Clock_Now())) {
-        Want_SendEnd(keeper, id, SLOT_NOT_SERVED);
+        Want_SendEnd(keeper, id, SLOT_UNUSED);
         if (want->pending->len == 0) {
             Call *call = want->call;
             Keepers_EndWant(call, SLOT_NOT_SERVED);
--- a/src/gateway/service_queue.c
+++ b/src/gateway/service_queue.c
@@ -23,12 +23,8 @@
  * endpoint before it is refused. */
 #define WAIT_FRACTION 0.4
 
-static const CallError no_endpoint = {
-    .status = 503,
-    .code = "no_endpoint",
-    .message = "No endpoint of the service could accept the request.",
-    .retry_after_ms = 250,
-};
+/* Least Retry-After of a request that no endpoint could accept. */
+#define NO_ENDPOINT_RETRY_AFTER_MS 250
 
 struct ServiceQueue {
     Gateway *gateway;
@@ -136,12 +132,15 @@
         }
         endpoints[count] = endpoint;
         candidates[count++] = (BalancerCandidate){
-            .usable = Endpoint_IsUsable(endpoint, now),
+            .usable = Endpoint_IsUsable(endpoint, now) &&
+                      NamedRate_MaySend(&endpoint->rate_limit,
+                                        Endpoint_RateShare(endpoint), now),
             .tried = Endpoint_WasTried(endpoint, call),
             .distance = Endpoint_Distance(endpoint),
             .load = endpoint_load(endpoint, now),
             .error_rate = Endpoint_ErrorRate(endpoint, now),
             .expected_run_ms = endpoint->expected_run_ms,
+            .rate_wait_ms = Endpoint_RateWaitMs(endpoint),
         };
     }
     const RouteService *service =
@@ -165,6 +164,43 @@
                                    WAIT_FRACTION * (double)total;
 }
 
+/* Returns the time until the rate limits of the service's endpoints let a
+ * request start that comes after all waiting ones; 0 without limits. */
+static uint32_t
+rate_limit_wait_ms(const ServiceQueue *queue)
+{
+    TimeUs now = Clock_Now();
+    TimeUs next = TIME_NEVER;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, queue->gateway->endpoints);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const Endpoint *endpoint = value;
+        if (strcmp(endpoint->service, queue->service) == 0 &&
+            Endpoint_IsUsable(endpoint, now))
+        {
+            next = MIN(next, NamedRate_NextAt(&endpoint->rate_limit,
+                                              Endpoint_RateShare(endpoint),
+                                              queue->waiting.length, now));
+        }
+    }
+    return next == TIME_NEVER ? 0 : (uint32_t)((next - now) / US_PER_MS);
+}
+
+static void
+fail_waiting(Call *call, const ServiceQueue *queue)
+{
+    uint32_t retry_after_ms =
+        MAX(rate_limit_wait_ms(queue), NO_ENDPOINT_RETRY_AFTER_MS);
+    Call_Fail(call, &(CallError){
+                        .status = 503,
+                        .code = "no_endpoint",
+                        .message = "No endpoint of the service could accept "
+                                   "the request.",
+                        .retry_after_ms = retry_after_ms,
+                    });
+}
+
 void
 ServiceQueue_Pump(Gateway *gateway, const char *service)
 {
@@ -181,7 +217,7 @@
         }
         Endpoint *endpoint = choose_endpoint(call, queue);
         if (endpoint == NULL && waited_too_long(call)) {
-            Call_Fail(call, &no_endpoint);
+            fail_waiting(call, queue);
             continue;
         }
         if (endpoint == NULL) {
@@ -190,6 +226,7 @@
             break;
         }
         ServiceQueue_Remove(call);
+        NamedRate_OnSent(&endpoint->rate_limit);
         Call_SendTo(call, endpoint);
     }
     queue->pumping = false;
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -14,6 +14,7 @@
 #include "kernel/clock.h"
 #include "routes/endpoint.h"
 #include "sched/bucket.h"
+#include "sched/named_rate.h"
 #include "sched/run_history.h"
 #include "sched/subjects.h"
 #include "wire/link.h"
@@ -164,6 +165,9 @@
     double error_rate;    /* moving fraction of failed answers */
     TimeUs error_rate_at; /* when error_rate was updated */
     EndWatch watch;
+    NamedRate rate_limit; /* that its answers name */
+    double rate_share;    /* this gateway's part of it; negative: unknown */
+    bool bad_rate_logged; /* an answer named a limit that cannot be read */
     /* Moving mean run time of non-streamed answers; 0 before the first. */
     double expected_run_ms;
     GQueue idle_upstreams; /* idle Upstreams, most recently used first */
@@ -190,6 +194,18 @@
 /* Applies the value of a load field, "RUNNING,WAITING,SLOTS". */
 void Endpoint_OnLoadReport(Endpoint *endpoint, const char *report);
 
+/* Applies the rate limit that an answer names, if any.
+ * @param sent_at  when the request was sent. */
+void Endpoint_OnRateField(Endpoint *endpoint, const H1Head *head,
+                          TimeUs sent_at);
+
+/* Returns the mean time between two requests that the endpoint's rate limit
+ * allows to all gateways together; 0 without a limit. */
+double Endpoint_RateWaitMs(const Endpoint *endpoint);
+
+/* Returns this gateway's part of the endpoint's rate limit, from 0 to 1. */
+double Endpoint_RateShare(const Endpoint *endpoint);
+
 /* Updates the endpoint's mean run time with that of a complete answer that was
  * not streamed. */
 void Endpoint_AddRunTime(Endpoint *endpoint, TimeUs run_time);
@@ -255,6 +271,7 @@
 
 /* How the use of a granted slot ended. */
 typedef enum SlotOutcome {
+    SLOT_UNUSED,         /* returned before the request was sent */
     SLOT_NOT_SERVED,     /* unused, or the answer is incomplete */
     SLOT_SERVED,         /* the answer is complete */
     SLOT_OTHER_INSTANCE, /* the endpoint is gone; another has its address */
@@ -466,6 +483,10 @@
 /* Closes the link and queues the calls that depended on it. */
 void Keepers_Disconnect(Keepers *keepers, const char *endpoint_id);
 
+/* Reports to the engine's keeper the rate limit in an answer; 0 for none.
+ * @param sent_at  when the request was sent. */
+void Keepers_ReportRate(const Endpoint *endpoint, double rate, TimeUs sent_at);
+
 /* Reports to the keeper that the engine has finished the call's prefill. */
 void Keepers_ReportPrefilled(Call *call);
 
--- a/src/gateway/upstream.c
+++ b/src/gateway/upstream.c
@@ -204,6 +204,9 @@
     if (head->status != HTTP_OTHER_INSTANCE) {
         EndWatch_OnHeard(upstream->endpoint);
     }
+    if (head->status != HTTP_OTHER_INSTANCE) {
+        Endpoint_OnRateField(upstream->endpoint, head, upstream->sent_at);
+    }
     upstream->idle_limit_ms = parse_idle_limit(head);
     const char *load =
         H1Head_Get(head, upstream->gateway->options->fields->load);
--- a/src/gateway/wants.c
+++ b/src/gateway/wants.c
@@ -46,6 +46,7 @@
     Wire__SlotEnd end = WIRE__SLOT_END__INIT;
     end.id = id;
     end.ran = outcome == SLOT_SERVED;
+    end.unsent = outcome == SLOT_UNUSED;
     if (outcome == SLOT_OTHER_INSTANCE) {
         end.gone_endpoint = keeper->endpoint_id;
     }
@@ -102,6 +103,25 @@
     Link_Send(want->granted_by->link, &frame);
 }
 
+void
+Keepers_ReportRate(const Endpoint *endpoint, double rate, TimeUs sent_at)
+{
+    const Keeper *keeper = g_hash_table_lookup(
+        endpoint->gateway->keepers->by_endpoint, endpoint->id);
+    if (keeper == NULL || !Link_IsConnected(keeper->link)) {
+        return;
+    }
+    Wire__SlotRate message = WIRE__SLOT_RATE__INIT;
+    message.born = endpoint->born;
+    message.rate = rate;
+    message.sent_age_ms =
+        (uint32_t)MAX((Clock_Now() - sent_at) / US_PER_MS, 0);
+    Wire__Frame frame = WIRE__FRAME__INIT;
+    frame.body_case = WIRE__FRAME__BODY_SLOT_RATE;
+    frame.slot_rate = &message;
+    Link_Send(keeper->link, &frame);
+}
+
 static void
 send_want(const Want *want, Keeper *keeper, uint32_t slots)
 {
@@ -120,6 +140,9 @@
     message.longest_output_tokens = call->output_tokens;
     message.endpoint = keeper->endpoint_id;
     message.slots = slots;
+    const Endpoint *endpoint =
+        Endpoints_Find(call->gateway, keeper->endpoint_id);
+    message.born = endpoint == NULL ? 0 : endpoint->born;
     Wire__Frame frame = WIRE__FRAME__INIT;
     frame.body_case = WIRE__FRAME__BODY_SLOT_WANT;
     frame.slot_want = &message;
@@ -200,6 +223,7 @@
             .load = keeper_load(keeper, endpoint, now),
             .error_rate = Endpoint_ErrorRate(endpoint, now),
             .expected_run_ms = expected_run_ms(keeper, call),
+            .rate_wait_ms = Endpoint_RateWaitMs(endpoint),
         };
     }
 }
--- a/src/keeper/keeper.c
+++ b/src/keeper/keeper.c
@@ -59,14 +59,16 @@
     LinkServer *link_server;
     WantQueue *queue;
     uint32_t slots;
-    uint64_t replaced_target;    /* Work_TargetHash() of the replaced engine */
-    TimeUs replaced_until;       /* end of refusing wants for that engine */
-    uint64_t last_serial;        /* serial of the link that connected last */
+    uint64_t rated_born;      /* start of the engine that names a rate limit */
+    uint64_t replaced_target; /* Work_TargetHash() of the replaced engine */
+    TimeUs replaced_until;    /* end of refusing wants for that engine */
+    uint64_t last_serial;     /* serial of the link that connected last */
     GHashTable *links_by_serial; /* serial -> Link */
     GHashTable *granted_ids;     /* set of RequestId that occupy a slot */
     struct event *timer;
     Counter *queued_gauge;
     Counter *busy_gauge;
+    Counter *rate_gauge;
     Probe *probe; /* NULL without a configured engine address */
 } Keeper;
 
@@ -218,6 +220,11 @@
         keeper->slots = want->slots;
         Queue_SetSlots(keeper->queue, want->slots, now);
     }
+    if (want->born > keeper->rated_born && keeper->rated_born != 0) {
+        LOG_INFO(PART, "Rate limit ended with its engine.");
+        keeper->rated_born = 0;
+        Queue_ResetRate(keeper->queue, now);
+    }
     WorkSpec work = {
         .id = make_request_id(link, want->id),
         .target = Work_TargetHash(false, want->endpoint),
@@ -256,6 +263,27 @@
     Queue_RefuseTarget(keeper->queue, keeper->replaced_target, now);
 }
 
+static void
+on_slot_rate(Keeper *keeper, const Link *link, const Wire__SlotRate *rate)
+{
+    TimeUs now = Clock_Now();
+    if (rate->born < keeper->rated_born ||
+        (rate->rate <= 0 && rate->born != keeper->rated_born))
+    {
+        return;
+    }
+    if (rate->born > keeper->rated_born) {
+        keeper->rated_born = rate->born;
+        Queue_ResetRate(keeper->queue, now);
+    }
+    TimeUs sent_at = now - rate->sent_age_ms * US_PER_MS;
+    if (Queue_OnNamedRate(keeper->queue, rate->rate, sent_at, now)) {
+        LOG_INFO(PART, "Rate limit of the engine. rate=%.3f gateway=%s",
+                 rate->rate, Link_Peer(link)->name);
+        Counter_Set(keeper->rate_gauge, (int64_t)(rate->rate * 1000));
+    }
+}
+
 static void
 on_slot_end(Keeper *keeper, Link *link, const Wire__SlotEnd *end)
 {
@@ -265,6 +293,9 @@
         on_engine_replaced(keeper, end->gone_endpoint, now);
     }
     if (g_hash_table_remove(keeper->granted_ids, &id)) {
+        if (end->unsent) {
+            Queue_OnUnsent(keeper->queue, now);
+        }
         release_slot(keeper, id, end->ran, now);
         return;
     }
@@ -282,6 +313,9 @@
     case WIRE__FRAME__BODY_SLOT_END:
         on_slot_end(keeper, link, frame->slot_end);
         break;
+    case WIRE__FRAME__BODY_SLOT_RATE:
+        on_slot_rate(keeper, link, frame->slot_rate);
+        break;
     case WIRE__FRAME__BODY_SLOT_PREFILLED:
         Queue_OnFirstPiece(keeper->queue,
                            make_request_id(link, frame->slot_prefilled->id),
@@ -427,6 +461,10 @@
     keeper->slots = INITIAL_SLOTS;
     keeper->queued_gauge = Counter_Get("keeper_queued", "Requests that wait.");
     keeper->busy_gauge = Counter_Get("keeper_busy", "Slots in use.");
+    keeper->rate_gauge =
+        Counter_Get("keeper_rate_limit_millis",
+                    "Requests in 1000 s that the engine takes; 0 without a "
+                    "limit.");
     QueueConfig config = {
         .max_wants = MAX_WANTS,
         .max_ended_ids = MAX_ENDED_IDS,
--- a/src/sched/balancer.c
+++ b/src/sched/balancer.c
@@ -37,7 +37,7 @@
     unsigned distance = candidate->distance < 2 ? candidate->distance : 2;
     return run * (1 + delay_fraction(candidate->load)) +
            distance_cost_ms[distance] +
-           candidate->error_rate * FAILURE_COST_MS +
+           candidate->error_rate * FAILURE_COST_MS + candidate->rate_wait_ms +
            (candidate->tried ? TRIED_COST_MS : 0);
 }
 
--- a/src/sched/balancer.h
+++ b/src/sched/balancer.h
@@ -19,6 +19,8 @@
     double load;       /**< Number of requests divided by slots. */
     double error_rate; /**< Fraction of answers that were failures. */
     double expected_run_ms; /**< Run time of one request; 0 if unknown. */
+    double rate_wait_ms; /**< Mean time between two requests that a rate limit
+                            allows; 0 without a limit. */
 } BalancerCandidate;
 
 /** Returns the index of the best candidate, or -1 if no usable candidate has a
--- a/src/sched/queue.c
+++ b/src/sched/queue.c
@@ -25,6 +25,8 @@
  * because an engine that does not stream sends its first piece only at the
  * end. */
 #define PREFILL_TIMEOUT_US (2 * US_PER_S)
+/* The queue sends all requests that the endpoint gets. */
+#define WHOLE_RATE 1.0
 #define RETRY_AFTER_MIN_MS 100
 #define RETRY_AFTER_MAX_MS 60000
 
@@ -140,13 +142,25 @@
         if (item->work.alone && queue->busy_count > 0) {
             return;
         }
-        if (prefill_is_full(queue, now)) {
+        if (prefill_is_full(queue, now) ||
+            !NamedRate_MaySend(&queue->rate_limit, WHOLE_RATE, now))
+        {
             return;
         }
+        NamedRate_OnSent(&queue->rate_limit);
         grant_item(queue, item, now);
     }
 }
 
+/* Returns when the rate limit lets the request at a position start. Some of
+ * those before it are dispatched elsewhere. */
+static TimeUs
+next_by_rate(const WantQueue *queue, uint32_t position, TimeUs now)
+{
+    return NamedRate_NextAt(&queue->rate_limit, WHOLE_RATE,
+                            position * queue->dispatch_ratio, now);
+}
+
 /* Refuses the waiting requests whose planned finish is past their deadline.
  * Checks them in grant order, so that each is planned after the requests that
  * precede it. */
@@ -162,7 +176,8 @@
     uint32_t position = 0;
     while (position < queue->waiting_count) {
         Item *item = QueueItems_Waiting(queue, position);
-        TimeUs start = Plan_NextFree(&plan);
+        TimeUs start =
+            MAX(Plan_NextFree(&plan), next_by_rate(queue, position, now));
         TimeUs run_time = QueueTimes_RunTime(queue, item);
         TimeUs lateness =
             QueueTimes_PredictLateness(queue, item, start - now, mean, now);
@@ -177,7 +192,9 @@
         }
         position++;
     }
-    queue->retry_after_ms = to_retry_after_ms(Plan_NextFree(&plan) - now);
+    TimeUs next =
+        MAX(Plan_NextFree(&plan), next_by_rate(queue, position, now));
+    queue->retry_after_ms = to_retry_after_ms(next - now);
 }
 
 static void
@@ -370,6 +387,31 @@
     plan_and_grant(queue, now);
 }
 
+bool
+Queue_OnNamedRate(WantQueue *queue, double rate, TimeUs sent_at, TimeUs now)
+{
+    bool changed =
+        NamedRate_OnAnswer(&queue->rate_limit, rate, sent_at, now, 0);
+    if (changed) {
+        plan_and_grant(queue, now);
+    }
+    return changed;
+}
+
+void
+Queue_ResetRate(WantQueue *queue, TimeUs now)
+{
+    queue->rate_limit = (NamedRate){.rate = 0};
+    plan_and_grant(queue, now);
+}
+
+void
+Queue_OnUnsent(WantQueue *queue, TimeUs now)
+{
+    NamedRate_OnUnsent(&queue->rate_limit);
+    plan_and_grant(queue, now);
+}
+
 void
 Queue_UpdateCache(WantQueue *queue, const uint64_t *blocks, uint32_t count,
                   bool cached)
@@ -413,6 +455,10 @@
     TimeUs next = TIME_NEVER;
     if (queue->waiting_count > 0) {
         next = queue->last_planned_at + SHED_CHECK_PERIOD_US;
+        if (queue->rate_limit.rate > 0) {
+            next = MIN(next, NamedRate_NextAt(&queue->rate_limit, WHOLE_RATE,
+                                              0, queue->rate_limit.filled_at));
+        }
     }
     for (uint32_t i = 0; i < queue->busy_count; i++) {
         const Item *item = QueueItems_Busy(queue, i);
@@ -435,6 +481,7 @@
         .queued_output_tokens = queue->output_tokens,
         .prefill_tokens_s = Speed_Rate(&queue->speed.prefill),
         .decode_tokens_s = Speed_Rate(&queue->speed.decode),
+        .rate_limit = queue->rate_limit.rate,
         .margin = queue->margin,
         .lowest_tier = queue->lowest_tier,
         .retry_after_ms = MAX(queue->retry_after_ms, RETRY_AFTER_MIN_MS),
--- a/src/sched/queue.h
+++ b/src/sched/queue.h
@@ -77,6 +77,7 @@
     uint32_t queued_output_tokens;
     double prefill_tokens_s;
     double decode_tokens_s;
+    double rate_limit;    /**< Requests per second; 0 without a limit. */
     double margin;        /**< Safety factor applied to predicted run times. */
     uint32_t lowest_tier; /**< Entries should send no wants of lower tiers. */
     uint32_t retry_after_ms;
@@ -120,6 +121,17 @@
 
 void Queue_SetSlots(WantQueue *queue, uint32_t slots, TimeUs now);
 
+/** Applies an answer of the endpoint that names a rate limit, or none (0).
+ * Requests are granted at that rate.
+ * @return true when the limit began, changed or ended. */
+bool Queue_OnNamedRate(WantQueue *queue, double rate, TimeUs sent_at,
+                       TimeUs now);
+/** Ends the rate limit, as the endpoint was replaced. */
+void Queue_ResetRate(WantQueue *queue, TimeUs now);
+/** Does not count a granted request against the rate, since it was not sent.
+ */
+void Queue_OnUnsent(WantQueue *queue, TimeUs now);
+
 /** Records prefix blocks that the endpoint cached (@p cached) or evicted. */
 void Queue_UpdateCache(WantQueue *queue, const uint64_t *blocks,
                        uint32_t count, bool cached);
--- a/src/sched/queue_items.h
+++ b/src/sched/queue_items.h
@@ -9,6 +9,7 @@
 
 #include "sched/blocks.h"
 #include "sched/idmap.h"
+#include "sched/named_rate.h"
 #include "sched/queue.h"
 #include "sched/speed.h"
 
@@ -80,6 +81,7 @@
     TimeUs last_sampled_at;
     /* fraction of the slots used by each class, moving average */
     double class_slot_share[QUEUE_CLASSES];
+    NamedRate rate_limit; /* of the endpoint */
     uint32_t lowest_tier; /* entries should send no wants of lower tiers */
     uint32_t retry_after_ms;
 };
--- a/test/fakes/fake_server.c
+++ b/test/fakes/fake_server.c
@@ -285,7 +285,7 @@
     connection->deadly_target = NULL;
     connection->deadly = DEADLY_NEVER;
     connection->fault[0] = '\0';
-    if (server->limit_file != NULL) {
+    if (server->limit_file != NULL && id != NULL) {
         record(server, "arrived %lld\n", (long long)Clock_WallMs());
     }
     if (expected_id != NULL && strcmp(expected_id, server->id) != 0) {
--- a/test/unit/test_queue.c
+++ b/test/unit/test_queue.c
@@ -501,6 +501,53 @@
     Queue_Free(queue);
 }
 
+/* A limited engine with free slots, and more wants than its rate allows. */
+static void
+named_rate_spaces_grants_in_order_of_tiers(void **state)
+{
+    WantQueue *queue = new_queue(4);
+    TimeUs now = 1000 * US_PER_S;
+    assert_true(Queue_OnNamedRate(queue, 1, now, now));
+    for (uint64_t id = 1; id <= 4; id++) {
+        add_want(queue, id, (uint32_t)(4 - id), now + 100 * US_PER_S, now);
+    }
+    assert_no_action(queue);
+    for (uint64_t id = 4; id >= 1; id--) {
+        now += 790 * US_PER_MS;
+        Queue_Tick(queue, now);
+        assert_no_action(queue);
+        now += 210 * US_PER_MS;
+        Queue_Tick(queue, now);
+        uint64_t grant_id;
+        assert_granted(queue, id, &grant_id);
+        assert_int_equal(
+            Queue_OnDispatch(queue, (RequestId){.low = id}, grant_id, now),
+            REFUSE_NONE);
+        finish(queue, id, now);
+    }
+    Queue_Free(queue);
+}
+
+static void
+want_that_the_rate_delays_past_its_deadline_is_refused(void **state)
+{
+    WantQueue *queue = new_queue(4);
+    TimeUs now = 1000 * US_PER_S;
+    Queue_OnNamedRate(queue, 0.1, now, now);
+    add_want(queue, 1, 0, now + 5 * US_PER_S, now);
+    now += 100 * US_PER_MS;
+    Queue_Tick(queue, now);
+    QueueAction action = take_action(queue);
+    assert_int_equal(action.kind, QUEUE_REFUSE);
+    assert_int_equal(action.reason, REFUSE_DEADLINE);
+    assert_true(action.retry_after_ms >= 4000);
+    Queue_ResetRate(queue, now);
+    add_want(queue, 2, 0, now + 5 * US_PER_S, now);
+    uint64_t grant_id;
+    assert_granted(queue, 2, &grant_id);
+    Queue_Free(queue);
+}
+
 int
 main(void)
 {
@@ -521,6 +568,9 @@
         cmocka_unit_test(alone_request_runs_by_itself),
         cmocka_unit_test(wants_for_a_replaced_target_are_refused),
         cmocka_unit_test(draining_refuses_waiting_wants),
+        cmocka_unit_test(named_rate_spaces_grants_in_order_of_tiers),
+        cmocka_unit_test(
+            want_that_the_rate_delays_past_its_deadline_is_refused),
     };
     return cmocka_run_group_tests_name("queue", tests, NULL, NULL);
 }
