Gateways share an endpoint's rate limit by demand

What callers saw: with three gateways of which one had all requests, a server with a limit of 4 a second got a third of that, and callers were refused meanwhile.

Gateways report the rate limits that they know with their queries; the leader splits each by the demand for the service, as it does with the limits of accounts.

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -176,6 +176,7 @@
 {
     FleetPeer *peer = data;
     g_hash_table_destroy(peer->demands);
+    g_hash_table_destroy(peer->endpoint_demands);
     g_free(peer);
 }
 
@@ -188,6 +189,8 @@
     peer->link = link;
     peer->demands =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    peer->endpoint_demands =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     g_hash_table_insert(fleet->peers, link, peer);
     LOG_INFO(PART, "Peer connected. peer=%s", Link_Peer(link)->name);
     if (Link_Peer(link)->role == WIRE__ROLE__ROLE_GATEWAY) {
--- a/src/fleet/gateways.c
+++ b/src/fleet/gateways.c
@@ -18,7 +18,7 @@
 /* Time for which a new leader sends no shares, so that it has received the
  * demand of every gateway before it splits a limit. */
 #define SHARES_DELAY_US (2500 * US_PER_MS)
-/* Maximum number of account shares in one reply. */
+/* Maximum number of shares of accounts, and of endpoints, in one reply. */
 #define SHARES_MAX 256
 
 /* A query that waits for the confirmation that this host is the leader. */
@@ -28,6 +28,7 @@
     uint64_t serial;
     uint64_t nonce;
     uint64_t version;
+    GPtrArray *endpoints; /* Wire__EndpointUse, answered with shares */
 } Query;
 
 static FleetPeer *
@@ -57,11 +58,30 @@
     return count;
 }
 
-/* Returns the share of an account's rate limit, in units/s, that the gateway
- * @p self may use. */
+/* A limit that gateways share by their demand. */
+typedef struct SharedLimit {
+    double rate; /* units/s */
+    const char *name;
+    GHashTable *(*demands_of)(const FleetPeer *peer); /* name -> demand */
+} SharedLimit;
+
+static GHashTable *
+account_demands(const FleetPeer *peer)
+{
+    return peer->demands;
+}
+
+static GHashTable *
+endpoint_demands(const FleetPeer *peer)
+{
+    return peer->endpoint_demands;
+}
+
+/* Returns the share of a limit, in units/s, that the gateway @p self may use.
+ */
 static double
 split_share(const Fleet *fleet, const FleetPeer *self,
-            const RouteAccount *account)
+            const SharedLimit *limit)
 {
     guint count = 0;
     size_t position = 0;
@@ -76,13 +96,13 @@
             continue;
         }
         const double *demand =
-            g_hash_table_lookup(peer->demands, account->name);
+            g_hash_table_lookup(limit->demands_of(peer), limit->name);
         if (peer == self) {
             position = count;
         }
         demands[count++] = demand == NULL ? 0 : *demand;
     }
-    double share = Shares_Split(account->rate, demands, count, position);
+    double share = Shares_Split(limit->rate, demands, count, position);
     g_free(demands);
     return share;
 }
@@ -105,7 +125,12 @@
     Wire__AccountUse *use = &shares->items[shares->count];
     wire__account_use__init(use);
     use->account = (char *)account->name;
-    use->share = split_share(shares->fleet, shares->peer, account);
+    SharedLimit limit = {
+        .rate = account->rate,
+        .name = account->name,
+        .demands_of = account_demands,
+    };
+    use->share = split_share(shares->fleet, shares->peer, &limit);
     shares->pointers[shares->count++] = use;
 }
 
@@ -128,6 +153,53 @@
     Link_Send(link, &frame);
 }
 
+static void
+free_endpoint_use(gpointer data)
+{
+    Wire__EndpointUse *use = data;
+    g_free(use->endpoint);
+    g_free(use);
+}
+
+/* Sets the shares of the endpoints in the query. */
+static void
+set_endpoint_shares(const Query *query, const FleetPeer *peer)
+{
+    for (guint i = 0; i < query->endpoints->len; i++) {
+        Wire__EndpointUse *use = query->endpoints->pdata[i];
+        SharedLimit limit = {
+            .rate = use->rate,
+            .name = use->endpoint,
+            .demands_of = endpoint_demands,
+        };
+        use->share = split_share(query->fleet, peer, &limit) / use->rate;
+    }
+}
+
+/* Stores the demand of the endpoints in a query, and copies them for the
+ * reply.
+ */
+static GPtrArray *
+read_endpoints(const FleetPeer *peer, const Wire__ConfigQuery *query)
+{
+    GPtrArray *copies = g_ptr_array_new_with_free_func(free_endpoint_use);
+    g_hash_table_remove_all(peer->endpoint_demands);
+    for (size_t i = 0; i < query->n_endpoints && i < SHARES_MAX; i++) {
+        const Wire__EndpointUse *use = query->endpoints[i];
+        if (!(use->rate > 0)) {
+            continue;
+        }
+        g_hash_table_insert(peer->endpoint_demands, g_strdup(use->endpoint),
+                            g_memdup2(&use->demand, sizeof(use->demand)));
+        Wire__EndpointUse *copy = g_new(Wire__EndpointUse, 1);
+        wire__endpoint_use__init(copy);
+        copy->endpoint = g_strdup(use->endpoint);
+        copy->rate = use->rate;
+        g_ptr_array_add(copies, copy);
+    }
+    return copies;
+}
+
 static void
 send_reply(const Query *query, bool is_leader)
 {
@@ -159,6 +231,9 @@
         RouteTable_ForEachAccount(fleet->table, add_share, &shares);
         state.n_shares = shares.count;
         state.shares = shares.pointers;
+        set_endpoint_shares(query, shares.peer);
+        state.n_endpoints = query->endpoints->len;
+        state.endpoints = (Wire__EndpointUse **)query->endpoints->pdata;
     }
     send_state(query->link, &state);
 }
@@ -171,6 +246,7 @@
     if (peer != NULL && peer->serial == query->serial) {
         send_reply(query, is_leader);
     }
+    g_ptr_array_unref(query->endpoints);
     g_free(query);
 }
 
@@ -193,6 +269,7 @@
         .serial = peer->serial,
         .nonce = query->nonce,
         .version = query->version,
+        .endpoints = read_endpoints(peer, query),
     };
     Replica_ConfirmLeadership(fleet->replica, on_confirmed, pending);
 }
--- a/src/fleet/state.h
+++ b/src/fleet/state.h
@@ -19,8 +19,9 @@
     uint64_t serial; /* distinguishes links that reuse a pointer */
     Link *link;
     bool is_gateway;
-    TimeUs last_query_at; /* time of the last ConfigQuery; 0: none */
-    GHashTable *demands;  /* account -> demand in units/s (double) */
+    TimeUs last_query_at;         /* time of the last ConfigQuery; 0: none */
+    GHashTable *demands;          /* account -> demand in units/s (double) */
+    GHashTable *endpoint_demands; /* endpoint id -> demand in requests/s */
 } FleetPeer;
 
 struct Fleet {
--- a/src/gateway/hosts.c
+++ b/src/gateway/hosts.c
@@ -21,6 +21,8 @@
 #define LEASE_MARGIN_MS 500
 #define HOSTS_MAX 12
 #define ACCOUNTS_MAX 256
+/* Endpoints with a rate limit in a query. */
+#define ENDPOINTS_MAX 128
 
 typedef struct Host {
     GatewayControl *control;
@@ -81,6 +83,35 @@
     uses->pointers[uses->count++] = use;
 }
 
+/* Endpoints with a rate limit, as sent with a query. */
+typedef struct EndpointUses {
+    Wire__EndpointUse items[ENDPOINTS_MAX];
+    Wire__EndpointUse *pointers[ENDPOINTS_MAX];
+    size_t count;
+} EndpointUses;
+
+static void
+add_endpoints(const Gateway *gateway, EndpointUses *uses)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, gateway->endpoints);
+    while (uses->count < ENDPOINTS_MAX &&
+           g_hash_table_iter_next(&iter, NULL, &value))
+    {
+        const Endpoint *endpoint = value;
+        if (endpoint->rate_limit.rate <= 0) {
+            continue;
+        }
+        Wire__EndpointUse *use = &uses->items[uses->count];
+        wire__endpoint_use__init(use);
+        use->endpoint = endpoint->id;
+        use->rate = endpoint->rate_limit.rate;
+        use->demand = ServiceQueue_Demand(gateway, endpoint->service);
+        uses->pointers[uses->count++] = use;
+    }
+}
+
 static void
 send_query(GatewayControl *control, Host *host)
 {
@@ -96,6 +127,10 @@
         gateway->table == NULL ? 0 : RouteTable_Version(gateway->table);
     query.n_use = uses.count;
     query.use = uses.pointers;
+    EndpointUses endpoints = {.count = 0};
+    add_endpoints(gateway, &endpoints);
+    query.n_endpoints = endpoints.count;
+    query.endpoints = endpoints.pointers;
     Wire__Frame frame = WIRE__FRAME__INIT;
     frame.body_case = WIRE__FRAME__BODY_CONFIG_QUERY;
     frame.config_query = &query;
@@ -312,6 +347,13 @@
         Quotas_SetShare(gateway->quotas, state->shares[i]->account,
                         state->shares[i]->share);
     }
+    for (size_t i = 0; i < state->n_endpoints; i++) {
+        Endpoint *endpoint =
+            Endpoints_Find(gateway, state->endpoints[i]->endpoint);
+        if (endpoint != NULL) {
+            endpoint->rate_share = state->endpoints[i]->share;
+        }
+    }
     set_timer(control, QUERY_PERIOD_MS);
 }
 
--- a/src/gateway/service_queue.c
+++ b/src/gateway/service_queue.c
@@ -3,6 +3,7 @@
  * ordered by tier, rank and deadline. Requests for engines wait at the slot
  * keepers instead where these are connected.
  */
+#include <math.h>
 #include <string.h>
 
 #include "gateway/state.h"
@@ -23,6 +24,8 @@
  * endpoint before it is refused. */
 #define WAIT_FRACTION 0.4
 
+/* Time constant of the moving mean of demand. */
+#define DEMAND_DECAY_US (2 * US_PER_S)
 /* Least Retry-After of a request that no endpoint could accept. */
 #define NO_ENDPOINT_RETRY_AFTER_MS 250
 
@@ -31,7 +34,9 @@
     char *service;
     GQueue waiting;            /* Calls in the order in which they are sent */
     struct event *retry_timer; /* retries while no endpoint is free */
-    bool pumping;              /* prevents recursion of ServiceQueue_Pump */
+    double demand;             /* moving mean of requests/s at demand_at */
+    TimeUs demand_at;
+    bool pumping; /* prevents recursion of ServiceQueue_Pump */
 };
 
 static bool
@@ -87,10 +92,30 @@
     call->queue = queue;
 }
 
+/* Returns the demand at @p now. */
+static double
+demand_at(const ServiceQueue *queue, TimeUs now)
+{
+    double span = (double)(now - queue->demand_at);
+    return queue->demand * exp(-span / (double)DEMAND_DECAY_US);
+}
+
+double
+ServiceQueue_Demand(const Gateway *gateway, const char *service)
+{
+    const ServiceQueue *queue = g_hash_table_lookup(gateway->queues, service);
+    return queue == NULL ? 0 : demand_at(queue, Clock_Now());
+}
+
 void
 ServiceQueue_Add(Gateway *gateway, Call *call)
 {
-    insert_call(find_queue(gateway, call->service), call);
+    ServiceQueue *queue = find_queue(gateway, call->service);
+    TimeUs now = Clock_Now();
+    queue->demand =
+        demand_at(queue, now) + (double)US_PER_S / (double)DEMAND_DECAY_US;
+    queue->demand_at = now;
+    insert_call(queue, call);
     ServiceQueue_Pump(gateway, call->service);
 }
 
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -449,6 +449,9 @@
 /* Removes the call from its queue, if it is in one. */
 void ServiceQueue_Remove(Call *call);
 
+/* Returns the moving mean of the requests for the service, in requests/s. */
+double ServiceQueue_Demand(const Gateway *gateway, const char *service);
+
 /* Sends queued calls in order until no endpoint takes another. */
 void ServiceQueue_Pump(Gateway *gateway, const char *service);
 void ServiceQueue_FreeAll(Gateway *gateway);
