Gateway: endless answers end in bounded memory and time

Cause: bounds for one answer, none for all, and none for an answer whose call has ended. Abandoned answers are now read for a second (at most once requests: until the deadline) and 1 MB at most; buffered answers take 32 MB together.

--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -107,6 +107,7 @@
 static void
 free_call(Call *call)
 {
+    Call_DropAnswer(call);
     event_free(call->timer);
     g_array_unref(call->fields);
     g_ptr_array_unref(call->failed_endpoints);
@@ -217,7 +218,7 @@
     /* A request that may run at most once is not cancelled halfway; its
      * answer is discarded. */
     if (call->upstream != NULL && call->route->kind == ROUTE_AT_MOST_ONCE) {
-        Upstream_Abandon(call->upstream);
+        Upstream_Abandon(call->upstream, call->deadline);
         call->upstream = NULL;
     }
     Call_End(call, "caller_gone");
--- a/src/gateway/call_answer.c
+++ b/src/gateway/call_answer.c
@@ -10,6 +10,10 @@
 
 /* Largest answer that is not a stream. It is buffered until complete. */
 #define ANSWER_MAX_BYTES (8u * 1024 * 1024)
+/* The same for all answers together. */
+#define ANSWERS_MAX_BYTES (32u * 1024 * 1024)
+/* Time for which the rest of an answer that is not forwarded is read. */
+#define DISCARD_MAX_US (1 * US_PER_S)
 /* Reading from the endpoint pauses when more than this is unsent to the
  * caller. */
 #define UNSENT_MAX_BYTES (256u * 1024)
@@ -101,11 +105,11 @@
 }
 
 /* Detaches the call from its attempt. The rest of the endpoint's answer is
- * read and discarded. */
+ * read and discarded, so that the connection can be reused. */
 static void
 abandon_upstream(Call *call)
 {
-    Upstream_Abandon(call->upstream);
+    Upstream_Abandon(call->upstream, Clock_Now() + DISCARD_MAX_US);
     call->upstream = NULL;
 }
 
@@ -182,18 +186,41 @@
     }
 }
 
+void
+Call_DropAnswer(Call *call)
+{
+    call->gateway->answer_bytes -= call->counted_bytes;
+    call->counted_bytes = 0;
+    evbuffer_drain(call->answer, evbuffer_get_length(call->answer));
+    evbuffer_drain(call->partial_event,
+                   evbuffer_get_length(call->partial_event));
+}
+
+/* Buffers a part of an answer that is sent when it is complete. */
+static void
+buffer_body(Call *call, struct evbuffer *body)
+{
+    size_t length = evbuffer_get_length(body);
+    call->counted_bytes += length;
+    call->gateway->answer_bytes += length;
+    evbuffer_add_buffer(call->answer, body);
+    bool too_long = call->counted_bytes > ANSWER_MAX_BYTES;
+    if (!too_long && call->gateway->answer_bytes <= ANSWERS_MAX_BYTES) {
+        return;
+    }
+    Upstream_Cancel(call->upstream);
+    call->upstream = NULL;
+    Call_Retry(call, ATTEMPT_MAYBE_RAN,
+               too_long ? "the answer exceeds the size limit"
+                        : "the answers together exceed the size limit");
+}
+
 static void
 on_body(void *owner, struct evbuffer *body)
 {
     Call *call = owner;
     if (!call->is_stream) {
-        evbuffer_add_buffer(call->answer, body);
-        if (evbuffer_get_length(call->answer) > ANSWER_MAX_BYTES) {
-            Upstream_Cancel(call->upstream);
-            call->upstream = NULL;
-            Call_Retry(call, ATTEMPT_MAYBE_RAN,
-                       "the answer exceeds the size limit");
-        }
+        buffer_body(call, body);
         return;
     }
     evbuffer_add_buffer(call->partial_event, body);
--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -269,9 +269,7 @@
         if (call->state == CALL_DISPATCHED) {
             call->state = CALL_WAITING;
         }
-        evbuffer_drain(call->answer, evbuffer_get_length(call->answer));
-        evbuffer_drain(call->partial_event,
-                       evbuffer_get_length(call->partial_event));
+        Call_DropAnswer(call);
         ServiceQueue_Add(call->gateway, call);
     }
     else if (call->maybe_ran) {
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -58,6 +58,7 @@
     uint64_t last_want_id;
     GQueue held_calls;   /* Calls that wait for a configuration or lease */
     unsigned call_count; /* number of unfinished calls */
+    size_t answer_bytes; /* of answers that are buffered until complete */
     bool stopping;       /* a planned stop has begun */
     TimeUs stop_started_at;
     struct event *stop_timer;
@@ -259,8 +260,9 @@
 void Upstream_Cancel(Upstream *upstream);
 
 /* Detaches the owner: no callback follows, and the answer is read to its end
- * and discarded. */
-void Upstream_Abandon(Upstream *upstream);
+ * and discarded. An answer that has not ended at @p until, or is too long, is
+ * cut off. */
+void Upstream_Abandon(Upstream *upstream, TimeUs until);
 
 /* Stops or resumes reading, for flow control towards the caller. */
 void Upstream_Pause(Upstream *upstream, bool paused);
@@ -327,6 +329,7 @@
     bool is_stream;  /* the answer is an event stream */
     struct evbuffer *answer_head;
     struct evbuffer *answer; /* body bytes not yet passed to the caller */
+    size_t counted_bytes;    /* of answer, in Gateway.answer_bytes */
     struct evbuffer *partial_event; /* received bytes of an incomplete event */
     Events events;
     GList *queue_node;   /* position in queue, or NULL */
@@ -406,6 +409,9 @@
 /* Queues the call for another attempt if that is allowed, else fails it. */
 void Call_Retry(Call *call, AttemptOutcome outcome, const char *why);
 
+/* Discards the buffered part of the answer. */
+void Call_DropAnswer(Call *call);
+
 /* Releases the call's slot and its reference to the endpoint. */
 void Call_ReleaseEndpoint(Call *call, SlotOutcome outcome);
 
--- a/src/gateway/upstream.c
+++ b/src/gateway/upstream.c
@@ -29,13 +29,17 @@
 #define LIVE_FRACTION 0.4
 #define IDLE_UPSTREAMS_MAX 16
 #define HEAD_MAX_BYTES (32 * 1024)
+/* Bytes of answers that are not forwarded, for one request. */
+#define DISCARD_MAX_BYTES (1024 * 1024)
 
 struct Upstream {
     Gateway *gateway;
     Endpoint *endpoint;
     struct bufferevent *stream;
     H1Parser *parser;
-    struct event *timer; /* connect timeout */
+    struct event *timer;  /* end of the connection attempt or of discarding */
+    TimeUs discard_until; /* end of discarding an abandoned answer; else 0 */
+    size_t discarded;     /* bytes of it */
     const UpstreamOps *ops;
     void *owner; /* NULL when the answer is to be discarded */
     char *request_id;
@@ -154,6 +158,8 @@
     }
     upstream->busy = false;
     upstream->owner = NULL;
+    upstream->discard_until = 0;
+    event_del(upstream->timer);
     upstream->idle_since = Clock_Now();
     g_queue_push_head(&endpoint->idle_upstreams, upstream);
 }
@@ -227,6 +233,21 @@
     return true;
 }
 
+/* Discards parsed body bytes.
+ * @return false when the upstream was freed. */
+static bool
+discard_body(Upstream *upstream, struct evbuffer *body)
+{
+    upstream->discarded += evbuffer_get_length(body);
+    evbuffer_drain(body, evbuffer_get_length(body));
+    if (upstream->discarded <= DISCARD_MAX_BYTES) {
+        return true;
+    }
+    fail_upstream(upstream, UPSTREAM_INVALID,
+                  "an unusable answer is too long");
+    return false;
+}
+
 /* Passes parsed body bytes to the owner.
  * @return false when the upstream was freed. */
 static bool
@@ -237,8 +258,7 @@
         return true;
     }
     if (upstream->skip_answer || upstream->owner == NULL) {
-        evbuffer_drain(body, evbuffer_get_length(body));
-        return true;
+        return discard_body(upstream, body);
     }
     Endpoint *endpoint = upstream->endpoint;
     Endpoint_Ref(endpoint);
@@ -300,6 +320,21 @@
     parse_input(upstream);
 }
 
+/* Ends the discarding of an abandoned answer in time. */
+static void
+schedule_discard_end(Upstream *upstream)
+{
+    if (upstream->discard_until == 0) {
+        return;
+    }
+    TimeUs left = MAX(upstream->discard_until - Clock_Now(), 0);
+    struct timeval span = {
+        .tv_sec = left / US_PER_S,
+        .tv_usec = left % US_PER_S,
+    };
+    event_add(upstream->timer, &span);
+}
+
 static void
 on_event(struct bufferevent *stream, short events, void *arg)
 {
@@ -307,6 +342,7 @@
     if ((events & BEV_EVENT_CONNECTED) != 0) {
         upstream->connected = true;
         event_del(upstream->timer);
+        schedule_discard_end(upstream);
         return;
     }
     if (!upstream->busy) {
@@ -333,9 +369,17 @@
 }
 
 static void
-on_connect_timeout(evutil_socket_t fd, short events, void *arg)
+on_timer(evutil_socket_t fd, short events, void *arg)
 {
-    fail_upstream(arg, UPSTREAM_NOT_SENT, "connection timed out");
+    Upstream *upstream = arg;
+    if (upstream->connected) {
+        LOG_INFO(GATEWAY_PART,
+                 "Abandoned answer does not end. endpoint=%s bytes=%zu",
+                 upstream->endpoint->id, upstream->discarded);
+        Upstream_Cancel(upstream);
+        return;
+    }
+    fail_upstream(upstream, UPSTREAM_NOT_SENT, "connection timed out");
 }
 
 static void
@@ -384,8 +428,7 @@
     upstream->busy = true;
     upstream->idle_limit_ms = DEFAULT_IDLE_MS;
     upstream->parser = H1Parser_New(H1_RESPONSE, HEAD_MAX_BYTES);
-    upstream->timer =
-        event_new(gateway->base, -1, 0, on_connect_timeout, upstream);
+    upstream->timer = event_new(gateway->base, -1, 0, on_timer, upstream);
     upstream->stream =
         bufferevent_socket_new(gateway->base, fd, BEV_OPT_CLOSE_ON_FREE);
     bufferevent_setcb(upstream->stream, on_read, NULL, on_event, upstream);
@@ -445,6 +488,7 @@
     upstream->owner = owner;
     upstream->close_after_answer = false;
     upstream->skip_answer = false;
+    upstream->discarded = 0;
     upstream->subjects = *request->subjects;
     upstream->success = false;
     upstream->sent_at = Clock_Now();
@@ -470,9 +514,14 @@
 }
 
 void
-Upstream_Abandon(Upstream *upstream)
+Upstream_Abandon(Upstream *upstream, TimeUs until)
 {
     upstream->owner = NULL;
+    upstream->discard_until = until;
+    upstream->discarded = 0;
+    if (upstream->connected) {
+        schedule_discard_end(upstream);
+    }
 }
 
 void
