Keepers and agents bound what they read of an engine's answers

What was seen: a keeper took 17.7 GB within a minute when its engine answered the probe with endless bytes (functional/platform-endless).

Cause: evhttp bounds neither heads, bodies nor unread input by default, and its time-outs count silence only. The agent's bounds have no run of their own.

--- a/src/agent/orders.c
+++ b/src/agent/orders.c
@@ -17,6 +17,8 @@
 
 #define FLOOR_REQUEST_INTERVAL_MS 500
 #define ORDER_TIMEOUT_S 120
+/* Largest head, body and unread input of the answer to an order. */
+#define ORDER_ANSWER_MAX_BYTES (64 * 1024)
 #define RESULTS_MAX 32
 #define RESULT_TEXT_BYTES 200
 #define ENDPOINT_PATH "/v1/orders"
@@ -41,6 +43,7 @@
     Order *pending; /* waits until the running one ends, or NULL */
     GQueue results; /* ended Orders, oldest first, for resends */
     struct evhttp_connection *connection;
+    TimeUs sent_at; /* when the running order was sent */
 };
 
 static void send_to_endpoint(Order *order);
@@ -170,7 +173,11 @@
     struct evhttp_connection *connection = evhttp_connection_base_new(
         agent->base, NULL, address->host, address->port);
     evhttp_connection_set_timeout(connection, ORDER_TIMEOUT_S);
+    Http_LimitInput(connection, ORDER_ANSWER_MAX_BYTES,
+                    ORDER_ANSWER_MAX_BYTES);
+    evhttp_connection_set_max_body_size(connection, ORDER_ANSWER_MAX_BYTES);
     order->orders->connection = connection;
+    order->orders->sent_at = Clock_Now();
     struct evhttp_request *request = evhttp_request_new(on_answer, order);
     struct evkeyvalq *headers = evhttp_request_get_output_headers(request);
     evhttp_add_header(headers, "Host", agent->own->endpoint);
@@ -315,10 +322,28 @@
     }
 }
 
+/* Ends an order whose answer does not end. */
+static void
+expire_running(Orders *orders, TimeUs now)
+{
+    Order *order = orders->running;
+    if (order == NULL || now - orders->sent_at < ORDER_TIMEOUT_S * US_PER_S) {
+        return;
+    }
+    evhttp_connection_free(orders->connection);
+    orders->connection = NULL;
+    orders->running = NULL;
+    finish_order(order, ERR_IO,
+                 "The endpoint's answer did not end; the order may have been "
+                 "carried out.");
+    send_pending(orders);
+}
+
 void
 AgentOrders_Tick(Orders *orders)
 {
     TimeUs now = Clock_Now();
+    expire_running(orders, now);
     if (orders->floor_known || now - orders->floor_requested_at <
                                    FLOOR_REQUEST_INTERVAL_MS * US_PER_MS)
     {
--- a/src/agent/run.c
+++ b/src/agent/run.c
@@ -25,6 +25,8 @@
 #define KEEPALIVE_PROBES 3
 #define UNACKED_TIMEOUT_MS 10000
 #define ANSWER_HEADERS_MAX_BYTES (64 * 1024)
+/* Largest chunk of an answer; the deadline ends a run that exceeds it. */
+#define ANSWER_CHUNK_MAX_BYTES (4 * 1024 * 1024)
 #define DETAIL_BYTES 96
 #define DUMP_RUNS_MAX 64
 #define PREFIX_HEADER "X-Laurellift-Prefix"
@@ -409,8 +411,8 @@
     run->connection = evhttp_connection_base_new(agent->base, NULL,
                                                  address->host, address->port);
     struct timeval idle = timeval_from_ms(agent->own->idle_ms);
-    evhttp_connection_set_max_headers_size(run->connection,
-                                           ANSWER_HEADERS_MAX_BYTES);
+    Http_LimitInput(run->connection, ANSWER_HEADERS_MAX_BYTES,
+                    ANSWER_CHUNK_MAX_BYTES);
     evhttp_connection_set_timeout_tv(run->connection, &idle);
     run->request = evhttp_request_new(on_done, run);
     evhttp_request_set_chunked_cb(run->request, on_chunk);
--- a/src/keeper/probe.c
+++ b/src/keeper/probe.c
@@ -8,12 +8,17 @@
 
 #include "kernel/clock.h"
 #include "wire/address.h"
+#include "wire/http.h"
 
 /* Time between probes. A crash closes open connections at once, so the period
  * matters for engines that hang or that answer again. */
 #define PROBE_PERIOD_MS 250
 /* Longest wait for the answer to one probe. */
 #define PROBE_TIMEOUT_MS 300
+/* Longest time from a probe to the end of its answer, however much comes. */
+#define PROBE_ANSWER_MS 600
+/* Largest head, body and unread input of an answer. */
+#define ANSWER_MAX_BYTES (64 * 1024)
 /* Number of consecutive failures after which the engine is reported as not
  * answering. The second probe follows the first failure at once. */
 #define UNRESPONSIVE_FAILURES 2
@@ -26,6 +31,7 @@
     void *owner;
     struct evhttp_connection *connection;
     struct event *timer;
+    struct event *deadline; /* ends a probe whose answer does not end */
     unsigned consecutive_failures;
     bool unresponsive;
     bool freed; /* set by Probe_Free(); on_answer() then starts no new probe */
@@ -57,6 +63,7 @@
     if (probe->freed) {
         return;
     }
+    event_del(probe->deadline);
     bool answered =
         request != NULL && evhttp_request_get_response_code(request) > 0;
     record_result(probe, answered);
@@ -76,7 +83,32 @@
     {
         record_result(probe, false);
         schedule_probe(probe, PROBE_PERIOD_MS);
+        return;
     }
+    struct timeval limit = {.tv_usec = PROBE_ANSWER_MS * US_PER_MS};
+    event_add(probe->deadline, &limit);
+}
+
+static void
+open_connection(Probe *probe)
+{
+    probe->connection = evhttp_connection_base_new(
+        probe->base, NULL, probe->address.host, probe->address.port);
+    struct timeval limit = {.tv_usec = PROBE_TIMEOUT_MS * US_PER_MS};
+    evhttp_connection_set_timeout_tv(probe->connection, &limit);
+    Http_LimitInput(probe->connection, ANSWER_MAX_BYTES, ANSWER_MAX_BYTES);
+    evhttp_connection_set_max_body_size(probe->connection, ANSWER_MAX_BYTES);
+}
+
+/* Replaces the connection of a probe whose answer does not end. */
+static void
+on_deadline(evutil_socket_t fd, short events, void *arg)
+{
+    Probe *probe = arg;
+    evhttp_connection_free(probe->connection);
+    open_connection(probe);
+    record_result(probe, false);
+    schedule_probe(probe, PROBE_PERIOD_MS);
 }
 
 static void
@@ -99,10 +131,8 @@
     probe->path = g_strdup(path);
     probe->changed = changed;
     probe->owner = owner;
-    probe->connection =
-        evhttp_connection_base_new(base, NULL, parsed.host, parsed.port);
-    struct timeval limit = {.tv_usec = PROBE_TIMEOUT_MS * US_PER_MS};
-    evhttp_connection_set_timeout_tv(probe->connection, &limit);
+    probe->deadline = event_new(base, -1, 0, on_deadline, probe);
+    open_connection(probe);
     probe->timer = event_new(base, -1, 0, on_timer, probe);
     schedule_probe(probe, PROBE_PERIOD_MS);
     return probe;
@@ -114,6 +144,7 @@
     probe->freed = true;
     evhttp_connection_free(probe->connection);
     event_free(probe->timer);
+    event_free(probe->deadline);
     g_free(probe->path);
     g_free(probe);
 }
--- a/src/wire/http.c
+++ b/src/wire/http.c
@@ -4,6 +4,7 @@
 #include "wire/http.h"
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/keyvalq_struct.h>
 #include <glib.h>
 
@@ -140,6 +141,16 @@
     Http_ReplyJson(request, 200, Kernel_Dump(Kernel_Current()));
 }
 
+void
+Http_LimitInput(struct evhttp_connection *connection, size_t max_head_bytes,
+                size_t max_input_bytes)
+{
+    evhttp_connection_set_max_headers_size(connection,
+                                           (ev_ssize_t)max_head_bytes);
+    bufferevent_setwatermark(evhttp_connection_get_bufferevent(connection),
+                             EV_READ, 0, max_input_bytes);
+}
+
 struct evhttp *
 Http_Listen(struct event_base *base, const Address *address,
             bool (*ready)(void *owner), void *owner, Error *err)
--- a/src/wire/http.h
+++ b/src/wire/http.h
@@ -38,6 +38,14 @@
  * @param length  set to the length without the NUL, unless NULL. */
 char *Http_Body(struct evhttp_request *request, size_t *length);
 
+/** Bounds the memory that the answers on a connection take: their heads, and
+ * the bytes that evhttp has not consumed. Reading stops at the latter bound,
+ * and with it evhttp's time-outs, so the caller must end the request after a
+ * time.
+ * @param max_input_bytes  must exceed the largest chunk of a body. */
+void Http_LimitInput(struct evhttp_connection *connection,
+                     size_t max_head_bytes, size_t max_input_bytes);
+
 /** Starts a server at @p address that serves the common pages.
  * @param ready  returns whether the role is ready, or NULL if it always is.
  *               /readyz also reports not ready during a planned stop.
--- a/test/fakes/fake_deadly.c
+++ b/test/fakes/fake_deadly.c
@@ -16,6 +16,8 @@
 #include <sys/socket.h>
 #include <sys/wait.h>
 
+#include "wire/address.h"
+
 #define PREFIX "deadly-"
 /* Time for which a dark server exists before it ends. */
 #define DEADLY_DARK_MS 2500
@@ -118,6 +120,22 @@
     end_after(base, DEADLY_FLUSH_MS);
 }
 
+char *
+Deadly_MovedAddress(const char *listen, int hosts)
+{
+    Address address;
+    struct in_addr host;
+    if (Address_Parse(listen, &address, NULL) != ERR_OK ||
+        inet_pton(AF_INET, address.host, &host) != 1)
+    {
+        return g_strdup(listen);
+    }
+    host.s_addr = htonl(ntohl(host.s_addr) + (uint32_t)hosts);
+    char text[INET_ADDRSTRLEN];
+    inet_ntop(AF_INET, &host, text, sizeof(text));
+    return g_strdup_printf("%s:%u", text, address.port);
+}
+
 int
 Deadly_Supervise(int pause_ms, int (*main_loop)(void *arg, int start),
                  void *arg)
--- a/test/fakes/fake_deadly.h
+++ b/test/fakes/fake_deadly.h
@@ -43,6 +43,9 @@
 void Deadly_End(struct event_base *base, struct evconnlistener *listener,
                 struct bufferevent *connection, const char *target);
 
+/** Returns the address with the IP address raised by @p hosts. */
+char *Deadly_MovedAddress(const char *listen, int hosts);
+
 /** Runs @p main_loop in a child process and again @p pause_ms after each end.
  * It gets the number of the start, from 1. Returns only in a child. */
 int Deadly_Supervise(int pause_ms, int (*main_loop)(void *arg, int start),
--- a/test/fakes/fake_server.c
+++ b/test/fakes/fake_server.c
@@ -9,7 +9,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -19,6 +18,7 @@
 #include <jansson.h>
 
 #include "fake_deadly.h"
+#include "fake_endless.h"
 #include "fake_limit.h"
 #include "http1/parser.h"
 #include "kernel/clock.h"
@@ -315,7 +315,10 @@
         record(server, "sent-deadly %s %lld\n", connection->deadly_target,
                (long long)Clock_WallMs());
     }
-    if (strcmp(connection->fault, "mute") == 0) {
+    if (strcmp(connection->fault, "mute") == 0 ||
+        FakeEndless_TakeOver(connection->bev, connection->fault,
+                             connection->id))
+    {
         return;
     }
     bool has_head = connection->deadly != DEADLY_AT_START &&
@@ -464,7 +467,9 @@
         {"record", 0, 0, G_OPTION_ARG_STRING, &server->record,
          "File to append one line for each request to", "FILE"},
         {"fault", 0, 0, G_OPTION_ARG_STRING, &server->fault,
-         "Fault: cut, extra, unframed, error, shed, mute, no-seal or wrong-id",
+         "Fault: cut, extra, unframed, error, shed, mute, no-seal, wrong-id "
+         "or "
+         "one of fake_endless.h",
          "KIND"},
         {"fault-count", 0, 0, G_OPTION_ARG_INT, &server->fault_count,
          "Number of requests with the fault", "N"},
@@ -525,20 +530,11 @@
 apply_start(Server *server, int start)
 {
     if (server->new_id) {
-        char *id = g_strdup_printf("%s-%d", server->id, start);
-        server->id = id;
+        server->id = g_strdup_printf("%s-%d", server->id, start);
     }
-    Address address;
-    struct in_addr host;
-    if (server->moves > 1 &&
-        Address_Parse(server->listen, &address, NULL) == ERR_OK &&
-        inet_pton(AF_INET, address.host, &host) == 1)
-    {
-        host.s_addr = htonl(ntohl(host.s_addr) +
-                            (uint32_t)((start - 1) % server->moves));
-        char text[INET_ADDRSTRLEN];
-        inet_ntop(AF_INET, &host, text, sizeof(text));
-        server->listen = g_strdup_printf("%s:%u", text, address.port);
+    if (server->moves > 1) {
+        server->listen =
+            Deadly_MovedAddress(server->listen, (start - 1) % server->moves);
     }
 }
 
