Crash table: a subject is explained only by one that has all its crashes

Cause: each crash counted against the suspect with the most crashes, so that a barred part lost some of its own whenever another one crashed a server at the same time. Now a suspect is set aside only while another one has all of its crashes. unit/test_crash_table: barred_part_stays_barred_when_another_crashes_more failed before.

--- a/src/sched/crash_table.c
+++ b/src/sched/crash_table.c
@@ -269,10 +269,10 @@
 
 /* ---- Verdicts ---- */
 
-/* Returns whether crashes of both count against @p a only. Of a request and
- * its own parts that crashed the same endpoints, the request is the narrower
- * explanation. One request never explains the crashes of another, as that
- * would put off barring it. */
+/* Returns whether @p a explains the crashes of @p b if it has all of them. Of
+ * a request and its own parts that crashed the same endpoints, the request is
+ * the narrower explanation. One request never explains the crashes of another,
+ * as that would put off barring it. */
 static bool
 outranks(const Suspect *a, const Suspect *b)
 {
@@ -283,41 +283,16 @@
                                 : !a->subject.is_part && b->subject.is_part;
 }
 
-/* Returns whether a crash of the suspect counts against another one. */
+/* Returns whether all crashes of @p b are crashes of @p a too. */
 static bool
-is_explained(const CrashTable *table, const Suspect *suspect,
-             uint64_t incarnation)
+has_crashes_of(const Suspect *a, const Suspect *b)
 {
-    for (const GList *node = table->many.head; node != NULL; node = node->next)
-    {
-        const Suspect *other = node->data;
-        if (other != suspect && outranks(other, suspect) &&
-            has_crash(other, incarnation))
-        {
-            return true;
-        }
-    }
-    return false;
-}
-
-/* Returns whether another part has crashed the same endpoints. */
-static bool
-has_rival(const CrashTable *table, const Suspect *suspect)
-{
-    for (const GList *node = table->many.head; node != NULL; node = node->next)
-    {
-        const Suspect *other = node->data;
-        unsigned shared = 0;
-        for (unsigned i = 0; i < suspect->count; i++) {
-            shared +=
-                has_crash(other, suspect->crashes[i].incarnation) ? 1 : 0;
-        }
-        if (other != suspect && other->subject.is_part &&
-            shared == suspect->count) {
-            return true;
+    for (unsigned i = 0; i < b->count; i++) {
+        if (!has_crash(a, b->crashes[i].incarnation)) {
+            return false;
         }
     }
-    return false;
+    return true;
 }
 
 /* Returns whether the suspect crashed at least half of the endpoints that
@@ -340,18 +315,23 @@
     if (verdict->generation == table->generation) {
         return verdict;
     }
-    unsigned count = suspect->count;
-    for (unsigned i = 0; i < suspect->count; i++) {
-        if (is_explained(table, suspect, suspect->crashes[i].incarnation)) {
-            count--;
+    bool explained = false;
+    bool has_rival = false;
+    for (const GList *node = table->many.head; node != NULL; node = node->next)
+    {
+        const Suspect *other = node->data;
+        if (other != suspect && has_crashes_of(other, suspect)) {
+            explained = explained || outranks(other, suspect);
+            has_rival = has_rival || other->subject.is_part;
         }
     }
     verdict->generation = table->generation;
-    verdict->in_doubt =
-        suspect->subject.is_part &&
-        (has_rival(table, suspect) || !explains_most_ends(table, suspect));
-    verdict->barred = count >= (verdict->in_doubt ? CRASHES_TO_BAR_IN_DOUBT
-                                                  : CRASHES_TO_BAR);
+    verdict->in_doubt = suspect->subject.is_part &&
+                        (has_rival || !explains_most_ends(table, suspect));
+    verdict->barred =
+        !explained &&
+        suspect->count >=
+            (verdict->in_doubt ? CRASHES_TO_BAR_IN_DOUBT : CRASHES_TO_BAR);
     return verdict;
 }
 
--- a/src/sched/crash_table.h
+++ b/src/sched/crash_table.h
@@ -9,10 +9,10 @@
  * ignored for some time.
  *
  * Requests that ran beside the one that crashes an endpoint are suspected too.
- * A crash counts only against the part with the most crashes among those that
- * it is blamed on, and against the requests with as many. A request is barred
- * after CRASHES_TO_BAR such crashes; a part of a prompt too if it is the only
- * one that explains them and if it explains at least half of all ends
+ * A subject is not barred while all its crashes are also those of a part with
+ * more of them, or those of a request, if the subject is a part. Otherwise a
+ * request is barred after CRASHES_TO_BAR crashes; so is a part if no other
+ * part has the same crashes and if it explains at least half of all ends
  * meanwhile, else after CRASHES_TO_BAR_IN_DOUBT.
  */
 #ifndef LAURELLIFT_SCHED_CRASH_TABLE_H
--- a/test/unit/test_crash_table.c
+++ b/test/unit/test_crash_table.c
@@ -387,6 +387,25 @@
     CrashTable_Free(table);
 }
 
+/* Two deadly parts that some endpoints ended under at the same time. */
+static void
+barred_part_stays_barred_when_another_crashes_more(void **state)
+{
+    CrashTable *table = CrashTable_New();
+    for (uint64_t i = 101; i <= 110; i++) {
+        add(table, 1000 + i, i, START_US); /* ends under neither */
+    }
+    for (uint64_t i = 1; i <= 5; i++) {
+        add_part(table, DEADLY, i, START_US);
+        add_part(table, OTHER, i + 3, START_US);
+    }
+    assert_true(part_is_barred(table, DEADLY));
+    assert_true(part_is_barred(table, OTHER));
+    add_part(table, DEADLY, 11, START_US);
+    assert_true(part_is_barred(table, OTHER));
+    CrashTable_Free(table);
+}
+
 static void
 new_parts_do_not_displace_a_deadly_one(void **state)
 {
@@ -442,6 +461,7 @@
         cmocka_unit_test(requests_do_not_explain_each_other),
         cmocka_unit_test(part_that_explains_few_ends_is_not_barred),
         cmocka_unit_test(two_deadly_parts_are_both_barred),
+        cmocka_unit_test(barred_part_stays_barred_when_another_crashes_more),
         cmocka_unit_test(new_parts_do_not_displace_a_deadly_one),
         cmocka_unit_test(first_and_last_parts_of_a_long_prompt_are_known),
     };
