--- a/test/fakes/fake_server.c
+++ b/test/fakes/fake_server.c
@@ -286,7 +286,7 @@
     connection->deadly = DEADLY_NEVER;
     connection->fault[0] = '\0';
     if (server->limit_file != NULL && id != NULL) {
-        record(server, "arrived %lld\n", (long long)Clock_WallMs());
+        record(server, "arrived %lld %s\n", (long long)Clock_WallMs(), id);
     }
     if (expected_id != NULL && strcmp(expected_id, server->id) != 0) {
         refuse(connection, 421, "Not-Executed: 1\r\n");
