Agents keep to the rate limit that their endpoint names

The same queue as the keeper's: an endpoint may name X-Laurellift-Rate-Limit in its answers, and the agent grants at that rate.

--- a/src/agent/endpoint.c
+++ b/src/agent/endpoint.c
@@ -164,6 +164,7 @@
                  agent->own->name);
         endpoint->leaving_reported = false;
         AgentReport_Reset(agent);
+        Queue_ResetRate(agent->queue, endpoint->last_seen_at);
     }
     if (resized || restarted) {
         endpoint->usable_slots = endpoint->slots;
--- a/src/agent/run.c
+++ b/src/agent/run.c
@@ -17,6 +17,7 @@
 #include "agent/usage.h"
 #include "kernel/counter.h"
 #include "kernel/log.h"
+#include "sched/named_rate.h"
 
 /* TCP keepalive detects a dead connection within about
  * KEEPALIVE_IDLE_S + KEEPALIVE_PROBES * KEEPALIVE_INTERVAL_S. */
@@ -30,6 +31,7 @@
 #define DETAIL_BYTES 96
 #define DUMP_RUNS_MAX 64
 #define PREFIX_HEADER "X-Laurellift-Prefix"
+#define RATE_HEADER "X-Laurellift-Rate-Limit"
 
 struct Run {
     Agent *agent;
@@ -163,12 +165,34 @@
     AgentLinks_FlushQueue(agent);
 }
 
+/* Applies the rate limit that the answer names, if any. */
+static void
+read_rate_limit(const Run *run)
+{
+    const char *text = evhttp_find_header(
+        evhttp_request_get_input_headers(run->request), RATE_HEADER);
+    double rate = text == NULL ? 0 : NamedRate_Parse(text);
+    if (text != NULL && rate == 0) {
+        if (!run->agent->bad_rate_logged) {
+            LOG_WARN(AGENT_PART, "Invalid rate limit is ignored. endpoint=%s",
+                     run->agent->own->name);
+        }
+        run->agent->bad_rate_logged = true;
+        return;
+    }
+    if (Queue_OnNamedRate(run->agent->queue, rate, run->started_at,
+                          Clock_Now())) {
+        LOG_INFO(AGENT_PART, "Rate limit of the endpoint. rate=%.3f", rate);
+    }
+}
+
 static void
 forward_head(Run *run)
 {
     if (AgentAnswer_HasHead(run->answer)) {
         return;
     }
+    read_rate_limit(run);
     const char *type = evhttp_find_header(
         evhttp_request_get_input_headers(run->request), "Content-Type");
     int status = evhttp_request_get_response_code(run->request);
--- a/src/agent/state.h
+++ b/src/agent/state.h
@@ -72,6 +72,7 @@
     GQueue ended_answers; /**< of Answer, oldest first */
     size_t unacked_bytes; /**< Unacknowledged bytes of all answers. */
     bool answers_blocked; /**< The send queue of a link was full. */
+    bool bad_rate_logged; /**< An answer named a limit that cannot be read. */
     Orders *orders;
     CrashWatch *crashes;
     GHashTable *suspects; /**< Fingerprint -> SuspectFlag bits. */
--- a/src/sched/queue.c
+++ b/src/sched/queue.c
@@ -276,6 +276,9 @@
     if (item == NULL || item->owner != owner || item->state == ITEM_RUNNING) {
         return;
     }
+    if (item->state == ITEM_GRANTED) {
+        NamedRate_OnUnsent(&queue->rate_limit);
+    }
     QueueItems_Remove(queue, item);
     add_dispatch_sample(queue, false);
     plan_and_grant(queue, now);
@@ -351,6 +354,7 @@
     for (uint32_t i = queue->busy_count; i > 0; i--) {
         Item *item = QueueItems_Busy(queue, i - 1);
         if (item->owner == owner && item->state == ITEM_GRANTED) {
+            NamedRate_OnUnsent(&queue->rate_limit);
             QueueItems_Remove(queue, item);
         }
     }
@@ -438,6 +442,7 @@
     for (uint32_t i = queue->busy_count; i > 0; i--) {
         Item *item = QueueItems_Busy(queue, i - 1);
         if (item->state == ITEM_GRANTED && now >= item->grant_expires_at) {
+            NamedRate_OnUnsent(&queue->rate_limit);
             QueueItems_End(queue, item);
         }
     }
--- a/test/fakes/fake_engine.c
+++ b/test/fakes/fake_engine.c
@@ -318,6 +318,10 @@
     use_cache(stream, length);
     evhttp_connection_set_closecb(evhttp_request_get_connection(request),
                                   on_closed, stream);
+    if (engine->rate_limit != NULL) {
+        evhttp_add_header(evhttp_request_get_output_headers(request),
+                          "X-Laurellift-Rate-Limit", engine->rate_limit);
+    }
     if (stream->streamed) {
         evhttp_add_header(evhttp_request_get_output_headers(request),
                           "Content-Type", "text/event-stream");
@@ -429,6 +433,8 @@
          "Crash at the start, later (after closing the connection), silent "
          "(after the deadline) or at the end of the answer",
          "WHEN"},
+        {"rate-limit", 0, 0, G_OPTION_ARG_STRING, &engine->rate_limit,
+         "Rate limit to name in answers", "REQUESTS_S"},
         {"cut-after", 0, 0, G_OPTION_ARG_INT, &engine->cut_after,
          "Close the connection after BYTES of an answer's body", "BYTES"},
         {"silent-after", 0, 0, G_OPTION_ARG_INT, &engine->silent_after,
--- a/test/fakes/fake_engine.h
+++ b/test/fakes/fake_engine.h
@@ -16,6 +16,7 @@
                                  no time beyond prefill_ms. */
     gboolean echo;         /**< Answers start with the prompt's first word. */
     gchar *crash_on;   /**< The engine exits on a request with this text. */
+    gchar *rate_limit; /**< Rate limit to name in answers; NULL for none. */
     gchar *crash_when; /**< start, later, silent or end; NULL: start. */
     gint cut_after;    /**< Body bytes after which an answer's connection is
                              closed; 0 for never. */
