Gateway: a kept connection that closes at once is reason to probe the endpoint

Cause: nobody dialled the ended server until its id was deregistered, and an endpoint that leaves is not blamed on what it had answered. An endpoint that keeps a connection and closes it within 0.25 s is now probed, so that its end is proved before. Survived requests without crashes no longer cost a message object.

--- a/src/gateway/end_watch.c
+++ b/src/gateway/end_watch.c
@@ -166,8 +166,8 @@
         schedule_probe(endpoint, PROBE_RETRY_MS);
         return;
     }
-    else if (connected && Clock_Now() - endpoint->watch.unanswered_run_at <
-                              PROBE_AGAIN_MAX_US)
+    else if (connected &&
+             Clock_Now() - endpoint->watch.suspected_at < PROBE_AGAIN_MAX_US)
     {
         schedule_probe(endpoint, PROBE_AGAIN_MS);
         return;
@@ -175,15 +175,14 @@
     end_probing(endpoint);
 }
 
-/* Connects to the endpoint unless it was heard of since the newest run. */
+/* Connects to the endpoint unless it was heard of since it was suspected. */
 static void
 start_probe(evutil_socket_t fd, short events, void *arg)
 {
     Endpoint *endpoint = arg;
     EndWatch *watch = &endpoint->watch;
     Address address;
-    if (watch->history.count == 0 ||
-        watch->heard_at > watch->unanswered_run_at ||
+    if (watch->history.count == 0 || watch->heard_at > watch->suspected_at ||
         Address_Parse(endpoint->address, &address, NULL) != ERR_OK)
     {
         end_probing(endpoint);
@@ -239,7 +238,7 @@
     if (run->end == RUN_ANSWERED) {
         return;
     }
-    watch->unanswered_run_at = run->at;
+    watch->suspected_at = run->at;
     if (watch->ended != END_UNKNOWN) {
         count_end(endpoint, watch->ended, "it had ended before the run did");
         return;
@@ -251,3 +250,13 @@
         schedule_probe(endpoint, PROBE_DELAY_MS);
     }
 }
+
+void
+EndWatch_OnUnexpectedClose(Endpoint *endpoint)
+{
+    EndWatch *watch = &endpoint->watch;
+    watch->suspected_at = Clock_Now();
+    if (!is_probing(watch) && watch->history.count > 0) {
+        schedule_probe(endpoint, PROBE_DELAY_MS);
+    }
+}
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -118,7 +118,8 @@
 typedef struct EndWatch {
     RunHistory history;
     TimeUs heard_at;           /* when bytes last came from the endpoint */
-    TimeUs unanswered_run_at;  /* end of the newest run without an answer */
+    TimeUs suspected_at;       /* newest run without an answer, or unexpected
+                                  close of a connection */
     unsigned unanswered;       /* connection attempts without a reply */
     EndEvidence ended;         /* has ended, and was not heard of since */
     struct event *timer;       /* starts the probe; NULL while there is none */
@@ -131,6 +132,10 @@
 /* Records that bytes came from the endpoint. */
 void EndWatch_OnHeard(Endpoint *endpoint);
 
+/* Records that the endpoint closed a connection that it had just kept open,
+ * which proves nothing but is reason to probe it. */
+void EndWatch_OnUnexpectedClose(Endpoint *endpoint);
+
 /* Counts a crash for the recorded runs, since the endpoint has ended. */
 void EndWatch_OnEnded(Endpoint *endpoint, const char *why);
 
--- a/src/gateway/suspects.c
+++ b/src/gateway/suspects.c
@@ -109,19 +109,21 @@
 void
 Suspects_OnSurvived(Suspects *suspects, const Subjects *subjects)
 {
-    CrashNews *news = CrashNews_New(Clock_Now());
+    CrashNews *news = NULL; /* most survived subjects have no crashes */
     for (uint32_t i = 0; i < subject_count(subjects); i++) {
         Subject subject = subject_at(subjects, i);
-        if (CrashTable_Acquit(suspects->table, subject, Clock_Now())) {
-            log_acquittal(subject);
-            CrashNews_AddAcquittal(news, subject);
+        if (!CrashTable_Acquit(suspects->table, subject, Clock_Now())) {
+            continue;
         }
+        log_acquittal(subject);
+        news = news == NULL ? CrashNews_New(Clock_Now()) : news;
+        CrashNews_AddAcquittal(news, subject);
     }
-    if (!CrashNews_IsEmpty(news)) {
+    if (news != NULL) {
         GatewayControl_SendAll(suspects->gateway->control,
                                CrashNews_Frame(news));
+        CrashNews_Free(news);
     }
-    CrashNews_Free(news);
 }
 
 static void
--- a/src/gateway/upstream.c
+++ b/src/gateway/upstream.c
@@ -29,6 +29,9 @@
 #define LIVE_FRACTION 0.4
 #define IDLE_UPSTREAMS_MAX 16
 #define HEAD_MAX_BYTES (32 * 1024)
+/* An endpoint that keeps a connection does not close it so soon after an
+ * answer. */
+#define UNEXPECTED_CLOSE_US (250 * US_PER_MS)
 /* Bytes of answers that are not forwarded, for one request. */
 #define DISCARD_MAX_BYTES (1024 * 1024)
 
@@ -346,7 +349,14 @@
         return;
     }
     if (!upstream->busy) {
+        Endpoint *endpoint = upstream->endpoint;
+        bool early = Clock_Now() - upstream->idle_since < UNEXPECTED_CLOSE_US;
+        Endpoint_Ref(endpoint);
         free_upstream(upstream);
+        if (early) {
+            EndWatch_OnUnexpectedClose(endpoint);
+        }
+        Endpoint_Unref(endpoint);
         return;
     }
     if (!upstream->connected) {
