--- a/scripts/run-deadly-cells.sh
+++ b/scripts/run-deadly-cells.sh
@@ -1,15 +1,26 @@
 #!/usr/bin/env bash
 # Plays the table of deadly requests: each axis varied alone, then random
-# combinations. Usage: run-deadly-cells.sh BUILD [COMBINATIONS] [SEED] [JOBS]
+# combinations. Usage: run-deadly-cells.sh BUILD [COMBINATIONS] [SEED] [JOBS] [KIND]
+# KIND is `requests` (default) or `parts`.
 # Prints a line for each cell (test/soak/deadly-cell.sh) and exits with 0 when
-# no request was sent more than three times later than 4 s after three ends.
+# no request was sent more than three times later than 4 s after three ends, and
+# none with a deadly part after five.
 set -uo pipefail
 cd "$(dirname "$0")/.."
 build=$(realpath "$1")
 combinations=${2:-20}
 RANDOM=${3:-1}
 jobs=${4:-3}
-requests=(look once stream)
+case ${5:-requests} in
+requests)
+    requests=(look once stream)
+    varied=(once stream)
+    ;;
+parts)
+    requests=(first second last double)
+    varied=(second)
+    ;;
+esac
 manners=(start-close start-reset start-dark head-close body-close body-reset
     body-dark end-close end-reset later-close)
 afters=(new same moved none late left)
@@ -23,7 +34,7 @@
         cells+=("$request $manner new turn none no")
     done
 done
-for request in once stream; do
+for request in "${varied[@]}"; do
     for after in "${afters[@]:1}"; do
         cells+=("$request start-close $after turn none no")
     done
@@ -35,7 +46,7 @@
     done
 done
 for ((i = 0; i < combinations; i++)); do
-    cells+=("${requests[RANDOM % 3]} ${manners[RANDOM % 10]} ${afters[RANDOM % 6]} ${senders[RANDOM % 4]} ${losses[RANDOM % 6]} ${traffics[RANDOM % 2]}")
+    cells+=("${requests[RANDOM % ${#requests[@]}]} ${manners[RANDOM % 10]} ${afters[RANDOM % 6]} ${senders[RANDOM % 4]} ${losses[RANDOM % 6]} ${traffics[RANDOM % 2]}")
 done
 
 # play_cell INDEX CELL...
