--- a/src/gateway/keepers.c
+++ b/src/gateway/keepers.c
@@ -47,6 +47,13 @@
     const Keeper *keeper = owner;
     LOG_INFO(GATEWAY_PART, "Slot keeper connected. endpoint=%s",
              keeper->endpoint_id);
+    /* The keeper may have started again without the engine. */
+    const Endpoint *endpoint =
+        Endpoints_Find(keeper->keepers->gateway, keeper->endpoint_id);
+    if (endpoint != NULL && endpoint->rate_limit.rate > 0) {
+        Keepers_ReportRate(endpoint, endpoint->rate_limit.rate,
+                           endpoint->rate_limit.named_at);
+    }
 }
 
 /* Queues the calls whose wants only this keeper could still grant. Calls that
--- a/test/functional/platform-limit.sh
+++ b/test/functional/platform-limit.sh
@@ -25,7 +25,11 @@
 done
 sleep 0.5
 from=$(($(date +%s%3N) + LIMIT_CONTACT_MS))
-sleep 17
+sleep 9
+# A keeper that starts again knows no limit.
+stop keeper31 KILL
+start_engine_keeper 31
+sleep 8
 until=$(date +%s%3N)
 wait "${loops[@]}"
 for name in engine-31 engine-32 app-41 app-42; do
