--- a/src/fleet/crashes.c
+++ b/src/fleet/crashes.c
@@ -42,7 +42,7 @@
 static void
 add_crash(Fleet *fleet, const Crash *crash, CrashNews *changes, TimeUs now)
 {
-    if (!CrashTable_AddCrash(fleet->crashes, crash, now)) {
+    if (!CrashNews_CountCrash(fleet->crashes, crash, now)) {
         return;
     }
     LOG_INFO(FLEET_PART,
--- a/src/gateway/hosts.c
+++ b/src/gateway/hosts.c
@@ -35,10 +35,12 @@
     Gateway *gateway;
     GPtrArray *hosts; /* Host */
     struct event *timer;
-    uint64_t query_nonce; /* id of the pending query; 0 if none */
-    TimeUs queried_at;    /* when the newest query was sent */
-    guint queried_index;  /* host queried while no leader is known */
-    char *leader;         /* address of the leading host, or NULL */
+    uint64_t query_nonce;       /* id of the pending query; 0 if none */
+    TimeUs queried_at;          /* when the newest query was sent */
+    guint queried_index;        /* host queried while no leader is known */
+    char *leader;               /* address of the leading host, or NULL */
+    unsigned surplus_endpoints; /* with rate limits that did not fit into the
+                                   newest query */
 };
 
 static void
@@ -90,19 +92,24 @@
     size_t count;
 } EndpointUses;
 
-static void
+/* Adds the endpoints with a rate limit.
+ * @return the number of those that do not fit. */
+static unsigned
 add_endpoints(const Gateway *gateway, EndpointUses *uses)
 {
+    unsigned surplus = 0;
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, gateway->endpoints);
-    while (uses->count < ENDPOINTS_MAX &&
-           g_hash_table_iter_next(&iter, NULL, &value))
-    {
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const Endpoint *endpoint = value;
         if (endpoint->rate_limit.rate <= 0) {
             continue;
         }
+        if (uses->count == ENDPOINTS_MAX) {
+            surplus++;
+            continue;
+        }
         Wire__EndpointUse *use = &uses->items[uses->count];
         wire__endpoint_use__init(use);
         use->endpoint = endpoint->id;
@@ -110,6 +117,20 @@
         use->demand = ServiceQueue_Demand(gateway, endpoint->service);
         uses->pointers[uses->count++] = use;
     }
+    return surplus;
+}
+
+/* Logs a change of the number of endpoints whose rate limits are shared
+ * equally, since a query has no room for them. */
+static void
+log_surplus(GatewayControl *control, unsigned surplus)
+{
+    if (surplus != control->surplus_endpoints) {
+        control->surplus_endpoints = surplus;
+        LOG_WARN(GATEWAY_PART,
+                 "Rate limits of some endpoints are not reported. surplus=%u",
+                 surplus);
+    }
 }
 
 static void
@@ -128,7 +149,7 @@
     query.n_use = uses.count;
     query.use = uses.pointers;
     EndpointUses endpoints = {.count = 0};
-    add_endpoints(gateway, &endpoints);
+    log_surplus(control, add_endpoints(gateway, &endpoints));
     query.n_endpoints = endpoints.count;
     query.endpoints = endpoints.pointers;
     Wire__Frame frame = WIRE__FRAME__INIT;
--- a/src/gateway/suspects.c
+++ b/src/gateway/suspects.c
@@ -37,7 +37,7 @@
 add_crash(const Suspects *suspects, const Crash *crash, const char *seen_by)
 {
     TimeUs now = Clock_Now();
-    if (!CrashTable_AddCrash(suspects->table, crash, now)) {
+    if (!CrashNews_CountCrash(suspects->table, crash, now)) {
         return false;
     }
     LOG_INFO(GATEWAY_PART,
--- a/src/routes/crash_news.c
+++ b/src/routes/crash_news.c
@@ -6,6 +6,8 @@
 #include "kernel/log.h"
 
 #define PART "crashes"
+/* One record for so many forgotten subjects. */
+#define DISPLACED_LOG_STEP 256
 
 struct CrashNews {
     TimeUs now;
@@ -108,6 +110,22 @@
     };
 }
 
+bool
+CrashNews_CountCrash(CrashTable *table, const Crash *crash, TimeUs now)
+{
+    uint64_t before = CrashTable_Displaced(table);
+    bool counted = CrashTable_AddCrash(table, crash, now);
+    uint64_t displaced = CrashTable_Displaced(table);
+    if (displaced / DISPLACED_LOG_STEP != before / DISPLACED_LOG_STEP ||
+        (before == 0 && displaced > 0))
+    {
+        LOG_WARN(PART,
+                 "Crash table is full and forgets the oldest. forgotten=%llu",
+                 (unsigned long long)displaced);
+    }
+    return counted;
+}
+
 void
 CrashNews_ForEachAcquittal(const Wire__CrashNews *news,
                            void (*visit)(void *arg, Subject subject),
--- a/src/routes/crash_news.h
+++ b/src/routes/crash_news.h
@@ -39,6 +39,10 @@
 /** Reads a received crash. */
 Crash CrashNews_ReadCrash(const Wire__CrashRecord *record, TimeUs now);
 
+/** Counts a crash as CrashTable_AddCrash() does, and logs when the table is
+ * full and forgets subjects. */
+bool CrashNews_CountCrash(CrashTable *table, const Crash *crash, TimeUs now);
+
 /** Visits the acquittals of a received message. */
 void CrashNews_ForEachAcquittal(const Wire__CrashNews *news,
                                 void (*visit)(void *arg, Subject subject),
--- a/test/unit/test_crash_table.c
+++ b/test/unit/test_crash_table.c
@@ -419,7 +419,11 @@
     }
     assert_true(part_is_barred(table, DEADLY));
     assert_int_equal(CrashTable_Count(table, false), CRASHES_MAX);
-    assert_true(CrashTable_Displaced(table) > 0);
+    uint64_t displaced = CrashTable_Displaced(table);
+    assert_true(displaced > 0);
+    Crash crash = {.subject = part(others), .incarnation = 4, .at = START_US};
+    assert_true(CrashNews_CountCrash(table, &crash, START_US));
+    assert_int_equal(CrashTable_Displaced(table), displaced + 1);
     CrashTable_Free(table);
 }
 
