Queue: no timer for the rate while something else keeps a request waiting

What was seen: reading the diff; with all slots taken and a request due by the rate, the queue asked for a tick every millisecond, so that a keeper woke 1,000 times a second.

The level is kept up to date at each look at the queue, and the timer counts only while it is below one request. unit/test_queue: full_engine_with_a_rate_needs_no_early_timer failed before.

--- a/src/sched/queue.c
+++ b/src/sched/queue.c
@@ -124,6 +124,9 @@
 static void
 grant_free_slots(WantQueue *queue, TimeUs now)
 {
+    /* Keeps the level up to date while no slot is free, for
+     * Queue_NextTimer(). */
+    NamedRate_MaySend(&queue->rate_limit, WHOLE_RATE, now);
     while (!queue->leaving && queue->waiting_count > 0 && !runs_alone(queue)) {
         Item *item = QueueItems_Waiting(queue, 0);
         if (!has_room(queue, item, now)) {
@@ -460,7 +463,7 @@
     TimeUs next = TIME_NEVER;
     if (queue->waiting_count > 0) {
         next = queue->last_planned_at + SHED_CHECK_PERIOD_US;
-        if (queue->rate_limit.rate > 0) {
+        if (queue->rate_limit.rate > 0 && queue->rate_limit.level < 1) {
             next = MIN(next, NamedRate_NextAt(&queue->rate_limit, WHOLE_RATE,
                                               0, queue->rate_limit.filled_at));
         }
--- a/test/unit/test_queue.c
+++ b/test/unit/test_queue.c
@@ -528,6 +528,27 @@
     Queue_Free(queue);
 }
 
+/* A limited engine whose slots are all taken must not be polled. */
+static void
+full_engine_with_a_rate_needs_no_early_timer(void **state)
+{
+    WantQueue *queue = new_queue(1);
+    TimeUs now = 1000 * US_PER_S;
+    add_want(queue, 1, 0, now + 100 * US_PER_S, now);
+    uint64_t grant_id;
+    assert_granted(queue, 1, &grant_id);
+    Queue_OnDispatch(queue, (RequestId){.low = 1}, grant_id, now);
+    Queue_OnNamedRate(queue, 1, now, now);
+    add_want(queue, 2, 0, now + 100 * US_PER_S, now);
+    for (int i = 0; i < 20; i++) {
+        now += 500 * US_PER_MS;
+        Queue_Tick(queue, now);
+        assert_true(Queue_NextTimer(queue) > now);
+    }
+    assert_no_action(queue);
+    Queue_Free(queue);
+}
+
 static void
 want_that_the_rate_delays_past_its_deadline_is_refused(void **state)
 {
@@ -569,6 +590,7 @@
         cmocka_unit_test(wants_for_a_replaced_target_are_refused),
         cmocka_unit_test(draining_refuses_waiting_wants),
         cmocka_unit_test(named_rate_spaces_grants_in_order_of_tiers),
+        cmocka_unit_test(full_engine_with_a_rate_needs_no_early_timer),
         cmocka_unit_test(
             want_that_the_rate_delays_past_its_deadline_is_refused),
     };
