Gateways and control hosts read and log the versions of endpoints' software

No log told which version of its software an endpoint runs, nor which requests take up a stream, so that the hypotheses on mixed streams could not be told apart. 'Endpoint changed.' now has software, 'Request ended.' has after, resumes and the software of the last endpoint. Nothing is decided by it yet.

--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -121,6 +121,7 @@
     g_free(call->target);
     g_free(call->host);
     g_free(call->key);
+    g_free(call->last_software);
     g_free(call);
 }
 
--- a/src/gateway/call_log.c
+++ b/src/gateway/call_log.c
@@ -60,13 +60,15 @@
     const Gateway *gateway = call->gateway;
     TimeUs now = Clock_Now();
     bool served = strcmp(outcome, OUTCOME_ANSWERED) == 0;
+    const char *resumes = Call_Field(call, gateway->options->fields->resumes);
+    const char *after = Call_Field(call, gateway->options->fields->last_event);
     record_metrics(call, served);
     Log_Write(served ? LOG_LEVEL_INFO : LOG_LEVEL_WARN, GATEWAY_PART,
               "Request ended. id=%s outcome=%s status=%u route=%s kind=%s "
               "account=%s tier=%u rank=%u service=%s endpoint=%s attempts=%u "
               "waited_ms=%lld first_ms=%lld total_ms=%lld left_ms=%lld "
               "prompt=%u output=%u expected=%u version=%llu lease_ms=%lld "
-              "events=%llu pause_ms=%lld",
+              "events=%llu pause_ms=%lld after=%s resumes=%s software=%s",
               call->id, outcome, call->status,
               call->route != NULL ? call->route->name : "", kind_name(call),
               call->account != NULL ? call->account->name : "", call->tier,
@@ -81,7 +83,9 @@
                   : 0ULL,
               (long long)(gateway->lease_until - now) / US_PER_MS,
               (unsigned long long)call->events.forwarded_count,
-              (long long)call->longest_event_gap / US_PER_MS);
+              (long long)call->longest_event_gap / US_PER_MS,
+              after != NULL ? after : "", resumes != NULL ? resumes : "",
+              call->last_software != NULL ? call->last_software : "");
 }
 
 void
--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -174,6 +174,8 @@
     call->endpoint = endpoint;
     g_strlcpy(call->last_endpoint_id, endpoint->id,
               sizeof(call->last_endpoint_id));
+    g_free(call->last_software);
+    call->last_software = g_strdup(endpoint->software);
     Endpoint_Ref(endpoint);
     endpoint->running++;
     call->state =
--- a/src/gateway/endpoints.c
+++ b/src/gateway/endpoints.c
@@ -29,6 +29,7 @@
     g_free(endpoint->service);
     g_free(endpoint->address);
     g_free(endpoint->zone);
+    g_free(endpoint->software);
     EndWatch_Clear(endpoint);
     g_free(endpoint);
 }
@@ -101,6 +102,9 @@
         endpoint = new_endpoint(gateway, record);
         g_hash_table_insert(gateway->endpoints, endpoint->id, endpoint);
     }
+    g_free(endpoint->software);
+    endpoint->software =
+        g_strdup(record->software != NULL ? record->software : "");
     endpoint->state = record->state;
     endpoint->born = record->born;
     endpoint->slots = MAX(record->slots, 1);
@@ -148,10 +152,12 @@
         }
         apply_record(gateway, known);
         LOG_INFO(GATEWAY_PART,
-                 "Endpoint changed. id=%s service=%s state=%d born=%llu "
-                 "sequence=%llu",
+                 "Endpoint changed. id=%s service=%s state=%d software=%s "
+                 "born=%llu sequence=%llu",
                  known->id, known->service != NULL ? known->service : "",
-                 (int)known->state, (unsigned long long)known->born,
+                 (int)known->state,
+                 known->software != NULL ? known->software : "",
+                 (unsigned long long)known->born,
                  (unsigned long long)known->sequence);
     }
     for (guint i = 0; i < superseded->len; i++) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -20,6 +20,7 @@
                                  share. */
     const char *length_hint;  /**< Output tokens that the caller expects. */
     const char *last_event;   /**< Id of the event to resume a stream after. */
+    const char *resumes;      /**< Id of the request that began the stream. */
     const char *signature;    /**< Endpoint's signature of its answer. */
     const char *account;      /**< Account name, set by the gateway. */
     const char *instance;     /**< Id of the intended endpoint, set by the
@@ -27,8 +28,9 @@
     const char *load;         /**< Endpoint's load: "RUNNING,WAITING,SLOTS". */
     const char *rate_limit;   /**< Requests per second that the endpoint takes
                                      from all senders together. */
-    const char *engine_version;  /**< Engine version that the caller wants; an
-                                    engine with another one answers 421. */
+    const char *engine_version;  /**< Version of the weights that the caller
+                                    wants; an engine with another one answers
+                                    421. */
     const char *not_run;         /**< Marks a request that the endpoint did not
                                     run. */
     const char *const *reserved; /**< Fields dropped from callers' requests;
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -114,7 +114,8 @@
     char *service;
     char *address;
     char *zone;
-    uint64_t born; /* start time in Unix milliseconds */
+    char *software; /* version of its software; "" if unknown */
+    uint64_t born;  /* start time in Unix milliseconds */
     EndpointState state;
     uint32_t slots;
     TimeUs cold_until;   /* end of the warm-up that the endpoint announced */
@@ -281,6 +282,7 @@
     bool maybe_ran;              /* an endpoint may have started to run it */
     Endpoint *endpoint;          /* endpoint of the current attempt, or NULL */
     char last_endpoint_id[64];   /* endpoint id of the newest attempt */
+    char *last_software;         /* version of that endpoint's software */
     Upstream *upstream;
     TimeUs sent_at;         /* start of the newest attempt */
     TimeUs first_output_at; /* time of the first event or complete answer */
--- a/src/routes/endpoint.c
+++ b/src/routes/endpoint.c
@@ -18,6 +18,7 @@
     char *service;
     char *address;
     char *zone;
+    char *software;
     EndpointRecord record; /* its strings point to those above */
 } Entry;
 
@@ -29,6 +30,7 @@
     g_free(entry->service);
     g_free(entry->address);
     g_free(entry->zone);
+    g_free(entry->software);
     g_free(entry);
 }
 
@@ -75,17 +77,27 @@
     }
 }
 
+/* Returns the software in the record, or NULL if that of the entry applies. */
+static const char *
+software_of(const Entry *entry, const EndpointRecord *record)
+{
+    bool same_start = entry->record.born == record->born;
+    return record->software == NULL && !same_start ? "" : record->software;
+}
+
 static void
 store_record(Entry *entry, const EndpointRecord *record)
 {
     replace_text(&entry->service, record->service);
     replace_text(&entry->address, record->address);
     replace_text(&entry->zone, record->zone);
+    replace_text(&entry->software, software_of(entry, record));
     entry->record = *record;
     entry->record.id = entry->id;
     entry->record.service = entry->service;
     entry->record.address = entry->address;
     entry->record.zone = entry->zone;
+    entry->record.software = entry->software;
 }
 
 static bool
@@ -97,7 +109,9 @@
            (record->service == NULL ||
             g_strcmp0(entry->service, record->service) == 0) &&
            (record->address == NULL ||
-            g_strcmp0(entry->address, record->address) == 0);
+            g_strcmp0(entry->address, record->address) == 0) &&
+           (record->software == NULL ||
+            g_strcmp0(entry->software, record->software) == 0);
 }
 
 /* Assigns the address of @p entry to the endpoint that started last. If it
--- a/src/routes/endpoint.h
+++ b/src/routes/endpoint.h
@@ -18,13 +18,19 @@
     ENDPOINT_GONE,     /**< Deregistered, or replaced at its address. */
 } EndpointState;
 
+/** Longest version of an endpoint's software, in bytes. */
+#define ENDPOINT_SOFTWARE_MAX 128
+
 /** Record of one endpoint. In an update, strings other than `id` may be NULL;
- * the directory then keeps the stored strings. */
+ * the directory then keeps the stored strings, but for the software of another
+ * start. */
 typedef struct EndpointRecord {
     const char *id;
     const char *service;
     const char *address; /**< IP:PORT. */
     const char *zone;
+    const char *software; /**< Version of its software, not of the weights of
+                             its models; NULL or "": unknown. */
     EndpointState state;
     uint64_t born;     /**< Start time in Unix milliseconds; 0: unknown. */
     uint64_t sequence; /**< Grows within one incarnation; 0: unknown. */
@@ -42,7 +48,7 @@
  *                    belongs to an endpoint that started later; their state
  *                    becomes ENDPOINT_GONE. May be NULL.
  * @return true when the endpoint is new, or when its state, start time, slots,
- *         service or address changed. */
+ *         service, address or software changed. */
 bool Directory_Update(Directory *directory, const EndpointRecord *record,
                       GPtrArray *superseded);
 
--- a/src/routes/endpoint_wire.c
+++ b/src/routes/endpoint_wire.c
@@ -14,6 +14,8 @@
     wire_record->address =
         record->address != NULL ? (char *)record->address : "";
     wire_record->zone = record->zone != NULL ? (char *)record->zone : "";
+    wire_record->software =
+        record->software != NULL ? (char *)record->software : "";
     wire_record->state = (Wire__EndpointState)record->state;
     wire_record->born = record->born;
     wire_record->sequence = record->sequence;
@@ -36,6 +38,7 @@
         .service = text_or_null(wire_record->service),
         .address = text_or_null(wire_record->address),
         .zone = text_or_null(wire_record->zone),
+        .software = text_or_null(wire_record->software),
         .state = (EndpointState)wire_record->state,
         .born = wire_record->born,
         .sequence = wire_record->sequence,
--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -123,6 +123,40 @@
         ERR_INVALID);
 }
 
+/* Decodes a heartbeat with more members before the usual ones.
+ * @return its software version; NULL if the heartbeat is rejected. */
+static const char *
+decode_software(const char *members)
+{
+    EndpointRecord out;
+    char *text = g_strdup_printf(
+        "{%s\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\","
+        "\"slots\":5,\"state\":\"ready\",\"sequence\":4}",
+        members);
+    int result = decode_heartbeat(text, &out);
+    g_free(text);
+    return result == ERR_OK ? out.software : NULL;
+}
+
+static void
+software_that_is_not_named_is_unknown(void **state)
+{
+    char *longest = g_strnfill(ENDPOINT_SOFTWARE_MAX, 'v');
+    char *fits = g_strdup_printf("\"version\":\"%s\",", longest);
+    char *too_long = g_strdup_printf("\"version\":\"%sv\",", longest);
+    assert_string_equal(decode_software("\"version\":\"v1.2\","), "v1.2");
+    assert_string_equal(decode_software(fits), longest);
+    assert_string_equal(decode_software(too_long), "");
+    assert_string_equal(decode_software("\"version\":\"\","), "");
+    assert_string_equal(decode_software("\"version\":null,"), "");
+    assert_string_equal(decode_software(""), "");
+    assert_null(decode_software("\"version\":1.2,"));
+    assert_null(decode_software("\"version\":[\"v1\"],"));
+    g_free(longest);
+    g_free(fits);
+    g_free(too_long);
+}
+
 static PlatformSettings *
 load(const char *text, Error *err)
 {
@@ -200,6 +234,7 @@
         cmocka_unit_test(documents_are_decoded_to_route_tables),
         cmocka_unit_test(invalid_documents_are_refused),
         cmocka_unit_test(heartbeats_are_decoded_to_records),
+        cmocka_unit_test(software_that_is_not_named_is_unknown),
         cmocka_unit_test(settings_are_read_into_options),
         cmocka_unit_test(only_seeds_bootstrap),
         cmocka_unit_test(invalid_settings_are_reported),
--- a/test/unit/test_routes.c
+++ b/test/unit/test_routes.c
@@ -174,6 +174,36 @@
     Directory_Free(directory);
 }
 
+static void
+software_of_another_start_is_not_kept(void **state)
+{
+    EndpointRecord first = {.id = "i",
+                            .address = "a",
+                            .software = "v1",
+                            .state = ENDPOINT_READY,
+                            .born = 1,
+                            .sequence = 5};
+    EndpointRecord silent = first;
+    EndpointRecord restarted = first;
+    EndpointRecord named = first;
+    silent.software = NULL;
+    silent.sequence = 6;
+    restarted.software = NULL;
+    restarted.born = 2;
+    named.software = "v2";
+    named.born = 2;
+    named.sequence = 6;
+    Directory *directory = Directory_New();
+    assert_true(Directory_Update(directory, &first, NULL));
+    assert_false(Directory_Update(directory, &silent, NULL));
+    assert_string_equal(Directory_Find(directory, "i")->software, "v1");
+    assert_true(Directory_Update(directory, &restarted, NULL));
+    assert_string_equal(Directory_Find(directory, "i")->software, "");
+    assert_true(Directory_Update(directory, &named, NULL));
+    assert_string_equal(Directory_Find(directory, "i")->software, "v2");
+    Directory_Free(directory);
+}
+
 int
 main(void)
 {
@@ -184,6 +214,7 @@
         cmocka_unit_test(outdated_record_changes_nothing),
         cmocka_unit_test(new_start_resets_sequence),
         cmocka_unit_test(last_started_endpoint_keeps_address),
+        cmocka_unit_test(software_of_another_start_is_not_kept),
     };
     return cmocka_run_group_tests_name("routes", tests, NULL, NULL);
 }
