Red: streams hold events of two software versions of one service

Eight engines, half of them v1 and half v2, cut every second stream after three events; a third of the callers break off after two events; all take up their streams at the same or the next gateway with Resumes. Seen: 17 of 32 and 27 of 48 streams mixed, allowed 2. All that were taken up went on.

--- a/test/fakes/fake_server.c
+++ b/test/fakes/fake_server.c
@@ -36,6 +36,9 @@
     gchar *record;    /* path of the record file; NULL for none */
     gchar *fault;     /* kind of fault; NULL for none */
     gint fault_count; /* number of further requests that get the fault */
+    gint fault_every; /* if above 1, each of so many streams gets it */
+    gchar *software;  /* version that it announces; empty for none */
+    guint stream_count;
     gint slots;
     gint events;          /* number of events in a stream */
     gint gap_ms;          /* time between events */
@@ -203,8 +206,9 @@
 send_event(Connection *connection)
 {
     const Server *server = connection->server;
-    char *event = g_strdup_printf("id: %d\ndata: %s\n\n",
-                                  connection->next_event, server->id);
+    char *event =
+        g_strdup_printf("id: %d\ndata: %s %s\n\n", connection->next_event,
+                        server->id, server->software);
     write_chunk(connection, event);
     g_free(event);
     if (strcmp(connection->fault, "cut") == 0 &&
@@ -292,7 +296,11 @@
         refuse(connection, 421, "Not-Executed: 1\r\n");
         return;
     }
-    if (server->fault != NULL && server->fault_count > 0) {
+    bool has_turn = server->fault_every == 1;
+    if (!has_turn && H1Head_Get(head, "Model") != NULL) {
+        has_turn = ++server->stream_count % server->fault_every == 0;
+    }
+    if (server->fault != NULL && server->fault_count > 0 && has_turn) {
         server->fault_count--;
         g_strlcpy(connection->fault, server->fault, sizeof(connection->fault));
     }
@@ -433,8 +441,8 @@
                     json_pack("{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:I, s:I}",
                               "service", server->service, "address",
                               server->listen, "zone", server->zone, "version",
-                              "v1", "slots", server->slots, "state",
-                              server->draining ? "draining" : "ready",
+                              server->software, "slots", server->slots,
+                              "state", server->draining ? "draining" : "ready",
                               "coldRemainingMs", 0, "sequence",
                               (json_int_t)++server->sequence, "born",
                               (json_int_t)server->born));
@@ -473,6 +481,10 @@
          "KIND"},
         {"fault-count", 0, 0, G_OPTION_ARG_INT, &server->fault_count,
          "Number of requests with the fault", "N"},
+        {"fault-every", 0, 0, G_OPTION_ARG_INT, &server->fault_every,
+         "If above 1, each Nth stream gets the fault, and nothing else", "N"},
+        {"software", 0, 0, G_OPTION_ARG_STRING, &server->software,
+         "Version of its software to announce and to put into events", "TEXT"},
         {"slots", 0, 0, G_OPTION_ARG_INT, &server->slots,
          "Number of slots to announce", "N"},
         {"events", 0, 0, G_OPTION_ARG_INT, &server->events,
@@ -584,6 +596,8 @@
         .gap_ms = 20,
         .delay_ms = 5,
         .fault_count = G_MAXINT,
+        .fault_every = 1,
+        .software = "v1",
     };
     read_options(&server, argc, argv);
     signal(SIGPIPE, SIG_IGN);
