Gateway: a stream goes on only at the version of the software that began it

Cause: a stream's next endpoint was chosen by load and distance alone. Evidence: the record shows three resumptions within an answer of a v1 engine's streams 0.36 s before the rule broke, one of them ended by a v1.1 engine; the test fails at one gateway, where it needs no second one.

Now the first event binds a call to the version of its endpoint, in all choices: queue, wants, grants, retries and the sending itself (Endpoint_MayServe). Each gateway tells every control host which version sent the first event, without waiting, and again at each connection; a gateway at which another's stream is taken up asks them for up to 1 s. An origin is written once and never changes, so no agreement is needed; what nobody knows is refused as not run, unless one version alone can have begun the stream.

Fields of requests move to call_fields.c, options of the fake server to a file of their own.

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -11,6 +11,7 @@
 #include "fleet/state.h"
 #include "kernel/counter.h"
 #include "kernel/log.h"
+#include "routes/origin_news.h"
 #include "wire/deflate.h"
 #include "wire/identity.h"
 
@@ -505,6 +506,7 @@
     Document_Clear(&fleet->document);
     Directory_Free(fleet->directory);
     CrashTable_Free(fleet->crashes);
+    StreamOrigins_Free(fleet->origins);
     StateFile_Free(fleet->directory_file);
     StateFile_Free(fleet->crash_file);
     g_hash_table_destroy(fleet->peers);
@@ -546,6 +548,7 @@
         options->settings, WIRE__ROLE__ROLE_CONTROL, options->settings->name);
     fleet->directory = Directory_New();
     fleet->crashes = CrashTable_New();
+    fleet->origins = StreamOrigins_New(ORIGIN_NEWS_TABLE_MAX);
     const char *folder = options->settings->control->data_dir;
     fleet->directory_file = StateFile_New(folder, DIRECTORY_FILE_NAME);
     fleet->crash_file = StateFile_New(folder, CRASH_FILE_NAME);
--- a/src/fleet/state.h
+++ b/src/fleet/state.h
@@ -10,6 +10,7 @@
 #include "fleet/state_file.h"
 #include "kernel/clock.h"
 #include "sched/crash_table.h"
+#include "sched/stream_origins.h"
 #include "wire/link.h"
 
 #define FLEET_PART "fleet"
@@ -48,6 +49,7 @@
     CrashTable *crashes;
     struct event *crash_save_event; /* saves the crash table after a delay */
     StateFile *crash_file;
+    StreamOrigins *origins;
     struct event *tick_event;
 };
 
@@ -85,4 +87,13 @@
 /* Event callback that saves the crash table. */
 void FleetCrashes_OnSave(evutil_socket_t fd, short events, void *arg);
 
+/* ---- origins.c ---- */
+
+/* Applies the origins of streams that a gateway reports. */
+void FleetOrigins_OnNews(Fleet *fleet, const Wire__StreamOriginNews *news);
+
+/* Answers a gateway's question if the origin is known. */
+void FleetOrigins_OnQuery(const Fleet *fleet, Link *link,
+                          const Wire__StreamOriginQuery *query);
+
 #endif
--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -3,7 +3,6 @@
  */
 #include <stdlib.h>
 #include <string.h>
-#include <strings.h>
 
 #include <xxhash.h>
 
@@ -15,9 +14,6 @@
 #define DEFAULT_RETRY_AFTER_MS 250
 /* Retry-After while the gateway has no configuration. */
 #define NOT_READY_RETRY_AFTER_MS 1000
-/* Deadline of a request that states none, and the longest deadline. */
-#define DEFAULT_DEADLINE_MS 60000
-#define DEADLINE_MAX_MS (24ul * 3600 * 1000)
 /* Retry-After of a stopping gateway. It is short because the caller reaches
  * another gateway at once. */
 #define STOPPING_RETRY_AFTER_MS 20
@@ -39,71 +35,6 @@
 
 static void admit_call(Call *call);
 
-static uint64_t
-parse_number(const char *text, uint64_t fallback)
-{
-    if (text == NULL || text[0] < '0' || text[0] > '9') {
-        return fallback;
-    }
-    return strtoull(text, NULL, 10);
-}
-
-static void
-clear_field(gpointer data)
-{
-    H1Field *field = data;
-    g_free((char *)field->name);
-    g_free((char *)field->value);
-}
-
-static void
-copy_fields(Call *call, const H1Head *head)
-{
-    call->fields = g_array_new(FALSE, FALSE, sizeof(H1Field));
-    g_array_set_clear_func(call->fields, clear_field);
-    for (guint i = 0; i < head->fields->len; i++) {
-        const H1Field *from = &g_array_index(head->fields, H1Field, i);
-        H1Field field = {
-            .name = g_strdup(from->name),
-            .value = g_strdup(from->value),
-        };
-        g_array_append_val(call->fields, field);
-    }
-}
-
-static void
-read_tokens(Call *call, const H1Head *head)
-{
-    const char *text =
-        H1Head_Get(head, call->gateway->options->fields->tokens);
-    if (text == NULL) {
-        return;
-    }
-    char *end = NULL;
-    unsigned long in = strtoul(text, &end, 10);
-    unsigned long out =
-        end != NULL && *end == ',' ? strtoul(end + 1, NULL, 10) : 0;
-    call->prompt_tokens = (uint32_t)MIN(in, UINT32_MAX);
-    call->output_tokens = (uint32_t)MIN(out, UINT32_MAX);
-    const char *hint =
-        H1Head_Get(head, call->gateway->options->fields->length_hint);
-    uint64_t expected = parse_number(hint, out);
-    call->expected_tokens = (uint32_t)MIN(expected, call->output_tokens);
-}
-
-/* Reads the ids of the prompt's parts except the last. */
-static void
-read_prompt_parts(Call *call, const H1Head *head)
-{
-    const char *at =
-        H1Head_Get(head, call->gateway->options->fields->prompt_parts);
-    const char *next;
-    for (; at != NULL && (next = strchr(at, ',')) != NULL; at = next + 1) {
-        at += strspn(at, " \t");
-        Subjects_AddPart(&call->subjects, at, strcspn(at, ":,"));
-    }
-}
-
 static void
 free_call(Call *call)
 {
@@ -122,6 +53,7 @@
     g_free(call->host);
     g_free(call->key);
     g_free(call->last_software);
+    Origins_Forget(call);
     g_free(call);
 }
 
@@ -274,16 +206,6 @@
     event_add(call->timer, &tv);
 }
 
-static void
-read_deadline(Call *call, const H1Head *head)
-{
-    const GatewayFields *fields = call->gateway->options->fields;
-    uint64_t ms = parse_number(H1Head_Get(head, fields->deadline_ms),
-                               DEFAULT_DEADLINE_MS);
-    ms = MIN(ms, DEADLINE_MAX_MS);
-    call->caller_deadline = call->received_at + (TimeUs)ms * US_PER_MS;
-}
-
 /* Sets the account that the request's key belongs to.
  * @return NULL on success, else the error to send to the caller. */
 static const CallError *
@@ -329,6 +251,12 @@
         .code = "no_route",
         .message = "No route matches the host and path.",
     };
+    static const CallError service_gone = {
+        .status = 503,
+        .code = "service_gone",
+        .message = "The service that began the stream does not serve the "
+                   "route.",
+    };
     Gateway *gateway = call->gateway;
     if (gateway->table == NULL) {
         return &not_ready;
@@ -342,7 +270,12 @@
     if (call->route == NULL) {
         return &no_route;
     }
-    call->service = Route_PickService(call->route, call->id);
+    call->service = call->origin.bound
+                        ? Route_FindService(call->route, call->origin.service)
+                        : Route_PickService(call->route, call->id);
+    if (call->service == NULL) {
+        return &service_gone;
+    }
     const CallError *error = check_key(call);
     if (error != NULL) {
         return error;
@@ -421,6 +354,13 @@
     }
 }
 
+void
+Call_Hold(Call *call, TimeUs until)
+{
+    g_queue_push_tail(&call->gateway->held_calls, call);
+    set_timer(call, until);
+}
+
 /* Holds a request that arrived before the configuration or the lease, because
  * the next answer of a control host decides and callers retry only a few
  * times.
@@ -437,8 +377,7 @@
         return false;
     }
     call->held_until = now + max_hold_us;
-    g_queue_push_tail(&call->gateway->held_calls, call);
-    set_timer(call, call->held_until);
+    Call_Hold(call, call->held_until);
     return true;
 }
 
@@ -499,7 +438,7 @@
         Call_FailBarred(call, barred);
         return;
     }
-    if (!take_quota(call)) {
+    if (!Origins_Resolve(call) || !take_quota(call)) {
         return;
     }
     if (outlasts_stop(call)) {
@@ -533,18 +472,6 @@
     return call->subjects.request;
 }
 
-const char *
-Call_Field(const Call *call, const char *name)
-{
-    for (guint i = 0; i < call->fields->len; i++) {
-        const H1Field *field = &g_array_index(call->fields, H1Field, i);
-        if (strcasecmp(field->name, name) == 0) {
-            return field->value;
-        }
-    }
-    return NULL;
-}
-
 void
 Call_Start(Conn *conn, Gateway *gateway, const H1Head *head,
            struct evbuffer *body)
@@ -578,9 +505,7 @@
     if (after != NULL) {
         call->events.last_id = strtoll(after, NULL, 10);
     }
-    copy_fields(call, head);
-    read_tokens(call, head);
-    read_prompt_parts(call, head);
+    Call_ReadFields(call, head);
     gateway->call_count++;
     Conn_SetCall(conn, call);
     if (id == NULL) {
@@ -591,6 +516,6 @@
                         });
         return;
     }
-    read_deadline(call, head);
+    Call_ReadDeadline(call, head);
     admit_call(call);
 }
--- a/src/gateway/call_answer.c
+++ b/src/gateway/call_answer.c
@@ -65,6 +65,7 @@
     }
     if (call->state != CALL_STREAMING) {
         call->state = CALL_STREAMING;
+        Origins_OnFirstEvent(call);
         call->first_output_at = Clock_Now();
         print_framing(call, false);
         Conn_SendHead(call->conn, call->answer_head);
--- /dev/null
+++ b/src/gateway/call_fields.c
@@ -0,0 +1,107 @@
+/** @file
+ * Gateway: header fields of callers' requests.
+ */
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "gateway/state.h"
+
+/* Deadline of a request that states none, and the longest deadline. */
+#define DEFAULT_DEADLINE_MS 60000
+#define DEADLINE_MAX_MS (24ul * 3600 * 1000)
+
+static uint64_t
+parse_number(const char *text, uint64_t fallback)
+{
+    if (text == NULL || text[0] < '0' || text[0] > '9') {
+        return fallback;
+    }
+    return strtoull(text, NULL, 10);
+}
+
+static void
+clear_field(gpointer data)
+{
+    H1Field *field = data;
+    g_free((char *)field->name);
+    g_free((char *)field->value);
+}
+
+static void
+copy_fields(Call *call, const H1Head *head)
+{
+    call->fields = g_array_new(FALSE, FALSE, sizeof(H1Field));
+    g_array_set_clear_func(call->fields, clear_field);
+    for (guint i = 0; i < head->fields->len; i++) {
+        const H1Field *from = &g_array_index(head->fields, H1Field, i);
+        H1Field field = {
+            .name = g_strdup(from->name),
+            .value = g_strdup(from->value),
+        };
+        g_array_append_val(call->fields, field);
+    }
+}
+
+static void
+read_tokens(Call *call, const H1Head *head)
+{
+    const char *text =
+        H1Head_Get(head, call->gateway->options->fields->tokens);
+    if (text == NULL) {
+        return;
+    }
+    char *end = NULL;
+    unsigned long in = strtoul(text, &end, 10);
+    unsigned long out =
+        end != NULL && *end == ',' ? strtoul(end + 1, NULL, 10) : 0;
+    call->prompt_tokens = (uint32_t)MIN(in, UINT32_MAX);
+    call->output_tokens = (uint32_t)MIN(out, UINT32_MAX);
+    const char *hint =
+        H1Head_Get(head, call->gateway->options->fields->length_hint);
+    uint64_t expected = parse_number(hint, out);
+    call->expected_tokens = (uint32_t)MIN(expected, call->output_tokens);
+}
+
+/* Reads the ids of the prompt's parts except the last. */
+static void
+read_prompt_parts(Call *call, const H1Head *head)
+{
+    const char *at =
+        H1Head_Get(head, call->gateway->options->fields->prompt_parts);
+    const char *next;
+    for (; at != NULL && (next = strchr(at, ',')) != NULL; at = next + 1) {
+        at += strspn(at, " \t");
+        Subjects_AddPart(&call->subjects, at, strcspn(at, ":,"));
+    }
+}
+
+void
+Call_ReadFields(Call *call, const H1Head *head)
+{
+    copy_fields(call, head);
+    read_tokens(call, head);
+    read_prompt_parts(call, head);
+}
+
+void
+Call_ReadDeadline(Call *call, const H1Head *head)
+{
+    const GatewayFields *fields = call->gateway->options->fields;
+    uint64_t ms = parse_number(H1Head_Get(head, fields->deadline_ms),
+                               DEFAULT_DEADLINE_MS);
+    ms = MIN(ms, DEADLINE_MAX_MS);
+    call->caller_deadline = call->received_at + (TimeUs)ms * US_PER_MS;
+}
+
+const char *
+Call_Field(const Call *call, const char *name)
+{
+    for (guint i = 0; i < call->fields->len; i++) {
+        const H1Field *field = &g_array_index(call->fields, H1Field, i);
+        if (strcasecmp(field->name, name) == 0) {
+            return field->value;
+        }
+    }
+    return NULL;
+}
--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -139,8 +139,11 @@
     if (!Call_Reroute(call)) {
         return;
     }
-    if (!Route_HasService(call->route, endpoint->service)) {
-        /* The new configuration routes the call to another service. */
+    if (!Route_HasService(call->route, endpoint->service) ||
+        !Endpoint_MayContinue(endpoint, call))
+    {
+        /* The new configuration routes the call to another service, or the
+         * endpoint has changed. */
         Keepers_EndWant(call, SLOT_NOT_SERVED);
         ServiceQueue_Add(call->gateway, call);
         return;
@@ -256,7 +259,7 @@
     Call_ReleaseEndpoint(call, outcome == ATTEMPT_OTHER_INSTANCE
                                    ? SLOT_OTHER_INSTANCE
                                    : SLOT_NOT_SERVED);
-    bool retry = may_retry(call, outcome);
+    bool retry = Origins_CanGoOn(call) && may_retry(call, outcome);
     char parts[SUBJECTS_TEXT_BYTES];
     LOG_INFO(GATEWAY_PART,
              "Endpoint did not serve. id=%s endpoint=%s outcome=%s "
--- a/src/gateway/conn.c
+++ b/src/gateway/conn.c
@@ -267,6 +267,12 @@
     conn->call = call;
 }
 
+Call *
+Conn_Call(const Conn *conn)
+{
+    return conn->call;
+}
+
 void
 Conn_SendHead(Conn *conn, struct evbuffer *head)
 {
--- a/src/gateway/end_watch.c
+++ b/src/gateway/end_watch.c
@@ -97,6 +97,7 @@
 void
 EndWatch_OnEnded(Endpoint *endpoint, const char *why)
 {
+    endpoint->ended_at = Clock_Now();
     count_end(endpoint, END_PROVED, why);
 }
 
--- a/src/gateway/endpoints.c
+++ b/src/gateway/endpoints.c
@@ -11,6 +11,9 @@
 #include "kernel/counter.h"
 #include "kernel/log.h"
 
+/* Longest delay of an endpoint's announcement: after that, a known endpoint
+ * that had ended has not started again under its id without being known. */
+#define ANNOUNCE_DELAY_MAX_US (10 * US_PER_S)
 /* First and longest ejection of a failing endpoint. The time doubles with each
  * consecutive failure; after it, one request probes the endpoint. */
 #define EJECT_FIRST_MS 300
@@ -71,6 +74,7 @@
     endpoint->state = ENDPOINT_GONE;
     Upstream_CloseIdle(endpoint);
     g_hash_table_remove(gateway->endpoints, endpoint->id);
+    Origins_OnEndpoints(gateway->origins, endpoint->service);
     Keepers_Disconnect(gateway->keepers, endpoint->id);
     Endpoint_Unref(endpoint);
 }
@@ -112,6 +116,7 @@
     if (record->state != ENDPOINT_READY) {
         Upstream_CloseIdle(endpoint);
     }
+    Origins_OnEndpoints(gateway->origins, endpoint->service);
     const RouteService *service =
         gateway->table == NULL
             ? NULL
@@ -128,6 +133,7 @@
 {
     endpoint->superseded = endpoint->state == ENDPOINT_READY;
     EndWatch_OnEnded(endpoint, "a newer incarnation is registered");
+    Origins_OnReplaced(endpoint);
     remove_endpoint(gateway, endpoint);
 }
 
@@ -342,6 +348,32 @@
     return now >= endpoint->ejected_until && !endpoint->probing;
 }
 
+const char *
+Endpoint_CertainSoftware(const Endpoint *endpoint)
+{
+    bool may_have_restarted =
+        endpoint->ended_at != 0 &&
+        Clock_Now() - endpoint->ended_at < ANNOUNCE_DELAY_MAX_US;
+    return may_have_restarted ? "" : endpoint->software;
+}
+
+bool
+Endpoint_MayContinue(const Endpoint *endpoint, const Call *call)
+{
+    const CallOrigin *origin = &call->origin;
+    return !origin->bound ||
+           (origin->software[0] != '\0' &&
+            strcmp(origin->service, endpoint->service) == 0 &&
+            strcmp(origin->software, Endpoint_CertainSoftware(endpoint)) == 0);
+}
+
+bool
+Endpoint_MayServe(const Endpoint *endpoint, const Call *call, TimeUs now)
+{
+    return Endpoint_IsUsable(endpoint, now) &&
+           Endpoint_MayContinue(endpoint, call);
+}
+
 unsigned
 Endpoint_Distance(const Endpoint *endpoint)
 {
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -198,6 +198,7 @@
     gateway->quotas = Quotas_New(gateway);
     gateway->retries = Retries_New(gateway);
     gateway->suspects = Suspects_New(gateway);
+    gateway->origins = Origins_New(gateway);
     gateway->keepers = Keepers_New(gateway);
     gateway->control = GatewayControl_New(gateway);
     return ERR_OK;
@@ -230,6 +231,7 @@
     Quotas_Free(gateway->quotas);
     Retries_Free(gateway->retries);
     Suspects_Free(gateway->suspects);
+    Origins_Free(gateway->origins);
     Endpoints_FreeAll(gateway);
     Directory_Free(gateway->directory);
     RouteTable_Unref(gateway->table);
--- a/src/gateway/hosts.c
+++ b/src/gateway/hosts.c
@@ -39,6 +39,7 @@
     TimeUs queried_at;          /* when the newest query was sent */
     guint queried_index;        /* host queried while no leader is known */
     char *leader;               /* address of the leading host, or NULL */
+    TimeUs hosts_changed_at;    /* when a host was last connected or removed */
     unsigned surplus_endpoints; /* with rate limits that did not fit into the
                                    newest query */
 };
@@ -308,6 +309,7 @@
     for (guint i = control->hosts->len; i > 0; i--) {
         Host *host = control->hosts->pdata[i - 1];
         if (!host->listed && !Link_IsConnected(host->link)) {
+            control->hosts_changed_at = Clock_Now();
             g_ptr_array_remove_index_fast(control->hosts, i - 1);
             Link_Close(host->link);
             g_free(host->address);
@@ -394,7 +396,9 @@
     Host *host = owner;
     LOG_INFO(GATEWAY_PART, "Control host connected. address=%s",
              host->address);
+    host->control->hosts_changed_at = Clock_Now();
     Suspects_SendAll(host->control->gateway->suspects, link);
+    Origins_SendAll(host->control->gateway->origins, link);
     if (host->control->query_nonce == 0) {
         query_leader(host->control);
     }
@@ -428,6 +432,9 @@
     case WIRE__FRAME__BODY_CRASH_NEWS:
         Suspects_OnNews(gateway->suspects, frame->crash_news);
         break;
+    case WIRE__FRAME__BODY_STREAM_ORIGIN_REPLY:
+        Origins_OnReply(gateway->origins, frame->stream_origin_reply);
+        break;
     default:
         break;
     }
@@ -448,6 +455,18 @@
     return false;
 }
 
+TimeUs
+GatewayControl_ConnectedSince(const GatewayControl *control)
+{
+    for (guint i = 0; i < control->hosts->len; i++) {
+        const Host *host = control->hosts->pdata[i];
+        if (!Link_IsConnected(host->link)) {
+            return Clock_Now();
+        }
+    }
+    return control->hosts_changed_at;
+}
+
 void
 GatewayControl_SendAll(const GatewayControl *control, const Wire__Frame *frame)
 {
--- a/src/gateway/keepers.c
+++ b/src/gateway/keepers.c
@@ -113,7 +113,7 @@
         return;
     }
     g_ptr_array_remove_fast(want->pending, keeper);
-    if (!Endpoint_IsUsable(endpoint, Clock_Now())) {
+    if (!Endpoint_MayServe(endpoint, want->call, Clock_Now())) {
         Want_SendEnd(keeper, id, SLOT_UNUSED);
         if (want->pending->len == 0) {
             Call *call = want->call;
--- /dev/null
+++ b/src/gateway/origins.c
@@ -0,0 +1,419 @@
+/** @file
+ * Gateway: versions of software that began streams. Each gateway tells every
+ * control host which version sent the first event of a stream; a gateway at
+ * which a caller takes up another's stream asks them. What nobody knows is
+ * not guessed, unless only one version can have begun the stream.
+ */
+#include <string.h>
+#include <strings.h>
+
+#include "gateway/origins.h"
+#include "gateway/state.h"
+#include "kernel/counter.h"
+#include "kernel/log.h"
+#include "routes/origin_news.h"
+
+/* Longest wait for the answer of a control host: the lower of a fixed limit
+ * and the remaining time divided by this number. */
+#define ASK_MAX_US (1 * US_PER_S)
+#define ASK_DIVISOR 3
+/* Time until the question is repeated, since the news of a stream may still be
+ * on its way. It doubles each time. */
+#define ASK_AGAIN_US (30 * US_PER_MS)
+/* Time for which an origin is kept after the caller's deadline. */
+#define KEPT_LONGER_US (2 * US_PER_S)
+/* Time for which a service must have had one version only, with all control
+ * hosts connected, so that each stream began at that version: the lower bound
+ * of it, and a multiple of the route's time-out. */
+#define SOLE_MIN_US (60 * US_PER_S)
+#define SOLE_TIMEOUTS 3
+/* Retry-After of a call whose origin may become known. */
+#define UNKNOWN_RETRY_AFTER_MS 500
+
+/* The only version of a service. */
+typedef struct SoleSoftware {
+    char *software; /* "" if there are several, or one is unknown */
+    TimeUs since;
+} SoleSoftware;
+
+struct Origins {
+    Gateway *gateway;
+    StreamOrigins *begun;  /* streams that began here */
+    GHashTable *questions; /* nonce -> Call */
+    GHashTable *sole;      /* service name -> SoleSoftware */
+    uint64_t last_nonce;
+};
+
+static void
+free_sole(gpointer data)
+{
+    SoleSoftware *sole = data;
+    g_free(sole->software);
+    g_free(sole);
+}
+
+Origins *
+Origins_New(Gateway *gateway)
+{
+    Origins *origins = g_new0(Origins, 1);
+    origins->gateway = gateway;
+    origins->begun = StreamOrigins_New(ORIGIN_NEWS_TABLE_MAX);
+    origins->questions = g_hash_table_new(g_int64_hash, g_int64_equal);
+    origins->sole =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_sole);
+    return origins;
+}
+
+void
+Origins_Free(Origins *origins)
+{
+    StreamOrigins_Free(origins->begun);
+    g_hash_table_destroy(origins->questions);
+    g_hash_table_destroy(origins->sole);
+    g_free(origins);
+}
+
+static void
+count_lookup(const char *result)
+{
+    char *name =
+        g_strdup_printf("gateway_streams_taken_up_total{by=\"%s\"}", result);
+    Counter_Add(Counter_Get(name, "Streams that callers took up, by what told "
+                                  "how they began."),
+                1);
+    g_free(name);
+}
+
+/* ---- The only version of a service ---- */
+
+void
+Origins_OnEndpoints(Origins *origins, const char *service)
+{
+    const char *software = NULL;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, origins->gateway->endpoints);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const Endpoint *endpoint = value;
+        if (strcmp(endpoint->service, service) != 0) {
+            continue;
+        }
+        if (software != NULL && strcmp(software, endpoint->software) != 0) {
+            software = "";
+            break;
+        }
+        software = endpoint->software;
+    }
+    SoleSoftware *sole = g_hash_table_lookup(origins->sole, service);
+    if (software == NULL ||
+        (sole != NULL && strcmp(sole->software, software) == 0))
+    {
+        return;
+    }
+    sole = g_new0(SoleSoftware, 1);
+    sole->software = g_strdup(software);
+    sole->since = Clock_Now();
+    g_hash_table_replace(origins->sole, g_strdup(service), sole);
+}
+
+/* Returns the version at which each stream of the call's route must have begun
+ * that may be taken up now, or NULL. */
+static const char *
+find_sole(const Call *call)
+{
+    const Gateway *gateway = call->gateway;
+    const SoleSoftware *sole =
+        g_hash_table_lookup(gateway->origins->sole, call->service);
+    if (sole == NULL || sole->software[0] == '\0') {
+        return NULL;
+    }
+    TimeUs needed =
+        MAX(SOLE_MIN_US, call->route->timeout_ms * US_PER_MS * SOLE_TIMEOUTS);
+    TimeUs since =
+        MAX(sole->since, GatewayControl_ConnectedSince(gateway->control));
+    return Clock_Now() - since >= needed ? sole->software : NULL;
+}
+
+/* ---- Binding ---- */
+
+static void
+bind_call(Call *call, const char *service, const char *software)
+{
+    CallOrigin *origin = &call->origin;
+    char *old_service = origin->service;
+    char *old_software = origin->software;
+    origin->bound = true;
+    origin->service = g_strdup(service);
+    origin->software = g_strdup(software);
+    g_free(old_service);
+    g_free(old_software);
+}
+
+/* Stores how a stream began, and tells every control host. */
+static void
+publish(const Call *call, const char *software)
+{
+    const Gateway *gateway = call->gateway;
+    TimeUs now = Clock_Now();
+    StreamOrigin origin = {
+        .request = call->id,
+        .service = call->origin.service,
+        .account = call->account != NULL ? call->account->name : "",
+        .software = software,
+        .expires_at = MAX(call->caller_deadline, now) + KEPT_LONGER_US,
+    };
+    if (!OriginNews_Add(gateway->origins->begun, &origin, now)) {
+        return;
+    }
+    Wire__StreamOrigin message;
+    Wire__StreamOrigin *pointer = &message;
+    OriginNews_Fill(&message, &origin, now);
+    Wire__StreamOriginNews news = WIRE__STREAM_ORIGIN_NEWS__INIT;
+    news.n_origins = 1;
+    news.origins = &pointer;
+    Wire__Frame frame = WIRE__FRAME__INIT;
+    frame.body_case = WIRE__FRAME__BODY_STREAM_ORIGIN_NEWS;
+    frame.stream_origin_news = &news;
+    GatewayControl_SendAll(gateway->control, &frame);
+}
+
+void
+Origins_OnFirstEvent(Call *call)
+{
+    if (!call->origin.bound) {
+        bind_call(call, call->endpoint->service,
+                  Endpoint_CertainSoftware(call->endpoint));
+    }
+    if (call->route->resumable) {
+        publish(call, call->origin.software);
+    }
+}
+
+void
+Origins_OnReplaced(Endpoint *endpoint)
+{
+    GHashTableIter iter;
+    gpointer key;
+    g_hash_table_iter_init(&iter, endpoint->gateway->conns);
+    while (g_hash_table_iter_next(&iter, &key, NULL)) {
+        Call *call = Conn_Call(key);
+        if (call != NULL && call->endpoint == endpoint && call->origin.bound) {
+            bind_call(call, endpoint->service, "");
+            publish(call, "");
+        }
+    }
+}
+
+bool
+Origins_CanGoOn(Call *call)
+{
+    if (!call->origin.bound) {
+        return true;
+    }
+    if (call->origin.software[0] == '\0') {
+        const char *software = find_sole(call);
+        if (software == NULL) {
+            return false;
+        }
+        bind_call(call, call->origin.service, software);
+    }
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, call->gateway->endpoints);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const Endpoint *endpoint = value;
+        if (endpoint->state == ENDPOINT_READY &&
+            Endpoint_MayContinue(endpoint, call)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* ---- Questions ---- */
+
+/* Returns the id of the request that began the stream which the call takes up,
+ * or NULL if the caller does not name exactly one. */
+static const char *
+named_origin(const Call *call)
+{
+    const char *name = call->gateway->options->fields->resumes;
+    const char *request = NULL;
+    for (guint i = 0; i < call->fields->len; i++) {
+        const H1Field *field = &g_array_index(call->fields, H1Field, i);
+        if (strcasecmp(field->name, name) != 0) {
+            continue;
+        }
+        if (request != NULL) {
+            return NULL;
+        }
+        request = field->value;
+    }
+    bool valid = request != NULL && request[0] != '\0' &&
+                 strlen(request) <= STREAM_ORIGIN_ID_MAX;
+    return valid ? request : NULL;
+}
+
+static void
+refuse(Call *call, const char *code, const char *message,
+       uint32_t retry_after_ms)
+{
+    LOG_INFO(GATEWAY_PART, "Stream cannot go on. id=%s why=%s software=%s",
+             call->id, code,
+             call->origin.software != NULL ? call->origin.software : "");
+    count_lookup(code);
+    Call_Fail(call, &(CallError){
+                        .status = 503,
+                        .code = code,
+                        .message = message,
+                        .retry_after_ms = retry_after_ms,
+                    });
+}
+
+static bool
+refuse_unknown(Call *call, uint32_t retry_after_ms)
+{
+    refuse(call, "origin_unknown",
+           "It is not known which version of the software began the stream.",
+           retry_after_ms);
+    return false;
+}
+
+/* Binds the call to an origin, or refuses it if the stream is not the call's
+ * or its service is not of the route any more. */
+static bool
+apply_origin(Call *call, const StreamOrigin *origin, const char *found_by)
+{
+    const char *account = call->account != NULL ? call->account->name : "";
+    if (strcmp(origin->account, account) != 0 || origin->software[0] == '\0') {
+        return refuse_unknown(call, 0);
+    }
+    const char *service = Route_FindService(call->route, origin->service);
+    if (service == NULL) {
+        refuse(call, "service_gone",
+               "The service that began the stream does not serve the route.",
+               0);
+        return false;
+    }
+    bind_call(call, service, origin->software);
+    call->service = service;
+    call->origin.lookup = ORIGIN_FOUND;
+    count_lookup(found_by);
+    return true;
+}
+
+static void
+end_question(Call *call)
+{
+    if (call->origin.nonce != 0) {
+        g_hash_table_remove(call->gateway->origins->questions,
+                            &call->origin.nonce);
+        call->origin.nonce = 0;
+    }
+}
+
+static void
+ask(Call *call, const char *request)
+{
+    Origins *origins = call->gateway->origins;
+    CallOrigin *origin = &call->origin;
+    if (origin->nonce == 0) {
+        origin->nonce = ++origins->last_nonce;
+        g_hash_table_insert(origins->questions, &origin->nonce, call);
+    }
+    Wire__StreamOriginQuery query = WIRE__STREAM_ORIGIN_QUERY__INIT;
+    query.nonce = origin->nonce;
+    query.request = (char *)request;
+    Wire__Frame frame = WIRE__FRAME__INIT;
+    frame.body_case = WIRE__FRAME__BODY_STREAM_ORIGIN_QUERY;
+    frame.stream_origin_query = &query;
+    GatewayControl_SendAll(call->gateway->control, &frame);
+}
+
+/* Asks the control hosts, again if need be, and holds the call meanwhile.
+ * @return false when the call is held, or was refused and is freed. */
+static bool
+ask_and_hold(Call *call, const char *request)
+{
+    CallOrigin *origin = &call->origin;
+    TimeUs now = Clock_Now();
+    if (origin->lookup == ORIGIN_NOT_ASKED) {
+        origin->lookup = ORIGIN_ASKED;
+        origin->ask_until =
+            now + MIN((call->caller_deadline - now) / ASK_DIVISOR, ASK_MAX_US);
+        origin->ask_again_at = now;
+        origin->ask_delay = ASK_AGAIN_US;
+    }
+    if (now >= origin->ask_until) {
+        end_question(call);
+        return refuse_unknown(call, UNKNOWN_RETRY_AFTER_MS);
+    }
+    if (now >= origin->ask_again_at) {
+        ask(call, request);
+        origin->ask_again_at = now + origin->ask_delay;
+        origin->ask_delay *= 2;
+    }
+    Call_Hold(call, MIN(origin->ask_again_at, origin->ask_until));
+    return false;
+}
+
+bool
+Origins_Resolve(Call *call)
+{
+    const GatewayFields *fields = call->gateway->options->fields;
+    bool has_events = Call_Field(call, fields->last_event) != NULL;
+    if (call->route->kind != ROUTE_STREAM || !has_events ||
+        call->origin.lookup == ORIGIN_FOUND)
+    {
+        return true;
+    }
+    const char *sole = find_sole(call);
+    if (sole != NULL) {
+        end_question(call);
+        bind_call(call, call->service, sole);
+        call->origin.lookup = ORIGIN_FOUND;
+        count_lookup("only_version");
+        return true;
+    }
+    const char *request = named_origin(call);
+    if (request == NULL) {
+        return refuse_unknown(call, 0);
+    }
+    const StreamOrigin *origin = StreamOrigins_Find(
+        call->gateway->origins->begun, request, Clock_Now());
+    if (origin != NULL) {
+        end_question(call);
+        return apply_origin(call, origin, "gateway");
+    }
+    return ask_and_hold(call, request);
+}
+
+void
+Origins_OnReply(Origins *origins, const Wire__StreamOriginReply *reply)
+{
+    uint64_t nonce = reply->nonce;
+    Call *call = g_hash_table_lookup(origins->questions, &nonce);
+    if (call == NULL || reply->origin == NULL) {
+        return;
+    }
+    StreamOrigin origin = OriginNews_Read(reply->origin, Clock_Now());
+    end_question(call);
+    if (apply_origin(call, &origin, "control")) {
+        Call_Readmit(call);
+    }
+}
+
+void
+Origins_Forget(Call *call)
+{
+    end_question(call);
+    g_clear_pointer(&call->origin.software, g_free);
+    g_clear_pointer(&call->origin.service, g_free);
+    call->origin.bound = false;
+}
+
+void
+Origins_SendAll(const Origins *origins, Link *link)
+{
+    OriginNews_SendAll(origins->begun, link, Clock_Now());
+}
--- a/src/gateway/service_queue.c
+++ b/src/gateway/service_queue.c
@@ -24,6 +24,10 @@
  * endpoint before it is refused. */
 #define WAIT_FRACTION 0.4
 
+/* Time that a call waits for an endpoint whose software may continue its
+ * stream to be announced. */
+#define VERSION_WAIT_US (300 * US_PER_MS)
+
 /* Time constant of the moving mean of demand. */
 #define DEMAND_DECAY_US (2 * US_PER_S)
 /* Least Retry-After of a request that no endpoint could accept. */
@@ -157,7 +161,7 @@
         }
         endpoints[count] = endpoint;
         candidates[count++] = (BalancerCandidate){
-            .usable = Endpoint_IsUsable(endpoint, now) &&
+            .usable = Endpoint_MayServe(endpoint, call, now) &&
                       NamedRate_MaySend(&endpoint->rate_limit,
                                         Endpoint_RateShare(endpoint), now),
             .tried = Endpoint_WasTried(endpoint, call),
@@ -226,6 +230,19 @@
                     });
 }
 
+/* Fails a call whose stream no endpoint can continue. Its caller gains nothing
+ * by a repetition. */
+static void
+fail_version_gone(Call *call)
+{
+    Call_Fail(call, &(CallError){
+                        .status = 503,
+                        .code = "version_gone",
+                        .message = "No endpoint runs the version of the "
+                                   "software that began the stream.",
+                    });
+}
+
 void
 ServiceQueue_Pump(Gateway *gateway, const char *service)
 {
@@ -241,6 +258,12 @@
             continue;
         }
         Endpoint *endpoint = choose_endpoint(call, queue);
+        if (endpoint == NULL && !Origins_CanGoOn(call) &&
+            Clock_Now() - call->received_at > VERSION_WAIT_US)
+        {
+            fail_version_gone(call);
+            continue;
+        }
         if (endpoint == NULL && waited_too_long(call)) {
             fail_waiting(call, queue);
             continue;
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -11,6 +11,7 @@
 #include "gateway/end_watch.h"
 #include "gateway/events.h"
 #include "gateway/gateway.h"
+#include "gateway/origins.h"
 #include "http1/parser.h"
 #include "kernel/clock.h"
 #include "routes/endpoint.h"
@@ -55,6 +56,7 @@
     Retries *retries;
     Keepers *keepers;
     Suspects *suspects;
+    Origins *origins;
     uint64_t last_want_id;
     GQueue held_calls;   /* Calls that wait for a configuration or lease */
     unsigned call_count; /* number of unfinished calls */
@@ -72,6 +74,7 @@
 
 /* Sets the call whose answer is written to this connection. */
 void Conn_SetCall(Conn *conn, Call *call);
+Call *Conn_Call(const Conn *conn);
 
 /* Writes the head of an answer, with its framing fields. */
 void Conn_SendHead(Conn *conn, struct evbuffer *head);
@@ -139,6 +142,7 @@
     Upstream *callback_upstream;
     bool removed;    /* no longer in the endpoint table */
     bool superseded; /* a newer incarnation has its id or its address */
+    TimeUs ended_at; /* when its end was last proved; 0 if never */
 };
 
 /* Applies an endpoint record if it is newer than the known one. */
@@ -183,6 +187,17 @@
 /* Returns whether the endpoint may be sent requests now. */
 bool Endpoint_IsUsable(const Endpoint *endpoint, TimeUs now);
 
+/* Returns the version of the endpoint's software; "" if it is unknown, or if
+ * the endpoint may have started again with another one. */
+const char *Endpoint_CertainSoftware(const Endpoint *endpoint);
+
+/* Returns whether the endpoint's software is that which began the call's
+ * stream, if one has begun. */
+bool Endpoint_MayContinue(const Endpoint *endpoint, const Call *call);
+
+/* Returns whether the endpoint is eligible for the call now. */
+bool Endpoint_MayServe(const Endpoint *endpoint, const Call *call, TimeUs now);
+
 /* Returns the distance from this gateway: 0 in the same zone, 1 in the same
  * region, 2 in another region. */
 unsigned Endpoint_Distance(const Endpoint *endpoint);
@@ -232,7 +247,7 @@
 
 void Upstream_CloseIdle(Endpoint *endpoint);
 
-/* ---- call.c, call_send.c, call_answer.c: requests of callers ---- */
+/* ---- call.c, call_*.c: requests of callers ---- */
 
 /* How the use of a granted slot ended. */
 typedef enum SlotOutcome {
@@ -296,6 +311,7 @@
     size_t counted_bytes;    /* of answer, in Gateway.answer_bytes */
     struct evbuffer *partial_event; /* received bytes of an incomplete event */
     Events events;
+    CallOrigin origin;
     GList *queue_node;   /* position in queue, or NULL */
     ServiceQueue *queue; /* queue in which the call waits, or NULL */
     uint64_t want_id;    /* id of its want at slot keepers; 0 if none */
@@ -312,6 +328,9 @@
 /* Fails the call if it waits for an endpoint and its request is barred. */
 void Call_CheckBarred(Call *call);
 
+/* Holds the call and admits it again at @p until. */
+void Call_Hold(Call *call, TimeUs until);
+
 /* Admits a held call again, after the gateway got a configuration or lease or
  * when the hold or quota delay ends. */
 void Call_Readmit(Call *call);
@@ -334,6 +353,12 @@
 /* Fails the call because the subject is barred. */
 void Call_FailBarred(Call *call, Subject subject);
 
+/* Copies the fields of the request, and reads its tokens and prompt parts. */
+void Call_ReadFields(Call *call, const H1Head *head);
+
+/* Sets the end of the time that the caller waits. */
+void Call_ReadDeadline(Call *call, const H1Head *head);
+
 /* Returns the value of a field of the request, or NULL. */
 const char *Call_Field(const Call *call, const char *name);
 
@@ -435,6 +460,10 @@
  * has no table yet, or a control host is connected. */
 bool GatewayControl_MayGetLease(const GatewayControl *control);
 
+/* Returns since when all control hosts have been connected; now if they are
+ * not. */
+TimeUs GatewayControl_ConnectedSince(const GatewayControl *control);
+
 /* Sends a frame to all connected control hosts. */
 void GatewayControl_SendAll(const GatewayControl *control,
                             const Wire__Frame *frame);
--- a/src/gateway/wants.c
+++ b/src/gateway/wants.c
@@ -217,7 +217,7 @@
         choice->keepers[choice->count] = keeper;
         choice->slots[choice->count] = endpoint->slots;
         choice->candidates[choice->count++] = (BalancerCandidate){
-            .usable = Endpoint_IsUsable(endpoint, now),
+            .usable = Endpoint_MayServe(endpoint, call, now),
             .tried = Endpoint_WasTried(endpoint, call),
             .distance = Endpoint_Distance(endpoint),
             .load = keeper_load(keeper, endpoint, now),
--- /dev/null
+++ b/src/routes/origin_news.h
@@ -0,0 +1,31 @@
+/** @file
+ * Origins of streams in the wire form that gateways and control hosts
+ * exchange.
+ */
+#ifndef LAURELLIFT_ROUTES_ORIGIN_NEWS_H
+#define LAURELLIFT_ROUTES_ORIGIN_NEWS_H
+
+#include "sched/stream_origins.h"
+#include "wire/generated/wire.pb-c.h"
+#include "wire/link.h"
+
+/** Origins in a table of a gateway or control host: two minutes of 500 streams
+ * a second. */
+#define ORIGIN_NEWS_TABLE_MAX 60000
+
+/** Fills a message. Its strings belong to @p origin. */
+void OriginNews_Fill(Wire__StreamOrigin *message, const StreamOrigin *origin,
+                     TimeUs now);
+
+/** Returns the origin in a message, with the strings of the message. */
+StreamOrigin OriginNews_Read(const Wire__StreamOrigin *message, TimeUs now);
+
+/** Adds an origin as StreamOrigins_Add() does, and logs when the table is full
+ * and forgets others. */
+bool OriginNews_Add(StreamOrigins *table, const StreamOrigin *origin,
+                    TimeUs now);
+
+/** Sends all origins of a table. */
+void OriginNews_SendAll(const StreamOrigins *table, Link *link, TimeUs now);
+
+#endif
--- a/src/routes/table.c
+++ b/src/routes/table.c
@@ -322,14 +322,20 @@
     return NULL;
 }
 
-bool
-Route_HasService(const Route *route, const char *service)
+const char *
+Route_FindService(const Route *route, const char *service)
 {
     for (guint i = 0; i < route->splits->len; i++) {
         const RouteSplit *split = &g_array_index(route->splits, RouteSplit, i);
         if (split->weight > 0 && strcmp(split->service, service) == 0) {
-            return true;
+            return split->service;
         }
     }
-    return false;
+    return NULL;
+}
+
+bool
+Route_HasService(const Route *route, const char *service)
+{
+    return Route_FindService(route, service) != NULL;
 }
--- a/src/routes/table.h
+++ b/src/routes/table.h
@@ -124,6 +124,9 @@
 const char *Route_PickService(const Route *route, const char *request_id);
 
 /** Returns true when the service has a weight above 0 in the route. */
+/** Returns the route's own copy of the service's name, or NULL if requests of
+ * the route never go to the service. */
+const char *Route_FindService(const Route *route, const char *service);
 bool Route_HasService(const Route *route, const char *service);
 
 #endif
--- a/test/fakes/fake_server.c
+++ b/test/fakes/fake_server.c
@@ -20,48 +20,15 @@
 #include "fake_deadly.h"
 #include "fake_endless.h"
 #include "fake_limit.h"
+#include "fake_server.h"
 #include "http1/parser.h"
 #include "kernel/clock.h"
 #include "wire/address.h"
 
 #define ANNOUNCE_PERIOD_MS 300
+#define DEFAULT_SOFTWARE "v1"
 #define HEAD_MAX_BYTES 16384
 
-typedef struct Server {
-    gchar *listen;
-    gchar *control; /* IP:PORT of each control host, separated by commas */
-    gchar *service;
-    gchar *id;
-    gchar *zone;
-    gchar *record;    /* path of the record file; NULL for none */
-    gchar *fault;     /* kind of fault; NULL for none */
-    gint fault_count; /* number of further requests that get the fault */
-    gint fault_every; /* if above 1, each of so many streams gets it */
-    gchar *software;  /* version that it announces; empty for none */
-    guint stream_count;
-    gint slots;
-    gint events;          /* number of events in a stream */
-    gint gap_ms;          /* time between events */
-    gint delay_ms;        /* time before an answer */
-    gint restart_ms;      /* pause before a new start; 0: it ends for good */
-    gboolean new_id;      /* each start has an id of its own */
-    gboolean leaves;      /* each start deregisters the one before it */
-    gint moves;           /* each start listens at the next of so many hosts */
-    gchar **deadly_parts; /* ID:WHEN-HOW of parts of prompts that end it */
-    gchar *limit_file;    /* lines are limits to name; read at each answer */
-    gint silent_ms;       /* time after a start before it announces itself */
-    struct evconnlistener *listener;
-    gchar **control_hosts;
-    guint host_index; /* index of the control host in use, modulo the number of
-                         control hosts */
-    uint64_t born;    /* wall clock time at which the process started, in ms */
-    uint64_t sequence;
-    bool draining;
-    GHashTable *ended_under; /* set of targets that end it */
-    struct event_base *base;
-    struct event *announce_timer;
-} Server;
-
 /* One connection and the request on it. */
 typedef struct Connection {
     Server *server;
@@ -207,8 +174,9 @@
 {
     const Server *server = connection->server;
     char *event =
-        g_strdup_printf("id: %d\ndata: %s %s\n\n", connection->next_event,
-                        server->id, server->software);
+        g_strdup_printf("id: %d\ndata: %s%s%s\n\n", connection->next_event,
+                        server->id, server->software != NULL ? " " : "",
+                        server->software != NULL ? server->software : "");
     write_chunk(connection, event);
     g_free(event);
     if (strcmp(connection->fault, "cut") == 0 &&
@@ -441,8 +409,10 @@
                     json_pack("{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:I, s:I}",
                               "service", server->service, "address",
                               server->listen, "zone", server->zone, "version",
-                              server->software, "slots", server->slots,
-                              "state", server->draining ? "draining" : "ready",
+                              server->software != NULL ? server->software
+                                                       : DEFAULT_SOFTWARE,
+                              "slots", server->slots, "state",
+                              server->draining ? "draining" : "ready",
                               "coldRemainingMs", 0, "sequence",
                               (json_int_t)++server->sequence, "born",
                               (json_int_t)server->born));
@@ -458,74 +428,6 @@
     on_announce(-1, 0, server);
 }
 
-static void
-read_options(Server *server, int argc, char **argv)
-{
-    const GOptionEntry entries[] = {
-        {"listen", 0, 0, G_OPTION_ARG_STRING, &server->listen,
-         "Address to accept requests on", "IP:PORT"},
-        {"control", 0, 0, G_OPTION_ARG_STRING, &server->control,
-         "Control hosts to announce to", "IP:PORT,..."},
-        {"service", 0, 0, G_OPTION_ARG_STRING, &server->service,
-         "Service to announce", "NAME"},
-        {"id", 0, 0, G_OPTION_ARG_STRING, &server->id,
-         "Instance id to announce", "ID"},
-        {"zone", 0, 0, G_OPTION_ARG_STRING, &server->zone,
-         "Availability zone to announce", "NAME"},
-        {"record", 0, 0, G_OPTION_ARG_STRING, &server->record,
-         "File to append one line for each request to", "FILE"},
-        {"fault", 0, 0, G_OPTION_ARG_STRING, &server->fault,
-         "Fault: cut, extra, unframed, error, shed, mute, no-seal, wrong-id "
-         "or "
-         "one of fake_endless.h",
-         "KIND"},
-        {"fault-count", 0, 0, G_OPTION_ARG_INT, &server->fault_count,
-         "Number of requests with the fault", "N"},
-        {"fault-every", 0, 0, G_OPTION_ARG_INT, &server->fault_every,
-         "If above 1, each Nth stream gets the fault, and nothing else", "N"},
-        {"software", 0, 0, G_OPTION_ARG_STRING, &server->software,
-         "Version of its software to announce and to put into events", "TEXT"},
-        {"slots", 0, 0, G_OPTION_ARG_INT, &server->slots,
-         "Number of slots to announce", "N"},
-        {"events", 0, 0, G_OPTION_ARG_INT, &server->events,
-         "Number of events in a stream", "N"},
-        {"gap-ms", 0, 0, G_OPTION_ARG_INT, &server->gap_ms,
-         "Time between two events", "MS"},
-        {"delay-ms", 0, 0, G_OPTION_ARG_INT, &server->delay_ms,
-         "Time before an answer starts", "MS"},
-        {"restart-ms", 0, 0, G_OPTION_ARG_INT, &server->restart_ms,
-         "Start again this long after an end", "MS"},
-        {"new-id", 0, 0, G_OPTION_ARG_NONE, &server->new_id,
-         "Add the number of the start to the id", NULL},
-        {"leaves", 0, 0, G_OPTION_ARG_NONE, &server->leaves,
-         "Deregister the start before, which has ended", NULL},
-        {"moves", 0, 0, G_OPTION_ARG_INT, &server->moves,
-         "Listen at the next of N IP addresses at each start", "N"},
-        {"deadly-part", 0, 0, G_OPTION_ARG_STRING_ARRAY, &server->deadly_parts,
-         "Part of a prompt that ends it, and how (fake_deadly.h)",
-         "ID:WHEN-HOW"},
-        {"limit-file", 0, 0, G_OPTION_ARG_STRING, &server->limit_file,
-         "File with limits to name in answers, one a line", "FILE"},
-        {"silent-ms", 0, 0, G_OPTION_ARG_INT, &server->silent_ms,
-         "Time after a start before the first announcement", "MS"},
-        {NULL},
-    };
-    GOptionContext *context = g_option_context_new(NULL);
-    g_option_context_add_main_entries(context, entries, NULL);
-    GError *error = NULL;
-    if (!g_option_context_parse(context, &argc, &argv, &error) ||
-        server->listen == NULL || server->control == NULL ||
-        server->service == NULL || server->id == NULL)
-    {
-        fprintf(stderr, "fake_server: %s\n",
-                error != NULL
-                    ? error->message
-                    : "expected --listen, --control, --service and --id");
-        exit(2);
-    }
-    g_option_context_free(context);
-}
-
 /* Deregisters the start before this one. */
 static void
 deregister_previous(Server *server, const char *id, int start)
@@ -597,9 +499,8 @@
         .delay_ms = 5,
         .fault_count = G_MAXINT,
         .fault_every = 1,
-        .software = "v1",
     };
-    read_options(&server, argc, argv);
+    FakeServer_ReadOptions(&server, argc, argv);
     signal(SIGPIPE, SIG_IGN);
     server.control_hosts = g_strsplit(server.control, ",", -1);
     if (server.restart_ms > 0) {
--- /dev/null
+++ b/test/fakes/fake_server_options.c
@@ -0,0 +1,75 @@
+/** @file
+ * Options of the fake server.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "fake_server.h"
+
+void
+FakeServer_ReadOptions(Server *server, int argc, char **argv)
+{
+    const GOptionEntry entries[] = {
+        {"listen", 0, 0, G_OPTION_ARG_STRING, &server->listen,
+         "Address to accept requests on", "IP:PORT"},
+        {"control", 0, 0, G_OPTION_ARG_STRING, &server->control,
+         "Control hosts to announce to", "IP:PORT,..."},
+        {"service", 0, 0, G_OPTION_ARG_STRING, &server->service,
+         "Service to announce", "NAME"},
+        {"id", 0, 0, G_OPTION_ARG_STRING, &server->id,
+         "Instance id to announce", "ID"},
+        {"zone", 0, 0, G_OPTION_ARG_STRING, &server->zone,
+         "Availability zone to announce", "NAME"},
+        {"record", 0, 0, G_OPTION_ARG_STRING, &server->record,
+         "File to append one line for each request to", "FILE"},
+        {"fault", 0, 0, G_OPTION_ARG_STRING, &server->fault,
+         "Fault: cut, extra, unframed, error, shed, mute, no-seal, wrong-id "
+         "or "
+         "one of fake_endless.h",
+         "KIND"},
+        {"fault-count", 0, 0, G_OPTION_ARG_INT, &server->fault_count,
+         "Number of requests with the fault", "N"},
+        {"fault-every", 0, 0, G_OPTION_ARG_INT, &server->fault_every,
+         "If above 1, each Nth stream gets the fault, and nothing else", "N"},
+        {"software", 0, 0, G_OPTION_ARG_STRING, &server->software,
+         "Version of its software to announce and to put into events", "TEXT"},
+        {"slots", 0, 0, G_OPTION_ARG_INT, &server->slots,
+         "Number of slots to announce", "N"},
+        {"events", 0, 0, G_OPTION_ARG_INT, &server->events,
+         "Number of events in a stream", "N"},
+        {"gap-ms", 0, 0, G_OPTION_ARG_INT, &server->gap_ms,
+         "Time between two events", "MS"},
+        {"delay-ms", 0, 0, G_OPTION_ARG_INT, &server->delay_ms,
+         "Time before an answer starts", "MS"},
+        {"restart-ms", 0, 0, G_OPTION_ARG_INT, &server->restart_ms,
+         "Start again this long after an end", "MS"},
+        {"new-id", 0, 0, G_OPTION_ARG_NONE, &server->new_id,
+         "Add the number of the start to the id", NULL},
+        {"leaves", 0, 0, G_OPTION_ARG_NONE, &server->leaves,
+         "Deregister the start before, which has ended", NULL},
+        {"moves", 0, 0, G_OPTION_ARG_INT, &server->moves,
+         "Listen at the next of N IP addresses at each start", "N"},
+        {"deadly-part", 0, 0, G_OPTION_ARG_STRING_ARRAY, &server->deadly_parts,
+         "Part of a prompt that ends it, and how (fake_deadly.h)",
+         "ID:WHEN-HOW"},
+        {"limit-file", 0, 0, G_OPTION_ARG_STRING, &server->limit_file,
+         "File with limits to name in answers, one a line", "FILE"},
+        {"silent-ms", 0, 0, G_OPTION_ARG_INT, &server->silent_ms,
+         "Time after a start before the first announcement", "MS"},
+        {NULL},
+    };
+    GOptionContext *context = g_option_context_new(NULL);
+    g_option_context_add_main_entries(context, entries, NULL);
+    GError *error = NULL;
+    if (!g_option_context_parse(context, &argc, &argv, &error) ||
+        server->listen == NULL || server->control == NULL ||
+        server->service == NULL || server->id == NULL)
+    {
+        fprintf(stderr, "fake_server: %s\n",
+                error != NULL
+                    ? error->message
+                    : "expected --listen, --control, --service and --id");
+        exit(2);
+    }
+    g_option_context_free(context);
+}
