Keepers tell gateways when an engine may have started again

Cause: a gateway took the version of the last announcement for that of the process that answers; the expected instance is the same after such a restart, and nothing refuses a connection if the restart is quick. The keeper beside the engine asks it for its report four times a second, and a restart closes its connection: it now reads the start from the report, and each grant carries it, or that it is uncertain.

Trial (on a clone): a server's report has the start.

--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -142,7 +142,8 @@
     Upstream *callback_upstream;
     bool removed;    /* no longer in the endpoint table */
     bool superseded; /* a newer incarnation has its id or its address */
-    TimeUs ended_at; /* when its end was last proved; 0 if never */
+    TimeUs
+        ended_at; /* since when it may have started again; 0 if it has not */
 };
 
 /* Applies an endpoint record if it is newer than the known one. */
--- a/src/keeper/keeper.c
+++ b/src/keeper/keeper.c
@@ -69,7 +69,9 @@
     Counter *queued_gauge;
     Counter *busy_gauge;
     Counter *rate_gauge;
-    Probe *probe; /* NULL without a configured engine address */
+    uint64_t engine_born; /* as the engine last reported; 0 if unknown */
+    bool start_uncertain; /* the engine may have started again since */
+    Probe *probe;         /* NULL without a configured engine address */
 } Keeper;
 
 static uint64_t
@@ -95,6 +97,8 @@
     grant.busy = state.running + state.granted;
     grant.prefill_tokens_s = (uint32_t)state.prefill_tokens_s;
     grant.decode_tokens_s = (uint32_t)state.decode_tokens_s;
+    grant.born = keeper->engine_born;
+    grant.start_uncertain = keeper->start_uncertain;
     Wire__Frame frame = WIRE__FRAME__INIT;
     frame.body_case = WIRE__FRAME__BODY_SLOT_GRANT;
     frame.slot_grant = &grant;
@@ -381,6 +385,35 @@
     run_actions(keeper);
 }
 
+static void
+on_probe_answered(void *owner, const char *body, size_t length)
+{
+    Keeper *keeper = owner;
+    uint64_t born = keeper->options->read_start == NULL
+                        ? 0
+                        : keeper->options->read_start(body, length);
+    if (born != 0 && keeper->engine_born != 0 && born != keeper->engine_born) {
+        LOG_INFO(PART, "Engine started again. born=%llu before=%llu",
+                 (unsigned long long)born,
+                 (unsigned long long)keeper->engine_born);
+    }
+    keeper->engine_born = born;
+    keeper->start_uncertain = false;
+}
+
+static void
+on_probe_lost(void *owner)
+{
+    Keeper *keeper = owner;
+    keeper->start_uncertain = true;
+}
+
+static const ProbeOps probe_ops = {
+    .changed = on_probe_changed,
+    .answered = on_probe_answered,
+    .lost = on_probe_lost,
+};
+
 static int
 start(TaskHandle self, void *state, Error *err)
 {
@@ -394,9 +427,9 @@
         return result;
     }
     if (keeper->options->engine != NULL) {
-        keeper->probe = Probe_New(keeper->base, keeper->options->engine,
-                                  keeper->options->probe_path,
-                                  on_probe_changed, keeper, err);
+        keeper->probe =
+            Probe_New(keeper->base, keeper->options->engine,
+                      keeper->options->probe_path, &probe_ops, keeper, err);
         if (keeper->probe == NULL) {
             return err->code;
         }
--- a/src/keeper/probe.c
+++ b/src/keeper/probe.c
@@ -3,6 +3,7 @@
  */
 #include "keeper/probe.h"
 
+#include <event2/buffer.h>
 #include <event2/http.h>
 #include <glib.h>
 
@@ -27,13 +28,14 @@
     struct event_base *base;
     Address address;
     char *path;
-    void (*changed)(void *owner, bool answers);
+    const ProbeOps *ops;
     void *owner;
     struct evhttp_connection *connection;
     struct event *timer;
     struct event *deadline; /* ends a probe whose answer does not end */
     unsigned consecutive_failures;
     bool unresponsive;
+    bool keeps_open; /* the last answer leaves the connection open */
     bool freed; /* set by Probe_Free(); on_answer() then starts no new probe */
 };
 
@@ -52,10 +54,29 @@
     bool unresponsive = probe->consecutive_failures >= UNRESPONSIVE_FAILURES;
     if (unresponsive != probe->unresponsive) {
         probe->unresponsive = unresponsive;
-        probe->changed(probe->owner, !unresponsive);
+        probe->ops->changed(probe->owner, !unresponsive);
     }
 }
 
+/* Returns whether an answer ends its connection. */
+static bool
+ends_connection(struct evhttp_request *request)
+{
+    const char *field = evhttp_find_header(
+        evhttp_request_get_input_headers(request), "Connection");
+    return field != NULL && g_ascii_strcasecmp(field, "close") == 0;
+}
+
+static void
+report_answer(Probe *probe, struct evhttp_request *request)
+{
+    struct evbuffer *in = evhttp_request_get_input_buffer(request);
+    size_t length = evbuffer_get_length(in);
+    const char *body = length > 0 ? (const char *)evbuffer_pullup(in, -1) : "";
+    probe->keeps_open = !ends_connection(request);
+    probe->ops->answered(probe->owner, body, length);
+}
+
 static void
 on_answer(struct evhttp_request *request, void *arg)
 {
@@ -66,6 +87,12 @@
     event_del(probe->deadline);
     bool answered =
         request != NULL && evhttp_request_get_response_code(request) > 0;
+    if (answered) {
+        report_answer(probe, request);
+    }
+    else {
+        probe->ops->lost(probe->owner);
+    }
     record_result(probe, answered);
     schedule_probe(probe, answered || probe->consecutive_failures != 1
                               ? PROBE_PERIOD_MS
@@ -89,6 +116,22 @@
     event_add(probe->deadline, &limit);
 }
 
+/* Probes again at once, since a restart of the engine closes its
+ * connections. */
+static void
+on_closed(struct evhttp_connection *connection, void *arg)
+{
+    Probe *probe = arg;
+    if (probe->freed || !probe->keeps_open) {
+        return;
+    }
+    probe->keeps_open = false;
+    probe->ops->lost(probe->owner);
+    if (event_pending(probe->timer, EV_TIMEOUT, NULL)) {
+        schedule_probe(probe, 0);
+    }
+}
+
 static void
 open_connection(Probe *probe)
 {
@@ -96,6 +139,7 @@
         probe->base, NULL, probe->address.host, probe->address.port);
     struct timeval limit = {.tv_usec = PROBE_TIMEOUT_MS * US_PER_MS};
     evhttp_connection_set_timeout_tv(probe->connection, &limit);
+    evhttp_connection_set_closecb(probe->connection, on_closed, probe);
     Http_LimitInput(probe->connection, ANSWER_MAX_BYTES, ANSWER_MAX_BYTES);
     evhttp_connection_set_max_body_size(probe->connection, ANSWER_MAX_BYTES);
 }
@@ -105,8 +149,10 @@
 on_deadline(evutil_socket_t fd, short events, void *arg)
 {
     Probe *probe = arg;
+    probe->keeps_open = false;
     evhttp_connection_free(probe->connection);
     open_connection(probe);
+    probe->ops->lost(probe->owner);
     record_result(probe, false);
     schedule_probe(probe, PROBE_PERIOD_MS);
 }
@@ -119,7 +165,7 @@
 
 Probe *
 Probe_New(struct event_base *base, const char *address, const char *path,
-          void (*changed)(void *owner, bool answers), void *owner, Error *err)
+          const ProbeOps *ops, void *owner, Error *err)
 {
     Address parsed;
     if (Address_Parse(address, &parsed, err) != ERR_OK) {
@@ -129,11 +175,11 @@
     probe->base = base;
     probe->address = parsed;
     probe->path = g_strdup(path);
-    probe->changed = changed;
+    probe->ops = ops;
     probe->owner = owner;
     probe->deadline = event_new(base, -1, 0, on_deadline, probe);
-    open_connection(probe);
     probe->timer = event_new(base, -1, 0, on_timer, probe);
+    open_connection(probe);
     schedule_probe(probe, PROBE_PERIOD_MS);
     return probe;
 }
--- a/test/fakes/fake_server.c
+++ b/test/fakes/fake_server.c
@@ -129,8 +129,13 @@
 answer_plain(Connection *connection)
 {
     const char *fault = connection->fault;
-    char *body = g_strdup_printf("{\"server\":\"%s\",\"request\":\"%s\"}\n",
-                                 connection->server->id, connection->id);
+    bool is_report = strcmp(connection->target, "/api/report") == 0;
+    char *body =
+        is_report
+            ? g_strdup_printf("{\"born\":%llu}\n",
+                              (unsigned long long)connection->server->born)
+            : g_strdup_printf("{\"server\":\"%s\",\"request\":\"%s\"}\n",
+                              connection->server->id, connection->id);
     size_t length = strlen(body);
     bool cut =
         strcmp(fault, "cut") == 0 || connection->deadly == DEADLY_IN_BODY;
