Gateway logs what endpoints' answers ask of it: rest, and that they leave

No log told which refusal asked for rest, so that a repeat and a first attempt into a rest could not be told apart from unread fields.

--- a/scripts/lint-house.sh
+++ b/scripts/lint-house.sh
@@ -40,7 +40,7 @@
 
 # Names of the platform are used only in platform/, which makes no scheduling
 # decisions.
-PLATFORM_NAMES='Attempt-Id|Server-Seal|Server-Limit|[^-]Deadline-Ms|Expect-Instance|Not-Executed|Token-Usage|Prefix-Hash|Load-Report|Kv-(Hold|From|Fetch|Backup)|Pin-Ms|routeTable|pathPrefix|maxAttempts|heartbeatAddr|seedNodes|listenAddrs|/api/(readyz|instances|config|report|hold|kv)'
+PLATFORM_NAMES='Attempt-Id|Server-Seal|Server-Limit|[^-]Deadline-Ms|Expect-Instance|Not-Executed|Token-Usage|Prefix-Hash|Load-Report|Server-Leaving|Kv-(Hold|From|Fetch|Backup)|Pin-Ms|routeTable|pathPrefix|maxAttempts|heartbeatAddr|seedNodes|listenAddrs|/api/(readyz|instances|config|report|hold|kv)'
 if grep -rnE "$PLATFORM_NAMES" --include='*.[ch]' --include='*.proto' src; then
     complain "src" "a name of the platform is used outside platform/"
 fi
--- a/src/gateway/endpoints.c
+++ b/src/gateway/endpoints.c
@@ -10,6 +10,7 @@
 #include "gateway/state.h"
 #include "kernel/counter.h"
 #include "kernel/log.h"
+#include "sched/rest.h"
 
 /* Longest delay of an endpoint's announcement: after that, a known endpoint
  * that had ended has not started again under its id without being known. */
@@ -311,6 +312,45 @@
     }
 }
 
+/* Returns the rest that an answer asks for, in milliseconds; 0 for none. */
+static uint32_t
+read_rest(const Endpoint *endpoint, const H1Head *head)
+{
+    const char *text = H1Head_Get(head, "Retry-After");
+    if (head->status != HTTP_UNAVAILABLE || text == NULL) {
+        return 0;
+    }
+    uint32_t ms = Rest_Parse(text);
+    if (ms == 0) {
+        LOG_DEBUG(GATEWAY_PART, "Unusable time of a rest. id=%s",
+                  endpoint->id);
+    }
+    return ms;
+}
+
+void
+Endpoint_OnStateFields(Endpoint *endpoint, const H1Head *head)
+{
+    const char *leaving =
+        H1Head_Get(head, endpoint->gateway->options->fields->leaving);
+    uint32_t rest_ms = read_rest(endpoint, head);
+    if (rest_ms > 0) {
+        LOG_INFO(GATEWAY_PART, "Endpoint asks for rest. id=%s rest_ms=%u",
+                 endpoint->id, rest_ms);
+        Counter_Add(Counter_Get("gateway_rests_total",
+                                "Refusals of endpoints that ask for rest."),
+                    1);
+    }
+    if (leaving != NULL && strcmp(leaving, "1") == 0 &&
+        endpoint->state == ENDPOINT_READY)
+    {
+        LOG_INFO(GATEWAY_PART,
+                 "Endpoint says in an answer that it leaves. "
+                 "id=%s born=%llu",
+                 endpoint->id, (unsigned long long)endpoint->born);
+    }
+}
+
 double
 Endpoint_RateWaitMs(const Endpoint *endpoint)
 {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -28,6 +28,7 @@
     const char *load;         /**< Endpoint's load: "RUNNING,WAITING,SLOTS". */
     const char *rate_limit;   /**< Requests per second that the endpoint takes
                                      from all senders together. */
+    const char *leaving;      /**< "1" in an answer: the endpoint leaves. */
     const char *engine_version;  /**< Version of the weights that the caller
                                     wants; an engine with another one answers
                                     421. */
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -8,21 +8,20 @@
 #include <event2/event.h>
 #include <event2/listener.h>
 
-#include "gateway/end_watch.h"
+#include "gateway/endpoints.h"
 #include "gateway/events.h"
 #include "gateway/gateway.h"
 #include "gateway/origins.h"
 #include "http1/parser.h"
 #include "kernel/clock.h"
-#include "routes/endpoint.h"
 #include "sched/bucket.h"
-#include "sched/named_rate.h"
 #include "sched/subjects.h"
 #include "wire/link.h"
 
 #define GATEWAY_PART "gateway"
 /* Status of an instance that is not the one that a request names. */
 #define HTTP_OTHER_INSTANCE 421
+#define HTTP_UNAVAILABLE 503
 
 typedef struct Conn Conn;
 typedef struct Call Call;
@@ -109,100 +108,6 @@
 
 void Conn_Free(Conn *conn);
 
-/* ---- endpoints.c: endpoints and their health ---- */
-
-struct Endpoint {
-    Gateway *gateway;
-    char *id;
-    char *service;
-    char *address;
-    char *zone;
-    char *software; /* version of its software; "" if unknown */
-    uint64_t born;  /* start time in Unix milliseconds */
-    EndpointState state;
-    uint32_t slots;
-    TimeUs cold_until;   /* end of the warm-up that the endpoint announced */
-    unsigned references; /* from the endpoint table, upstreams and calls */
-    unsigned running;    /* requests of this gateway */
-    unsigned other_running;  /* requests of other gateways, as last reported */
-    TimeUs load_reported_at; /* time of the newest load report */
-    unsigned consecutive_failures;
-    TimeUs ejected_until; /* end of the ejection after a failure */
-    bool probing;         /* one request probes it after an ejection */
-    double error_rate;    /* moving fraction of failed answers */
-    TimeUs error_rate_at; /* when error_rate was updated */
-    EndWatch watch;
-    NamedRate rate_limit; /* that its answers name */
-    double rate_share;    /* this gateway's part of it; negative: unknown */
-    bool bad_rate_logged; /* an answer named a limit that cannot be read */
-    /* Moving mean run time of non-streamed answers; 0 before the first. */
-    double expected_run_ms;
-    GQueue idle_upstreams; /* idle Upstreams, most recently used first */
-    /* Upstream whose callback runs; NULL once the callback has freed it. */
-    Upstream *callback_upstream;
-    bool removed;    /* no longer in the endpoint table */
-    bool superseded; /* a newer incarnation has its id or its address */
-    TimeUs
-        ended_at; /* since when it may have started again; 0 if it has not */
-};
-
-/* Applies an endpoint record if it is newer than the known one. */
-void Endpoints_Update(Gateway *gateway, const EndpointRecord *record);
-void Endpoints_FreeAll(Gateway *gateway);
-Endpoint *Endpoints_Find(const Gateway *gateway, const char *id);
-void Endpoint_Ref(Endpoint *endpoint);
-void Endpoint_Unref(Endpoint *endpoint);
-
-/* Ejects the endpoint for a time that grows with consecutive failures. */
-void Endpoint_OnFailure(Endpoint *endpoint, const char *why);
-
-/* Ends an ejection and updates the error rate; @p success is false for an
- * answer with an error status. */
-void Endpoint_OnAnswer(Endpoint *endpoint, bool success);
-
-/* Applies the value of a load field, "RUNNING,WAITING,SLOTS". */
-void Endpoint_OnLoadReport(Endpoint *endpoint, const char *report);
-
-/* Applies the rate limit that an answer names, if any.
- * @param sent_at  when the request was sent. */
-void Endpoint_OnRateField(Endpoint *endpoint, const H1Head *head,
-                          TimeUs sent_at);
-
-/* Returns the mean time between two requests that the endpoint's rate limit
- * allows to all gateways together; 0 without a limit. */
-double Endpoint_RateWaitMs(const Endpoint *endpoint);
-
-/* Returns this gateway's part of the endpoint's rate limit, from 0 to 1. */
-double Endpoint_RateShare(const Endpoint *endpoint);
-
-/* Updates the endpoint's mean run time with that of a complete answer that was
- * not streamed. */
-void Endpoint_AddRunTime(Endpoint *endpoint, TimeUs run_time);
-
-/* Returns the moving fraction of failed answers. It decays with time. */
-double Endpoint_ErrorRate(const Endpoint *endpoint, TimeUs now);
-
-/* Returns whether an attempt of the call failed at this endpoint. */
-bool Endpoint_WasTried(const Endpoint *endpoint, const Call *call);
-
-/* Returns whether the endpoint may be sent requests now. */
-bool Endpoint_IsUsable(const Endpoint *endpoint, TimeUs now);
-
-/* Returns the version of the endpoint's software; "" if it is unknown, or if
- * the endpoint may have started again with another one. */
-const char *Endpoint_CertainSoftware(const Endpoint *endpoint);
-
-/* Returns whether the endpoint's software is that which began the call's
- * stream, if one has begun. */
-bool Endpoint_MayContinue(const Endpoint *endpoint, const Call *call);
-
-/* Returns whether the endpoint is eligible for the call now. */
-bool Endpoint_MayServe(const Endpoint *endpoint, const Call *call, TimeUs now);
-
-/* Returns the distance from this gateway: 0 in the same zone, 1 in the same
- * region, 2 in another region. */
-unsigned Endpoint_Distance(const Endpoint *endpoint);
-
 /* ---- upstream.c: connections to endpoints ---- */
 
 typedef enum UpstreamFailure {
--- a/src/gateway/upstream.c
+++ b/src/gateway/upstream.c
@@ -215,6 +215,7 @@
     }
     if (head->status != HTTP_OTHER_INSTANCE) {
         Endpoint_OnRateField(upstream->endpoint, head, upstream->sent_at);
+        Endpoint_OnStateFields(upstream->endpoint, head);
     }
     upstream->idle_limit_ms = parse_idle_limit(head);
     const char *load =
