Red: servers get requests while they rest, and after their answers say that they leave

functional/platform-resting: two gateways, four app servers and one of two engines that answer 503 with Retry-After 3 for 12 s.

--- a/test/fakes/fake_limit.c
+++ b/test/fakes/fake_limit.c
@@ -1,5 +1,5 @@
 /** @file
- * Limits of the fake server.
+ * Limits and rests of the fake server.
  */
 #include "fake_limit.h"
 
@@ -19,3 +19,17 @@
     g_strfreev(lines);
     g_free(text);
 }
+
+char *
+FakeLimit_ReadRest(const char *path)
+{
+    gchar *text = NULL;
+    if (path == NULL || !g_file_get_contents(path, &text, NULL, NULL)) {
+        return NULL;
+    }
+    g_strstrip(text);
+    if (text[0] == '\0') {
+        g_clear_pointer(&text, g_free);
+    }
+    return text;
+}
--- a/test/fakes/fake_server.c
+++ b/test/fakes/fake_server.c
@@ -113,6 +113,9 @@
                             connection->server->id);
     }
     FakeLimit_Write(output_of(connection), connection->server->limit_file);
+    if (connection->server->leaving) {
+        evbuffer_add_printf(output_of(connection), "Server-Leaving: 1\r\n");
+    }
     evbuffer_add_printf(output_of(connection), "%s", more_fields);
 }
 
@@ -262,9 +265,13 @@
     connection->deadly_target = NULL;
     connection->deadly = DEADLY_NEVER;
     connection->fault[0] = '\0';
-    if (server->limit_file != NULL && id != NULL) {
+    if ((server->limit_file != NULL || server->rest_file != NULL) &&
+        id != NULL) {
         record(server, "arrived %lld %s\n", (long long)Clock_WallMs(), id);
     }
+    if (server->rest_file != NULL && id == NULL) {
+        record(server, "probed %lld\n", (long long)Clock_WallMs());
+    }
     if (expected_id != NULL && strcmp(expected_id, server->id) != 0) {
         refuse(connection, 421, "Not-Executed: 1\r\n");
         return;
@@ -277,6 +284,17 @@
         server->fault_count--;
         g_strlcpy(connection->fault, server->fault, sizeof(connection->fault));
     }
+    char *rest = FakeLimit_ReadRest(server->rest_file);
+    if (rest != NULL) {
+        char *fields =
+            g_strdup_printf("Not-Executed: 1\r\nRetry-After: %s\r\n", rest);
+        record(server, "rests %lld %s %s\n", (long long)Clock_WallMs(),
+               connection->id, rest);
+        refuse(connection, 503, fields);
+        g_free(fields);
+        g_free(rest);
+        return;
+    }
     if (strcmp(connection->fault, "shed") == 0) {
         refuse(connection, 503, "Not-Executed: 1\r\n");
         return;
@@ -425,6 +443,15 @@
     event_add(server->announce_timer, &delay);
 }
 
+/* Says in answers, but not in heartbeats, that it leaves. */
+static void
+on_leave(evutil_socket_t fd, short events, void *arg)
+{
+    Server *server = arg;
+    server->leaving = true;
+    record(server, "leaves %lld\n", (long long)Clock_WallMs());
+}
+
 static void
 on_drain(evutil_socket_t fd, short events, void *arg)
 {
@@ -484,6 +511,7 @@
         return 1;
     }
     event_add(evsignal_new(server->base, SIGUSR1, on_drain, server), NULL);
+    event_add(evsignal_new(server->base, SIGUSR2, on_leave, server), NULL);
     struct timeval delay = {
         .tv_sec = server->silent_ms / 1000,
         .tv_usec = server->silent_ms % 1000 * 1000,
--- a/test/fakes/fake_server.h
+++ b/test/fakes/fake_server.h
@@ -33,7 +33,10 @@
     gint moves;           /* each start listens at the next of so many hosts */
     gchar **deadly_parts; /* ID:WHEN-HOW of parts of prompts that end it */
     gchar *limit_file;    /* lines are limits to name; read at each answer */
-    gint silent_ms;       /* time after a start before it announces itself */
+    gchar *rest_file;     /* Retry-After with which it refuses every request;
+                             empty or missing: it refuses none */
+    gboolean leaving; /* its answers say that it leaves, its heartbeats not */
+    gint silent_ms;   /* time after a start before it announces itself */
     struct evconnlistener *listener;
     gchar **control_hosts;
     guint host_index; /* index of the control host in use, modulo the number of
