Gateways and keepers send nothing to a server that has asked them for rest

Callers saw refusals after refusals, since an engine that refuses at once always has free slots and draws requests.

Cause: the field was read nowhere (hypothesis 1). A refusal raised the error rate only, and a repeat went on to the next server, often another resting one. Evidence: in the record all 64 requests of the four seconds were refused, at a higher rate than before. Hypothesis 2 does not hold: requests arrived up to the end of the rests. Hypothesis 3 holds as well: the keeper's probes went on.

Now a rest takes the endpoint out of all choices of this gateway (Endpoint_MayServe), wants that wait at its keeper are withdrawn, and a grant that crosses is returned. It never gets shorter, ends by itself after five minutes at most, and is followed by single requests, twice as many after each answer. While all endpoints rest, calls wait by tier if a rest ends in time, or are refused with the time at which it does. A keeper that is told to rest pauses its probes and keeps its connection.

--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -171,6 +171,7 @@
         Call_Retry(call, ATTEMPT_NOT_SENT, "connection could not be started");
         return;
     }
+    Rest_OnSent(&endpoint->rest, Clock_Now());
     if (endpoint->consecutive_failures > 0) {
         endpoint->probing = true;
     }
@@ -196,7 +197,8 @@
                         .status = 503,
                         .code = "unavailable",
                         .message = "No endpoint accepted the request.",
-                        .retry_after_ms = NOT_RUN_RETRY_AFTER_MS,
+                        .retry_after_ms = MAX(ServiceQueue_RestMs(call),
+                                              NOT_RUN_RETRY_AFTER_MS),
                     });
 }
 
--- a/src/gateway/endpoints.c
+++ b/src/gateway/endpoints.c
@@ -10,7 +10,6 @@
 #include "gateway/state.h"
 #include "kernel/counter.h"
 #include "kernel/log.h"
-#include "sched/rest.h"
 
 /* Longest delay of an endpoint's announcement: after that, a known endpoint
  * that had ended has not started again under its id without being known. */
@@ -335,12 +334,18 @@
         H1Head_Get(head, endpoint->gateway->options->fields->leaving);
     uint32_t rest_ms = read_rest(endpoint, head);
     if (rest_ms > 0) {
-        LOG_INFO(GATEWAY_PART, "Endpoint asks for rest. id=%s rest_ms=%u",
-                 endpoint->id, rest_ms);
+        bool longer = Rest_OnRefused(&endpoint->rest, rest_ms, Clock_Now());
+        LOG_INFO(GATEWAY_PART,
+                 "Endpoint asks for rest. id=%s rest_ms=%u longer=%s",
+                 endpoint->id, rest_ms, longer ? "yes" : "no");
+        Keepers_WithdrawUseless(endpoint->gateway->keepers);
         Counter_Add(Counter_Get("gateway_rests_total",
                                 "Refusals of endpoints that ask for rest."),
                     1);
     }
+    else if (head->status != HTTP_UNAVAILABLE) {
+        Rest_OnServed(&endpoint->rest, Clock_Now());
+    }
     if (leaving != NULL && strcmp(leaving, "1") == 0 &&
         endpoint->state == ENDPOINT_READY)
     {
@@ -411,6 +416,7 @@
 Endpoint_MayServe(const Endpoint *endpoint, const Call *call, TimeUs now)
 {
     return Endpoint_IsUsable(endpoint, now) &&
+           Rest_MaySend(&endpoint->rest, now) &&
            Endpoint_MayContinue(endpoint, call);
 }
 
--- a/src/gateway/endpoints.h
+++ b/src/gateway/endpoints.h
@@ -9,6 +9,7 @@
 #include "http1/parser.h"
 #include "routes/endpoint.h"
 #include "sched/named_rate.h"
+#include "sched/rest.h"
 
 typedef struct Call Call;
 typedef struct Gateway Gateway;
@@ -35,6 +36,7 @@
     double error_rate;    /* moving fraction of failed answers */
     TimeUs error_rate_at; /* when error_rate was updated */
     EndWatch watch;
+    Rest rest;            /* that it asked of this gateway */
     NamedRate rate_limit; /* that its answers name */
     double rate_share;    /* this gateway's part of it; negative: unknown */
     bool bad_rate_logged; /* an answer named a limit that cannot be read */
@@ -71,7 +73,8 @@
 void Endpoint_OnRateField(Endpoint *endpoint, const H1Head *head,
                           TimeUs sent_at);
 
-/* Applies an answer that asks for rest or says that the endpoint leaves. */
+/* Applies an answer that asks for rest or ends it, or says that the endpoint
+ * leaves. */
 void Endpoint_OnStateFields(Endpoint *endpoint, const H1Head *head);
 
 /* Returns the mean time between two requests that the endpoint's rate limit
--- a/src/gateway/keepers.c
+++ b/src/gateway/keepers.c
@@ -8,6 +8,69 @@
 #include "sched/work.h"
 #include "wire/address.h"
 
+/* Removes the want, which no keeper can grant any more, and adds its call to
+ * @p requeued. */
+static void
+abandon_want(Want *want, GHashTableIter *iter, GPtrArray *requeued)
+{
+    g_ptr_array_add(requeued, want->call);
+    want->call->want_id = 0;
+    g_hash_table_iter_remove(iter);
+}
+
+static void
+requeue_calls(Keepers *keepers, GPtrArray *requeued)
+{
+    for (guint i = 0; i < requeued->len; i++) {
+        ServiceQueue_Add(keepers->gateway, requeued->pdata[i]);
+    }
+    g_ptr_array_unref(requeued);
+}
+
+/* Withdraws the want from the keepers whose engines may not serve it. */
+static void
+withdraw_from_useless(Want *want)
+{
+    TimeUs now = Clock_Now();
+    for (guint i = want->pending->len; i > 0; i--) {
+        Keeper *keeper = want->pending->pdata[i - 1];
+        const Endpoint *endpoint =
+            Endpoints_Find(keeper->keepers->gateway, keeper->endpoint_id);
+        if (endpoint != NULL && Endpoint_MayServe(endpoint, want->call, now)) {
+            continue;
+        }
+        Want_SendEnd(keeper, want->id, SLOT_NOT_SERVED);
+        g_ptr_array_remove_index_fast(want->pending, i - 1);
+    }
+}
+
+static void
+withdraw_useless(evutil_socket_t fd, short events, void *arg)
+{
+    Keepers *keepers = arg;
+    GPtrArray *requeued = g_ptr_array_new();
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, keepers->wants);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        Want *want = value;
+        if (want->granted_by != NULL) {
+            continue;
+        }
+        withdraw_from_useless(want);
+        if (want->pending->len == 0) {
+            abandon_want(want, &iter, requeued);
+        }
+    }
+    requeue_calls(keepers, requeued);
+}
+
+void
+Keepers_WithdrawUseless(Keepers *keepers)
+{
+    event_active(keepers->withdraw_event, EV_TIMEOUT, 0);
+}
+
 Keepers *
 Keepers_New(Gateway *gateway)
 {
@@ -16,6 +79,8 @@
     keepers->by_endpoint = g_hash_table_new(g_str_hash, g_str_equal);
     keepers->wants =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, Want_Free);
+    keepers->withdraw_event =
+        event_new(gateway->base, -1, 0, withdraw_useless, keepers);
     return keepers;
 }
 
@@ -38,6 +103,7 @@
     }
     g_hash_table_destroy(keepers->by_endpoint);
     g_hash_table_destroy(keepers->wants);
+    event_free(keepers->withdraw_event);
     g_free(keepers);
 }
 
@@ -80,15 +146,10 @@
             g_hash_table_iter_remove(&iter);
         }
         else if (want->granted_by == NULL && want->pending->len == 0) {
-            g_ptr_array_add(requeued, want->call);
-            want->call->want_id = 0;
-            g_hash_table_iter_remove(&iter);
+            abandon_want(want, &iter, requeued);
         }
     }
-    for (guint i = 0; i < requeued->len; i++) {
-        ServiceQueue_Add(keepers->gateway, requeued->pdata[i]);
-    }
-    g_ptr_array_unref(requeued);
+    requeue_calls(keepers, requeued);
 }
 
 static void
--- a/src/gateway/keepers.h
+++ b/src/gateway/keepers.h
@@ -36,6 +36,7 @@
     Gateway *gateway;
     GHashTable *by_endpoint; /* endpoint id -> Keeper */
     GHashTable *wants;       /* want id -> Want */
+    struct event *withdraw_event;
 };
 
 void Want_Free(gpointer want);
--- a/src/gateway/service_queue.c
+++ b/src/gateway/service_queue.c
@@ -28,6 +28,10 @@
  * stream to be announced. */
 #define VERSION_WAIT_US (300 * US_PER_MS)
 
+/* Time over which calls are told to come back that are refused because all
+ * endpoints rest. */
+#define REST_SPREAD_MS 500
+
 /* Time constant of the moving mean of demand. */
 #define DEMAND_DECAY_US (2 * US_PER_S)
 /* Least Retry-After of a request that no endpoint could accept. */
@@ -183,14 +187,59 @@
     return endpoint;
 }
 
-/* Returns whether the call has waited so long that it should be refused, so
- * that the caller can retry in time. */
-static bool
-waited_too_long(const Call *call)
+/* Returns when the rest of the first endpoint ends that may serve the call, or
+ * 0 unless all of them rest. */
+static TimeUs
+first_rest_end(const Call *call)
+{
+    TimeUs now = Clock_Now();
+    TimeUs first = TIME_NEVER;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, call->gateway->endpoints);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const Endpoint *endpoint = value;
+        if (strcmp(endpoint->service, call->service) == 0 &&
+            Endpoint_IsUsable(endpoint, now) &&
+            Endpoint_MayContinue(endpoint, call))
+        {
+            first = MIN(first, endpoint->rest.until);
+        }
+    }
+    return first == TIME_NEVER || first <= now ? 0 : first;
+}
+
+uint32_t
+ServiceQueue_RestMs(const Call *call)
+{
+    TimeUs end = first_rest_end(call);
+    if (end == 0) {
+        return 0;
+    }
+    return (uint32_t)((end - Clock_Now()) / US_PER_MS) +
+           g_str_hash(call->id) % REST_SPREAD_MS;
+}
+
+/* Returns the time up to which the call may wait: then it is refused, so that
+ * the caller can retry in time. */
+static TimeUs
+longest_wait(const Call *call)
 {
+    if (call->maybe_ran) {
+        return call->deadline;
+    }
     TimeUs total = call->deadline - call->received_at;
-    return !call->maybe_ran && (double)(Clock_Now() - call->received_at) >
-                                   WAIT_FRACTION * (double)total;
+    return call->received_at + (TimeUs)(WAIT_FRACTION * (double)total);
+}
+
+/* Returns whether no endpoint takes the call in the time for which it may
+ * wait. */
+static bool
+waits_in_vain(const Call *call)
+{
+    TimeUs last = longest_wait(call);
+    return (!call->maybe_ran && Clock_Now() > last) ||
+           first_rest_end(call) > last;
 }
 
 /* Returns the time until the rate limits of the service's endpoints let a
@@ -221,6 +270,7 @@
 {
     uint32_t retry_after_ms =
         MAX(rate_limit_wait_ms(queue), NO_ENDPOINT_RETRY_AFTER_MS);
+    retry_after_ms = MAX(retry_after_ms, ServiceQueue_RestMs(call));
     Call_Fail(call, &(CallError){
                         .status = 503,
                         .code = "no_endpoint",
@@ -264,7 +314,7 @@
             fail_version_gone(call);
             continue;
         }
-        if (endpoint == NULL && waited_too_long(call)) {
+        if (endpoint == NULL && waits_in_vain(call)) {
             fail_waiting(call, queue);
             continue;
         }
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -353,6 +353,10 @@
 /* Returns the moving mean of the requests for the service, in requests/s. */
 double ServiceQueue_Demand(const Gateway *gateway, const char *service);
 
+/* Returns the time until an endpoint of the call's service takes requests
+ * again, if all of them rest; else 0. */
+uint32_t ServiceQueue_RestMs(const Call *call);
+
 /* Sends queued calls in order until no endpoint takes another. */
 void ServiceQueue_Pump(Gateway *gateway, const char *service);
 void ServiceQueue_FreeAll(Gateway *gateway);
@@ -388,6 +392,10 @@
 /* Opens a link to the keeper of the engine's slots, if there is none. */
 void Keepers_Connect(Keepers *keepers, const Endpoint *endpoint);
 
+/* Withdraws, from the event loop, the wants at keepers of engines that may not
+ * serve them any more. */
+void Keepers_WithdrawUseless(Keepers *keepers);
+
 /* Closes the link and queues the calls that depended on it. */
 void Keepers_Disconnect(Keepers *keepers, const char *endpoint_id);
 
--- a/src/keeper/probe.c
+++ b/src/keeper/probe.c
@@ -4,10 +4,12 @@
 #include "keeper/probe.h"
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/http.h>
 #include <glib.h>
 
 #include "kernel/clock.h"
+#include "sched/rest.h"
 #include "wire/address.h"
 #include "wire/http.h"
 
@@ -42,7 +44,8 @@
 static void
 schedule_probe(Probe *probe, unsigned ms)
 {
-    struct timeval delay = {.tv_usec = ms * US_PER_MS};
+    struct timeval delay = {.tv_sec = ms / 1000,
+                            .tv_usec = ms % 1000 * US_PER_MS};
     event_add(probe->timer, &delay);
 }
 
@@ -58,6 +61,17 @@
     }
 }
 
+/* Sets the time limit of reads, or none while the connection is idle, which
+ * then stays open until the engine closes it. */
+static void
+limit_reads(Probe *probe, bool limited)
+{
+    struct bufferevent *stream =
+        evhttp_connection_get_bufferevent(probe->connection);
+    struct timeval limit = {.tv_usec = PROBE_TIMEOUT_MS * US_PER_MS};
+    bufferevent_set_timeouts(stream, limited ? &limit : NULL, &limit);
+}
+
 /* Returns whether an answer ends its connection. */
 static bool
 ends_connection(struct evhttp_request *request)
@@ -74,7 +88,21 @@
     size_t length = evbuffer_get_length(in);
     const char *body = length > 0 ? (const char *)evbuffer_pullup(in, -1) : "";
     probe->keeps_open = !ends_connection(request);
-    probe->ops->answered(probe->owner, body, length);
+    if (evhttp_request_get_response_code(request) == HTTP_OK) {
+        probe->ops->answered(probe->owner, body, length);
+    }
+}
+
+/* Returns the time until the next probe after an answer. */
+static unsigned
+pause_after(struct evhttp_request *request)
+{
+    const char *rest = evhttp_find_header(
+        evhttp_request_get_input_headers(request), "Retry-After");
+    bool asks_for_rest =
+        evhttp_request_get_response_code(request) == HTTP_SERVUNAVAIL &&
+        rest != NULL;
+    return MAX(asks_for_rest ? Rest_Parse(rest) : 0, PROBE_PERIOD_MS);
 }
 
 static void
@@ -87,22 +115,23 @@
     event_del(probe->deadline);
     bool answered =
         request != NULL && evhttp_request_get_response_code(request) > 0;
+    record_result(probe, answered);
     if (answered) {
+        limit_reads(probe, false);
         report_answer(probe, request);
+        schedule_probe(probe, pause_after(request));
+        return;
     }
-    else {
-        probe->ops->lost(probe->owner);
-    }
-    record_result(probe, answered);
-    schedule_probe(probe, answered || probe->consecutive_failures != 1
-                              ? PROBE_PERIOD_MS
-                              : 0);
+    probe->ops->lost(probe->owner);
+    schedule_probe(probe,
+                   probe->consecutive_failures != 1 ? PROBE_PERIOD_MS : 0);
 }
 
 static void
 send_probe(Probe *probe)
 {
     struct evhttp_request *request = evhttp_request_new(on_answer, probe);
+    limit_reads(probe, true);
     evhttp_add_header(evhttp_request_get_output_headers(request), "Host",
                       probe->address.host);
     if (evhttp_make_request(probe->connection, request, EVHTTP_REQ_GET,
