A server whose answers say that it leaves gets no new requests from any gateway

Cause: only heartbeats and deregistrations were read; a server whose heartbeats still said ready, late or for ever, kept its requests.

Now the first such answer makes the endpoint a draining one at the gateway that got it. It tells every control host, again at each connection, and these all gateways; the directory keeps it with the start that it belongs to, so that a later heartbeat, a restart of a gateway or of a control host does not undo it, and a later start of the same id does. Running streams go on.

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -387,6 +387,20 @@
     g_ptr_array_unref(superseded);
 }
 
+void
+Fleet_OnEndpointLeaving(Fleet *fleet, const Wire__EndpointLeaving *leaving)
+{
+    if (!Directory_SetLeaving(fleet->directory, leaving->id, leaving->born)) {
+        return;
+    }
+    LOG_INFO(PART,
+             "Endpoint says in an answer that it leaves. id=%s born=%llu",
+             leaving->id, (unsigned long long)leaving->born);
+    FleetGateways_SendRecord(fleet,
+                             Directory_Find(fleet->directory, leaving->id));
+    schedule_save(fleet);
+}
+
 /* ---- The task ---- */
 
 static void
--- a/src/fleet/gateways.c
+++ b/src/fleet/gateways.c
@@ -302,6 +302,9 @@
     case WIRE__FRAME__BODY_CRASH_NEWS:
         FleetCrashes_OnNews(fleet, frame->crash_news);
         break;
+    case WIRE__FRAME__BODY_ENDPOINT_LEAVING:
+        Fleet_OnEndpointLeaving(fleet, frame->endpoint_leaving);
+        break;
     case WIRE__FRAME__BODY_STREAM_ORIGIN_NEWS:
         FleetOrigins_OnNews(fleet, frame->stream_origin_news);
         break;
--- a/src/fleet/state.h
+++ b/src/fleet/state.h
@@ -53,6 +53,13 @@
     struct event *tick_event;
 };
 
+/* ---- fleet.c ---- */
+
+/* Applies the report of a gateway that an endpoint leaves, and passes it on.
+ */
+void Fleet_OnEndpointLeaving(Fleet *fleet,
+                             const Wire__EndpointLeaving *leaving);
+
 /* ---- gateways.c ---- */
 
 /* Handles a frame from a process other than a control host. */
--- a/src/gateway/endpoints.c
+++ b/src/gateway/endpoints.c
@@ -327,6 +327,59 @@
     return ms;
 }
 
+static void
+fill_leaving(Wire__Frame *frame, Wire__EndpointLeaving *leaving,
+             const EndpointRecord *record)
+{
+    wire__endpoint_leaving__init(leaving);
+    leaving->id = (char *)record->id;
+    leaving->born = record->born;
+    wire__frame__init(frame);
+    frame->body_case = WIRE__FRAME__BODY_ENDPOINT_LEAVING;
+    frame->endpoint_leaving = leaving;
+}
+
+static void
+send_if_leaving(void *arg, const EndpointRecord *record)
+{
+    if (record->leaving && record->state != ENDPOINT_GONE) {
+        Wire__EndpointLeaving leaving;
+        Wire__Frame frame;
+        fill_leaving(&frame, &leaving, record);
+        Link_Send(arg, &frame);
+    }
+}
+
+void
+Endpoints_SendLeaving(const Gateway *gateway, Link *link)
+{
+    Directory_ForEach(gateway->directory, send_if_leaving, link);
+}
+
+/* Sends nothing more to the endpoint, and tells the control hosts. Its running
+ * requests go on. */
+static void
+set_leaving(Endpoint *endpoint)
+{
+    Gateway *gateway = endpoint->gateway;
+    if (endpoint->removed ||
+        !Directory_SetLeaving(gateway->directory, endpoint->id,
+                              endpoint->born))
+    {
+        return;
+    }
+    LOG_INFO(GATEWAY_PART,
+             "Endpoint says in an answer that it leaves. id=%s born=%llu",
+             endpoint->id, (unsigned long long)endpoint->born);
+    Wire__EndpointLeaving leaving;
+    Wire__Frame frame;
+    fill_leaving(&frame, &leaving,
+                 Directory_Find(gateway->directory, endpoint->id));
+    GatewayControl_SendAll(gateway->control, &frame);
+    apply_record(gateway, Directory_Find(gateway->directory, endpoint->id));
+    Keepers_WithdrawUseless(gateway->keepers);
+}
+
 void
 Endpoint_OnStateFields(Endpoint *endpoint, const H1Head *head)
 {
@@ -346,13 +399,8 @@
     else if (head->status != HTTP_UNAVAILABLE) {
         Rest_OnServed(&endpoint->rest, Clock_Now());
     }
-    if (leaving != NULL && strcmp(leaving, "1") == 0 &&
-        endpoint->state == ENDPOINT_READY)
-    {
-        LOG_INFO(GATEWAY_PART,
-                 "Endpoint says in an answer that it leaves. "
-                 "id=%s born=%llu",
-                 endpoint->id, (unsigned long long)endpoint->born);
+    if (leaving != NULL && strcmp(leaving, "1") == 0) {
+        set_leaving(endpoint);
     }
 }
 
--- a/src/gateway/endpoints.h
+++ b/src/gateway/endpoints.h
@@ -10,6 +10,7 @@
 #include "routes/endpoint.h"
 #include "sched/named_rate.h"
 #include "sched/rest.h"
+#include "wire/link.h"
 
 typedef struct Call Call;
 typedef struct Gateway Gateway;
@@ -53,6 +54,10 @@
 
 /* Applies an endpoint record if it is newer than the known one. */
 void Endpoints_Update(Gateway *gateway, const EndpointRecord *record);
+
+/* Tells a control host which endpoints say in their answers that they leave.
+ */
+void Endpoints_SendLeaving(const Gateway *gateway, Link *link);
 void Endpoints_FreeAll(Gateway *gateway);
 Endpoint *Endpoints_Find(const Gateway *gateway, const char *id);
 void Endpoint_Ref(Endpoint *endpoint);
--- a/src/gateway/hosts.c
+++ b/src/gateway/hosts.c
@@ -399,6 +399,7 @@
     host->control->hosts_changed_at = Clock_Now();
     Suspects_SendAll(host->control->gateway->suspects, link);
     Origins_SendAll(host->control->gateway->origins, link);
+    Endpoints_SendLeaving(host->control->gateway, link);
     if (host->control->query_nonce == 0) {
         query_leader(host->control);
     }
--- a/src/routes/endpoint.c
+++ b/src/routes/endpoint.c
@@ -100,6 +100,19 @@
     entry->record.software = entry->software;
 }
 
+/* Applies a report that the stored start leaves.
+ * @return true when it is new. */
+static bool
+mark_leaving(Entry *entry)
+{
+    if (entry->record.leaving || entry->record.state == ENDPOINT_GONE) {
+        return false;
+    }
+    entry->record.leaving = true;
+    entry->record.state = ENDPOINT_DRAINING;
+    return true;
+}
+
 static bool
 is_unchanged(const Entry *entry, const EndpointRecord *record)
 {
@@ -167,7 +180,13 @@
         update.born = entry->record.born;
     }
     if (is_outdated(entry, &update)) {
-        return false;
+        return update.leaving && update.born == entry->record.born &&
+               mark_leaving(entry);
+    }
+    bool same_start = update.born == entry->record.born;
+    update.leaving = update.leaving || (same_start && entry->record.leaving);
+    if (update.leaving && update.state == ENDPOINT_READY) {
+        update.state = ENDPOINT_DRAINING;
     }
     bool changed = !is_unchanged(entry, &update);
     store_record(entry, &update);
@@ -175,6 +194,13 @@
     return changed;
 }
 
+bool
+Directory_SetLeaving(Directory *directory, const char *id, uint64_t born)
+{
+    Entry *entry = g_hash_table_lookup(directory->by_id, id);
+    return entry != NULL && entry->record.born == born && mark_leaving(entry);
+}
+
 const EndpointRecord *
 Directory_Find(const Directory *directory, const char *id)
 {
--- a/src/routes/endpoint.h
+++ b/src/routes/endpoint.h
@@ -36,6 +36,8 @@
     uint64_t sequence; /**< Grows within one incarnation; 0: unknown. */
     uint32_t slots;    /**< Maximum number of concurrent requests. */
     uint32_t cold_ms;  /**< Remaining warm-up time after a start. */
+    bool leaving; /**< An answer of this start said that it leaves, so that it
+                     is never ready again. */
 } EndpointRecord;
 
 typedef struct Directory Directory;
@@ -52,6 +54,12 @@
 bool Directory_Update(Directory *directory, const EndpointRecord *record,
                       GPtrArray *superseded);
 
+/** Records that an answer of an endpoint said that it leaves. It is at most
+ * draining from then on, until a later start.
+ * @param born  the start that the answer is of.
+ * @return true when this is new. */
+bool Directory_SetLeaving(Directory *directory, const char *id, uint64_t born);
+
 /** Returns the record of an endpoint, or NULL. Valid until the next update. */
 const EndpointRecord *Directory_Find(const Directory *directory,
                                      const char *id);
--- a/src/routes/endpoint_wire.c
+++ b/src/routes/endpoint_wire.c
@@ -21,6 +21,7 @@
     wire_record->sequence = record->sequence;
     wire_record->slots = record->slots;
     wire_record->cold_ms = record->cold_ms;
+    wire_record->leaving = record->leaving;
 }
 
 static const char *
@@ -44,5 +45,6 @@
         .sequence = wire_record->sequence,
         .slots = wire_record->slots,
         .cold_ms = wire_record->cold_ms,
+        .leaving = wire_record->leaving,
     };
 }
--- a/test/fakes/fake_server.c
+++ b/test/fakes/fake_server.c
@@ -249,11 +249,49 @@
     H1Parser_Reset(connection->parser);
 }
 
+/* Records the arrival of a request; @p id is NULL for a keeper's probe. */
+static void
+record_arrival(const Server *server, const char *id)
+{
+    if ((server->limit_file != NULL || server->rest_file != NULL) &&
+        id != NULL) {
+        record(server, "arrived %lld %s\n", (long long)Clock_WallMs(), id);
+    }
+    if (server->rest_file != NULL && id == NULL) {
+        record(server, "probed %lld\n", (long long)Clock_WallMs());
+    }
+}
+
+/* Refuses a request for another instance, and all while the server rests.
+ * @return false when the request is to be run. */
+static bool
+refuses(Connection *connection, const H1Head *head)
+{
+    const Server *server = connection->server;
+    const char *expected_id = H1Head_Get(head, "Expect-Instance");
+    if (expected_id != NULL && strcmp(expected_id, server->id) != 0) {
+        refuse(connection, 421, "Not-Executed: 1\r\n");
+        return true;
+    }
+    char *rest = FakeLimit_ReadRest(server->rest_file);
+    if (rest == NULL) {
+        return false;
+    }
+
+    char *fields =
+        g_strdup_printf("Not-Executed: 1\r\nRetry-After: %s\r\n", rest);
+    record(server, "rests %lld %s %s\n", (long long)Clock_WallMs(),
+           connection->id, rest);
+    refuse(connection, 503, fields);
+    g_free(fields);
+    g_free(rest);
+    return true;
+}
+
 static void
 run_request(Connection *connection, const H1Head *head)
 {
     Server *server = connection->server;
-    const char *expected_id = H1Head_Get(head, "Expect-Instance");
     const char *last_event = H1Head_Get(head, "Last-Event-Id");
     const char *tenant = H1Head_Get(head, "Tenant");
     const char *id = H1Head_Get(head, "Attempt-Id");
@@ -265,15 +303,8 @@
     connection->deadly_target = NULL;
     connection->deadly = DEADLY_NEVER;
     connection->fault[0] = '\0';
-    if ((server->limit_file != NULL || server->rest_file != NULL) &&
-        id != NULL) {
-        record(server, "arrived %lld %s\n", (long long)Clock_WallMs(), id);
-    }
-    if (server->rest_file != NULL && id == NULL) {
-        record(server, "probed %lld\n", (long long)Clock_WallMs());
-    }
-    if (expected_id != NULL && strcmp(expected_id, server->id) != 0) {
-        refuse(connection, 421, "Not-Executed: 1\r\n");
+    record_arrival(server, id);
+    if (refuses(connection, head)) {
         return;
     }
     bool has_turn = server->fault_every == 1;
@@ -284,17 +315,6 @@
         server->fault_count--;
         g_strlcpy(connection->fault, server->fault, sizeof(connection->fault));
     }
-    char *rest = FakeLimit_ReadRest(server->rest_file);
-    if (rest != NULL) {
-        char *fields =
-            g_strdup_printf("Not-Executed: 1\r\nRetry-After: %s\r\n", rest);
-        record(server, "rests %lld %s %s\n", (long long)Clock_WallMs(),
-               connection->id, rest);
-        refuse(connection, 503, fields);
-        g_free(fields);
-        g_free(rest);
-        return;
-    }
     if (strcmp(connection->fault, "shed") == 0) {
         refuse(connection, 503, "Not-Executed: 1\r\n");
         return;
--- a/test/unit/test_routes.c
+++ b/test/unit/test_routes.c
@@ -204,6 +204,42 @@
     Directory_Free(directory);
 }
 
+static void
+endpoint_that_left_is_ready_only_after_a_later_start(void **state)
+{
+    EndpointRecord ready = {
+        .id = "i",
+        .address = "a",
+        .state = ENDPOINT_READY,
+        .born = 1,
+        .sequence = 1,
+    };
+    EndpointRecord told = ready;
+    EndpointRecord later = ready;
+    EndpointRecord restarted = ready;
+    told.leaving = true;
+    later.sequence = 9;
+    restarted.born = 2;
+    Directory *directory = Directory_New();
+    Directory *other = Directory_New();
+    Directory_Update(directory, &ready, NULL);
+    Directory_Update(other, &ready, NULL);
+    assert_false(Directory_SetLeaving(directory, "i", 2));
+    assert_false(Directory_SetLeaving(directory, "unknown", 1));
+    assert_true(Directory_SetLeaving(directory, "i", 1));
+    assert_false(Directory_SetLeaving(directory, "i", 1));
+    Directory_Update(directory, &later, NULL);
+    assert_int_equal(Directory_Find(directory, "i")->state, ENDPOINT_DRAINING);
+    assert_true(Directory_Update(other, &told, NULL));
+    assert_false(Directory_Update(other, &told, NULL));
+    assert_int_equal(Directory_Find(other, "i")->state, ENDPOINT_DRAINING);
+    assert_true(Directory_Update(directory, &restarted, NULL));
+    assert_int_equal(Directory_Find(directory, "i")->state, ENDPOINT_READY);
+    assert_false(Directory_Find(directory, "i")->leaving);
+    Directory_Free(directory);
+    Directory_Free(other);
+}
+
 int
 main(void)
 {
@@ -215,6 +251,7 @@
         cmocka_unit_test(new_start_resets_sequence),
         cmocka_unit_test(last_started_endpoint_keeps_address),
         cmocka_unit_test(software_of_another_start_is_not_kept),
+        cmocka_unit_test(endpoint_that_left_is_ready_only_after_a_later_start),
     };
     return cmocka_run_group_tests_name("routes", tests, NULL, NULL);
 }
