Soak: engines of two software versions, and callers that take their streams up

engine-a has another version at each start under its id; engine-c cuts every third stream. At most two streams may hold events of two versions.

--- a/test/fakes/fake_server.c
+++ b/test/fakes/fake_server.c
@@ -498,6 +498,12 @@
     if (server->new_id) {
         server->id = g_strdup_printf("%s-%d", server->id, start);
     }
+    if (server->software != NULL) {
+        gchar **versions = g_strsplit(server->software, ",", -1);
+        guint count = g_strv_length(versions);
+        server->software = g_strdup(versions[(guint)(start - 1) % count]);
+        g_strfreev(versions);
+    }
     if (server->moves > 1) {
         server->listen =
             Deadly_MovedAddress(server->listen, (start - 1) % server->moves);
--- a/test/fakes/fake_server.h
+++ b/test/fakes/fake_server.h
@@ -21,7 +21,8 @@
     gchar *fault;     /* kind of fault; NULL for none */
     gint fault_count; /* number of further requests that get the fault */
     gint fault_every; /* if above 1, each of so many streams gets it */
-    gchar *software;  /* version that it announces; empty for none */
+    gchar *software;  /* version that it announces; NULL for the default. Of
+                         several, separated by commas, each start has one */
     guint stream_count;
     gint slots;
     gint events;          /* number of events in a stream */
