--- a/test/fakes/fake_server.c
+++ b/test/fakes/fake_server.c
@@ -518,6 +518,9 @@
     apply_start(server, start);
     server->ended_under = g_hash_table_new(g_str_hash, g_str_equal);
     server->born = (uint64_t)Clock_WallMs();
+    if (server->rest_file != NULL) {
+        record(server, "started %lld\n", (long long)server->born);
+    }
     server->base = event_base_new();
     if (server->leaves && start > 1) {
         deregister_previous(server, name, start);
