Agents send nothing to an endpoint that has asked for rest

The agent's queue grants nothing while its endpoint rests, plans with the end of the rest, so that refusals name it, and grants by and by afterwards (sched/rest).

--- a/src/agent/run.c
+++ b/src/agent/run.c
@@ -18,6 +18,7 @@
 #include "kernel/counter.h"
 #include "kernel/log.h"
 #include "sched/named_rate.h"
+#include "sched/rest.h"
 
 /* TCP keepalive detects a dead connection within about
  * KEEPALIVE_IDLE_S + KEEPALIVE_PROBES * KEEPALIVE_INTERVAL_S. */
@@ -186,6 +187,24 @@
     }
 }
 
+/* Applies the rest that a refusal asks for, or an answer after one. */
+static void
+read_rest(const Run *run)
+{
+    WantQueue *queue = run->agent->queue;
+    if (evhttp_request_get_response_code(run->request) != HTTP_SERVUNAVAIL) {
+        Queue_OnServed(queue, Clock_Now());
+        return;
+    }
+    const char *text = evhttp_find_header(
+        evhttp_request_get_input_headers(run->request), "Retry-After");
+    uint32_t ms = text == NULL ? 0 : Rest_Parse(text);
+    if (Queue_OnRest(queue, ms, Clock_Now())) {
+        LOG_INFO(AGENT_PART, "Endpoint asks for rest. endpoint=%s rest_ms=%u",
+                 run->agent->own->name, ms);
+    }
+}
+
 static void
 forward_head(Run *run)
 {
@@ -193,6 +212,7 @@
         return;
     }
     read_rate_limit(run);
+    read_rest(run);
     const char *type = evhttp_find_header(
         evhttp_request_get_input_headers(run->request), "Content-Type");
     int status = evhttp_request_get_response_code(run->request);
--- a/src/sched/queue.c
+++ b/src/sched/queue.c
@@ -145,23 +145,25 @@
         if (item->work.alone && queue->busy_count > 0) {
             return;
         }
-        if (prefill_is_full(queue, now) ||
+        if (prefill_is_full(queue, now) || !Rest_MaySend(&queue->rest, now) ||
             !NamedRate_MaySend(&queue->rate_limit, WHOLE_RATE, now))
         {
             return;
         }
         NamedRate_OnSent(&queue->rate_limit);
+        Rest_OnSent(&queue->rest, now);
         grant_item(queue, item, now);
     }
 }
 
-/* Returns when the rate limit lets the request at a position start. Some of
- * those before it are dispatched elsewhere. */
+/* Returns when the rate limit and a rest let the request at a position start.
+ * Some of those before it are dispatched elsewhere. */
 static TimeUs
 next_by_rate(const WantQueue *queue, uint32_t position, TimeUs now)
 {
-    return NamedRate_NextAt(&queue->rate_limit, WHOLE_RATE,
-                            position * queue->dispatch_ratio, now);
+    TimeUs next = NamedRate_NextAt(&queue->rate_limit, WHOLE_RATE,
+                                   position * queue->dispatch_ratio, now);
+    return MAX(next, queue->rest.until);
 }
 
 /* Refuses the waiting requests whose planned finish is past their deadline.
@@ -405,10 +407,27 @@
     return changed;
 }
 
+bool
+Queue_OnRest(WantQueue *queue, uint32_t ms, TimeUs now)
+{
+    bool longer = Rest_OnRefused(&queue->rest, ms, now);
+    if (longer) {
+        plan_and_grant(queue, now);
+    }
+    return longer;
+}
+
+void
+Queue_OnServed(WantQueue *queue, TimeUs now)
+{
+    Rest_OnServed(&queue->rest, now);
+}
+
 void
 Queue_ResetRate(WantQueue *queue, TimeUs now)
 {
     queue->rate_limit = (NamedRate){.rate = 0};
+    queue->rest = (Rest){.until = 0};
     plan_and_grant(queue, now);
 }
 
--- a/src/sched/queue.h
+++ b/src/sched/queue.h
@@ -126,7 +126,13 @@
  * @return true when the limit began, changed or ended. */
 bool Queue_OnNamedRate(WantQueue *queue, double rate, TimeUs sent_at,
                        TimeUs now);
-/** Ends the rate limit, as the endpoint was replaced. */
+/** Grants nothing for a time that the endpoint asks for.
+ * @return true when its rest begins or gets longer. */
+bool Queue_OnRest(WantQueue *queue, uint32_t ms, TimeUs now);
+/** Applies an answer that does not refuse its request: after a rest, requests
+ * return by and by. */
+void Queue_OnServed(WantQueue *queue, TimeUs now);
+/** Ends the rate limit and the rest, as the endpoint was replaced. */
 void Queue_ResetRate(WantQueue *queue, TimeUs now);
 /** Does not count a granted request against the rate, since it was not sent.
  */
--- a/src/sched/queue_items.h
+++ b/src/sched/queue_items.h
@@ -11,6 +11,7 @@
 #include "sched/idmap.h"
 #include "sched/named_rate.h"
 #include "sched/queue.h"
+#include "sched/rest.h"
 #include "sched/speed.h"
 
 /** Maximum number of slots of an endpoint; further slots are not used. */
@@ -82,6 +83,7 @@
     /* fraction of the slots used by each class, moving average */
     double class_slot_share[QUEUE_CLASSES];
     NamedRate rate_limit; /* of the endpoint */
+    Rest rest;            /* that the endpoint asked for */
     uint32_t lowest_tier; /* entries should send no wants of lower tiers */
     uint32_t retry_after_ms;
 };
--- a/test/fakes/fake_service.c
+++ b/test/fakes/fake_service.c
@@ -12,7 +12,10 @@
     Fake fake;
     gchar *name;
     gint delay_ms;
-    gboolean echo; /* answers contain the request's path and body */
+    gboolean echo;   /* answers contain the request's path and body */
+    gint rest_s;     /* rest that it asks for */
+    gint rest_every; /* it refuses each of so many requests; 0: none */
+    unsigned arrived_count;
     unsigned request_count;
 } Service;
 
@@ -42,10 +45,33 @@
     g_free(call);
 }
 
+/* Refuses the request and asks for rest. */
+static void
+refuse_for_rest(const Service *service, struct evhttp_request *request)
+{
+    char text[16];
+    g_snprintf(text, sizeof(text), "%d", service->rest_s);
+    Fake_Record(&service->fake, "rests %lld",
+                (long long)(g_get_real_time() / 1000));
+    evhttp_add_header(evhttp_request_get_output_headers(request),
+                      "Retry-After", text);
+    evhttp_send_reply(request, 503, "Service Unavailable", NULL);
+}
+
 static void
 on_request(struct evhttp_request *request, void *arg)
 {
     Service *service = arg;
+    if (service->rest_every > 0) {
+        Fake_Record(&service->fake, "arrived %lld",
+                    (long long)(g_get_real_time() / 1000));
+    }
+    if (service->rest_every > 0 &&
+        ++service->arrived_count % (unsigned)service->rest_every == 0)
+    {
+        refuse_for_rest(service, request);
+        return;
+    }
     Call *call = g_new0(Call, 1);
     call->service = service;
     call->request = request;
@@ -76,6 +102,10 @@
          "Delay of each answer", "MS"},
         {"echo", 0, 0, G_OPTION_ARG_NONE, &service.echo,
          "Include the request's path and body in answers", NULL},
+        {"rest-s", 0, 0, G_OPTION_ARG_INT, &service.rest_s,
+         "Seconds of rest to ask for", "S"},
+        {"rest-every", 0, 0, G_OPTION_ARG_INT, &service.rest_every,
+         "Refuse each Nth request and ask for rest", "N"},
         {NULL},
     };
     Fake_ReadOptions(&service.fake, argc, argv, own);
