Scheduler: outlook of a queue, and a gateway's view of a pool

Under overload a caller waits while its gateway asks all keepers one after another, since no gateway knows what others have just learned. The queue now predicts the waits of new requests by class from the plan that refuses late ones, and pool_view decides from these whom a request asks. Not yet used.

--- a/src/sched/balancer.h
+++ b/src/sched/balancer.h
@@ -23,6 +23,10 @@
                             allows; 0 without a limit. */
 } BalancerCandidate;
 
+/** Returns the expected cost of sending a request to the candidate, in
+ * milliseconds. */
+double Balancer_Cost(const BalancerCandidate *candidate);
+
 /** Returns the index of the best candidate, or -1 if no usable candidate has a
  * load below @p max_load. An endpoint that already failed the request is
  * chosen only if no other is left. */
--- /dev/null
+++ b/src/sched/outlook.h
@@ -0,0 +1,41 @@
+/** @file
+ * What the keeper of an engine expects of the time that requests will wait
+ * there. Sent with grants and refusals; pool_view.h uses it.
+ */
+#ifndef LAURELLIFT_SCHED_OUTLOOK_H
+#define LAURELLIFT_SCHED_OUTLOOK_H
+
+#include "sched/work.h"
+
+/** Ranks of a tier that are told apart; higher numbers count as the last. */
+#define OUTLOOK_RANKS 4
+#define OUTLOOK_CLASSES (WORK_TIERS * OUTLOOK_RANKS)
+
+/** Expected wait of a new request of one class. */
+typedef struct ClassWait {
+    unsigned class_index; /**< outlook_class() */
+    TimeUs planned;       /**< By the plan of the slots. */
+    TimeUs expected; /**< The same if requests of higher classes keep coming;
+                        not less than planned. */
+} ClassWait;
+
+typedef struct EngineOutlook {
+    double first_base_us;       /**< Time to the first piece: fixed part, */
+    double first_us_per_token;  /**< and for each prompt token. */
+    double decode_us_per_token; /**< Of one stream; 0 while unknown. */
+    TimeUs mean_run;            /**< Of the requests that run now. */
+    double margin;              /**< Factor on predicted run times. */
+    double first_margin;        /**< Factor on times to the first piece. */
+    unsigned count;             /**< Classes that have a wait. */
+    ClassWait waits[OUTLOOK_CLASSES];
+} EngineOutlook;
+
+static inline unsigned
+outlook_class(uint32_t tier, uint32_t rank)
+{
+    tier = tier < WORK_TIERS ? tier : WORK_TIERS - 1;
+    rank = rank < OUTLOOK_RANKS ? rank : OUTLOOK_RANKS - 1;
+    return tier * OUTLOOK_RANKS + rank;
+}
+
+#endif
--- /dev/null
+++ b/src/sched/pool_view.c
@@ -0,0 +1,291 @@
+/** @file
+ * Waits of a pool's engines as a gateway sees them.
+ */
+#include "sched/pool_view.h"
+
+#include <glib.h>
+
+/* The pool is short of capacity for a request if at least this fraction of its
+ * engines refused it or are known to be late. */
+#define SHORT_FRACTION 0.5
+/* Of the keepers that a request asks at once, those that were heard of least
+ * recently, so that the view of all engines is renewed within its time to
+ * live. */
+#define OLDEST_WANTS 4
+/* Time for which an engine that takes no requests is not asked. Its keeper
+ * asks it for its state four times a second. */
+#define CLOSED_US (250 * US_PER_MS)
+/* A caller comes back within this fraction of the time that it has left. */
+#define RETURN_FRACTION (1.0 / 3)
+/* Callers are told to come back over a time of this fraction of the wait. */
+#define SPREAD_FRACTION 0.5
+#define RETURN_MIN_MS 100
+#define RETURN_MAX_MS 60000
+
+void
+EngineView_OnOutlook(EngineView *view, const EngineOutlook *outlook,
+                     TimeUs now)
+{
+    if (outlook != NULL) {
+        view->outlook = *outlook;
+    }
+    else {
+        view->outlook.count = 0;
+    }
+    view->heard_at = now;
+    view->closed_until = 0;
+}
+
+void
+EngineView_OnClosed(EngineView *view, TimeUs now)
+{
+    view->closed_until = now + CLOSED_US;
+}
+
+static bool
+is_fresh(const EngineView *view, TimeUs now)
+{
+    return view->heard_at != 0 && now - view->heard_at < POOL_OUTLOOK_TTL_US;
+}
+
+/* Returns the waits of the request's class, less the time since the outlook
+ * was made. */
+static ClassWait
+find_wait(const EngineView *view, const PoolRequest *request, TimeUs now)
+{
+    ClassWait wait = {.class_index =
+                          outlook_class(request->tier, request->rank)};
+    for (unsigned i = 0; i < view->outlook.count; i++) {
+        const ClassWait *known = &view->outlook.waits[i];
+        if (known->class_index == wait.class_index) {
+            wait.planned = known->planned;
+            wait.expected = known->expected;
+        }
+    }
+    TimeUs age = now - view->heard_at;
+    wait.planned = MAX(wait.planned - age, 0);
+    wait.expected = MAX(wait.expected - age, 0);
+    return wait;
+}
+
+static TimeUs
+first_piece_time(const EngineOutlook *outlook, const PoolRequest *request)
+{
+    return request->prompt_tokens == 0 ? 0
+                                       : (TimeUs)(outlook->first_base_us +
+                                                  outlook->first_us_per_token *
+                                                      request->prompt_tokens);
+}
+
+/* Returns a run time that is rarely exceeded, as the keeper's queue does. */
+static TimeUs
+run_upper_bound(const EngineOutlook *outlook, const PoolRequest *request)
+{
+    double first = (double)first_piece_time(outlook, request);
+    double per_token = outlook->decode_us_per_token;
+    double run =
+        (first + per_token * request->output_tokens) * MAX(outlook->margin, 1);
+    if (request->longest_output_tokens > 0) {
+        uint32_t tokens =
+            MAX(request->longest_output_tokens, request->output_tokens);
+        run = MIN(run, first + per_token * tokens);
+    }
+    return (TimeUs)run;
+}
+
+EngineFit
+EngineView_Judge(const EngineView *view, const PoolRequest *request,
+                 TimeUs now, TimeUs *lateness)
+{
+    *lateness = 0;
+    if (now < view->closed_until) {
+        *lateness = view->closed_until - now;
+        return ENGINE_LATE;
+    }
+    if (!is_fresh(view, now)) {
+        return ENGINE_UNKNOWN;
+    }
+    const EngineOutlook *outlook = &view->outlook;
+    ClassWait wait = find_wait(view, request, now);
+    TimeUs run = run_upper_bound(outlook, request);
+    TimeUs typical =
+        outlook->mean_run > 0
+            ? MIN(run, (TimeUs)((double)outlook->mean_run * outlook->margin))
+            : run;
+    TimeUs late = now + wait.planned + run - request->deadline;
+    late = MAX(late, now + wait.expected + typical - request->deadline);
+    if (request->first_limit != 0) {
+        TimeUs first = (TimeUs)((double)first_piece_time(outlook, request) *
+                                MAX(outlook->first_margin, 1));
+        late = MAX(late, now + wait.expected + first - request->first_limit);
+    }
+    *lateness = MAX(late, 0);
+    return late > 0 ? ENGINE_LATE : ENGINE_IN_TIME;
+}
+
+/* A candidate with what is known of it. */
+typedef struct Ranked {
+    EngineFit fit;
+    double cost; /* sort key among those of equal fit: ms */
+    TimeUs heard_at;
+    bool chosen;
+} Ranked;
+
+static Ranked
+rank_candidate(const PoolCandidate *candidate, const PoolRequest *request,
+               TimeUs now)
+{
+    TimeUs lateness;
+    EngineFit fit = EngineView_Judge(candidate->view, request, now, &lateness);
+    double cost = candidate->cost_ms;
+    if (fit == ENGINE_IN_TIME) {
+        cost += (double)find_wait(candidate->view, request, now).expected /
+                US_PER_MS;
+    }
+    if (fit == ENGINE_LATE) {
+        cost += (double)lateness / US_PER_MS;
+    }
+    return (Ranked){
+        .fit = fit,
+        .cost = cost,
+        .heard_at = candidate->view->heard_at,
+    };
+}
+
+static void
+choose(PoolChoice *choice, Ranked *ranked, size_t index)
+{
+    ranked[index].chosen = true;
+    choice->chosen[choice->count++] = index;
+}
+
+/* Chooses up to @p max_count candidates of a fit, the cheapest first. */
+static void
+choose_cheapest(PoolChoice *choice, const PoolCandidate *candidates,
+                Ranked *ranked, size_t count, EngineFit fit, size_t max_count)
+{
+    for (size_t n = 0; n < max_count && choice->count < POOL_WANTS_MAX; n++) {
+        size_t best = count;
+        for (size_t i = 0; i < count; i++) {
+            if (candidates[i].usable && !ranked[i].chosen &&
+                ranked[i].fit == fit &&
+                (best == count || ranked[i].cost < ranked[best].cost))
+            {
+                best = i;
+            }
+        }
+        if (best == count) {
+            return;
+        }
+        choose(choice, ranked, best);
+    }
+}
+
+/* Chooses the usable candidates that were heard of least recently. */
+static void
+choose_oldest(PoolChoice *choice, const PoolCandidate *candidates,
+              Ranked *ranked, size_t count, size_t max_count)
+{
+    for (size_t n = 0; n < max_count && choice->count < POOL_WANTS_MAX; n++) {
+        size_t best = count;
+        for (size_t i = 0; i < count; i++) {
+            if (candidates[i].usable && !ranked[i].chosen &&
+                (best == count || ranked[i].heard_at < ranked[best].heard_at))
+            {
+                best = i;
+            }
+        }
+        if (best == count) {
+            return;
+        }
+        choose(choice, ranked, best);
+    }
+}
+
+static void
+count_fits(PoolChoice *choice, const PoolCandidate *candidates,
+           const Ranked *ranked, size_t count, TimeUs now)
+{
+    for (size_t i = 0; i < count; i++) {
+        if (!candidates[i].usable) {
+            continue;
+        }
+        switch (ranked[i].fit) {
+        case ENGINE_UNKNOWN:
+            choice->unknown++;
+            break;
+        case ENGINE_IN_TIME:
+            choice->in_time++;
+            break;
+        case ENGINE_LATE:
+            choice->late++;
+            choice->oldest_age =
+                MAX(choice->oldest_age, now - ranked[i].heard_at);
+            break;
+        }
+    }
+}
+
+void
+PoolView_Choose(const PoolCandidate *candidates, size_t count,
+                const PoolRequest *request, const PoolSearch *search,
+                TimeUs now, PoolChoice *choice)
+{
+    *choice = (PoolChoice){.limited = false};
+    if (count <= POOL_WANTS_MAX) {
+        return;
+    }
+    Ranked *ranked = g_new(Ranked, count);
+    for (size_t i = 0; i < count; i++) {
+        ranked[i] = rank_candidate(&candidates[i], request, now);
+    }
+    count_fits(choice, candidates, ranked, count, now);
+    choice->limited = search->limited || search->refused + choice->late >=
+                                             SHORT_FRACTION * (double)count;
+    if (choice->limited) {
+        bool first = !search->limited && search->refused == 0;
+        size_t best = first ? POOL_WANTS_MAX - OLDEST_WANTS : POOL_WANTS_MAX;
+        choose_cheapest(choice, candidates, ranked, count, ENGINE_IN_TIME,
+                        best);
+        choose_cheapest(choice, candidates, ranked, count, ENGINE_UNKNOWN,
+                        best - choice->count);
+        if (first) {
+            choose_cheapest(choice, candidates, ranked, count, ENGINE_LATE,
+                            best - choice->count);
+            choose_oldest(choice, candidates, ranked, count, OLDEST_WANTS);
+        }
+    }
+    g_free(ranked);
+}
+
+uint32_t
+PoolView_ReturnMs(const PoolCandidate *candidates, size_t count,
+                  const PoolRequest *request, uint32_t key, TimeUs now)
+{
+    TimeUs room = TIME_NEVER;
+    bool in_time = false;
+    for (size_t i = 0; i < count; i++) {
+        const EngineView *view = candidates[i].view;
+        if (!is_fresh(view, now) || now < view->closed_until) {
+            continue;
+        }
+        TimeUs wait = find_wait(view, request, now).expected;
+        TimeUs run = run_upper_bound(&view->outlook, request);
+        room = MIN(room, wait);
+        in_time = in_time || now + wait + run <= request->deadline;
+    }
+    if (room == TIME_NEVER) {
+        return 0;
+    }
+    double room_ms = MAX((double)room / US_PER_MS, RETURN_MIN_MS);
+    double spread = (double)key / UINT32_MAX;
+    double last_ms = room_ms * (1 + SPREAD_FRACTION);
+    double third_ms =
+        (double)(request->deadline - now) / US_PER_MS * RETURN_FRACTION;
+    if (in_time && third_ms >= RETURN_MIN_MS) {
+        last_ms = MIN(last_ms, third_ms);
+        room_ms = MIN(room_ms, last_ms);
+    }
+    return (uint32_t)MIN(room_ms + (last_ms - room_ms) * spread,
+                         RETURN_MAX_MS);
+}
--- a/src/sched/queue.c
+++ b/src/sched/queue.c
@@ -25,8 +25,6 @@
  * because an engine that does not stream sends its first piece only at the
  * end. */
 #define PREFILL_TIMEOUT_US (2 * US_PER_S)
-/* The queue sends all requests that the endpoint gets. */
-#define WHOLE_RATE 1.0
 #define RETRY_AFTER_MIN_MS 100
 #define RETRY_AFTER_MAX_MS 60000
 
@@ -133,7 +131,7 @@
 {
     /* Keeps the level up to date while no slot is free, for
      * Queue_NextTimer(). */
-    NamedRate_MaySend(&queue->rate_limit, WHOLE_RATE, now);
+    NamedRate_MaySend(&queue->rate_limit, QUEUE_WHOLE_RATE, now);
     while (!queue->leaving && queue->waiting_count > 0 && !runs_alone(queue)) {
         Item *item = QueueItems_Waiting(queue, 0);
         if (!has_room(queue, item, now)) {
@@ -153,7 +151,7 @@
             return;
         }
         if (prefill_is_full(queue, now) || !Rest_MaySend(&queue->rest, now) ||
-            !NamedRate_MaySend(&queue->rate_limit, WHOLE_RATE, now))
+            !NamedRate_MaySend(&queue->rate_limit, QUEUE_WHOLE_RATE, now))
         {
             return;
         }
@@ -163,16 +161,6 @@
     }
 }
 
-/* Returns when the rate limit and a rest let the request at a position start.
- * Some of those before it are dispatched elsewhere. */
-static TimeUs
-next_by_rate(const WantQueue *queue, uint32_t position, TimeUs now)
-{
-    TimeUs next = NamedRate_NextAt(&queue->rate_limit, WHOLE_RATE,
-                                   position * queue->dispatch_ratio, now);
-    return MAX(next, queue->rest.until);
-}
-
 /* Refuses the waiting requests whose planned finish is past their deadline.
  * Checks them in grant order, so that each is planned after the requests that
  * precede it. */
@@ -188,8 +176,8 @@
     uint32_t position = 0;
     while (position < queue->waiting_count) {
         Item *item = QueueItems_Waiting(queue, position);
-        TimeUs start =
-            MAX(Plan_NextFree(&plan), next_by_rate(queue, position, now));
+        TimeUs start = MAX(Plan_NextFree(&plan),
+                           QueueTimes_NextByRate(queue, position, now));
         TimeUs run_time = QueueTimes_RunTime(queue, item);
         TimeUs lateness =
             QueueTimes_PredictLateness(queue, item, start - now, mean, now);
@@ -205,14 +193,15 @@
         position++;
     }
     TimeUs next =
-        MAX(Plan_NextFree(&plan), next_by_rate(queue, position, now));
+        MAX(Plan_NextFree(&plan), QueueTimes_NextByRate(queue, position, now));
     queue->retry_after_ms = to_retry_after_ms(next - now);
 }
 
 static void
-plan_and_grant(WantQueue *queue, TimeUs now)
+plan_and_grant(WantQueue *queue, bool plan_now, TimeUs now)
 {
-    bool due = now >= queue->last_planned_at + SHED_CHECK_PERIOD_US;
+    bool due =
+        plan_now || now >= queue->last_planned_at + SHED_CHECK_PERIOD_US;
     if (due && queue->config.fair_ranks &&
         FairRanks_Update(&queue->fair_ranks, now))
     {
@@ -276,7 +265,7 @@
         return;
     }
     QueueItems_Add(queue, work, owner, now);
-    plan_and_grant(queue, now);
+    plan_and_grant(queue, work->decide_now, now);
 }
 
 static void
@@ -298,7 +287,7 @@
     }
     QueueItems_Remove(queue, item);
     add_dispatch_sample(queue, false);
-    plan_and_grant(queue, now);
+    plan_and_grant(queue, false, now);
 }
 
 RefuseReason
@@ -318,7 +307,7 @@
                  now < item->grant_expires_at && !queue->leaving;
     if (!valid) {
         QueueItems_End(queue, item);
-        plan_and_grant(queue, now);
+        plan_and_grant(queue, false, now);
         return queue->leaving ? REFUSE_LEAVING : REFUSE_LAPSED;
     }
     item->state = ITEM_RUNNING;
@@ -344,7 +333,7 @@
     QueueTimes_MeasureFirstPiece(queue, item, now);
     const WorkSpec *work = &item->work;
     Queue_UpdateCache(queue, work->prefix, work->prefix_count, true);
-    plan_and_grant(queue, now);
+    plan_and_grant(queue, false, now);
 }
 
 void
@@ -355,7 +344,7 @@
     if (item != NULL && item->state == ITEM_RUNNING) {
         QueueTimes_MeasureRun(queue, item, result, now);
         QueueItems_End(queue, item);
-        plan_and_grant(queue, now);
+        plan_and_grant(queue, false, now);
     }
 }
 
@@ -375,7 +364,7 @@
             QueueItems_Remove(queue, item);
         }
     }
-    plan_and_grant(queue, now);
+    plan_and_grant(queue, false, now);
 }
 
 void
@@ -387,7 +376,7 @@
             refuse_waiting(queue, item, REFUSE_LEAVING, 0, now);
         }
     }
-    plan_and_grant(queue, now);
+    plan_and_grant(queue, false, now);
 }
 
 void
@@ -398,14 +387,14 @@
         Item *last = QueueItems_Waiting(queue, queue->waiting_count - 1);
         refuse_waiting(queue, last, REFUSE_LEAVING, 0, now);
     }
-    plan_and_grant(queue, now);
+    plan_and_grant(queue, false, now);
 }
 
 void
 Queue_SetSlots(WantQueue *queue, uint32_t slots, TimeUs now)
 {
     queue->config.slots = MIN(slots, QUEUE_SLOTS_MAX);
-    plan_and_grant(queue, now);
+    plan_and_grant(queue, false, now);
 }
 
 bool
@@ -414,7 +403,7 @@
     bool changed =
         NamedRate_OnAnswer(&queue->rate_limit, rate, sent_at, now, 0);
     if (changed) {
-        plan_and_grant(queue, now);
+        plan_and_grant(queue, false, now);
     }
     return changed;
 }
@@ -424,7 +413,7 @@
 {
     bool longer = Rest_OnRefused(&queue->rest, ms, now);
     if (longer) {
-        plan_and_grant(queue, now);
+        plan_and_grant(queue, false, now);
     }
     return longer;
 }
@@ -440,14 +429,14 @@
 {
     queue->rate_limit = (NamedRate){.rate = 0};
     queue->rest = (Rest){.until = 0};
-    plan_and_grant(queue, now);
+    plan_and_grant(queue, false, now);
 }
 
 void
 Queue_OnUnsent(WantQueue *queue, TimeUs now)
 {
     NamedRate_OnUnsent(&queue->rate_limit);
-    plan_and_grant(queue, now);
+    plan_and_grant(queue, false, now);
 }
 
 void
@@ -485,7 +474,7 @@
         refuse_waiting(queue, last, REFUSE_SHED,
                        RETRY_AFTER_MAX_MS * US_PER_MS, now);
     }
-    plan_and_grant(queue, now);
+    plan_and_grant(queue, false, now);
 }
 
 TimeUs
@@ -495,8 +484,9 @@
     if (queue->waiting_count > 0) {
         next = queue->last_planned_at + SHED_CHECK_PERIOD_US;
         if (queue->rate_limit.rate > 0 && queue->rate_limit.level < 1) {
-            next = MIN(next, NamedRate_NextAt(&queue->rate_limit, WHOLE_RATE,
-                                              0, queue->rate_limit.filled_at));
+            next = MIN(next,
+                       NamedRate_NextAt(&queue->rate_limit, QUEUE_WHOLE_RATE,
+                                        0, queue->rate_limit.filled_at));
         }
     }
     for (uint32_t i = 0; i < queue->busy_count; i++) {
--- a/src/sched/queue.h
+++ b/src/sched/queue.h
@@ -9,6 +9,7 @@
 
 #include <stddef.h>
 
+#include "sched/outlook.h"
 #include "sched/work.h"
 
 typedef struct WantQueue WantQueue;
@@ -156,6 +157,16 @@
 size_t Queue_TakeActions(WantQueue *queue, QueueAction *actions,
                          size_t capacity);
 
+/** Predicts the waits of new requests, from the plan that refuses late
+ * ones. */
+void Queue_GetOutlook(const WantQueue *queue, TimeUs now,
+                      EngineOutlook *outlook);
+
+/** Predicts by how much a want that is added now would be late; 0 or less
+ * means that it would not be refused. */
+TimeUs Queue_PredictLateness(const WantQueue *queue, const WorkSpec *work,
+                             TimeUs now);
+
 void Queue_GetState(const WantQueue *queue, TimeUs now, QueueState *state);
 
 #endif
--- a/src/sched/queue_items.c
+++ b/src/sched/queue_items.c
@@ -200,11 +200,8 @@
     queue->output_tokens -= item->work.output_tokens;
 }
 
-/* Returns the latest start time. A long request must start well before its
- * deadline, so it does not wait behind a short one whose deadline is
- * earlier. */
-static TimeUs
-compute_latest_start(const WantQueue *queue, const Item *item)
+TimeUs
+QueueItems_LatestStart(const WantQueue *queue, const Item *item)
 {
     const WorkSpec *work = &item->work;
     if (work->first_piece_deadline == 0) {
@@ -225,7 +222,7 @@
 {
     remove_waiting(queue, item);
     item->first_piece_late = true;
-    item->latest_start_at = compute_latest_start(queue, item);
+    item->latest_start_at = QueueItems_LatestStart(queue, item);
     insert_waiting(queue, item);
 }
 
@@ -301,7 +298,7 @@
         .cached_blocks =
             Blocks_CountLeading(queue->blocks, work, QUEUE_CACHE_HOLDER),
     };
-    item->latest_start_at = compute_latest_start(queue, item);
+    item->latest_start_at = QueueItems_LatestStart(queue, item);
     IdMap_Put(&queue->ids, work->id, index);
     insert_waiting(queue, item);
 }
--- a/src/sched/queue_items.h
+++ b/src/sched/queue_items.h
@@ -20,6 +20,9 @@
 /** Holder id of the endpoint in the table of prefix blocks. */
 #define QUEUE_CACHE_HOLDER 1
 
+/** The queue sends all requests that the endpoint gets. */
+#define QUEUE_WHOLE_RATE 1.0
+
 /** Number of classes per tier, one for each rank, in grant order. The last
  * class also includes all lower ranks. */
 #define QUEUE_CLASS_RANKS 4
@@ -106,6 +109,11 @@
 /** Returns true if @p a is granted before @p b. */
 bool QueueItems_Precedes(const WantQueue *queue, const Item *a, const Item *b);
 
+/** Returns the latest start time, the sort key within a tier and rank. A long
+ * request must start well before its deadline, so it does not wait behind a
+ * short one whose deadline is earlier. */
+TimeUs QueueItems_LatestStart(const WantQueue *queue, const Item *item);
+
 /** Orders the waiting items anew, after FairRanks_Update(). */
 void QueueItems_Sort(WantQueue *queue);
 
--- a/src/sched/queue_times.c
+++ b/src/sched/queue_times.c
@@ -131,13 +131,9 @@
                QUEUE_CLASS_RANKS - 1);
 }
 
-/* Predicts the wait of a request when requests of higher classes keep
- * arriving, so that the other classes share the remaining slots. This is
- * longer than the planned wait. @p mean is the mean run time at the
- * endpoint. */
-static TimeUs
-wait_behind_higher_classes(const WantQueue *queue, const WorkSpec *work,
-                           TimeUs planned, TimeUs mean)
+TimeUs
+QueueTimes_WaitBehindHigher(const WantQueue *queue, const WorkSpec *work,
+                            TimeUs planned, TimeUs mean)
 {
     double higher_share = 0;
     for (unsigned c = 0; c < QUEUE_CLASSES; c++) {
@@ -179,12 +175,20 @@
         return lateness;
     }
     TimeUs wait =
-        wait_behind_higher_classes(queue, &item->work, planned, mean);
+        QueueTimes_WaitBehindHigher(queue, &item->work, planned, mean);
     TimeUs typical_run = MIN(run, (TimeUs)((double)mean * queue->margin));
     lateness = MAX(lateness, now + wait + typical_run - item->work.deadline);
     return MAX(lateness, predict_first_piece_lateness(queue, item, wait, now));
 }
 
+TimeUs
+QueueTimes_NextByRate(const WantQueue *queue, uint32_t position, TimeUs now)
+{
+    TimeUs next = NamedRate_NextAt(&queue->rate_limit, QUEUE_WHOLE_RATE,
+                                   position * queue->dispatch_ratio, now);
+    return MAX(next, queue->rest.until);
+}
+
 /* Moves a margin towards a quantile of the ratio of measured to predicted
  * time. */
 static void
--- a/src/sched/queue_times.h
+++ b/src/sched/queue_times.h
@@ -44,6 +44,19 @@
 TimeUs QueueTimes_PredictLateness(const WantQueue *queue, const Item *item,
                                   TimeUs planned, TimeUs mean, TimeUs now);
 
+/** Predicts the wait of a request when requests of higher classes keep
+ * arriving, so that the other classes share the remaining slots. This is
+ * longer than the planned wait.
+ * @param mean  result of QueueTimes_MeanRunTime. */
+TimeUs QueueTimes_WaitBehindHigher(const WantQueue *queue,
+                                   const WorkSpec *work, TimeUs planned,
+                                   TimeUs mean);
+
+/** Returns when the rate limit and a rest let the request at a position start.
+ * Some of those before it are dispatched elsewhere. */
+TimeUs QueueTimes_NextByRate(const WantQueue *queue, uint32_t position,
+                             TimeUs now);
+
 /** Updates the speed and the margin from a first piece that arrived now. */
 void QueueTimes_MeasureFirstPiece(WantQueue *queue, const Item *item,
                                   TimeUs now);
--- a/src/sched/speed.c
+++ b/src/sched/speed.c
@@ -62,23 +62,33 @@
     return ratio->seconds > 0 ? ratio->tokens / ratio->seconds : 0;
 }
 
-/* Returns the expected seconds to the first piece. Prompts wait for one
- * another in the engine, so that the time has a part that does not depend on
- * their length. */
-static double
-prefill_seconds(const EngineSpeed *speed, double tokens)
+void
+Speed_GetLine(const EngineSpeed *speed, double *base_us, double *us_per_token)
 {
     const LinearFit *fit = &speed->first_piece;
     double prefill = Speed_Rate(&speed->prefill);
-    double proportional = prefill > 0 ? tokens / prefill : 0;
+    *base_us = 0;
+    *us_per_token = prefill > 0 ? US_PER_S / prefill : 0;
     double denominator = fit->n * fit->xx - fit->x * fit->x;
     if (fit->n < FIT_MIN_WEIGHT || denominator <= 0) {
-        return proportional;
+        return;
     }
     double slope = (fit->n * fit->xy - fit->x * fit->y) / denominator;
     double intercept = (fit->y - slope * fit->x) / fit->n;
-    return slope > 0 && intercept > 0 ? intercept + slope * tokens
-                                      : proportional;
+    if (slope > 0 && intercept > 0) {
+        *base_us = intercept * US_PER_S;
+        *us_per_token = slope * US_PER_S;
+    }
+}
+
+/* Returns the expected seconds to the first piece. */
+static double
+prefill_seconds(const EngineSpeed *speed, double tokens)
+{
+    double base_us;
+    double us_per_token;
+    Speed_GetLine(speed, &base_us, &us_per_token);
+    return (base_us + us_per_token * tokens) / US_PER_S;
 }
 
 TimeUs
--- a/src/sched/speed.h
+++ b/src/sched/speed.h
@@ -38,6 +38,12 @@
 /** Returns the tokens per second, or 0 while unknown. */
 double Speed_Rate(const SpeedRatio *ratio);
 
+/** Returns the time to the first piece as a fixed part and a part for each
+ * uncached prompt token. Prompts wait for one another in the engine, so that
+ * the time has a part that does not depend on their length. */
+void Speed_GetLine(const EngineSpeed *speed, double *base_us,
+                   double *us_per_token);
+
 /** Returns the expected time from dispatch to the first piece of the
  * answer. */
 TimeUs Speed_FirstPieceTime(const EngineSpeed *speed, const WorkSpec *work,
