Gateways ask the keepers that the view of the pool chooses

Keepers send the waits of their classes with grants and refusals. While half of a pool of more than 12 engines is known to be late, a request asks the 12 best at once, then all that are not known to be late, and is refused with the least wait as Retry-After.

--- a/src/gateway/keepers.c
+++ b/src/gateway/keepers.c
@@ -131,6 +131,7 @@
     Keepers *keepers = keeper->keepers;
     LOG_INFO(GATEWAY_PART, "Slot keeper lost. endpoint=%s",
              keeper->endpoint_id);
+    keeper->view = (EngineView){.heard_at = 0};
     GPtrArray *requeued = g_ptr_array_new();
     GHashTableIter iter;
     gpointer value;
@@ -180,6 +181,12 @@
     update_load(keeper, grant->busy);
     keeper->prefill_tokens_s = grant->prefill_tokens_s;
     keeper->decode_tokens_s = grant->decode_tokens_s;
+    if (grant->outlook != NULL) {
+        Keeper_ReadOutlook(keeper, grant->outlook);
+    }
+    else {
+        EngineView_OnOutlook(&keeper->view, NULL, Clock_Now());
+    }
     uint64_t id = grant->id;
     Want *want = g_hash_table_lookup(keepers->wants, &id);
     Endpoint *endpoint = Endpoints_Find(keepers->gateway, keeper->endpoint_id);
@@ -208,6 +215,12 @@
 on_refuse(Keeper *keeper, const Wire__SlotRefuse *refuse)
 {
     update_load(keeper, refuse->busy);
+    if (refuse->reason == WIRE__REFUSE_REASON__REFUSE_LEAVING) {
+        EngineView_OnClosed(&keeper->view, Clock_Now());
+    }
+    else if (refuse->outlook != NULL) {
+        Keeper_ReadOutlook(keeper, refuse->outlook);
+    }
     uint64_t id = refuse->id;
     Want *want = g_hash_table_lookup(keeper->keepers->wants, &id);
     if (want == NULL) {
@@ -227,13 +240,14 @@
     if (want->pending->len > 0) {
         return;
     }
+    uint32_t retry_after_ms = Want_ReturnMs(want);
     LOG_INFO(GATEWAY_PART,
              "No slot for the request. id=%s refused=%u last=%s reason=%s "
-             "queued=%u busy=%u want=%llu",
+             "queued=%u busy=%u want=%llu by=%s retry_after_ms=%u",
              want->call->id, want->refused->len, keeper->endpoint_id,
              RefuseReason_Name((RefuseReason)refuse->reason), refuse->queued,
-             refuse->busy, (unsigned long long)id);
-    uint32_t retry_after_ms = want->retry_after_ms;
+             refuse->busy, (unsigned long long)id,
+             want->limited ? "view" : "search", retry_after_ms);
     Call *call = want->call;
     Keepers_EndWant(call, SLOT_NOT_SERVED);
     if (call->maybe_ran) {
--- a/src/gateway/keepers.h
+++ b/src/gateway/keepers.h
@@ -5,6 +5,7 @@
 #define LAURELLIFT_GATEWAY_KEEPERS_H
 
 #include "gateway/state.h"
+#include "sched/pool_view.h"
 
 /* Values of Want.max_distance, as returned by Endpoint_Distance. */
 #define DISTANCE_REGION 1
@@ -19,6 +20,7 @@
     TimeUs busy_reported_at; /* time of that report */
     uint32_t prefill_tokens_s;
     uint32_t decode_tokens_s;
+    EngineView view; /* waits at the engine */
 } Keeper;
 
 typedef struct Want {
@@ -29,6 +31,7 @@
     uint32_t retry_after_ms; /* lowest value in a refusal; 0 if none */
     Keeper *granted_by;      /* Keeper that granted it, or NULL */
     unsigned max_distance;   /* largest endpoint distance in the next round */
+    bool limited; /* asks only the keepers that the view of the pool chooses */
     struct event *next_round_timer; /* starts the next round of wants */
 } Want;
 
@@ -52,4 +55,19 @@
  * @return false when no keeper is left, in this round or a following one. */
 bool Want_SendNextRound(Want *want);
 
+/* Returns when the caller should come back after all keepers have refused, in
+ * milliseconds. */
+uint32_t Want_ReturnMs(const Want *want);
+
+/* ---- pool.c ---- */
+
+/* Stores what a keeper told of the waits at its engine. */
+void Keeper_ReadOutlook(Keeper *keeper, const Wire__EngineOutlook *message);
+
+/* Returns the data of a call that the view of the pool uses. */
+PoolRequest Pool_RequestOf(const Call *call);
+
+/* Records that the view of the pool chooses whom a request asks. */
+void Pool_LogChoice(const Want *want, const PoolChoice *choice);
+
 #endif
--- a/src/gateway/wants.c
+++ b/src/gateway/wants.c
@@ -17,11 +17,17 @@
 /* Time between the later rounds, which include all regions. A request that
  * waits less than a round trip between regions gains nothing from them. */
 #define LATER_ROUND_MS 90
+/* Spreads hashes of similar request ids over all values (Knuth). */
+#define SPREAD_FACTOR 2654435761U
 /* Engines with a higher error rate get no wants while there are others. */
 #define ERROR_RATE_MAX 0.3
 /* Keepers in each later round: enough to find a free slot, and few enough to
  * bound the number of messages in a fleet of any size. */
 #define LATER_ROUND_WANTS 6
+/* Time until the view of the pool is asked again for a request that waits at
+ * some keepers while all others are known to be late. Outlooks change within
+ * about this time. */
+#define RECHECK_MS 250
 /* Time over which the load in a keeper's report decays to 0. */
 #define LOAD_DECAY_US (300 * US_PER_MS)
 /* Assumed speeds of an engine before its keeper reports them, in tokens/s. */
@@ -179,9 +185,11 @@
            (call->prompt_tokens / prefill + call->expected_tokens / decode);
 }
 
-/* Keepers to which the wants of a call may be sent, in parallel arrays. */
+/* Connected keepers whose engines may serve a call, in parallel arrays. Those
+ * to which the wants of the call may be sent are usable. */
 typedef struct KeeperChoice {
     BalancerCandidate *candidates;
+    PoolCandidate *pool;
     Keeper **keepers;
     uint32_t *slots;
     size_t count;
@@ -194,8 +202,6 @@
                             g_ptr_array_find(want->refused, keeper, NULL));
 }
 
-/* Collects the connected keepers of the call's service to which the want has
- * not been sent yet. */
 static void
 collect_candidates(KeeperChoice *choice, const Call *call, const Want *want)
 {
@@ -203,6 +209,7 @@
     TimeUs now = Clock_Now();
     guint size = g_hash_table_size(keepers->by_endpoint) + 1;
     choice->candidates = g_new0(BalancerCandidate, size);
+    choice->pool = g_new0(PoolCandidate, size);
     choice->keepers = g_new0(Keeper *, size);
     choice->slots = g_new0(uint32_t, size);
     choice->count = 0;
@@ -215,14 +222,14 @@
             Endpoints_Find(call->gateway, keeper->endpoint_id);
         if (endpoint == NULL || !Link_IsConnected(keeper->link) ||
             strcmp(endpoint->service, call->service) != 0 ||
-            was_sent(want, keeper))
+            !Endpoint_MayServe(endpoint, call, now))
         {
             continue;
         }
         choice->keepers[choice->count] = keeper;
         choice->slots[choice->count] = endpoint->slots;
         choice->candidates[choice->count++] = (BalancerCandidate){
-            .usable = Endpoint_MayServe(endpoint, call, now),
+            .usable = !was_sent(want, keeper),
             .tried = Endpoint_WasTried(endpoint, call),
             .distance = Endpoint_Distance(endpoint),
             .load = keeper_load(keeper, endpoint, now),
@@ -237,6 +244,7 @@
 free_candidates(KeeperChoice *choice)
 {
     g_free(choice->candidates);
+    g_free(choice->pool);
     g_free(choice->keepers);
     g_free(choice->slots);
 }
@@ -288,13 +296,76 @@
     event_add(want->next_round_timer, &span);
 }
 
+/* Describes the keepers for the view of the pool, without failing engines
+ * while there are others. */
+static void
+fill_pool(KeeperChoice *choice)
+{
+    bool others = false;
+    for (size_t i = 0; i < choice->count; i++) {
+        const BalancerCandidate *candidate = &choice->candidates[i];
+        others = others || (candidate->usable &&
+                            candidate->error_rate <= ERROR_RATE_MAX);
+    }
+    for (size_t i = 0; i < choice->count; i++) {
+        const BalancerCandidate *candidate = &choice->candidates[i];
+        bool excluded = others && candidate->error_rate > ERROR_RATE_MAX;
+        choice->pool[i] = (PoolCandidate){
+            .view = &choice->keepers[i]->view,
+            .usable = candidate->usable && !excluded,
+            .cost_ms = Balancer_Cost(candidate),
+        };
+    }
+}
+
+/* Sends the wants that the view of the pool chooses, if it shows that the pool
+ * is short of capacity.
+ * @return false if it decides nothing. */
+static bool
+send_by_view(Want *want, KeeperChoice *choice, guint *sent)
+{
+    if (choice->count <= POOL_WANTS_MAX) {
+        return false;
+    }
+    fill_pool(choice);
+    PoolRequest request = Pool_RequestOf(want->call);
+    PoolSearch search = {
+        .limited = want->limited,
+        .refused = want->refused->len,
+    };
+    PoolChoice chosen;
+    PoolView_Choose(choice->pool, choice->count, &request, &search,
+                    Clock_Now(), &chosen);
+    if (!chosen.limited) {
+        return false;
+    }
+    if (!want->limited) {
+        Pool_LogChoice(want, &chosen);
+    }
+    want->limited = true;
+    want->max_distance = DISTANCE_ALL;
+    for (size_t i = 0; i < chosen.count; i++) {
+        Keeper *keeper = choice->keepers[chosen.chosen[i]];
+        g_ptr_array_add(want->pending, keeper);
+        send_want(want, keeper, choice->slots[chosen.chosen[i]]);
+    }
+    *sent = (guint)chosen.count;
+    schedule_next_round(want, chosen.count > 0 ? LATER_ROUND_MS : RECHECK_MS);
+    return true;
+}
+
 bool
 Want_SendNextRound(Want *want)
 {
     KeeperChoice choice;
     collect_candidates(&choice, want->call, want);
+    guint sent = 0;
+    if (send_by_view(want, &choice, &sent)) {
+        free_candidates(&choice);
+        return sent > 0;
+    }
     exclude_candidates(&choice, want->max_distance);
-    guint sent = send_wants(want, &choice, LATER_ROUND_WANTS);
+    sent = send_wants(want, &choice, LATER_ROUND_WANTS);
     free_candidates(&choice);
     bool more = sent > 0 || want->max_distance < DISTANCE_ALL;
     if (more) {
@@ -304,6 +375,23 @@
     return more;
 }
 
+uint32_t
+Want_ReturnMs(const Want *want)
+{
+    if (!want->limited) {
+        return want->retry_after_ms;
+    }
+    KeeperChoice choice;
+    collect_candidates(&choice, want->call, want);
+    fill_pool(&choice);
+    PoolRequest request = Pool_RequestOf(want->call);
+    uint32_t key = g_str_hash(want->call->id) * SPREAD_FACTOR;
+    uint32_t ms = PoolView_ReturnMs(choice.pool, choice.count, &request, key,
+                                    Clock_Now());
+    free_candidates(&choice);
+    return ms > 0 ? ms : want->retry_after_ms;
+}
+
 /* Starts the next round while the request still waits. */
 static void
 on_next_round_timer(evutil_socket_t fd, short events, void *arg)
@@ -331,8 +419,11 @@
         event_new(call->gateway->base, -1, 0, on_next_round_timer, want);
     call->want_id = want->id;
     g_hash_table_replace(call->gateway->keepers->wants, &want->id, want);
-    send_wants(want, &choice, FIRST_ROUND_WANTS);
-    schedule_next_round(want, SECOND_ROUND_MS);
+    guint sent = 0;
+    if (!send_by_view(want, &choice, &sent)) {
+        send_wants(want, &choice, FIRST_ROUND_WANTS);
+        schedule_next_round(want, SECOND_ROUND_MS);
+    }
     free_candidates(&choice);
     return true;
 }
--- a/src/keeper/keeper.c
+++ b/src/keeper/keeper.c
@@ -8,6 +8,7 @@
 
 #include <glib.h>
 
+#include "keeper/outlook.h"
 #include "keeper/probe.h"
 #include "kernel/clock.h"
 #include "kernel/counter.h"
@@ -99,6 +100,11 @@
     grant.decode_tokens_s = (uint32_t)state.decode_tokens_s;
     grant.born = keeper->engine_born;
     grant.start_uncertain = keeper->start_uncertain;
+    OutlookMessage outlook;
+    Outlook_Fill(&outlook, keeper->queue, Clock_Now());
+    if (outlook.message.n_waits > 0) {
+        grant.outlook = &outlook.message;
+    }
     Wire__Frame frame = WIRE__FRAME__INIT;
     frame.body_case = WIRE__FRAME__BODY_SLOT_GRANT;
     frame.slot_grant = &grant;
@@ -116,6 +122,9 @@
     refuse.retry_after_ms = action->retry_after_ms;
     refuse.queued = state.queued;
     refuse.busy = state.running + state.granted;
+    OutlookMessage outlook;
+    Outlook_Fill(&outlook, keeper->queue, Clock_Now());
+    refuse.outlook = &outlook.message;
     LOG_INFO(PART,
              "Slot refused. want=%llu gateway=%s reason=%s queued=%u busy=%u "
              "slots=%u prefill_tokens_s=%.0f decode_tokens_s=%.0f margin=%.2f "
--- a/src/sched/outlook.h
+++ b/src/sched/outlook.h
@@ -11,12 +11,19 @@
 #define OUTLOOK_RANKS 4
 #define OUTLOOK_CLASSES (WORK_TIERS * OUTLOOK_RANKS)
 
-/** Expected wait of a new request of one class. */
+/** Wait of a new request by the plan of the slots, and the same if requests of
+ * higher classes keep coming, which is not shorter. */
+typedef struct PlannedWait {
+    TimeUs planned;
+    TimeUs expected;
+} PlannedWait;
+
+/** Waits of new requests of one class. Those whose first piece would miss its
+ * deadline wait behind the whole class. */
 typedef struct ClassWait {
     unsigned class_index; /**< outlook_class() */
-    TimeUs planned;       /**< By the plan of the slots. */
-    TimeUs expected; /**< The same if requests of higher classes keep coming;
-                        not less than planned. */
+    PlannedWait on_time;
+    PlannedWait late;
 } ClassWait;
 
 typedef struct EngineOutlook {
--- a/src/sched/pool_view.c
+++ b/src/sched/pool_view.c
@@ -12,6 +12,11 @@
  * recently, so that the view of all engines is renewed within its time to
  * live. */
 #define OLDEST_WANTS 4
+/* An engine counts as late only if the request would be late by this fraction
+ * of its wait. Slots become free early, and an outlook is up to 1 s old: with
+ * 0.3, 3 in 100 refused requests would have been taken by an engine that was
+ * not asked, with 0.6, 4 in 1,000. */
+#define MARGIN_FRACTION 0.6
 /* Time for which an engine that takes no requests is not asked. Its keeper
  * asks it for its state four times a second. */
 #define CLOSED_US (250 * US_PER_MS)
@@ -48,40 +53,48 @@
     return view->heard_at != 0 && now - view->heard_at < POOL_OUTLOOK_TTL_US;
 }
 
-/* Returns the waits of the request's class, less the time since the outlook
- * was made. */
-static ClassWait
+static TimeUs
+first_piece_time(const EngineOutlook *outlook, const PoolRequest *request)
+{
+    if (request->prompt_tokens == 0) {
+        return 0;
+    }
+    double time = outlook->first_base_us +
+                  outlook->first_us_per_token * request->prompt_tokens;
+    return (TimeUs)(time * MAX(outlook->first_margin, 1));
+}
+
+/* Returns the wait of the request, less the time since the outlook was
+ * made. */
+static PlannedWait
 find_wait(const EngineView *view, const PoolRequest *request, TimeUs now)
 {
-    ClassWait wait = {.class_index =
-                          outlook_class(request->tier, request->rank)};
-    for (unsigned i = 0; i < view->outlook.count; i++) {
-        const ClassWait *known = &view->outlook.waits[i];
-        if (known->class_index == wait.class_index) {
-            wait.planned = known->planned;
-            wait.expected = known->expected;
+    const EngineOutlook *outlook = &view->outlook;
+    unsigned class_index = outlook_class(request->tier, request->rank);
+    TimeUs age = now - view->heard_at;
+    PlannedWait wait = {0};
+    for (unsigned i = 0; i < outlook->count; i++) {
+        const ClassWait *known = &outlook->waits[i];
+        if (known->class_index != class_index) {
+            continue;
         }
+        TimeUs first_at = now + MAX(known->on_time.planned - age, 0) +
+                          first_piece_time(outlook, request);
+        bool late =
+            request->first_deadline != 0 && first_at > request->first_deadline;
+        wait = late ? known->late : known->on_time;
     }
-    TimeUs age = now - view->heard_at;
     wait.planned = MAX(wait.planned - age, 0);
     wait.expected = MAX(wait.expected - age, 0);
     return wait;
 }
 
-static TimeUs
-first_piece_time(const EngineOutlook *outlook, const PoolRequest *request)
-{
-    return request->prompt_tokens == 0 ? 0
-                                       : (TimeUs)(outlook->first_base_us +
-                                                  outlook->first_us_per_token *
-                                                      request->prompt_tokens);
-}
-
 /* Returns a run time that is rarely exceeded, as the keeper's queue does. */
 static TimeUs
 run_upper_bound(const EngineOutlook *outlook, const PoolRequest *request)
 {
-    double first = (double)first_piece_time(outlook, request);
+    double first = outlook->first_base_us +
+                   outlook->first_us_per_token * request->prompt_tokens;
     double per_token = outlook->decode_us_per_token;
     double run =
         (first + per_token * request->output_tokens) * MAX(outlook->margin, 1);
@@ -106,7 +119,7 @@
         return ENGINE_UNKNOWN;
     }
     const EngineOutlook *outlook = &view->outlook;
-    ClassWait wait = find_wait(view, request, now);
+    PlannedWait wait = find_wait(view, request, now);
     TimeUs run = run_upper_bound(outlook, request);
     TimeUs typical =
         outlook->mean_run > 0
@@ -115,10 +128,10 @@
     TimeUs late = now + wait.planned + run - request->deadline;
     late = MAX(late, now + wait.expected + typical - request->deadline);
     if (request->first_limit != 0) {
-        TimeUs first = (TimeUs)((double)first_piece_time(outlook, request) *
-                                MAX(outlook->first_margin, 1));
+        TimeUs first = first_piece_time(outlook, request);
         late = MAX(late, now + wait.expected + first - request->first_limit);
     }
+    late -= (TimeUs)(MARGIN_FRACTION * (double)wait.expected);
     *lateness = MAX(late, 0);
     return late > 0 ? ENGINE_LATE : ENGINE_IN_TIME;
 }
@@ -159,12 +172,13 @@
     choice->chosen[choice->count++] = index;
 }
 
-/* Chooses up to @p max_count candidates of a fit, the cheapest first. */
+/* Chooses candidates of a fit, the cheapest first, until @p max_count are
+ * chosen. */
 static void
 choose_cheapest(PoolChoice *choice, const PoolCandidate *candidates,
                 Ranked *ranked, size_t count, EngineFit fit, size_t max_count)
 {
-    for (size_t n = 0; n < max_count && choice->count < POOL_WANTS_MAX; n++) {
+    while (choice->count < max_count) {
         size_t best = count;
         for (size_t i = 0; i < count; i++) {
             if (candidates[i].usable && !ranked[i].chosen &&
@@ -181,12 +195,13 @@
     }
 }
 
-/* Chooses the usable candidates that were heard of least recently. */
+/* Chooses the usable candidates that were heard of least recently, until @p
+ * max_count are chosen. */
 static void
 choose_oldest(PoolChoice *choice, const PoolCandidate *candidates,
               Ranked *ranked, size_t count, size_t max_count)
 {
-    for (size_t n = 0; n < max_count && choice->count < POOL_WANTS_MAX; n++) {
+    while (choice->count < max_count) {
         size_t best = count;
         for (size_t i = 0; i < count; i++) {
             if (candidates[i].usable && !ranked[i].chosen &&
@@ -244,15 +259,15 @@
                                              SHORT_FRACTION * (double)count;
     if (choice->limited) {
         bool first = !search->limited && search->refused == 0;
-        size_t best = first ? POOL_WANTS_MAX - OLDEST_WANTS : POOL_WANTS_MAX;
+        size_t best = first ? POOL_WANTS_MAX - OLDEST_WANTS : POOL_CHOSEN_MAX;
         choose_cheapest(choice, candidates, ranked, count, ENGINE_IN_TIME,
                         best);
         choose_cheapest(choice, candidates, ranked, count, ENGINE_UNKNOWN,
-                        best - choice->count);
+                        best);
         if (first) {
             choose_cheapest(choice, candidates, ranked, count, ENGINE_LATE,
-                            best - choice->count);
-            choose_oldest(choice, candidates, ranked, count, OLDEST_WANTS);
+                            best);
+            choose_oldest(choice, candidates, ranked, count, POOL_WANTS_MAX);
         }
     }
     g_free(ranked);
--- a/src/sched/pool_view.h
+++ b/src/sched/pool_view.h
@@ -19,6 +19,8 @@
 /** Largest number of keepers that a request asks at once while the pool is
  * short of capacity. Pools of so few engines are searched without a view. */
 #define POOL_WANTS_MAX 12
+/** Largest number that a later round asks: all that may still serve it. */
+#define POOL_CHOSEN_MAX 48
 /** Age at which an outlook is ignored. */
 #define POOL_OUTLOOK_TTL_US (1 * US_PER_S)
 
@@ -43,6 +45,7 @@
     uint32_t output_tokens;         /**< Expected number. */
     uint32_t longest_output_tokens; /**< Upper bound; 0 if unknown. */
     TimeUs deadline;
+    TimeUs first_deadline; /**< When the first piece is due; 0 if never. */
     TimeUs first_limit; /**< The caller gives up unless it has the first piece;
                            0 if only the deadline counts. */
 } PoolRequest;
@@ -64,7 +67,8 @@
      * be asked now. Otherwise the view decides nothing. */
     bool limited;
     size_t count;
-    size_t chosen[POOL_WANTS_MAX]; /**< Positions of candidates, best first. */
+    size_t
+        chosen[POOL_CHOSEN_MAX]; /**< Positions of candidates, best first. */
     unsigned in_time; /**< Usable candidates by what is known of them. */
     unsigned unknown;
     unsigned late;
--- a/src/sched/queue.c
+++ b/src/sched/queue.c
@@ -170,6 +170,9 @@
     Plan plan;
     QueueTimes_PlanSlots(queue, &plan, now);
     QueueTimes_SampleClasses(queue, now);
+    if (queue->config.refuse_early) {
+        QueueOutlook_Sample(queue, now);
+    }
     queue->last_planned_at = now;
     queue->lowest_tier = WORK_TIERS - 1;
     TimeUs mean = QueueTimes_MeanRunTime(queue);
@@ -198,10 +201,9 @@
 }
 
 static void
-plan_and_grant(WantQueue *queue, bool plan_now, TimeUs now)
+plan_and_grant(WantQueue *queue, TimeUs now)
 {
-    bool due =
-        plan_now || now >= queue->last_planned_at + SHED_CHECK_PERIOD_US;
+    bool due = now >= queue->last_planned_at + SHED_CHECK_PERIOD_US;
     if (due && queue->config.fair_ranks &&
         FairRanks_Update(&queue->fair_ranks, now))
     {
@@ -265,7 +267,7 @@
         return;
     }
     QueueItems_Add(queue, work, owner, now);
-    plan_and_grant(queue, work->decide_now, now);
+    plan_and_grant(queue, now);
 }
 
 static void
@@ -287,7 +289,7 @@
     }
     QueueItems_Remove(queue, item);
     add_dispatch_sample(queue, false);
-    plan_and_grant(queue, false, now);
+    plan_and_grant(queue, now);
 }
 
 RefuseReason
@@ -307,7 +309,7 @@
                  now < item->grant_expires_at && !queue->leaving;
     if (!valid) {
         QueueItems_End(queue, item);
-        plan_and_grant(queue, false, now);
+        plan_and_grant(queue, now);
         return queue->leaving ? REFUSE_LEAVING : REFUSE_LAPSED;
     }
     item->state = ITEM_RUNNING;
@@ -333,7 +335,7 @@
     QueueTimes_MeasureFirstPiece(queue, item, now);
     const WorkSpec *work = &item->work;
     Queue_UpdateCache(queue, work->prefix, work->prefix_count, true);
-    plan_and_grant(queue, false, now);
+    plan_and_grant(queue, now);
 }
 
 void
@@ -344,7 +346,7 @@
     if (item != NULL && item->state == ITEM_RUNNING) {
         QueueTimes_MeasureRun(queue, item, result, now);
         QueueItems_End(queue, item);
-        plan_and_grant(queue, false, now);
+        plan_and_grant(queue, now);
     }
 }
 
@@ -364,7 +366,7 @@
             QueueItems_Remove(queue, item);
         }
     }
-    plan_and_grant(queue, false, now);
+    plan_and_grant(queue, now);
 }
 
 void
@@ -376,7 +378,7 @@
             refuse_waiting(queue, item, REFUSE_LEAVING, 0, now);
         }
     }
-    plan_and_grant(queue, false, now);
+    plan_and_grant(queue, now);
 }
 
 void
@@ -387,14 +389,14 @@
         Item *last = QueueItems_Waiting(queue, queue->waiting_count - 1);
         refuse_waiting(queue, last, REFUSE_LEAVING, 0, now);
     }
-    plan_and_grant(queue, false, now);
+    plan_and_grant(queue, now);
 }
 
 void
 Queue_SetSlots(WantQueue *queue, uint32_t slots, TimeUs now)
 {
     queue->config.slots = MIN(slots, QUEUE_SLOTS_MAX);
-    plan_and_grant(queue, false, now);
+    plan_and_grant(queue, now);
 }
 
 bool
@@ -403,7 +405,7 @@
     bool changed =
         NamedRate_OnAnswer(&queue->rate_limit, rate, sent_at, now, 0);
     if (changed) {
-        plan_and_grant(queue, false, now);
+        plan_and_grant(queue, now);
     }
     return changed;
 }
@@ -413,7 +415,7 @@
 {
     bool longer = Rest_OnRefused(&queue->rest, ms, now);
     if (longer) {
-        plan_and_grant(queue, false, now);
+        plan_and_grant(queue, now);
     }
     return longer;
 }
@@ -429,14 +431,14 @@
 {
     queue->rate_limit = (NamedRate){.rate = 0};
     queue->rest = (Rest){.until = 0};
-    plan_and_grant(queue, false, now);
+    plan_and_grant(queue, now);
 }
 
 void
 Queue_OnUnsent(WantQueue *queue, TimeUs now)
 {
     NamedRate_OnUnsent(&queue->rate_limit);
-    plan_and_grant(queue, false, now);
+    plan_and_grant(queue, now);
 }
 
 void
@@ -474,7 +476,7 @@
         refuse_waiting(queue, last, REFUSE_SHED,
                        RETRY_AFTER_MAX_MS * US_PER_MS, now);
     }
-    plan_and_grant(queue, false, now);
+    plan_and_grant(queue, now);
 }
 
 TimeUs
--- a/src/sched/queue.h
+++ b/src/sched/queue.h
@@ -163,7 +163,7 @@
                       EngineOutlook *outlook);
 
 /** Predicts by how much a want that is added now would be late; 0 or less
- * means that it would not be refused. */
+ * means that it would be served. */
 TimeUs Queue_PredictLateness(const WantQueue *queue, const WorkSpec *work,
                              TimeUs now);
 
--- a/src/sched/queue_items.h
+++ b/src/sched/queue_items.h
@@ -91,6 +91,9 @@
     Rest rest;            /* that the endpoint asked for */
     uint32_t lowest_tier; /* entries should send no wants of lower tiers */
     uint32_t retry_after_ms;
+    /* Least values of recent plans: of the current and the previous span. */
+    EngineOutlook least[2];
+    TimeUs least_since; /* start of the current span */
 };
 
 /** Adds a waiting request. The pool must have a free item. */
--- a/src/sched/queue_outlook.c
+++ b/src/sched/queue_outlook.c
@@ -10,6 +10,12 @@
  * last 9 s. Its wait is not reported, which keeps outlooks short. */
 #define CLASS_REQUESTS_MIN 0.05
 
+/* An outlook states the least values of the plans of the last one to two spans
+ * of this length. The mean run time of a few slots and the waits that follow
+ * from it vary with each grant: with the newest values alone, a twentieth to a
+ * quarter of the engines that a gateway believes late would take a request. */
+#define LEAST_SPAN_US (250 * US_PER_MS)
+
 G_STATIC_ASSERT(OUTLOOK_RANKS == QUEUE_CLASS_RANKS);
 G_STATIC_ASSERT(OUTLOOK_RANKS == FAIR_RANKS);
 
@@ -97,22 +103,17 @@
     }
 }
 
-static void
-add_wait(EngineOutlook *outlook, const Walk *walk, const WorkSpec *work)
+static PlannedWait
+wait_here(const Walk *walk, const WorkSpec *work)
 {
-    TimeUs planned = planned_wait(walk);
-    TimeUs expected = planned;
+    PlannedWait wait = {.planned = planned_wait(walk)};
+    wait.expected = wait.planned;
     if (walk->queue->config.refuse_early) {
-        expected = QueueTimes_WaitBehindHigher(walk->queue, work, planned,
-                                               walk->mean);
-    }
-    if (expected >= US_PER_MS && is_used(walk->queue, work)) {
-        outlook->waits[outlook->count++] = (ClassWait){
-            .class_index = outlook_class(work->tier, work->rank),
-            .planned = planned,
-            .expected = MAX(expected, planned),
-        };
+        TimeUs behind = QueueTimes_WaitBehindHigher(walk->queue, work,
+                                                    wait.planned, walk->mean);
+        wait.expected = MAX(behind, wait.planned);
     }
+    return wait;
 }
 
 /* Fills @p ranks with the ranks of a tier in grant order. */
@@ -135,12 +136,77 @@
     }
 }
 
+/* Predicts the waits of all classes by the plan of this moment; the position
+ * of a class in the result is its index. */
+static void
+plan_classes(const WantQueue *queue, TimeUs now, EngineOutlook *outlook)
+{
+    Walk walk = start_walk(queue, now);
+    outlook->mean_run = walk.mean;
+    outlook->count = OUTLOOK_CLASSES;
+    for (uint32_t t = 0; t < WORK_TIERS; t++) {
+        uint32_t ranks[OUTLOOK_RANKS];
+        order_ranks(queue, t, ranks);
+        for (uint32_t i = 0; i < OUTLOOK_RANKS; i++) {
+            WorkSpec work = {.tier = t, .rank = ranks[i]};
+            ClassWait *wait = &outlook->waits[outlook_class(t, ranks[i])];
+            wait->class_index = outlook_class(t, ranks[i]);
+            pass_earlier(&walk, &work);
+            wait->on_time = wait_here(&walk, &work);
+            pass_class(&walk, &work);
+            wait->late = wait_here(&walk, &work);
+        }
+    }
+}
+
+static void
+lower(PlannedWait *wait, const PlannedWait *other)
+{
+    wait->planned = MIN(wait->planned, other->planned);
+    wait->expected = MIN(wait->expected, other->expected);
+}
+
+/* Lowers the values of an outlook of all classes to those of another. */
+static void
+lower_outlook(EngineOutlook *outlook, const EngineOutlook *other)
+{
+    if (other->count == 0) {
+        return;
+    }
+    outlook->mean_run = MIN(outlook->mean_run, other->mean_run);
+    for (unsigned c = 0; c < OUTLOOK_CLASSES; c++) {
+        lower(&outlook->waits[c].on_time, &other->waits[c].on_time);
+        lower(&outlook->waits[c].late, &other->waits[c].late);
+    }
+}
+
+void
+QueueOutlook_Sample(WantQueue *queue, TimeUs now)
+{
+    if (now - queue->least_since >= LEAST_SPAN_US) {
+        bool adjacent = now - queue->least_since < 2 * LEAST_SPAN_US;
+        queue->least[1] = queue->least[0];
+        queue->least[1].count = adjacent ? queue->least[0].count : 0;
+        queue->least[0].count = 0;
+        queue->least_since = now;
+    }
+    EngineOutlook current;
+    plan_classes(queue, now, &current);
+    lower_outlook(&current, &queue->least[0]);
+    queue->least[0] = current;
+}
+
 void
 Queue_GetOutlook(const WantQueue *queue, TimeUs now, EngineOutlook *outlook)
 {
-    Walk walk = start_walk(queue, now);
+    EngineOutlook all;
+    plan_classes(queue, now, &all);
+    if (now - queue->least_since < 2 * LEAST_SPAN_US) {
+        lower_outlook(&all, &queue->least[0]);
+        lower_outlook(&all, &queue->least[1]);
+    }
     *outlook = (EngineOutlook){
-        .mean_run = walk.mean,
+        .mean_run = all.mean_run,
         .margin = queue->margin,
         .first_margin = queue->first_piece_margin,
     };
@@ -148,21 +214,28 @@
                   &outlook->first_us_per_token);
     double decode = Speed_Rate(&queue->speed.decode);
     outlook->decode_us_per_token = decode > 0 ? US_PER_S / decode : 0;
-    if (queue->config.slots == 0) {
-        return;
-    }
-    for (uint32_t t = 0; t < WORK_TIERS; t++) {
-        uint32_t ranks[OUTLOOK_RANKS];
-        order_ranks(queue, t, ranks);
-        for (uint32_t i = 0; i < OUTLOOK_RANKS; i++) {
-            WorkSpec work = {.tier = t, .rank = ranks[i]};
-            pass_earlier(&walk, &work);
-            add_wait(outlook, &walk, &work);
-            pass_class(&walk, &work);
+    for (unsigned c = 0; c < OUTLOOK_CLASSES; c++) {
+        WorkSpec work = {.tier = c / OUTLOOK_RANKS, .rank = c % OUTLOOK_RANKS};
+        if (queue->config.slots > 0 && is_used(queue, &work) &&
+            all.waits[c].late.expected >= US_PER_MS)
+        {
+            outlook->waits[outlook->count++] = all.waits[c];
         }
     }
 }
 
+/* Passes the waiting requests that precede the item. */
+static void
+pass_preceding(Walk *walk, const Item *item)
+{
+    const Item *next;
+    while ((next = peek(walk)) != NULL &&
+           QueueItems_Precedes(walk->queue, next, item))
+    {
+        advance(walk);
+    }
+}
+
 TimeUs
 Queue_PredictLateness(const WantQueue *queue, const WorkSpec *work, TimeUs now)
 {
@@ -178,10 +251,11 @@
     };
     item.latest_start_at = QueueItems_LatestStart(queue, &item);
     Walk walk = start_walk(queue, now);
-    const Item *next;
-    while ((next = peek(&walk)) != NULL &&
-           QueueItems_Precedes(queue, next, &item)) {
-        advance(&walk);
+    pass_preceding(&walk, &item);
+    if (QueueTimes_IsNewlyLate(queue, &item, now + planned_wait(&walk))) {
+        item.first_piece_late = true;
+        item.latest_start_at = QueueItems_LatestStart(queue, &item);
+        pass_preceding(&walk, &item);
     }
     return QueueTimes_PredictLateness(queue, &item, planned_wait(&walk),
                                       walk.mean, now);
--- a/src/sched/queue_times.h
+++ b/src/sched/queue_times.h
@@ -57,6 +57,9 @@
 TimeUs QueueTimes_NextByRate(const WantQueue *queue, uint32_t position,
                              TimeUs now);
 
+/** Includes the plan of this moment in the queue's outlook. */
+void QueueOutlook_Sample(WantQueue *queue, TimeUs now);
+
 /** Updates the speed and the margin from a first piece that arrived now. */
 void QueueTimes_MeasureFirstPiece(WantQueue *queue, const Item *item,
                                   TimeUs now);
--- a/src/sched/work.h
+++ b/src/sched/work.h
@@ -41,8 +41,6 @@
     uint32_t output_tokens;         /**< Expected number. */
     uint32_t longest_output_tokens; /**< Upper bound; 0 if unknown. */
     bool alone; /**< No other request may run at the endpoint meanwhile. */
-    bool decide_now; /**< The sender needs a refusal at once, not with the next
-                        periodic check. */
     uint32_t prefix_count;
     uint64_t prefix[WORK_PREFIX_BLOCKS_MAX]; /**< Chained block hashes. */
 } WorkSpec;
--- /dev/null
+++ b/test/unit/pool_play.h
@@ -0,0 +1,66 @@
+/** @file
+ * Simulation of a pool of engines under competition: gateways that send wants
+ * to the keepers' queues with their network delays, engines that run what was
+ * granted, and callers that come back once when a refusal lets them.
+ */
+#ifndef LAURELLIFT_TEST_UNIT_POOL_PLAY_H
+#define LAURELLIFT_TEST_UNIT_POOL_PLAY_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#define POOL_PLAY_RANKS 3
+#define POOL_PLAY_TIERS 2
+#define POOL_PLAY_CLASSES (POOL_PLAY_RANKS * POOL_PLAY_TIERS)
+/* Refusals are counted over parts of the run of this length. */
+#define POOL_PLAY_SPAN_MS 250
+#define POOL_PLAY_SPANS 160
+
+typedef struct PoolCase {
+    bool use_view;
+    unsigned engines;
+    double load;        /* demand / capacity of all engines */
+    int run_ms;         /* time for which requests arrive */
+    int burst_until_ms; /* until then the demand is burst_load */
+    double burst_load;
+    int fault_from_ms; /* frozen keepers and crashed engines */
+    int fault_until_ms;
+    unsigned frozen;  /* keepers that are frozen from fault_from_ms */
+    unsigned crashed; /* engines that are lost at fault_from_ms */
+    bool region_cut;  /* no messages between the regions meanwhile */
+    uint32_t seed;
+} PoolCase;
+
+/* What the callers of one tier and rank got. A caller that came back counts
+ * once, with its last answer. */
+typedef struct PoolClassResult {
+    unsigned callers;
+    unsigned served;
+} PoolClassResult;
+
+typedef struct PoolResult {
+    PoolClassResult classes[POOL_PLAY_CLASSES];
+    unsigned callers;
+    unsigned served;
+    unsigned refusals; /* of first and second requests */
+    unsigned wrong;    /* refusals while an engine would have served */
+    unsigned returns;  /* callers that came back */
+    unsigned returns_served;
+    unsigned wants;            /* messages to keepers */
+    unsigned refusal_wants;    /* those of refused requests */
+    unsigned refused_after_12; /* refused requests that asked more */
+    unsigned known_late; /* refused, and late at all engines by the view when
+                            they arrived */
+    unsigned known_late_over; /* of these, refused later than an eighth of the
+                                 objective */
+    unsigned known_late_wants_over; /* of these, asked more than 12 */
+    unsigned outlook_bytes;         /* in all answers of keepers */
+    unsigned rounds; /* wake-ups of gateways by timers of wants */
+    double refusal_p10_ms, refusal_p50_ms, refusal_p90_ms;
+    unsigned refused_in[POOL_PLAY_SPANS]; /* by time of the refusal */
+    unsigned arrived_in[POOL_PLAY_SPANS];
+} PoolResult;
+
+void PoolPlay_Run(const PoolCase *play, PoolResult *result);
+
+#endif
