Scheduler: max-min shares of accounts in the queue

fair_accounts keeps decaying sums of the slot time that each account asked for and got, and marks requests beyond a max-min share. The queue grants these after the others of the tier; the lateness prediction and the outlook count requests within a share as a higher class. Higher ranks of an account use its share first. QueueConfig.fair_accounts is off by default; wants without an account keep their order.

--- a/src/sched/queue.c
+++ b/src/sched/queue.c
@@ -7,6 +7,7 @@
 
 #include <glib.h>
 
+#include "sched/queue_shares.h"
 #include "sched/queue_times.h"
 
 /* Minimum interval between checks of all waiting requests against their
@@ -36,16 +37,18 @@
 }
 
 static void
-push_refusal(WantQueue *queue, RequestId id, uint64_t owner,
+push_refusal(WantQueue *queue, const WorkSpec *work, uint64_t owner,
              RefuseReason reason, uint32_t retry_after_ms)
 {
-    QueueItems_PushAction(queue, &(QueueAction){
-                                     .kind = QUEUE_REFUSE,
-                                     .id = id,
-                                     .owner = owner,
-                                     .reason = reason,
-                                     .retry_after_ms = retry_after_ms,
-                                 });
+    QueueAction action = {
+        .kind = QUEUE_REFUSE,
+        .id = work->id,
+        .owner = owner,
+        .reason = reason,
+        .retry_after_ms = retry_after_ms,
+    };
+    QueueShares_Describe(queue, work, &action);
+    QueueItems_PushAction(queue, &action);
 }
 
 static uint32_t
@@ -61,8 +64,9 @@
     if (reason == REFUSE_DEADLINE || reason == REFUSE_SHED) {
         FairRanks_Record(&queue->fair_ranks, &item->work, false,
                          QueueTimes_RunTime(queue, item), now);
+        QueueShares_OnRefused(queue, item);
     }
-    push_refusal(queue, item->work.id, item->owner, reason,
+    push_refusal(queue, &item->work, item->owner, reason,
                  to_retry_after_ms(wait));
     QueueItems_Remove(queue, item);
 }
@@ -72,6 +76,7 @@
 {
     FairRanks_Record(&queue->fair_ranks, &item->work, true,
                      QueueTimes_RunTime(queue, item), now);
+    QueueShares_OnGranted(queue, item);
     QueueItems_MakeBusy(queue, item);
     item->state = ITEM_GRANTED;
     item->grant_id = queue->next_grant_id++;
@@ -200,14 +205,25 @@
     queue->retry_after_ms = to_retry_after_ms(next - now);
 }
 
+static void
+update_order(WantQueue *queue, TimeUs now)
+{
+    bool changed = false;
+    if (queue->config.fair_ranks) {
+        changed = FairRanks_Update(&queue->fair_ranks, now);
+    }
+    changed = QueueShares_Update(queue, now) || changed;
+    if (changed) {
+        QueueItems_Sort(queue);
+    }
+}
+
 static void
 plan_and_grant(WantQueue *queue, TimeUs now)
 {
     bool due = now >= queue->last_planned_at + SHED_CHECK_PERIOD_US;
-    if (due && queue->config.fair_ranks &&
-        FairRanks_Update(&queue->fair_ranks, now))
-    {
-        QueueItems_Sort(queue);
+    if (due) {
+        update_order(queue, now);
     }
     if (due && !queue->config.no_deadline && queue->config.slots > 0) {
         refuse_late_requests(queue, now);
@@ -231,14 +247,17 @@
     Item incoming = {
         .work = *work,
         .sequence = queue->next_sequence,
+        .beyond_share = FairAccounts_IsBeyond(&queue->fair_accounts, work),
         .latest_start_at = work->first_piece_deadline == 0
                                ? work->deadline
                                : work->first_piece_deadline,
     };
     if (!QueueItems_Precedes(queue, &incoming, last)) {
+        QueueShares_OnRefused(queue, &incoming);
         return false;
     }
-    push_refusal(queue, last->work.id, last->owner, REFUSE_SHED,
+    QueueShares_OnRefused(queue, last);
+    push_refusal(queue, &last->work, last->owner, REFUSE_SHED,
                  to_retry_after_ms(queue->retry_after_ms * US_PER_MS));
     QueueItems_Remove(queue, last);
     return true;
@@ -249,20 +268,18 @@
               TimeUs now)
 {
     if (QueueItems_IsEndedId(queue, work->id)) {
-        push_refusal(queue, work->id, owner, REFUSE_DUPLICATE,
-                     RETRY_AFTER_MIN_MS);
+        push_refusal(queue, work, owner, REFUSE_DUPLICATE, RETRY_AFTER_MIN_MS);
         return;
     }
     if (QueueItems_Find(queue, work->id) != NULL) {
         return;
     }
     if (queue->leaving) {
-        push_refusal(queue, work->id, owner, REFUSE_LEAVING,
-                     RETRY_AFTER_MIN_MS);
+        push_refusal(queue, work, owner, REFUSE_LEAVING, RETRY_AFTER_MIN_MS);
         return;
     }
     if (!make_room(queue, work)) {
-        push_refusal(queue, work->id, owner, REFUSE_SHED,
+        push_refusal(queue, work, owner, REFUSE_SHED,
                      to_retry_after_ms(queue->retry_after_ms * US_PER_MS));
         return;
     }
@@ -286,6 +303,7 @@
     }
     if (item->state == ITEM_GRANTED) {
         NamedRate_OnUnsent(&queue->rate_limit);
+        QueueShares_OnEnded(queue, item, 0);
     }
     QueueItems_Remove(queue, item);
     add_dispatch_sample(queue, false);
@@ -345,6 +363,7 @@
     Item *item = QueueItems_Find(queue, id);
     if (item != NULL && item->state == ITEM_RUNNING) {
         QueueTimes_MeasureRun(queue, item, result, now);
+        QueueShares_OnEnded(queue, item, now - item->started_at);
         QueueItems_End(queue, item);
         plan_and_grant(queue, now);
     }
@@ -363,6 +382,7 @@
         Item *item = QueueItems_Busy(queue, i - 1);
         if (item->owner == owner && item->state == ITEM_GRANTED) {
             NamedRate_OnUnsent(&queue->rate_limit);
+            QueueShares_OnEnded(queue, item, 0);
             QueueItems_Remove(queue, item);
         }
     }
@@ -468,6 +488,7 @@
         Item *item = QueueItems_Busy(queue, i - 1);
         if (item->state == ITEM_GRANTED && now >= item->grant_expires_at) {
             NamedRate_OnUnsent(&queue->rate_limit);
+            QueueShares_OnEnded(queue, item, 0);
             QueueItems_End(queue, item);
         }
     }
--- a/src/sched/queue.h
+++ b/src/sched/queue.h
@@ -9,6 +9,7 @@
 
 #include <stddef.h>
 
+#include "sched/fair_accounts.h"
 #include "sched/outlook.h"
 #include "sched/work.h"
 
@@ -40,6 +41,10 @@
     /** Lets short requests of a lower rank go ahead while they are served less
      * often than higher ranks of their tier (fair_ranks.h). */
     bool fair_ranks;
+    /** Grants requests beyond the share of their account after those within
+     * a share (fair_accounts.h). Wants without an account are ordered as
+     * without this switch. */
+    bool fair_accounts;
     /** Switches for measurements: grant in order of arrival, refuse no want
      * because of its deadline. */
     bool no_priority;
@@ -60,6 +65,8 @@
     uint32_t ttl_ms; /**< Time until the grant expires. */
     RefuseReason reason;
     uint32_t retry_after_ms;
+    uint64_t account;         /**< Of the want; 0 without shares. */
+    AccountStanding standing; /**< Of the account; of refusals only. */
 } QueueAction;
 
 /** Measurements of a finished request. */
@@ -169,4 +176,7 @@
 
 void Queue_GetState(const WantQueue *queue, TimeUs now, QueueState *state);
 
+/** Returns the number of pairs of account and tier that have a share. */
+unsigned Queue_CountAccounts(const WantQueue *queue);
+
 #endif
--- a/src/sched/queue_items.c
+++ b/src/sched/queue_items.c
@@ -41,6 +41,7 @@
     queue->margin = 1;
     queue->first_piece_margin = 1;
     queue->lowest_tier = WORK_TIERS - 1;
+    FairAccounts_Init(&queue->fair_accounts);
     return queue;
 }
 
@@ -113,6 +114,9 @@
     if (a->work.tier != b->work.tier) {
         return a->work.tier < b->work.tier;
     }
+    if (a->beyond_share != b->beyond_share) {
+        return b->beyond_share;
+    }
     int order_a = FairRanks_Order(&queue->fair_ranks, &a->work);
     int order_b = FairRanks_Order(&queue->fair_ranks, &b->work);
     if (order_a != order_b) {
@@ -295,6 +299,7 @@
         .owner = owner,
         .arrived_at = now,
         .sequence = queue->next_sequence++,
+        .beyond_share = FairAccounts_IsBeyond(&queue->fair_accounts, work),
         .cached_blocks =
             Blocks_CountLeading(queue->blocks, work, QUEUE_CACHE_HOLDER),
     };
--- a/src/sched/queue_items.h
+++ b/src/sched/queue_items.h
@@ -27,6 +27,9 @@
  * class also includes all lower ranks. */
 #define QUEUE_CLASS_RANKS 4
 #define QUEUE_CLASSES (WORK_TIERS * QUEUE_CLASS_RANKS)
+/** Each class is counted twice: requests within the share of their account,
+ * and those beyond. */
+#define QUEUE_PARTS 2
 
 typedef enum ItemState {
     ITEM_WAITING,
@@ -39,6 +42,8 @@
     WorkSpec work;
     uint64_t owner;
     uint64_t sequence; /* position in arrival order */
+    bool beyond_share; /* of its account, by the last update or at grant */
+    double charged_us; /* slot time that its account was charged at grant */
     TimeUs arrived_at;
     TimeUs latest_start_at; /* sort key within one tier and rank */
     bool first_piece_late;  /* first piece is expected after
@@ -85,10 +90,11 @@
     TimeUs last_planned_at;
     TimeUs last_sampled_at;
     /* fraction of the slots used by each class, moving average */
-    double class_slot_share[QUEUE_CLASSES];
-    FairRanks fair_ranks; /* unused unless config.fair_ranks */
-    NamedRate rate_limit; /* of the endpoint */
-    Rest rest;            /* that the endpoint asked for */
+    double class_slot_share[QUEUE_PARTS][QUEUE_CLASSES];
+    FairRanks fair_ranks;       /* unused unless config.fair_ranks */
+    FairAccounts fair_accounts; /* unused unless config.fair_accounts */
+    NamedRate rate_limit;       /* of the endpoint */
+    Rest rest;                  /* that the endpoint asked for */
     uint32_t lowest_tier; /* entries should send no wants of lower tiers */
     uint32_t retry_after_ms;
     /* Least values of recent plans: of the current and the previous span. */
@@ -117,7 +123,8 @@
  * short one whose deadline is earlier. */
 TimeUs QueueItems_LatestStart(const WantQueue *queue, const Item *item);
 
-/** Orders the waiting items anew, after FairRanks_Update(). */
+/** Orders the waiting items anew, after FairRanks_Update() or
+ * FairAccounts_EndUpdate(). */
 void QueueItems_Sort(WantQueue *queue);
 
 /** Marks a waiting item as late and moves it behind the items of its tier and
--- a/src/sched/queue_outlook.c
+++ b/src/sched/queue_outlook.c
@@ -76,15 +76,23 @@
     return record->granted + record->refused >= CLASS_REQUESTS_MIN;
 }
 
+/* Returns whether a waiting request is of the class and within the share of
+ * its account. */
+static bool
+is_of_class(const Item *item, const WorkSpec *work)
+{
+    return !item->beyond_share &&
+           outlook_class(item->work.tier, item->work.rank) ==
+               outlook_class(work->tier, work->rank);
+}
+
 /* Passes the waiting requests before a new one of the class, which is granted
  * before those of its class whose first piece is late. */
 static void
 pass_earlier(Walk *walk, const WorkSpec *work)
 {
     const Item *item;
-    while ((item = peek(walk)) != NULL &&
-           outlook_class(item->work.tier, item->work.rank) ==
-               outlook_class(work->tier, work->rank) &&
+    while ((item = peek(walk)) != NULL && is_of_class(item, work) &&
            !item->first_piece_late)
     {
         advance(walk);
@@ -95,10 +103,18 @@
 pass_class(Walk *walk, const WorkSpec *work)
 {
     const Item *item;
-    while ((item = peek(walk)) != NULL &&
-           outlook_class(item->work.tier, item->work.rank) ==
-               outlook_class(work->tier, work->rank))
-    {
+    while ((item = peek(walk)) != NULL && is_of_class(item, work)) {
+        advance(walk);
+    }
+}
+
+/* Passes the waiting requests of a tier that are left: those beyond the shares
+ * of their accounts. */
+static void
+pass_tier(Walk *walk, uint32_t tier)
+{
+    const Item *item;
+    while ((item = peek(walk)) != NULL && item->work.tier == tier) {
         advance(walk);
     }
 }
@@ -109,7 +125,7 @@
     PlannedWait wait = {.planned = planned_wait(walk)};
     wait.expected = wait.planned;
     if (walk->queue->config.refuse_early) {
-        TimeUs behind = QueueTimes_WaitBehindHigher(walk->queue, work,
+        TimeUs behind = QueueTimes_WaitBehindHigher(walk->queue, work, false,
                                                     wait.planned, walk->mean);
         wait.expected = MAX(behind, wait.planned);
     }
@@ -137,7 +153,9 @@
 }
 
 /* Predicts the waits of all classes by the plan of this moment; the position
- * of a class in the result is its index. */
+ * of a class in the result is its index. The waits are those of requests
+ * within the share of their account: a gateway that took those of requests
+ * beyond a share for its own would not ask here for the others. */
 static void
 plan_classes(const WantQueue *queue, TimeUs now, EngineOutlook *outlook)
 {
@@ -156,6 +174,7 @@
             pass_class(&walk, &work);
             wait->late = wait_here(&walk, &work);
         }
+        pass_tier(&walk, t);
     }
 }
 
@@ -246,6 +265,7 @@
         .work = *work,
         .arrived_at = now,
         .sequence = queue->next_sequence,
+        .beyond_share = FairAccounts_IsBeyond(&queue->fair_accounts, work),
         .cached_blocks =
             Blocks_CountLeading(queue->blocks, work, QUEUE_CACHE_HOLDER),
     };
--- a/src/sched/queue_times.c
+++ b/src/sched/queue_times.c
@@ -104,20 +104,25 @@
         (double)(now - queue->last_sampled_at) / (double)CLASS_AVERAGE_US;
     weight = MIN(weight, 1);
     queue->last_sampled_at = now;
-    double busy[QUEUE_CLASSES] = {0};
+    double busy[QUEUE_PARTS][QUEUE_CLASSES] = {{0}};
     for (uint32_t i = 0; i < queue->busy_count; i++) {
-        busy[class_of(&QueueItems_Busy(queue, i)->work)] += 1;
+        const Item *item = QueueItems_Busy(queue, i);
+        busy[item->beyond_share][class_of(&item->work)] += 1;
     }
-    for (unsigned c = 0; c < QUEUE_CLASSES; c++) {
-        double share = busy[c] / queue->config.slots;
-        queue->class_slot_share[c] +=
-            weight * (share - queue->class_slot_share[c]);
+    for (unsigned p = 0; p < QUEUE_PARTS; p++) {
+        for (unsigned c = 0; c < QUEUE_CLASSES; c++) {
+            double share = busy[p][c] / queue->config.slots;
+            queue->class_slot_share[p][c] +=
+                weight * (share - queue->class_slot_share[p][c]);
+        }
     }
 }
 
-/* Returns whether requests of a class are granted before the request. */
+/* Returns whether requests of a class, within or beyond the shares of their
+ * accounts, are granted before the request. */
 static bool
-class_precedes(const WantQueue *queue, unsigned other, const WorkSpec *work)
+class_precedes(const WantQueue *queue, unsigned other, bool other_beyond,
+               const WorkSpec *work, bool beyond)
 {
     WorkSpec first = {
         .tier = other / QUEUE_CLASS_RANKS,
@@ -126,6 +131,9 @@
     if (first.tier != MIN(work->tier, WORK_TIERS - 1)) {
         return first.tier < work->tier;
     }
+    if (other_beyond != beyond) {
+        return beyond;
+    }
     return FairRanks_Order(&queue->fair_ranks, &first) <
            MIN(FairRanks_Order(&queue->fair_ranks, work),
                QUEUE_CLASS_RANKS - 1);
@@ -133,12 +141,15 @@
 
 TimeUs
 QueueTimes_WaitBehindHigher(const WantQueue *queue, const WorkSpec *work,
-                            TimeUs planned, TimeUs mean)
+                            bool beyond, TimeUs planned, TimeUs mean)
 {
     double higher_share = 0;
     for (unsigned c = 0; c < QUEUE_CLASSES; c++) {
-        if (class_precedes(queue, c, work)) {
-            higher_share += queue->class_slot_share[c];
+        if (class_precedes(queue, c, false, work, beyond)) {
+            higher_share += queue->class_slot_share[0][c];
+        }
+        if (class_precedes(queue, c, true, work, beyond)) {
+            higher_share += queue->class_slot_share[1][c];
         }
     }
     double remaining_share = 1 - MIN(higher_share, HIGHER_SHARE_MAX);
@@ -174,8 +185,8 @@
     if (!queue->config.refuse_early) {
         return lateness;
     }
-    TimeUs wait =
-        QueueTimes_WaitBehindHigher(queue, &item->work, planned, mean);
+    TimeUs wait = QueueTimes_WaitBehindHigher(
+        queue, &item->work, item->beyond_share, planned, mean);
     TimeUs typical_run = MIN(run, (TimeUs)((double)mean * queue->margin));
     lateness = MAX(lateness, now + wait + typical_run - item->work.deadline);
     return MAX(lateness, predict_first_piece_lateness(queue, item, wait, now));
--- a/src/sched/queue_times.h
+++ b/src/sched/queue_times.h
@@ -47,10 +47,12 @@
 /** Predicts the wait of a request when requests of higher classes keep
  * arriving, so that the other classes share the remaining slots. This is
  * longer than the planned wait.
+ * @param beyond  the request is beyond the share of its account, so that those
+ *                within a share count as a higher class.
  * @param mean  result of QueueTimes_MeanRunTime. */
 TimeUs QueueTimes_WaitBehindHigher(const WantQueue *queue,
-                                   const WorkSpec *work, TimeUs planned,
-                                   TimeUs mean);
+                                   const WorkSpec *work, bool beyond,
+                                   TimeUs planned, TimeUs mean);
 
 /** Returns when the rate limit and a rest let the request at a position start.
  * Some of those before it are dispatched elsewhere. */
--- a/src/sched/work.h
+++ b/src/sched/work.h
@@ -28,6 +28,7 @@
     uint64_t target;   /**< Work_TargetHash of the model or service. */
     Subjects subjects; /**< Hashes of account, route and body, and of the
                           prompt's messages except the last. */
+    uint64_t account;  /**< Hash; 0 if it has none that shares are kept of. */
     uint32_t tier;     /**< 0 is the highest. */
     uint32_t rank;     /**< Order within the tier; 0 is the highest. */
     TimeUs deadline;   /**< By the clock of this process. */
