Gateways name the account of a want where fairAccounts is set

The keeper logs share, use and demand of the account of each refused want, and counts refusals within and beyond a share.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -49,6 +49,8 @@
     double quota_slack; /**< Units by which all gateways together may exceed
                            an account's limit. */
     uint32_t stop_ms;   /**< Longest time of a planned stop. */
+    bool fair_accounts; /**< Engine time is divided between the accounts of a
+                           tier (sched/fair_accounts.h). */
 } GatewayBounds;
 
 typedef struct GatewayOptions {
--- a/src/keeper/keeper.c
+++ b/src/keeper/keeper.c
@@ -4,6 +4,7 @@
  */
 #include "keeper/keeper.h"
 
+#include <math.h>
 #include <string.h>
 
 #include <glib.h>
@@ -70,6 +71,9 @@
     Counter *queued_gauge;
     Counter *busy_gauge;
     Counter *rate_gauge;
+    Counter *accounts_gauge;
+    Counter *refused_within; /* wants of accounts, by their share */
+    Counter *refused_beyond;
     uint64_t engine_born; /* as the engine last reported; 0 if unknown */
     bool start_uncertain; /* the engine may have started again since */
     Probe *probe;         /* NULL without a configured engine address */
@@ -111,6 +115,26 @@
     Link_Send(link, &frame);
 }
 
+/* Logs what decided whether the refused want was within the share of its
+ * account. The values are mean numbers of slots. */
+static void
+log_share(Keeper *keeper, const Link *link, const QueueAction *action)
+{
+    const AccountStanding *standing = &action->standing;
+    Counter_Add(
+        standing->beyond ? keeper->refused_beyond : keeper->refused_within, 1);
+    char share[32] = "none";
+    if (isfinite(standing->share)) {
+        g_snprintf(share, sizeof(share), "%.3f", standing->share);
+    }
+    LOG_INFO(PART,
+             "Share of the refused account. want=%llu gateway=%s "
+             "account=%016llx share=%s used=%.3f asked=%.3f beyond=%s",
+             (unsigned long long)action->id.low, Link_Peer(link)->name,
+             (unsigned long long)action->account, share, standing->used,
+             standing->asked, standing->beyond ? "yes" : "no");
+}
+
 static void
 send_refusal(Keeper *keeper, Link *link, const QueueAction *action)
 {
@@ -134,6 +158,9 @@
              state.running + state.granted, state.slots,
              state.prefill_tokens_s, state.decode_tokens_s, state.margin,
              action->retry_after_ms);
+    if (action->account != 0) {
+        log_share(keeper, link, action);
+    }
     Wire__Frame frame = WIRE__FRAME__INIT;
     frame.body_case = WIRE__FRAME__BODY_SLOT_REFUSE;
     frame.slot_refuse = &refuse;
@@ -168,6 +195,7 @@
     Queue_GetState(keeper->queue, Clock_Now(), &state);
     Counter_Set(keeper->queued_gauge, state.queued);
     Counter_Set(keeper->busy_gauge, state.running + state.granted);
+    Counter_Set(keeper->accounts_gauge, Queue_CountAccounts(keeper->queue));
 }
 
 static void
@@ -251,6 +279,7 @@
         .prompt_tokens = want->prompt_tokens,
         .output_tokens = want->output_tokens,
         .longest_output_tokens = want->longest_output_tokens,
+        .account = want->account,
     };
     if (work.target == keeper->replaced_target && now < keeper->replaced_until)
     {
@@ -506,6 +535,14 @@
     keeper->slots = INITIAL_SLOTS;
     keeper->queued_gauge = Counter_Get("keeper_queued", "Requests that wait.");
     keeper->busy_gauge = Counter_Get("keeper_busy", "Slots in use.");
+    keeper->accounts_gauge =
+        Counter_Get("keeper_accounts", "Accounts that have a share.");
+    keeper->refused_within =
+        Counter_Get("keeper_account_refused_total{share=\"within\"}",
+                    "Refused wants of accounts within and beyond a share.");
+    keeper->refused_beyond =
+        Counter_Get("keeper_account_refused_total{share=\"beyond\"}",
+                    "Refused wants of accounts within and beyond a share.");
     keeper->rate_gauge =
         Counter_Get("keeper_rate_limit_millis",
                     "Requests in 1000 s that the engine takes; 0 without a "
@@ -520,6 +557,8 @@
         .seed = keeper->self.incarnation,
         .refuse_early = true,
         .fair_ranks = true,
+        /* Gateways name accounts only where their settings say so. */
+        .fair_accounts = true,
         .run_quantile = RUN_TIME_QUANTILE,
         .prefetch_requests = PREFETCH_REQUESTS,
         .prefetch_min_wait = PREFETCH_MIN_WAIT_US,
