--- a/src/keeper/keeper.c
+++ b/src/keeper/keeper.c
@@ -33,6 +33,8 @@
 /* Number of slots until the first want carries the configured number. */
 #define INITIAL_SLOTS 1
 #define ACTION_BATCH_MAX 32
+/* Space for the fields of describe_share(). */
+#define SHARE_TEXT_BYTES 160
 /* Retry delay sent with a refusal because the engine was replaced: its
  * successor announces itself within about one heartbeat. */
 #define REPLACED_RETRY_AFTER_MS 500
@@ -115,24 +117,28 @@
     Link_Send(link, &frame);
 }
 
-/* Logs what decided whether the refused want was within the share of its
- * account. The values are mean numbers of slots. */
+/* Counts a refused want of an account, and prints what decided whether it was
+ * within the share as fields of a log record. The values are mean numbers of
+ * slots. */
 static void
-log_share(Keeper *keeper, const Link *link, const QueueAction *action)
+describe_share(Keeper *keeper, const QueueAction *action, char *text,
+               size_t size)
 {
     const AccountStanding *standing = &action->standing;
+    text[0] = '\0';
+    if (action->account == 0) {
+        return;
+    }
     Counter_Add(
         standing->beyond ? keeper->refused_beyond : keeper->refused_within, 1);
     char share[32] = "none";
     if (isfinite(standing->share)) {
         g_snprintf(share, sizeof(share), "%.3f", standing->share);
     }
-    LOG_INFO(PART,
-             "Share of the refused account. want=%llu gateway=%s "
-             "account=%016llx share=%s used=%.3f asked=%.3f beyond=%s",
-             (unsigned long long)action->id.low, Link_Peer(link)->name,
-             (unsigned long long)action->account, share, standing->used,
-             standing->asked, standing->beyond ? "yes" : "no");
+    g_snprintf(text, size,
+               " account=%016llx share=%s used=%.3f asked=%.3f beyond=%s",
+               (unsigned long long)action->account, share, standing->used,
+               standing->asked, standing->beyond ? "yes" : "no");
 }
 
 static void
@@ -149,18 +155,17 @@
     OutlookMessage outlook;
     Outlook_Fill(&outlook, keeper->queue, Clock_Now());
     refuse.outlook = &outlook.message;
+    char share[SHARE_TEXT_BYTES];
+    describe_share(keeper, action, share, sizeof(share));
     LOG_INFO(PART,
              "Slot refused. want=%llu gateway=%s reason=%s queued=%u busy=%u "
              "slots=%u prefill_tokens_s=%.0f decode_tokens_s=%.0f margin=%.2f "
-             "retry_after_ms=%u",
+             "retry_after_ms=%u%s",
              (unsigned long long)action->id.low, Link_Peer(link)->name,
              RefuseReason_Name(action->reason), state.queued,
              state.running + state.granted, state.slots,
              state.prefill_tokens_s, state.decode_tokens_s, state.margin,
-             action->retry_after_ms);
-    if (action->account != 0) {
-        log_share(keeper, link, action);
-    }
+             action->retry_after_ms, share);
     Wire__Frame frame = WIRE__FRAME__INIT;
     frame.body_case = WIRE__FRAME__BODY_SLOT_REFUSE;
     frame.slot_refuse = &refuse;
