--- a/test/unit/pool_play.h
+++ b/test/unit/pool_play.h
@@ -13,6 +13,10 @@
 #define POOL_PLAY_TIERS 2
 #define POOL_PLAY_CLASSES (POOL_PLAY_RANKS * POOL_PLAY_TIERS)
 /* Refusals are counted over parts of the run of this length. */
+/* Accounts with POOL_PLAY_LARGE large ones first. All requests of one account
+ * have one tier. */
+#define POOL_PLAY_ACCOUNTS 16
+#define POOL_PLAY_LARGE 3
 #define POOL_PLAY_SPAN_MS 250
 #define POOL_PLAY_SPANS 160
 
@@ -29,6 +33,15 @@
     unsigned crashed; /* engines that are lost at fault_from_ms */
     bool region_cut;  /* no messages between the regions meanwhile */
     uint32_t seed;
+    bool
+        accounts; /* callers belong to accounts; load is of the usual demand */
+    bool fair_accounts;   /* of the queues */
+    double account_burst; /* factor of the demand of the account that bursts */
+    unsigned burst_account;
+    int account_burst_from_ms;
+    /* Results by account count callers that arrive from the burst until then,
+     * while the demand goes on for the longest deadline. */
+    int count_until_ms;
 } PoolCase;
 
 /* What the callers of one tier and rank got. A caller that came back counts
@@ -40,6 +53,9 @@
 
 typedef struct PoolResult {
     PoolClassResult classes[POOL_PLAY_CLASSES];
+    PoolClassResult accounts[POOL_PLAY_ACCOUNTS][POOL_PLAY_RANKS];
+    /* Slot time of served requests, in ms at speed 1. */
+    double account_slot_ms[POOL_PLAY_ACCOUNTS];
     unsigned callers;
     unsigned served;
     unsigned refusals; /* of first and second requests */
@@ -61,6 +77,9 @@
     unsigned arrived_in[POOL_PLAY_SPANS];
 } PoolResult;
 
+/** Returns the tier of all requests of an account. */
+unsigned PoolPlay_AccountTier(unsigned account);
+
 void PoolPlay_Run(const PoolCase *play, PoolResult *result);
 
 #endif
--- a/test/unit/pool_play_state.h
+++ b/test/unit/pool_play_state.h
@@ -71,9 +71,11 @@
 } Event;
 
 typedef struct Request {
+    unsigned account;
     unsigned tier;
     unsigned rank;
     unsigned gateway;
+    TimeUs first_arrived_at; /* of a caller that came back: the first time */
     TimeUs arrived_at;
     TimeUs deadline;
     double actual_output;
@@ -136,12 +138,22 @@
     return request->tier * POOL_PLAY_RANKS + request->rank;
 }
 
+static inline bool
+pool_play_is_counted(const Play *play, const Request *request)
+{
+    return play->spec->accounts &&
+           request->first_arrived_at >=
+               play->spec->account_burst_from_ms * US_PER_MS &&
+           request->first_arrived_at < play->spec->count_until_ms * US_PER_MS;
+}
+
 void PoolPlay_Push(Play *play, TimeUs at, Event event);
 bool PoolPlay_IsFrozen(const Play *play, unsigned engine);
 bool PoolPlay_IsLost(const Play *play, unsigned engine);
 bool PoolPlay_IsCut(const Play *play, unsigned gateway, unsigned engine);
 unsigned PoolPlay_Distance(unsigned gateway, unsigned engine);
 TimeUs PoolPlay_Delay(unsigned gateway, unsigned engine);
+uint64_t PoolPlay_AccountHash(const Play *play, const Request *request);
 WorkSpec PoolPlay_Work(const Play *play, const Request *request,
                        unsigned index);
 
