Planned stops refuse runs by a quantile of measured run times

The estimate was the caller's own, at a fixed 10 ms a token; it is right at the median only. The gateway now refuses a run whose time it exceeds once in a hundred runs of its route does not fit into what is left of the stop, and checks again when a waiting request is sent.

--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -17,12 +17,6 @@
 /* Retry-After of a stopping gateway. It is short because the caller reaches
  * another gateway at once. */
 #define STOPPING_RETRY_AFTER_MS 20
-/* Assumed run time of a stream during a planned stop: time per output token,
- * and time to the first one, on a slow and busy engine. */
-#define ASSUMED_TOKEN_US (10 * US_PER_MS)
-#define ASSUMED_FIRST_TOKEN_US (1500 * US_PER_MS)
-/* Assumed run time of an answer that is not streamed. */
-#define ASSUMED_ANSWER_US (500 * US_PER_MS)
 /* Longest time to hold a request for a configuration or lease: the lower of a
  * fixed limit and the remaining time divided by this number. */
 #define HOLD_MAX_US (1500 * US_PER_MS)
@@ -327,7 +321,8 @@
     .retry_after_ms = STOPPING_RETRY_AFTER_MS,
 };
 
-/* Returns whether the call would still run when the planned stop ends. */
+/* Returns whether the call is likely to run still when the planned stop
+ * ends. */
 static bool
 outlasts_stop(const Call *call)
 {
@@ -335,13 +330,12 @@
     if (!gateway->stopping || call->route == NULL) {
         return false;
     }
-    TimeUs left = gateway->stop_started_at +
-                  gateway->options->bounds.stop_ms * US_PER_MS - Clock_Now();
-    TimeUs run =
-        call->route->kind == ROUTE_STREAM
-            ? call->expected_tokens * ASSUMED_TOKEN_US + ASSUMED_FIRST_TOKEN_US
-            : ASSUMED_ANSWER_US;
-    return run > left;
+    TimeUs end = gateway->stop_started_at +
+                 gateway->options->bounds.stop_ms * US_PER_MS;
+    TimeUs deadline =
+        call->deadline != 0 ? call->deadline : call->caller_deadline;
+    TimeUs run = RunTimes_Bound(gateway->run_times, call);
+    return MIN(Clock_Now() + run, deadline) > end;
 }
 
 void
@@ -355,13 +349,24 @@
     }
 }
 
-void
+bool
 Call_CheckStop(Call *call)
 {
-    if (call->state == CALL_WAITING && !call->maybe_ran && outlasts_stop(call))
+    if (call->state != CALL_WAITING || call->maybe_ran || !outlasts_stop(call))
     {
-        Call_Fail(call, &stopping);
+        return false;
     }
+    const Gateway *gateway = call->gateway;
+    TimeUs stopping_for = Clock_Now() - gateway->stop_started_at;
+    TimeUs bound = RunTimes_Bound(gateway->run_times, call);
+    LOG_INFO(GATEWAY_PART,
+             "Request would outlast the planned stop. id=%s bound_ms=%lld "
+             "stopping_ms=%lld stop_ms=%u",
+             call->id, (long long)(bound / US_PER_MS),
+             (long long)(stopping_for / US_PER_MS),
+             gateway->options->bounds.stop_ms);
+    Call_Fail(call, &stopping);
+    return true;
 }
 
 void
@@ -473,8 +478,7 @@
     if (!Origins_Resolve(call) || !take_quota(call)) {
         return;
     }
-    if (outlasts_stop(call)) {
-        Call_Fail(call, &stopping);
+    if (Call_CheckStop(call)) {
         return;
     }
     call->deadline =
--- a/src/gateway/call_answer.c
+++ b/src/gateway/call_answer.c
@@ -271,6 +271,9 @@
     if (!call->is_stream && call->status < 500) {
         Endpoint_AddRunTime(call->endpoint, Clock_Now() - call->sent_at);
     }
+    if (call->status < 300) {
+        RunTimes_Add(call->gateway->run_times, call);
+    }
     Call_ReleaseEndpoint(call, SLOT_SERVED);
     if (call->is_stream) {
         finish_stream(call);
--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -153,6 +153,9 @@
         Call_FailBarred(call, barred);
         return;
     }
+    if (Call_CheckStop(call)) {
+        return; /* it has waited too long for the endpoint */
+    }
     Suspects_OnSend(call->gateway->suspects, call);
     Call_Fingerprint(call);
     struct evbuffer *request = evbuffer_new();
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -12,6 +12,7 @@
 #include "gateway/events.h"
 #include "gateway/gateway.h"
 #include "gateway/origins.h"
+#include "gateway/run_times.h"
 #include "http1/parser.h"
 #include "kernel/clock.h"
 #include "sched/bucket.h"
@@ -53,6 +54,7 @@
     GatewayControl *control;
     Quotas *quotas;
     Retries *retries;
+    RunTimes *run_times;
     Keepers *keepers;
     Suspects *suspects;
     Origins *origins;
@@ -232,8 +234,9 @@
                 struct evbuffer *body);
 
 /* Refuses the call if it waits for an endpoint and would outlast a planned
- * stop. */
-void Call_CheckStop(Call *call);
+ * stop.
+ * @return true when the call was refused and is freed. */
+bool Call_CheckStop(Call *call);
 
 /* Returns when the caller gives up unless it has the first output; 0 if only
  * the deadline counts, or a part of the answer was sent. */
