Bytes held for slow callers are bounded; engines are sent what fits into them

Callers and servers may read slowly, what a gateway holds for them counts toward its memory, and an engine ends when the requests that it holds exceed its own. A gateway held up to 256 KB for each caller and any amount of complete answers: 400 callers make 100 MB of 88. A complete answer that is still read is not ended by the idle timeout. Keepers grant only what fits into the engine's memory with the longest outputs.

--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -160,6 +160,28 @@
     }
 }
 
+size_t
+Call_HeldBytes(const Call *call)
+{
+    return evbuffer_get_length(call->body) +
+           evbuffer_get_length(call->answer) +
+           evbuffer_get_length(call->partial_event);
+}
+
+static const CallError out_of_memory = {
+    .status = 503,
+    .code = "out_of_memory",
+    .message = "The gateway holds too much for callers that read slowly.",
+    .retry_after_ms = DEFAULT_RETRY_AFTER_MS,
+};
+
+void
+Call_CutOff(Call *call)
+{
+    call->maybe_ran = call->maybe_ran || call->state != CALL_WAITING;
+    Call_Fail(call, &out_of_memory);
+}
+
 TimeUs
 Call_FirstOutputLimit(const Call *call)
 {
@@ -463,6 +485,10 @@
 static void
 admit_call(Call *call)
 {
+    if (Held_RefusesNew(call->gateway->held)) {
+        Call_Fail(call, &out_of_memory);
+        return;
+    }
     const CallError *error = route_call(call);
     if (error != NULL) {
         if (!hold_call(call, error)) {
--- a/src/gateway/call_answer.c
+++ b/src/gateway/call_answer.c
@@ -10,13 +10,8 @@
 
 /* Largest answer that is not a stream. It is buffered until complete. */
 #define ANSWER_MAX_BYTES (8u * 1024 * 1024)
-/* The same for all answers together. */
-#define ANSWERS_MAX_BYTES (32u * 1024 * 1024)
 /* Time for which the rest of an answer that is not forwarded is read. */
 #define DISCARD_MAX_US (1 * US_PER_S)
-/* Reading from the endpoint pauses when more than this is unsent to the
- * caller. */
-#define UNSENT_MAX_BYTES (256u * 1024)
 
 /* Prints the head for the caller, without the framing fields. */
 static void
@@ -85,7 +80,7 @@
         evbuffer_add(call->answer, "\r\n", 2);
     }
     Conn_SendBody(call->conn, call->answer);
-    if (Conn_UnsentBytes(call->conn) > UNSENT_MAX_BYTES) {
+    if (Conn_UnsentBytes(call->conn) > Held_CallerPart(call->gateway->held)) {
         Upstream_Pause(call->upstream, true);
     }
 }
@@ -206,7 +201,9 @@
     call->gateway->answer_bytes += length;
     evbuffer_add_buffer(call->answer, body);
     bool too_long = call->counted_bytes > ANSWER_MAX_BYTES;
-    if (!too_long && call->gateway->answer_bytes <= ANSWERS_MAX_BYTES) {
+    if (!too_long &&
+        call->gateway->answer_bytes <= Held_AnswersMax(call->gateway->held))
+    {
         return;
     }
     Upstream_Cancel(call->upstream);
--- a/src/gateway/conn.c
+++ b/src/gateway/conn.c
@@ -38,7 +38,8 @@
     bool close_after; /* close after the current answer */
     bool http10;
     bool chunked;
-    bool write_closed; /* the sending side is shut down */
+    bool write_closed;    /* the sending side is shut down */
+    size_t unsent_before; /* unsent bytes when the idle timer last ran */
 };
 
 static void parse_requests(Conn *conn);
@@ -237,6 +238,13 @@
                        "The request was not received completely in time.");
         return;
     }
+    size_t unsent = Conn_UnsentBytes(conn);
+    if (unsent > 0 && unsent != conn->unsent_before) {
+        /* The caller still reads its last answer. */
+        conn->unsent_before = unsent;
+        set_timer(conn, request_limits(conn)->idle_timeout_ms);
+        return;
+    }
     Conn_Free(conn);
 }
 
@@ -247,6 +255,7 @@
     conn->gateway = gateway;
     int on = 1;
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    Held_LimitSocket(gateway->held, fd);
     conn->stream =
         bufferevent_socket_new(gateway->base, fd, BEV_OPT_CLOSE_ON_FREE);
     conn->timer = event_new(gateway->base, -1, 0, on_timer, conn);
@@ -332,6 +341,32 @@
     return evbuffer_get_length(bufferevent_get_output(conn->stream));
 }
 
+HeldFor
+Conn_Held(const Conn *conn)
+{
+    size_t unsent = Conn_UnsentBytes(conn);
+    size_t in_kernel = unsent > 0 ? Held_KernelBytes(conn->gateway->held) : 0;
+    size_t of_call = conn->call == NULL ? 0 : Call_HeldBytes(conn->call);
+    return (HeldFor){
+        .bytes = unsent + in_kernel + of_call +
+                 evbuffer_get_length(conn->body) +
+                 evbuffer_get_length(bufferevent_get_input(conn->stream)),
+        .has_answer = unsent > 0 || (conn->call != NULL &&
+                                     conn->call->state != CALL_WAITING),
+        .complete = conn->call == NULL && unsent > 0,
+    };
+}
+
+void
+Conn_CutOff(Conn *conn)
+{
+    if (conn->call != NULL) {
+        Call_CutOff(conn->call);
+        return;
+    }
+    Conn_Free(conn);
+}
+
 void
 Conn_CheckStop(Conn *conn)
 {
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -199,6 +199,7 @@
     gateway->quotas = Quotas_New(gateway);
     gateway->retries = Retries_New(gateway);
     gateway->run_times = RunTimes_New();
+    gateway->held = Held_New(gateway);
     gateway->suspects = Suspects_New(gateway);
     gateway->origins = Origins_New(gateway);
     gateway->keepers = Keepers_New(gateway);
@@ -233,6 +234,7 @@
     Quotas_Free(gateway->quotas);
     Retries_Free(gateway->retries);
     RunTimes_Free(gateway->run_times);
+    Held_Free(gateway->held);
     Suspects_Free(gateway->suspects);
     Origins_Free(gateway->origins);
     Endpoints_FreeAll(gateway);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -49,6 +49,10 @@
     double quota_slack; /**< Units by which all gateways together may exceed
                            an account's limit. */
     uint32_t stop_ms;   /**< Longest time of a planned stop. */
+    /** Memory of the process that the requests and answers which it holds may
+     * use; 0 without a bound. With one, engines are sent only what fits into
+     * their memory. */
+    size_t memory_bytes;
 } GatewayBounds;
 
 typedef struct GatewayOptions {
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -11,11 +11,13 @@
 #include "gateway/endpoints.h"
 #include "gateway/events.h"
 #include "gateway/gateway.h"
+#include "gateway/held.h"
 #include "gateway/origins.h"
 #include "gateway/run_times.h"
 #include "http1/parser.h"
 #include "kernel/clock.h"
 #include "sched/bucket.h"
+#include "sched/held_bytes.h"
 #include "sched/subjects.h"
 #include "wire/link.h"
 
@@ -55,6 +57,7 @@
     Quotas *quotas;
     Retries *retries;
     RunTimes *run_times;
+    Held *held; /* NULL without a bound */
     Keepers *keepers;
     Suspects *suspects;
     Origins *origins;
@@ -97,6 +100,12 @@
 /* Returns the number of answer bytes that are not yet written. */
 size_t Conn_UnsentBytes(const Conn *conn);
 
+/* Returns the bytes that are held for the connection's caller. */
+HeldFor Conn_Held(const Conn *conn);
+
+/* Closes the connection to free what is held for its caller. */
+void Conn_CutOff(Conn *conn);
+
 /* Closes the connection if it is idle and @p close_idle is set. Called
  * repeatedly during a planned stop. */
 void Conn_Drain(Conn *conn, bool close_idle);
@@ -258,6 +267,12 @@
 /* Ends the call after its caller disconnected. */
 void Call_OnCallerDisconnect(Call *call);
 
+/* Returns the bytes of request and answer that are held for the call. */
+size_t Call_HeldBytes(const Call *call);
+
+/* Ends the call to free what is held for it. */
+void Call_CutOff(Call *call);
+
 /* Resumes reading from the endpoint once the answer bytes are written. */
 void Call_OnBytesWritten(Call *call);
 
--- a/src/gateway/wants.c
+++ b/src/gateway/wants.c
@@ -148,6 +148,11 @@
     const Endpoint *endpoint =
         Endpoints_Find(call->gateway, keeper->endpoint_id);
     message.born = endpoint == NULL ? 0 : endpoint->born;
+    if (call->gateway->options->bounds.memory_bytes > 0) {
+        const RouteService *service =
+            RouteTable_Service(call->table, call->service);
+        message.memory_tokens = service == NULL ? 0 : service->kv_tokens;
+    }
     Wire__Frame frame = WIRE__FRAME__INIT;
     frame.body_case = WIRE__FRAME__BODY_SLOT_WANT;
     frame.slot_want = &message;
--- a/src/keeper/keeper.c
+++ b/src/keeper/keeper.c
@@ -59,6 +59,7 @@
     LinkServer *link_server;
     WantQueue *queue;
     uint32_t slots;
+    uint64_t memory_tokens;   /* of the engine; 0 without a bound */
     uint64_t rated_born;      /* start of the engine that names a rate limit */
     uint64_t replaced_target; /* Work_TargetHash() of the replaced engine */
     TimeUs replaced_until;    /* end of refusing wants for that engine */
@@ -224,6 +225,13 @@
         keeper->slots = want->slots;
         Queue_SetSlots(keeper->queue, want->slots, now);
     }
+    if (want->memory_tokens != keeper->memory_tokens) {
+        LOG_INFO(PART, "Memory of the engine changed. tokens=%llu before=%llu",
+                 (unsigned long long)want->memory_tokens,
+                 (unsigned long long)keeper->memory_tokens);
+        keeper->memory_tokens = want->memory_tokens;
+        Queue_SetMemory(keeper->queue, want->memory_tokens, now);
+    }
     if (want->born > keeper->rated_born && keeper->rated_born != 0) {
         LOG_INFO(PART, "Rate limit ended with its engine.");
         keeper->rated_born = 0;
--- a/src/sched/queue.c
+++ b/src/sched/queue.c
@@ -117,6 +117,26 @@
     return prompts >= PREFILL_PROMPTS && tokens >= PREFILL_TOKENS;
 }
 
+/* Returns the tokens that a request may need in the engine's memory. */
+static uint64_t
+tokens_needed(const WorkSpec *work)
+{
+    return (uint64_t)work->prompt_tokens +
+           MAX(work->output_tokens, work->longest_output_tokens);
+}
+
+/* Returns true if the request fits into the engine's memory beside those that
+ * the engine holds. */
+static bool
+fits_memory(const WantQueue *queue, const Item *item)
+{
+    uint64_t tokens = tokens_needed(&item->work);
+    for (uint32_t i = 0; i < queue->busy_count; i++) {
+        tokens += tokens_needed(&QueueItems_Busy(queue, i)->work);
+    }
+    return queue->memory_tokens == 0 || tokens <= queue->memory_tokens;
+}
+
 /* Returns true if one more request may be sent to the endpoint. */
 static bool
 has_room(const WantQueue *queue, const Item *item, TimeUs now)
@@ -149,7 +169,12 @@
                            finish - item->work.deadline, now);
             continue;
         }
-        if (item->work.alone && queue->busy_count > 0) {
+        if (!fits_memory(queue, item) && queue->busy_count == 0) {
+            refuse_waiting(queue, item, REFUSE_UNFIT, 0, now);
+            continue;
+        }
+        if (!fits_memory(queue, item) ||
+            (item->work.alone && queue->busy_count > 0)) {
             return;
         }
         if (prefill_is_full(queue, now) || !Rest_MaySend(&queue->rest, now) ||
@@ -408,6 +433,13 @@
     plan_and_grant(queue, now);
 }
 
+void
+Queue_SetMemory(WantQueue *queue, uint64_t tokens, TimeUs now)
+{
+    queue->memory_tokens = tokens;
+    plan_and_grant(queue, now);
+}
+
 bool
 Queue_OnNamedRate(WantQueue *queue, double rate, TimeUs sent_at, TimeUs now)
 {
--- a/src/sched/queue.h
+++ b/src/sched/queue.h
@@ -124,6 +124,11 @@
 
 void Queue_SetSlots(WantQueue *queue, uint32_t slots, TimeUs now);
 
+/** Sets the memory of the engine in tokens; 0 if it is unknown. Requests are
+ * granted only while all that the engine holds fit with their longest outputs,
+ * since an engine that holds more than its memory ends. */
+void Queue_SetMemory(WantQueue *queue, uint64_t tokens, TimeUs now);
+
 /** Applies an answer of the endpoint that names a rate limit, or none (0).
  * Requests are granted at that rate.
  * @return true when the limit began, changed or ended. */
--- a/src/sched/queue_items.h
+++ b/src/sched/queue_items.h
@@ -83,10 +83,11 @@
     TimeUs last_sampled_at;
     /* fraction of the slots used by each class, moving average */
     double class_slot_share[QUEUE_CLASSES];
-    FairRanks fair_ranks; /* unused unless config.fair_ranks */
-    NamedRate rate_limit; /* of the endpoint */
-    Rest rest;            /* that the endpoint asked for */
-    uint32_t lowest_tier; /* entries should send no wants of lower tiers */
+    FairRanks fair_ranks;   /* unused unless config.fair_ranks */
+    NamedRate rate_limit;   /* of the endpoint */
+    Rest rest;              /* that the endpoint asked for */
+    uint64_t memory_tokens; /* of the engine; 0 if unknown */
+    uint32_t lowest_tier;   /* entries should send no wants of lower tiers */
     uint32_t retry_after_ms;
 };
 
--- a/test/fakes/fake_server.c
+++ b/test/fakes/fake_server.c
@@ -181,10 +181,12 @@
 send_event(Connection *connection)
 {
     const Server *server = connection->server;
-    char *event =
-        g_strdup_printf("id: %d\ndata: %s%s%s\n\n", connection->next_event,
-                        server->id, server->software != NULL ? " " : "",
-                        server->software != NULL ? server->software : "");
+    char *padding = g_strnfill((gsize)server->event_bytes, '.');
+    char *event = g_strdup_printf(
+        "id: %d\ndata: %s%s%s%s\n\n", connection->next_event, server->id,
+        server->software != NULL ? " " : "",
+        server->software != NULL ? server->software : "", padding);
+    g_free(padding);
     write_chunk(connection, event);
     g_free(event);
     if (strcmp(connection->fault, "cut") == 0 &&
@@ -402,6 +404,9 @@
     connection->timer = event_new(server->base, -1, 0, on_timer, connection);
     connection->bev =
         bufferevent_socket_new(server->base, fd, BEV_OPT_CLOSE_ON_FREE);
+    if (server->read_limit != NULL) {
+        bufferevent_set_rate_limit(connection->bev, server->read_limit);
+    }
     bufferevent_setcb(connection->bev, on_read, NULL, on_event, connection);
     bufferevent_enable(connection->bev, EV_READ | EV_WRITE);
 }
@@ -567,6 +572,11 @@
     FakeServer_ReadOptions(&server, argc, argv);
     signal(SIGPIPE, SIG_IGN);
     server.control_hosts = g_strsplit(server.control, ",", -1);
+    if (server.read_rate > 0) {
+        size_t rate = (size_t)server.read_rate;
+        server.read_limit = ev_token_bucket_cfg_new(
+            rate, rate, EV_RATE_LIMIT_MAX, EV_RATE_LIMIT_MAX, NULL);
+    }
     if (server.restart_ms > 0) {
         return Deadly_Supervise(server.restart_ms, run_server, &server);
     }
--- a/test/fakes/fake_server.h
+++ b/test/fakes/fake_server.h
@@ -38,6 +38,8 @@
                              empty or missing: it refuses none */
     gboolean leaving; /* its answers say that it leaves, its heartbeats not */
     gint silent_ms;   /* time after a start before it announces itself */
+    gint event_bytes; /* length to which the data of events are padded */
+    gint read_rate;   /* bytes/s that it reads of requests; 0: all at once */
     struct evconnlistener *listener;
     gchar **control_hosts;
     guint host_index; /* index of the control host in use, modulo the number of
@@ -45,7 +47,8 @@
     uint64_t born;    /* wall clock time at which the process started, in ms */
     uint64_t sequence;
     bool draining;
-    GHashTable *ended_under; /* set of targets that end it */
+    struct ev_token_bucket_cfg *read_limit; /* NULL without a limit */
+    GHashTable *ended_under;                /* set of targets that end it */
     struct event_base *base;
     struct event *announce_timer;
 } Server;
--- a/test/fakes/fake_server_options.c
+++ b/test/fakes/fake_server_options.c
@@ -59,6 +59,10 @@
          "FILE"},
         {"silent-ms", 0, 0, G_OPTION_ARG_INT, &server->silent_ms,
          "Time after a start before the first announcement", "MS"},
+        {"event-bytes", 0, 0, G_OPTION_ARG_INT, &server->event_bytes,
+         "Length to which the data of events are padded", "N"},
+        {"read-rate", 0, 0, G_OPTION_ARG_INT, &server->read_rate,
+         "Bytes per second that it reads of requests", "N"},
         {NULL},
     };
     GOptionContext *context = g_option_context_new(NULL);
