--- a/src/sched/rollout_test.h
+++ b/src/sched/rollout_test.h
@@ -88,13 +88,13 @@
 /** Adds a batch. Both sides of a report are added with the same @p now, since
  * only batches of the same half second are compared.
  *
- * The caller leaves out, on both sides: requests that are barred because they
- * crash servers, requests that ended because their caller left, and requests
- * that were sent before the gateway's first one to the candidate. The last
- * rule makes both sides begin alike; else the candidate's first answers, of
- * which only the quick ones are known, would be compared with a steady flow.
- * Failures of an overloaded or crashing pool are added as they are: the
- * comparison at the same time cancels them.
+ * Both sides must have begun and ended alike, since of requests that were just
+ * sent only the quick answers are known. The caller therefore leaves out, on
+ * both sides, requests that were sent before the gateway's first one to the
+ * candidate, and requests that were sent when the candidate was accepted
+ * already. It also leaves out requests that are barred because they crash
+ * servers, and those whose caller left. Failures of an overloaded or crashing
+ * pool are added as they are: the comparison at the same time cancels them.
  *
  * Invalid batches (more failures or times than answers, sums that are not
  * finite) are ignored.
