--- a/scripts/run-tests.sh
+++ b/scripts/run-tests.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Runs the unit tests, short fuzz runs, policy benchmark and scripted runs that
-# PATTERN selects. Usage: run-tests.sh BUILD [PATTERN]
+# Runs the unit tests, short fuzz runs, policy and roll-out benchmarks and
+# scripted runs that PATTERN selects. Usage: run-tests.sh BUILD [PATTERN]
 # A failed check listed in KNOWN-RED.txt is printed and not counted as failed.
 # The last line is `N passed, N failed`.
 set -uo pipefail
@@ -46,12 +46,14 @@
     done < <("$script" "$build" "$pattern")
 done
 
-if [ -x "$build/test/bench/bench_policy" ] && [[ "bench/policy" == *"${pattern%%-*}"* ]]; then
+for bench in policy rollout; do
+    program=$build/test/bench/bench_$bench
+    [ -x "$program" ] && [[ "bench/$bench" == *"${pattern%%-*}"* ]] || continue
     while read -r name status; do
         count "$name" "$status"
-    done < <("$build/test/bench/bench_policy" --short 2>"$build/bench_policy.log")
-    grep -B 8 MISSED "$build/bench_policy.log" || true
-fi
+    done < <("$program" --short 2>"$build/bench_$bench.log")
+    grep -B 8 MISSED "$build/bench_$bench.log" || true
+done
 
 index=0
 for script in test/functional/*.sh; do
--- a/src/sched/rollout_evidence.c
+++ b/src/sched/rollout_evidence.c
@@ -10,7 +10,7 @@
 /* Run times longer by this factor are tolerated: callers notice it less than
  * the differences between the old servers, and a new version begins with cold
  * caches. */
-#define TOLERATED_SLOWNESS 1.1
+#define TOLERATED_SLOWNESS 1.05
 /* Scale of the half-normal prior of the slowness beyond the tolerated one, in
  * ln: a factor of e, since bad versions are several times slower. */
 #define SLOWNESS_SCALE 1.0
@@ -59,18 +59,17 @@
            ((x + 1) * (dist->old - dist->failures + x + 1));
 }
 
-/* Sums weight * effect ^ (x - seen) over all x, for each effect and last for
+/* Sums weight * effect ^ (x - mode) over all x, for each effect and last for
  * the effect 1. The weights are probabilities relative to the one of the mode,
- * so that they do not overflow.
- * @param powers  effect ^ (mode - seen). */
+ * which is the largest. Sums of large effects over some hundred failures may
+ * be infinite; the ratio is then 0, which is on the safe side. */
 static void
-sum_weights(const Hypergeometric *dist, double mode, const double *powers,
-            double *sums)
+sum_weights(const Hypergeometric *dist, double mode, double *sums)
 {
     double terms[ROLLOUT_EFFECTS + 1];
     for (int e = 0; e <= ROLLOUT_EFFECTS; e++) {
-        terms[e] = powers[e];
-        sums[e] = powers[e];
+        terms[e] = 1;
+        sums[e] = 1;
     }
     int above = (int)(dist->most - mode);
     for (int i = 0; i < above; i++) {
@@ -81,7 +80,7 @@
         }
     }
     for (int e = 0; e <= ROLLOUT_EFFECTS; e++) {
-        terms[e] = powers[e];
+        terms[e] = 1;
     }
     int below = (int)(mode - dist->least);
     for (int i = 1; i <= below; i++) {
@@ -115,15 +114,12 @@
     double mode =
         CLAMP(floor((failures + 1) * (candidate->answers + 1) / (all + 2)),
               dist.least, dist.most);
-    double powers[ROLLOUT_EFFECTS + 1];
     double sums[ROLLOUT_EFFECTS + 1];
+    sum_weights(&dist, mode, sums);
     for (int e = 0; e < ROLLOUT_EFFECTS; e++) {
-        powers[e] = pow(effects[e], mode - candidate->failures);
-    }
-    powers[ROLLOUT_EFFECTS] = 1;
-    sum_weights(&dist, mode, powers, sums);
-    for (int e = 0; e < ROLLOUT_EFFECTS; e++) {
-        gain->ratios[e] = MIN(sums[ROLLOUT_EFFECTS] / sums[e], RATIO_MAX);
+        double log_ratio = (candidate->failures - mode) * log(effects[e]) +
+                           log(sums[ROLLOUT_EFFECTS] / sums[e]);
+        gain->ratios[e] = MIN(exp(log_ratio), RATIO_MAX);
     }
     gain->failures = candidate->failures;
     gain->all_failures = failures;
--- a/src/sched/rollout_test.c
+++ b/src/sched/rollout_test.c
@@ -26,11 +26,11 @@
 #define LAST_MAX_US (32 * US_PER_S)
 /* Probability of rejecting a good candidate by the test at all looks, and by
  * the one at the last look: together less than 1 in 100. */
-#define ERROR_SEQUENTIAL 0.004
-#define ERROR_LAST 0.004
+#define ERROR_SEQUENTIAL 0.005
+#define ERROR_LAST 0.012
 /* Probability of delaying a good candidate to the last look. A delay costs no
  * request, while a bad candidate that is accepted gets all of them. */
-#define ERROR_DELAY 1.5
+#define ERROR_DELAY 2.0
 /* Parts of the error for all answers together, for those of busy servers, and
  * for all routes. */
 #define WEIGHT_ALL 0.4
--- a/test/bench/bench_rollout.c
+++ b/test/bench/bench_rollout.c
@@ -3,11 +3,12 @@
  * sequential test, with SEEDS seeds for each case, and counts wrong verdicts
  * in both directions. Exits with 1 if a bound is missed.
  *
- * bench_rollout [--short] [--case NAME] [--seeds N] [--csv FILE]
- * `--short` prints the table to standard error and only
- * `bench/rollout-CASE STATUS` lines to standard output. `--case` runs the
- * cases whose name contains NAME.
+ * bench_rollout [--short] [--case NAME] [--seeds N] [--verbose] [--csv FILE]
+ * `--short` runs some of the strengths of each fault, prints the table to
+ * standard error and only `bench/rollout-CASE STATUS` lines to standard
+ * output. `--case` runs the cases whose name contains NAME.
  */
+#include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -36,6 +37,8 @@
     const char *filter;
     unsigned seeds;
     unsigned missed;
+    bool verbose;
+    bool is_short;
 } Bench;
 
 static int
@@ -53,6 +56,22 @@
     return (double)tally->times[index] / (double)US_PER_S;
 }
 
+static void
+print_outcome(FILE *out, unsigned seed, const PlayOutcome *outcome)
+{
+    const RolloutReason *reason = &outcome->reason;
+    fprintf(out,
+            "  seed %u: verdict %d, then %d, at %.2f s, cause %d, route '%s', "
+            "candidate %" PRIu64 "/%" PRIu64 ", old %" PRIu64 "/%" PRIu64
+            ", times %.2f, evidence %.3g of %.3g\n",
+            seed, outcome->first, outcome->last,
+            (double)outcome->at / (double)US_PER_S, reason->cause,
+            reason->route, reason->candidate_failures,
+            reason->candidate_answers, reason->old_failures,
+            reason->old_answers, reason->time_ratio, reason->evidence,
+            reason->evidence_required);
+}
+
 static void
 run_case(Bench *bench, const PlayCase *play)
 {
@@ -63,6 +82,10 @@
     for (unsigned seed = 1; seed <= bench->seeds; seed++) {
         PlayOutcome outcome = Play_Run(play, seed);
         tally.times[seed - 1] = outcome.at;
+        if (bench->verbose &&
+            (outcome.last == ROLLOUT_BAD) != Play_IsBad(play)) {
+            print_outcome(bench->out, seed, &outcome);
+        }
         tally.delayed += outcome.at > FIRST_LOOK_US;
         if (outcome.first == ROLLOUT_UNDECIDED) {
             tally.undecided++;
@@ -95,30 +118,47 @@
 }
 
 static const double base_rates[] = {0.004, 0.14};
-static const int more_percents[] = {3, 5, 10, 15, 20, 30, 50, 100};
-static const int slow_factors[] = {2, 3, 4, 8};
+
+/* Strengths of a fault: more failures in 100, or slower by a factor. */
+typedef struct Strength {
+    int more;
+    int slow;
+    bool in_short;
+} Strength;
+
+static const Strength strengths[] = {
+    {.more = 3, .in_short = true},
+    {.more = 5},
+    {.more = 10, .in_short = true},
+    {.more = 15},
+    {.more = 20},
+    {.more = 30},
+    {.more = 50},
+    {.more = 100, .in_short = true},
+    {.slow = 2, .in_short = true},
+    {.slow = 3},
+    {.slow = 4},
+    {.slow = 8, .in_short = true},
+};
 
 /* Runs a fault at both base rates, in all strengths. */
 static void
 run_faults(Bench *bench, const PlayCase *scope)
 {
     for (size_t b = 0; b < G_N_ELEMENTS(base_rates); b++) {
-        for (size_t i = 0; i < G_N_ELEMENTS(more_percents); i++) {
+        for (size_t i = 0; i < G_N_ELEMENTS(strengths); i++) {
+            const Strength *strength = &strengths[i];
+            if (bench->is_short && !strength->in_short) {
+                continue;
+            }
             PlayCase play = *scope;
             play.base = base_rates[b];
-            play.more = MIN(more_percents[i] / 100.0, 1 - play.base);
-            char *name = g_strdup_printf("%s-fail-%d-at-%g", scope->name,
-                                         more_percents[i], play.base);
-            play.name = name;
-            run_case(bench, &play);
-            g_free(name);
-        }
-        for (size_t i = 0; i < G_N_ELEMENTS(slow_factors); i++) {
-            PlayCase play = *scope;
-            play.base = base_rates[b];
-            play.slowness = slow_factors[i];
-            char *name = g_strdup_printf("%s-slow-%d-at-%g", scope->name,
-                                         slow_factors[i], play.base);
+            play.more = MIN(strength->more / 100.0, 1 - play.base);
+            play.slowness = strength->slow;
+            bool is_slow = strength->slow > 0;
+            char *name = g_strdup_printf(
+                "%s-%s-%d-at-%g", scope->name, is_slow ? "slow" : "fail",
+                is_slow ? strength->slow : strength->more, play.base);
             play.name = name;
             run_case(bench, &play);
             g_free(name);
@@ -167,6 +207,10 @@
     for (int i = 1; i < argc; i++) {
         if (strcmp(argv[i], "--short") == 0) {
             bench.out = stderr;
+            bench.is_short = true;
+        }
+        else if (strcmp(argv[i], "--verbose") == 0) {
+            bench.verbose = true;
         }
         else if (strcmp(argv[i], "--case") == 0 && i + 1 < argc) {
             bench.filter = argv[++i];
--- a/test/bench/rollout_play.c
+++ b/test/bench/rollout_play.c
@@ -21,9 +21,9 @@
 #define FAULT_FROM_S 3.0
 #define FAULT_UNTIL_S 8.0
 #define OVERLOAD_FAILURES 0.4
-#define OVERLOAD_SLOWNESS 3.0
+#define OVERLOAD_LOG_SLOWNESS 1.0986 /* 3 times */
 #define PACE_S 0.6
-#define PACE_SLOWNESS 2.5
+#define PACE_LOG_SLOWNESS 0.9163 /* 2.5 times */
 #define PACE_PART 0.15
 
 static const char *const route_names[PLAY_ROUTES] = {
@@ -32,16 +32,21 @@
 /* Shortest run times; the longest, a hundred times as long, are within the
  * latency objectives of 0.8 to 2 s. */
 static const double route_ms[PLAY_ROUTES] = {8, 12, 6, 10, 15};
-static const double class_slowness[ROLLOUT_LOAD_CLASSES] = {1, 1.2, 1.5};
+/* Logarithms of 1, 1.2 and 1.5. */
+static const double class_log_slowness[ROLLOUT_LOAD_CLASSES] = {0, 0.1823,
+                                                                0.4055};
 
 typedef struct Play {
     const PlayCase *play;
     uint64_t state;
     double phase_s;  /* of the load */
     double next_s;   /* arrival */
+    double load;     /* fraction of the slots that are taken */
     double share;    /* of the candidate */
     bool slow_epoch; /* of the uneven candidate server */
     int epoch;
+    double log_route_ms[PLAY_ROUTES];
+    double fault_log_slowness;
     RolloutSample samples[TICKS + 1][PLAY_ROUTES][2][ROLLOUT_LOAD_CLASSES];
 } Play;
 
@@ -74,18 +79,23 @@
 }
 
 /* The load swings between a fifth and nine tenths of the slots. */
+static double
+load_at(const Play *run, double at_s)
+{
+    return 0.55 + 0.35 * sin((at_s + run->phase_s) * 2 * M_PI / 7);
+}
+
 static unsigned
-draw_class(Play *run, double at_s)
+draw_class(Play *run)
 {
-    double load = 0.55 + 0.35 * sin((at_s + run->phase_s) * 2 * M_PI / 7);
-    double busy = load + 0.5 * (draw(run) - 0.5);
+    double busy = run->load + 0.5 * (draw(run) - 0.5);
     return busy < 0.5 ? 0 : (busy < 1 ? 1 : 2);
 }
 
-/* Failure rate and slowness of one request. */
+/* Failure rate, and ln of the slowness, of one request. */
 typedef struct Odds {
     double failures;
-    double slowness;
+    double log_slowness;
 } Odds;
 
 static void
@@ -97,7 +107,7 @@
     bool is_hit = side == ROLLOUT_OLD || fault == POOL_OVERLOADED;
     if (is_hit && (fault == OLD_OVERLOADED || fault == POOL_OVERLOADED)) {
         odds->failures += OVERLOAD_FAILURES;
-        odds->slowness *= OVERLOAD_SLOWNESS;
+        odds->log_slowness += OVERLOAD_LOG_SLOWNESS;
     }
     if (is_hit && fault == OLD_CRASHING && fmod(at_s, 1) < 0.5) {
         odds->failures = 1;
@@ -108,16 +118,20 @@
 odds_of(Play *run, int route, RolloutSide side, unsigned class, double at_s)
 {
     const PlayCase *play = run->play;
-    Odds odds = {.failures = play->base, .slowness = class_slowness[class]};
+    Odds odds = {.failures = play->base,
+                 .log_slowness = class_log_slowness[class]};
     add_old_fault(&odds, play->old_fault, side, at_s);
     if (side == ROLLOUT_OLD) {
+        /* Many old servers, which are slow at different times. */
+        bool slow = play->uneven && draw(run) < PACE_PART;
+        odds.log_slowness += slow ? PACE_LOG_SLOWNESS : 0;
         return odds;
     }
     if ((play->route == PLAY_ANY_ROUTE || play->route == route) &&
         class >= play->load_class && at_s >= play->from_s)
     {
         odds.failures += play->more;
-        odds.slowness *= play->slowness > 0 ? play->slowness : 1;
+        odds.log_slowness += run->fault_log_slowness;
     }
     if (play->uneven) {
         int epoch = (int)(at_s / PACE_S);
@@ -125,7 +139,7 @@
             run->epoch = epoch;
             run->slow_epoch = draw(run) < PACE_PART;
         }
-        odds.slowness *= run->slow_epoch ? PACE_SLOWNESS : 1;
+        odds.log_slowness += run->slow_epoch ? PACE_LOG_SLOWNESS : 0;
     }
     return odds;
 }
@@ -137,11 +151,11 @@
     int route = draw_route(run);
     RolloutSide side =
         draw(run) < PLAY_SHARE ? ROLLOUT_CANDIDATE : ROLLOUT_OLD;
-    unsigned class = draw_class(run, at_s);
+    unsigned class = draw_class(run);
     Odds odds = odds_of(run, route, side, class, at_s);
     double noise = NOISE * 3.4641 * (draw(run) - 0.5);
-    double log_ms =
-        log(route_ms[route] * odds.slowness) + SIZE_SPREAD * draw(run) + noise;
+    double log_ms = run->log_route_ms[route] + odds.log_slowness +
+                    SIZE_SPREAD * draw(run) + noise;
     double run_ms = exp(log_ms);
     bool failed = draw(run) < odds.failures;
     if (failed) {
@@ -187,11 +201,16 @@
     run.state = seed * 0x2545f4914f6cdd1d;
     run.phase_s = 7 * draw(&run);
     run.epoch = -1;
+    run.fault_log_slowness = play->slowness > 0 ? log(play->slowness) : 0;
+    for (int r = 0; r < PLAY_ROUTES; r++) {
+        run.log_route_ms[r] = log(route_ms[r]);
+    }
     TimeUs begun_at = 1000 * US_PER_S;
     RolloutTest *test = RolloutTest_New(begun_at, begun_at + PLAY_DEADLINE_US);
     PlayOutcome outcome = {.at = PLAY_DEADLINE_US};
     for (int tick = 1; tick <= TICKS; tick++) {
         TimeUs now = tick * TICK_US;
+        run.load = load_at(&run, (double)now / (double)US_PER_S);
         while (run.next_s < (double)now / (double)US_PER_S) {
             run_request(&run, run.next_s);
             run.next_s += -log(1 - draw(&run)) / PLAY_RATE;
