--- a/test/bench/bench_rollout.c
+++ b/test/bench/bench_rollout.c
@@ -107,8 +107,8 @@
             quantile_s(&tally, bench->seeds, 0.95), Play_LeastError(play),
             holds ? "" : "  MISSED");
     if (bench->csv != NULL) {
-        fprintf(bench->csv, "%s,%u,%u,%u,%.3f,%.3f,%.5f\n", play->name,
-                tally.wrong, tally.undecided, tally.mended,
+        fprintf(bench->csv, "%s,%u,%u,%u,%u,%.3f,%.3f,%.5f\n", play->name,
+                tally.wrong, tally.undecided, tally.mended, tally.delayed,
                 quantile_s(&tally, bench->seeds, 0.5),
                 quantile_s(&tally, bench->seeds, 0.95), Play_LeastError(play));
     }
@@ -225,6 +225,10 @@
     }
     fprintf(bench.out, "%-24s %6s %9s %6s %7s %7s %7s %7s\n", "case", "wrong",
             "undecided", "mended", "delayed", "p50 s", "p95 s", "least");
+    if (bench.csv != NULL) {
+        fprintf(bench.csv, "case,wrong,undecided,mended,delayed,median_s,"
+                           "p95_s,least_error\n");
+    }
     for (size_t i = 0; i < G_N_ELEMENTS(good_scopes); i++) {
         run_good(&bench, &good_scopes[i]);
     }
