Keepers know how streams began; take-ups survive the end of all gateways and control hosts

Cause: origins of streams were kept by gateways and control hosts only. When all of them are killed at once, nobody knows the version that began a stream, and each caller that takes one up is refused until its deadline.

A keeper holds at most 8,192 origins. While a control host has been connected for less than the longest life of an origin, a question goes to the keepers of the route's services, too, and to keepers that connect while it is pending. A keeper that connects again is told what it had been told, corrections included. While a gateway has known a control host for less than 10 s, a call waits for an endpoint of its version for a third of its caller's time, then it is told to come back; it was refused after 0.3 s without a time to come back.

--- a/src/fleet/origins.c
+++ b/src/fleet/origins.c
@@ -10,30 +10,12 @@
 void
 FleetOrigins_OnNews(Fleet *fleet, const Wire__StreamOriginNews *news)
 {
-    TimeUs now = Clock_Now();
-    for (size_t i = 0; i < news->n_origins; i++) {
-        StreamOrigin origin = OriginNews_Read(news->origins[i], now);
-        OriginNews_Add(fleet->origins, &origin, now);
-    }
+    OriginNews_AddAll(fleet->origins, news);
 }
 
 void
 FleetOrigins_OnQuery(const Fleet *fleet, Link *link,
                      const Wire__StreamOriginQuery *query)
 {
-    TimeUs now = Clock_Now();
-    const StreamOrigin *origin =
-        StreamOrigins_Find(fleet->origins, query->request, now);
-    if (origin == NULL) {
-        return; /* the gateway asks again */
-    }
-    Wire__StreamOrigin message;
-    OriginNews_Fill(&message, origin, now);
-    Wire__StreamOriginReply reply = WIRE__STREAM_ORIGIN_REPLY__INIT;
-    reply.nonce = query->nonce;
-    reply.origin = &message;
-    Wire__Frame frame = WIRE__FRAME__INIT;
-    frame.body_case = WIRE__FRAME__BODY_STREAM_ORIGIN_REPLY;
-    frame.stream_origin_reply = &reply;
-    Link_Send(link, &frame);
+    OriginNews_Answer(fleet->origins, link, query);
 }
--- a/src/gateway/hosts.c
+++ b/src/gateway/hosts.c
@@ -28,7 +28,8 @@
     GatewayControl *control;
     char *address;
     Link *link;
-    bool listed; /* in the newest member list, or from the settings */
+    bool listed;         /* in the newest member list, or from the settings */
+    TimeUs connected_at; /* when it connected last */
 } Host;
 
 struct GatewayControl {
@@ -393,7 +394,8 @@
     Host *host = owner;
     LOG_INFO(GATEWAY_PART, "Control host connected. address=%s",
              host->address);
-    host->control->hosts_changed_at = Clock_Now();
+    host->connected_at = Clock_Now();
+    host->control->hosts_changed_at = host->connected_at;
     Suspects_SendAll(host->control->gateway->suspects, link);
     Origins_SendAll(host->control->gateway->origins, link);
     Endpoints_SendLeaving(host->control->gateway, link);
@@ -435,7 +437,7 @@
         Quotas_OnReply(gateway->quotas, frame->quota_reply);
         break;
     case WIRE__FRAME__BODY_STREAM_ORIGIN_REPLY:
-        Origins_OnReply(gateway->origins, frame->stream_origin_reply);
+        Origins_OnReply(gateway->origins, host, frame->stream_origin_reply);
         break;
     default:
         break;
@@ -482,15 +484,31 @@
     return true;
 }
 
-void
+TimeUs
+GatewayControl_InformedSince(const GatewayControl *control)
+{
+    TimeUs since = Clock_Now();
+    for (guint i = 0; i < control->hosts->len; i++) {
+        const Host *host = control->hosts->pdata[i];
+        if (Link_IsConnected(host->link)) {
+            since = MIN(since, host->connected_at);
+        }
+    }
+    return since;
+}
+
+unsigned
 GatewayControl_SendAll(const GatewayControl *control, const Wire__Frame *frame)
 {
+    unsigned count = 0;
     for (guint i = 0; i < control->hosts->len; i++) {
         const Host *host = control->hosts->pdata[i];
         if (Link_IsConnected(host->link)) {
             Link_Send(host->link, frame);
+            count++;
         }
     }
+    return count;
 }
 
 GatewayControl *
--- a/src/gateway/keepers.c
+++ b/src/gateway/keepers.c
@@ -89,6 +89,7 @@
 {
     Link_Close(keeper->link);
     g_free(keeper->endpoint_id);
+    g_free(keeper->address);
     g_free(keeper);
 }
 
@@ -113,6 +114,8 @@
     const Keeper *keeper = owner;
     LOG_INFO(GATEWAY_PART, "Slot keeper connected. endpoint=%s",
              keeper->endpoint_id);
+    Origins_OnKeeper(keeper->keepers->gateway->origins, keeper->endpoint_id,
+                     keeper->address, link);
     /* The keeper may have started again without the engine. */
     const Endpoint *endpoint =
         Endpoints_Find(keeper->keepers->gateway, keeper->endpoint_id);
@@ -264,6 +267,10 @@
     case WIRE__FRAME__BODY_SLOT_REFUSE:
         on_refuse(owner, frame->slot_refuse);
         break;
+    case WIRE__FRAME__BODY_STREAM_ORIGIN_REPLY:
+        Origins_OnReply(((Keeper *)owner)->keepers->gateway->origins, NULL,
+                        frame->stream_origin_reply);
+        break;
     default:
         break;
     }
@@ -294,10 +301,10 @@
         g_free(text);
         return NULL;
     }
-    g_free(text);
     Keeper *keeper = g_new0(Keeper, 1);
     keeper->keepers = keepers;
     keeper->endpoint_id = g_strdup(endpoint->id);
+    keeper->address = text;
     keeper->link = Link_Dial(keepers->gateway->base, &keepers->gateway->self,
                              &address, &link_ops, keeper);
     g_hash_table_insert(keepers->by_endpoint, keeper->endpoint_id, keeper);
@@ -314,6 +321,23 @@
     }
 }
 
+void
+Keepers_SendRoute(const Keepers *keepers, const Route *route,
+                  const Wire__Frame *frame)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, keepers->by_endpoint);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const Keeper *keeper = value;
+        const Endpoint *endpoint =
+            Endpoints_Find(keepers->gateway, keeper->endpoint_id);
+        if (endpoint != NULL && Route_HasService(route, endpoint->service)) {
+            Link_Send(keeper->link, frame);
+        }
+    }
+}
+
 void
 Keepers_Disconnect(Keepers *keepers, const char *endpoint_id)
 {
--- a/src/gateway/keepers.h
+++ b/src/gateway/keepers.h
@@ -13,6 +13,7 @@
 typedef struct Keeper {
     Keepers *keepers;
     char *endpoint_id;
+    char *address; /* IP:PORT of the keeper, whichever engine is beside it */
     Link *link;
     unsigned granted_slots; /* granted to this gateway, not yet returned */
     unsigned busy_slots; /* slots in use by all gateways, as last reported */
--- a/src/gateway/origins.c
+++ b/src/gateway/origins.c
@@ -1,12 +1,14 @@
 /** @file
  * Gateway: versions of software that began streams. Each gateway tells every
- * control host which version sent the first event of a stream; a gateway at
- * which a caller takes up another's stream asks them. What nobody knows is
- * not guessed, unless only one version can have begun the stream.
+ * control host and some keepers which version sent the first event of a
+ * stream; a gateway at which a caller takes up another's stream asks them.
+ * What nobody knows is not guessed, unless only one version can have begun the
+ * stream.
  */
 #include <string.h>
 #include <strings.h>
 
+#include "gateway/origin_copies.h"
 #include "gateway/origins.h"
 #include "gateway/state.h"
 #include "kernel/counter.h"
@@ -14,7 +16,7 @@
 #include "routes/origin_news.h"
 #include "routes/route_history.h"
 
-/* Longest wait for the answer of a control host: the lower of a fixed limit
+/* Longest wait for the first reply to a question: the lower of a fixed limit
  * and the remaining time divided by this number. */
 #define ASK_MAX_US (1 * US_PER_S)
 #define ASK_DIVISOR 3
@@ -28,7 +30,14 @@
  * of it, and a multiple of the route's time-out. */
 #define SOLE_MIN_US (60 * US_PER_S)
 #define SOLE_TIMEOUTS 3
-/* Retry-After of a call whose origin may become known. */
+/* Time with a control host after which a gateway knows all endpoints: the
+ * longest delay of an announcement. */
+#define ENDPOINTS_KNOWN_US (10 * US_PER_S)
+/* Before that, a call waits for an endpoint of its version for the caller's
+ * time divided by WAIT_DIVISOR. */
+#define WAIT_DIVISOR 3
+#define WAIT_STEP_US (50 * US_PER_MS)
+/* Retry-After of a call whose origin or endpoint may become known. */
 #define UNKNOWN_RETRY_AFTER_MS 500
 
 /* The only version of a service. */
@@ -40,6 +49,7 @@
 struct Origins {
     Gateway *gateway;
     StreamOrigins *begun;  /* streams that began here */
+    OriginCopies *copies;  /* of them, at keepers */
     GHashTable *questions; /* nonce -> Call */
     GHashTable *sole;      /* service name -> SoleSoftware */
     RouteHistory *routes;
@@ -60,6 +70,7 @@
     Origins *origins = g_new0(Origins, 1);
     origins->gateway = gateway;
     origins->begun = StreamOrigins_New(ORIGIN_NEWS_TABLE_MAX);
+    origins->copies = OriginCopies_New(gateway);
     origins->questions = g_hash_table_new(g_int64_hash, g_int64_equal);
     origins->sole =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_sole);
@@ -71,6 +82,7 @@
 Origins_Free(Origins *origins)
 {
     StreamOrigins_Free(origins->begun);
+    OriginCopies_Free(origins->copies);
     g_hash_table_destroy(origins->questions);
     g_hash_table_destroy(origins->sole);
     RouteHistory_Free(origins->routes);
@@ -165,7 +177,7 @@
     g_free(old_software);
 }
 
-/* Stores how a stream began, and tells every control host. */
+/* Stores how a stream began, and tells every control host and some keepers. */
 static void
 publish(const Call *call, const char *software)
 {
@@ -191,6 +203,7 @@
     frame.body_case = WIRE__FRAME__BODY_STREAM_ORIGIN_NEWS;
     frame.stream_origin_news = &news;
     GatewayControl_SendAll(gateway->control, &frame);
+    OriginCopies_Tell(gateway->origins->copies, call, &origin);
 }
 
 void
@@ -332,27 +345,109 @@
                             &call->origin.nonce);
         call->origin.nonce = 0;
     }
+    g_clear_pointer(&call->origin.replies, OriginReplies_Free);
+}
+
+static void
+fill_question(Wire__Frame *frame, Wire__StreamOriginQuery *query,
+              const Call *call, const char *request)
+{
+    wire__stream_origin_query__init(query);
+    query->nonce = call->origin.nonce;
+    query->request = (char *)request;
+    wire__frame__init(frame);
+    frame->body_case = WIRE__FRAME__BODY_STREAM_ORIGIN_QUERY;
+    frame->stream_origin_query = query;
+}
+
+/* Returns whether the control hosts together know all origins: each has been
+ * connected for longer than any origin lives. Otherwise keepers are asked
+ * too. */
+static bool
+hosts_know_all(const Gateway *gateway)
+{
+    TimeUs since = GatewayControl_ConnectedSince(gateway->control);
+    return Clock_Now() - since >= STREAM_ORIGIN_LIFE_MAX_US;
 }
 
 static void
 ask(Call *call, const char *request)
 {
-    Origins *origins = call->gateway->origins;
+    const Gateway *gateway = call->gateway;
     CallOrigin *origin = &call->origin;
     if (origin->nonce == 0) {
-        origin->nonce = ++origins->last_nonce;
-        g_hash_table_insert(origins->questions, &origin->nonce, call);
+        origin->nonce = ++gateway->origins->last_nonce;
+        g_hash_table_insert(gateway->origins->questions, &origin->nonce, call);
     }
-    Wire__StreamOriginQuery query = WIRE__STREAM_ORIGIN_QUERY__INIT;
-    query.nonce = origin->nonce;
-    query.request = (char *)request;
-    Wire__Frame frame = WIRE__FRAME__INIT;
-    frame.body_case = WIRE__FRAME__BODY_STREAM_ORIGIN_QUERY;
-    frame.stream_origin_query = &query;
-    GatewayControl_SendAll(call->gateway->control, &frame);
+    Wire__StreamOriginQuery query;
+    Wire__Frame frame;
+    fill_question(&frame, &query, call, request);
+    origin->hosts_asked = GatewayControl_SendAll(gateway->control, &frame);
+    if (!hosts_know_all(gateway)) {
+        Keepers_SendRoute(gateway->keepers, call->route, &frame);
+    }
+}
+
+void
+Origins_OnKeeper(Origins *origins, const char *endpoint_id,
+                 const char *address, Link *link)
+{
+    OriginCopies_SendAll(origins->copies, address, link);
+    const Endpoint *endpoint = Endpoints_Find(origins->gateway, endpoint_id);
+    if (endpoint == NULL || hosts_know_all(origins->gateway)) {
+        return;
+    }
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, origins->questions);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const Call *call = value;
+        const char *request = named_origin(call);
+        if (request == NULL ||
+            !Route_HasService(call->route, endpoint->service)) {
+            continue;
+        }
+        Wire__StreamOriginQuery query;
+        Wire__Frame frame;
+        fill_question(&frame, &query, call, request);
+        Link_Send(link, &frame);
+    }
+}
+
+static void
+log_origin(const Call *call, const StreamOrigin *origin)
+{
+    const Gateway *gateway = call->gateway;
+    TimeUs now = Clock_Now();
+    LOG_INFO(
+        GATEWAY_PART,
+        "Origin of a stream is known. id=%s resumes=%s service=%s software=%s "
+        "replies=%u hosts_asked=%u waited_ms=%lld hosts_connected_ms=%lld",
+        call->id, origin->request, origin->service, origin->software,
+        OriginReplies_Count(call->origin.replies), call->origin.hosts_asked,
+        (long long)((now - call->origin.asked_at) / US_PER_MS),
+        (long long)((now - GatewayControl_ConnectedSince(gateway->control)) /
+                    US_PER_MS));
+}
+
+/* Applies what the replies agree on.
+ * @return false when the call was refused and is freed. */
+static bool
+apply_replies(Call *call)
+{
+    const OriginReplies *replies = call->origin.replies;
+    const StreamOrigin *origin = OriginReplies_Origin(replies, Clock_Now());
+    log_origin(call, origin);
+    if (!apply_origin(call, origin,
+                      OriginReplies_HasHost(replies) ? "control" : "keeper"))
+    {
+        return false;
+    }
+    end_question(call);
+    return true;
 }
 
-/* Asks the control hosts, again if need be, and holds the call meanwhile.
+/* Asks how the stream began, again if need be, and holds the call meanwhile.
  * @return false when the call is held, or was refused and is freed. */
 static bool
 ask_and_hold(Call *call, const char *request)
@@ -361,11 +456,22 @@
     TimeUs now = Clock_Now();
     if (origin->lookup == ORIGIN_NOT_ASKED) {
         origin->lookup = ORIGIN_ASKED;
+        origin->replies = OriginReplies_New(request);
+        origin->asked_at = now;
         origin->ask_until =
             now + MIN((call->caller_deadline - now) / ASK_DIVISOR, ASK_MAX_US);
         origin->ask_again_at = now;
         origin->ask_delay = ASK_AGAIN_US;
     }
+    if (OriginReplies_Judge(origin->replies, origin->hosts_asked, now) !=
+        ORIGIN_OPEN)
+    {
+        return apply_replies(call);
+    }
+    if (OriginReplies_Count(origin->replies) > 0) {
+        Call_Hold(call, OriginReplies_SettlesAt(origin->replies));
+        return false;
+    }
     if (now >= origin->ask_until) {
         end_question(call);
         return refuse_unknown(call, UNKNOWN_RETRY_AFTER_MS);
@@ -379,16 +485,36 @@
     return false;
 }
 
-bool
-Origins_Resolve(Call *call)
+/* Holds a call for which no endpoint of its version is known while the gateway
+ * has not yet heard of all endpoints. Once it has, the queue refuses the call.
+ * @return false when the call is held, or was refused and is freed. */
+static bool
+await_version(Call *call)
 {
-    const GatewayFields *fields = call->gateway->options->fields;
-    bool has_events = Call_Field(call, fields->last_event) != NULL;
-    if (call->route->kind != ROUTE_STREAM || !has_events ||
-        call->origin.lookup == ORIGIN_FOUND)
-    {
+    TimeUs now = Clock_Now();
+    TimeUs informed_since =
+        GatewayControl_InformedSince(call->gateway->control);
+    if (Origins_CanGoOn(call) || now - informed_since >= ENDPOINTS_KNOWN_US) {
         return true;
     }
+    TimeUs until = call->received_at +
+                   (call->caller_deadline - call->received_at) / WAIT_DIVISOR;
+    if (now >= until) {
+        refuse(call, "version_unknown",
+               "No endpoint with the version of the software that began the "
+               "stream is known yet.",
+               UNKNOWN_RETRY_AFTER_MS);
+        return false;
+    }
+    Call_Hold(call, MIN(now + WAIT_STEP_US, until));
+    return false;
+}
+
+/* Finds out how the stream began that the call takes up.
+ * @return false when the call is held, or was refused and is freed. */
+static bool
+find_origin(Call *call)
+{
     const char *request = named_origin(call);
     const StreamOrigin *origin =
         request == NULL ? NULL
@@ -410,19 +536,31 @@
                            : ask_and_hold(call, request);
 }
 
+bool
+Origins_Resolve(Call *call)
+{
+    const GatewayFields *fields = call->gateway->options->fields;
+    bool has_events = Call_Field(call, fields->last_event) != NULL;
+    if (call->route->kind != ROUTE_STREAM || !has_events) {
+        return true;
+    }
+    return (call->origin.lookup == ORIGIN_FOUND || find_origin(call)) &&
+           await_version(call);
+}
+
 void
-Origins_OnReply(Origins *origins, const Wire__StreamOriginReply *reply)
+Origins_OnReply(Origins *origins, const void *host,
+                const Wire__StreamOriginReply *reply)
 {
     uint64_t nonce = reply->nonce;
     Call *call = g_hash_table_lookup(origins->questions, &nonce);
     if (call == NULL || reply->origin == NULL) {
         return;
     }
-    StreamOrigin origin = OriginNews_Read(reply->origin, Clock_Now());
-    end_question(call);
-    if (apply_origin(call, &origin, "control")) {
-        Call_Readmit(call);
-    }
+    TimeUs now = Clock_Now();
+    StreamOrigin origin = OriginNews_Read(reply->origin, now);
+    OriginReplies_Add(call->origin.replies, host, &origin, now);
+    Call_Readmit(call);
 }
 
 void
--- a/src/gateway/origins.h
+++ b/src/gateway/origins.h
@@ -10,6 +10,7 @@
 
 #include "kernel/clock.h"
 #include "routes/table.h"
+#include "sched/origin_replies.h"
 #include "wire/generated/wire.pb-c.h"
 #include "wire/link.h"
 
@@ -21,17 +22,20 @@
 /* Where a call stands that takes up a stream. */
 typedef enum OriginLookup {
     ORIGIN_NOT_ASKED,
-    ORIGIN_ASKED, /* control hosts were asked */
+    ORIGIN_ASKED, /* control hosts were asked, and keepers if need be */
     ORIGIN_FOUND,
 } OriginLookup;
 
 /* What binds a call to a version of the software of one service. */
 typedef struct CallOrigin {
     OriginLookup lookup;
-    uint64_t nonce;      /* id of the question to control hosts; 0 if none */
-    TimeUs ask_until;    /* then the call is refused */
-    TimeUs ask_again_at; /* when the question is repeated */
-    TimeUs ask_delay;    /* until the next repetition */
+    uint64_t nonce;         /* id of the pending question; 0 if none */
+    OriginReplies *replies; /* to it; NULL if none is pending */
+    unsigned hosts_asked;   /* control hosts that it was last sent to */
+    TimeUs asked_at;        /* when it was first sent */
+    TimeUs ask_until;       /* then the call is refused */
+    TimeUs ask_again_at;    /* when the question is repeated */
+    TimeUs ask_delay;       /* until the next repetition */
     bool bound;
     char *software; /* "" if it is not certain; NULL unless bound */
     char *service;  /* NULL unless bound */
@@ -45,11 +49,18 @@
  * freed. */
 bool Origins_Resolve(Call *call);
 
-/* Applies a control host's answer. */
-void Origins_OnReply(Origins *origins, const Wire__StreamOriginReply *reply);
+/* Applies a reply.
+ * @param host  identifies the control host that sent it; NULL for a keeper. */
+void Origins_OnReply(Origins *origins, const void *host,
+                     const Wire__StreamOriginReply *reply);
+
+/* Sends what a keeper must know that has connected, and asks it the pending
+ * questions. */
+void Origins_OnKeeper(Origins *origins, const char *endpoint_id,
+                      const char *address, Link *link);
 
 /* Binds the call to the endpoint that sends the first event of its answer, and
- * tells the control hosts. */
+ * tells the control hosts and some keepers. */
 void Origins_OnFirstEvent(Call *call);
 
 /* Makes the software uncertain of all streams that run at the endpoint, since
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -390,9 +390,14 @@
 bool GatewayControl_SendLeader(const GatewayControl *control,
                                const Wire__Frame *frame);
 
-/* Sends a frame to all connected control hosts. */
-void GatewayControl_SendAll(const GatewayControl *control,
-                            const Wire__Frame *frame);
+/* Sends a frame to all connected control hosts.
+ * @return their number. */
+unsigned GatewayControl_SendAll(const GatewayControl *control,
+                                const Wire__Frame *frame);
+
+/* Returns since when some control host has been connected without
+ * interruption; now if none is. */
+TimeUs GatewayControl_InformedSince(const GatewayControl *control);
 
 /* ---- keepers.c, wants.c: slots of engines ---- */
 
@@ -412,6 +417,10 @@
  * serve them any more. */
 void Keepers_WithdrawUseless(Keepers *keepers);
 
+/* Sends a frame to the connected keepers of the services of a route. */
+void Keepers_SendRoute(const Keepers *keepers, const Route *route,
+                       const Wire__Frame *frame);
+
 /* Closes the link and queues the calls that depended on it. */
 void Keepers_Disconnect(Keepers *keepers, const char *endpoint_id);
 
--- a/src/keeper/keeper.c
+++ b/src/keeper/keeper.c
@@ -1,6 +1,8 @@
 /** @file
  * Keeper task. Wants wait in a WantQueue; a granted slot stays occupied until
- * its gateway reports the end of the request or disconnects.
+ * its gateway reports the end of the request or disconnects. The keeper also
+ * knows how some streams began, for gateways and control hosts that start
+ * again.
  */
 #include "keeper/keeper.h"
 
@@ -12,6 +14,7 @@
 #include "kernel/clock.h"
 #include "kernel/counter.h"
 #include "kernel/log.h"
+#include "routes/origin_news.h"
 #include "sched/queue.h"
 #include "wire/identity.h"
 #include "wire/link.h"
@@ -69,9 +72,12 @@
     Counter *queued_gauge;
     Counter *busy_gauge;
     Counter *rate_gauge;
-    uint64_t engine_born; /* as the engine last reported; 0 if unknown */
-    bool start_uncertain; /* the engine may have started again since */
-    Probe *probe;         /* NULL without a configured engine address */
+    uint64_t engine_born;   /* as the engine last reported; 0 if unknown */
+    bool start_uncertain;   /* the engine may have started again since */
+    Probe *probe;           /* NULL without a configured engine address */
+    StreamOrigins *origins; /* of streams, as gateways told */
+    Counter *origin_questions;
+    Counter *origin_replies;
 } Keeper;
 
 static uint64_t
@@ -309,11 +315,29 @@
     Queue_Withdraw(keeper->queue, id, link_serial(link), now);
 }
 
+static void
+on_origin_query(const Keeper *keeper, Link *link,
+                const Wire__StreamOriginQuery *query)
+{
+    Counter_Add(keeper->origin_questions, 1);
+    if (OriginNews_Answer(keeper->origins, link, query)) {
+        Counter_Add(keeper->origin_replies, 1);
+        LOG_DEBUG(PART, "Origin of a stream told. request=%s gateway=%s",
+                  query->request, Link_Peer(link)->name);
+    }
+}
+
 static void
 on_frame(Link *link, const Wire__Frame *frame, void *owner)
 {
     Keeper *keeper = owner;
     switch (frame->body_case) {
+    case WIRE__FRAME__BODY_STREAM_ORIGIN_NEWS:
+        OriginNews_AddAll(keeper->origins, frame->stream_origin_news);
+        return;
+    case WIRE__FRAME__BODY_STREAM_ORIGIN_QUERY:
+        on_origin_query(keeper, link, frame->stream_origin_query);
+        return;
     case WIRE__FRAME__BODY_SLOT_WANT:
         on_slot_want(keeper, link, frame->slot_want);
         break;
@@ -459,6 +483,7 @@
     }
     event_free(keeper->timer);
     Queue_Free(keeper->queue);
+    StreamOrigins_Free(keeper->origins);
     g_hash_table_destroy(keeper->links_by_serial);
     g_hash_table_destroy(keeper->granted_ids);
     g_free(keeper);
@@ -473,6 +498,9 @@
     json_object_set_new(out, "slots", json_integer(queue.slots));
     json_object_set_new(out, "running", json_integer(queue.running));
     json_object_set_new(out, "queued", json_integer(queue.queued));
+    json_object_set_new(
+        out, "origins",
+        json_integer((json_int_t)StreamOrigins_Count(keeper->origins)));
 }
 
 static const TaskOps task_ops = {
@@ -501,6 +529,13 @@
         Counter_Get("keeper_rate_limit_millis",
                     "Requests in 1000 s that the engine takes; 0 without a "
                     "limit.");
+    keeper->origin_questions =
+        Counter_Get("keeper_origin_questions_total",
+                    "Questions of gateways how a stream began.");
+    keeper->origin_replies =
+        Counter_Get("keeper_origin_replies_total",
+                    "Questions of gateways that this keeper answered.");
+    keeper->origins = StreamOrigins_New(ORIGIN_NEWS_KEEPER_MAX);
     QueueConfig config = {
         .max_wants = MAX_WANTS,
         .max_ended_ids = MAX_ENDED_IDS,
--- a/src/routes/origin_news.c
+++ b/src/routes/origin_news.c
@@ -58,6 +58,53 @@
     return added;
 }
 
+void
+OriginNews_AddAll(StreamOrigins *table, const Wire__StreamOriginNews *news)
+{
+    TimeUs now = Clock_Now();
+    for (size_t i = 0; i < news->n_origins; i++) {
+        StreamOrigin origin = OriginNews_Read(news->origins[i], now);
+        OriginNews_Add(table, &origin, now);
+    }
+}
+
+bool
+OriginNews_Answer(const StreamOrigins *table, Link *link,
+                  const Wire__StreamOriginQuery *query)
+{
+    TimeUs now = Clock_Now();
+    const StreamOrigin *origin =
+        StreamOrigins_Find(table, query->request, now);
+    if (origin == NULL) {
+        return false;
+    }
+    Wire__StreamOrigin message;
+    OriginNews_Fill(&message, origin, now);
+    Wire__StreamOriginReply reply = WIRE__STREAM_ORIGIN_REPLY__INIT;
+    reply.nonce = query->nonce;
+    reply.origin = &message;
+    Wire__Frame frame = WIRE__FRAME__INIT;
+    frame.body_case = WIRE__FRAME__BODY_STREAM_ORIGIN_REPLY;
+    frame.stream_origin_reply = &reply;
+    Link_Send(link, &frame);
+    return true;
+}
+
+int
+OriginNews_Send(Link *link, const StreamOrigin *origin, TimeUs now)
+{
+    Wire__StreamOrigin message;
+    Wire__StreamOrigin *pointer = &message;
+    OriginNews_Fill(&message, origin, now);
+    Wire__StreamOriginNews news = WIRE__STREAM_ORIGIN_NEWS__INIT;
+    news.n_origins = 1;
+    news.origins = &pointer;
+    Wire__Frame frame = WIRE__FRAME__INIT;
+    frame.body_case = WIRE__FRAME__BODY_STREAM_ORIGIN_NEWS;
+    frame.stream_origin_news = &news;
+    return Link_Send(link, &frame);
+}
+
 /* A message that is being filled. */
 typedef struct Batch {
     Link *link;
--- a/src/routes/origin_news.h
+++ b/src/routes/origin_news.h
@@ -1,6 +1,6 @@
 /** @file
- * Origins of streams in the wire form that gateways and control hosts
- * exchange.
+ * Origins of streams in the wire form that gateways exchange with control
+ * hosts and keepers.
  */
 #ifndef LAURELLIFT_ROUTES_ORIGIN_NEWS_H
 #define LAURELLIFT_ROUTES_ORIGIN_NEWS_H
@@ -12,6 +12,9 @@
 /** Origins in a table of a gateway or control host: two minutes of 500 streams
  * a second. */
 #define ORIGIN_NEWS_TABLE_MAX 60000
+/** Origins in the table of a keeper, and in what a gateway has told one
+ * keeper. At about 300 bytes each, a full table takes 2.5 MB. */
+#define ORIGIN_NEWS_KEEPER_MAX 8192
 
 /** Fills a message. Its strings belong to @p origin. */
 void OriginNews_Fill(Wire__StreamOrigin *message, const StreamOrigin *origin,
@@ -25,6 +28,20 @@
 bool OriginNews_Add(StreamOrigins *table, const StreamOrigin *origin,
                     TimeUs now);
 
+/** Adds all origins of a message. */
+void OriginNews_AddAll(StreamOrigins *table,
+                       const Wire__StreamOriginNews *news);
+
+/** Answers a question if the table knows the origin. Otherwise nothing is
+ * sent, and the gateway asks again.
+ * @return whether the origin is known. */
+bool OriginNews_Answer(const StreamOrigins *table, Link *link,
+                       const Wire__StreamOriginQuery *query);
+
+/** Sends one origin.
+ * @return the result of Link_Send(). */
+int OriginNews_Send(Link *link, const StreamOrigin *origin, TimeUs now);
+
 /** Sends all origins of a table. */
 void OriginNews_SendAll(const StreamOrigins *table, Link *link, TimeUs now);
 
--- a/src/sched/stream_origins.c
+++ b/src/sched/stream_origins.c
@@ -170,6 +170,13 @@
     }
 }
 
+size_t
+StreamOrigins_Expire(StreamOrigins *origins, TimeUs now)
+{
+    remove_expired(origins, now);
+    return g_hash_table_size(origins->by_request);
+}
+
 size_t
 StreamOrigins_Count(const StreamOrigins *origins)
 {
--- a/src/sched/stream_origins.h
+++ b/src/sched/stream_origins.h
@@ -49,6 +49,10 @@
                                          const StreamOrigin *origin),
                            void *arg);
 
+/** Removes the origins that have expired.
+ * @return the number of those that are left. */
+size_t StreamOrigins_Expire(StreamOrigins *origins, TimeUs now);
+
 size_t StreamOrigins_Count(const StreamOrigins *origins);
 
 /** Returns the number of origins that were dropped before they expired. */
