A version that comes from a control host's file is not certain

Cause: control hosts that start again list endpoints from their files. An engine that has started again since under its id, with another version, is listed with the version before. A gateway whose keeper link to it is missing sent it streams of that version, and published streams that began there under it.

Change: records from a file are marked (EndpointRecord.stored) until the control host hears of the endpoint.

--- a/src/fleet/directory_file.c
+++ b/src/fleet/directory_file.c
@@ -54,6 +54,7 @@
     for (size_t i = 0; i < list->n_endpoints; i++) {
         EndpointRecord record;
         EndpointWire_Read(list->endpoints[i], &record);
+        record.stored = true;
         Directory_Update(directory, &record, NULL);
     }
     wire__endpoint_news__free_unpacked(list, NULL);
--- a/src/gateway/endpoints.c
+++ b/src/gateway/endpoints.c
@@ -110,6 +110,7 @@
     endpoint->software =
         g_strdup(record->software != NULL ? record->software : "");
     endpoint->state = record->state;
+    endpoint->stored = record->stored;
     endpoint->born = record->born;
     endpoint->slots = MAX(record->slots, 1);
     endpoint->cold_until = Clock_Now() + record->cold_ms * US_PER_MS;
@@ -447,7 +448,7 @@
     bool may_have_restarted =
         endpoint->ended_at != 0 &&
         Clock_Now() - endpoint->ended_at < ANNOUNCE_DELAY_MAX_US;
-    return may_have_restarted ? "" : endpoint->software;
+    return may_have_restarted || endpoint->stored ? "" : endpoint->software;
 }
 
 bool
--- a/src/gateway/endpoints.h
+++ b/src/gateway/endpoints.h
@@ -46,7 +46,9 @@
     GQueue idle_upstreams; /* idle Upstreams, most recently used first */
     /* Upstream whose callback runs; NULL once the callback has freed it. */
     Upstream *callback_upstream;
-    bool removed;    /* no longer in the endpoint table */
+    bool stored;  /* its record comes from a file, and neither an announcement
+                     nor its keeper has confirmed its start */
+    bool removed; /* no longer in the endpoint table */
     bool superseded; /* a newer incarnation has its id or its address */
     TimeUs
         ended_at; /* since when it may have started again; 0 if it has not */
@@ -103,7 +105,8 @@
 bool Endpoint_IsUsable(const Endpoint *endpoint, TimeUs now);
 
 /* Returns the version of the endpoint's software; "" if it is unknown, or if
- * the endpoint may have started again with another one. */
+ * the endpoint may have started again with another one: it has ended or been
+ * unreachable since, or its record is as old as a control host's file. */
 const char *Endpoint_CertainSoftware(const Endpoint *endpoint);
 
 /* Returns whether the endpoint's software is that which began the call's
--- a/src/gateway/keepers.c
+++ b/src/gateway/keepers.c
@@ -173,6 +173,7 @@
     }
     else if (grant->born != 0) {
         endpoint->ended_at = 0;
+        endpoint->stored = false;
     }
 }
 
--- a/src/routes/endpoint.c
+++ b/src/routes/endpoint.c
@@ -119,6 +119,7 @@
     return entry->record.state == record->state &&
            entry->record.born == record->born &&
            entry->record.slots == record->slots &&
+           entry->record.stored == record->stored &&
            (record->service == NULL ||
             g_strcmp0(entry->service, record->service) == 0) &&
            (record->address == NULL ||
--- a/src/routes/endpoint.h
+++ b/src/routes/endpoint.h
@@ -38,6 +38,9 @@
     uint32_t cold_ms;  /**< Remaining warm-up time after a start. */
     bool leaving; /**< An answer of this start said that it leaves, so that it
                      is never ready again. */
+    bool stored;  /**< Comes from a file of a control host that has not heard
+                     of the endpoint since it started, so that another start
+                     may have followed. */
 } EndpointRecord;
 
 typedef struct Directory Directory;
@@ -50,7 +53,8 @@
  *                    belongs to an endpoint that started later; their state
  *                    becomes ENDPOINT_GONE. May be NULL.
  * @return true when the endpoint is new, or when its state, start time, slots,
- *         service, address or software changed. */
+ *         service, address or software changed, or when a stored record is
+ *         confirmed by an announcement. */
 bool Directory_Update(Directory *directory, const EndpointRecord *record,
                       GPtrArray *superseded);
 
--- a/src/routes/endpoint_wire.c
+++ b/src/routes/endpoint_wire.c
@@ -22,6 +22,7 @@
     wire_record->slots = record->slots;
     wire_record->cold_ms = record->cold_ms;
     wire_record->leaving = record->leaving;
+    wire_record->stored = record->stored;
 }
 
 static const char *
@@ -46,5 +47,6 @@
         .slots = wire_record->slots,
         .cold_ms = wire_record->cold_ms,
         .leaving = wire_record->leaving,
+        .stored = wire_record->stored,
     };
 }
--- a/test/unit/test_routes.c
+++ b/test/unit/test_routes.c
@@ -289,6 +289,25 @@
     Directory_Free(other);
 }
 
+/* Guards against a version that is taken for certain though it comes from a
+ * file: the record counts as changed once the endpoint has announced itself.
+ */
+static void
+stored_record_is_confirmed_by_an_announcement(void **state)
+{
+    EndpointRecord stored = make_record("i", ENDPOINT_READY, 100, 5);
+    EndpointRecord heard = make_record("i", ENDPOINT_READY, 100, 6);
+    stored.stored = true;
+    Directory *directory = Directory_New();
+    assert_true(Directory_Update(directory, &stored, NULL));
+    assert_true(Directory_Find(directory, "i")->stored);
+    assert_true(Directory_Update(directory, &heard, NULL));
+    assert_false(Directory_Find(directory, "i")->stored);
+    assert_false(Directory_Update(directory, &stored, NULL));
+    assert_false(Directory_Find(directory, "i")->stored);
+    Directory_Free(directory);
+}
+
 int
 main(void)
 {
@@ -302,6 +321,7 @@
         cmocka_unit_test(new_start_resets_sequence),
         cmocka_unit_test(last_started_endpoint_keeps_address),
         cmocka_unit_test(software_of_another_start_is_not_kept),
+        cmocka_unit_test(stored_record_is_confirmed_by_an_announcement),
         cmocka_unit_test(endpoint_that_left_is_ready_only_after_a_later_start),
     };
     return cmocka_run_group_tests_name("routes", tests, NULL, NULL);
