A stream of uncertain origin does not go on at the only version that is known

Cause: a service that has had one announced version for a minute was taken to have run no other. An engine that starts again under its id and has not announced its version may run another one: its keeper says so with the grant, so that streams that begin there are uncertain, but these were then bound to the only known version, and the origin was not even looked up.

Change: an uncertain origin is refused. A named stream is asked for first; the only version counts once nobody has replied.

--- a/src/gateway/endpoints.c
+++ b/src/gateway/endpoints.c
@@ -94,6 +94,7 @@
     if (endpoint != NULL &&
         (record->state == ENDPOINT_GONE || has_moved(endpoint, record)))
     {
+        Origins_OnLeft(gateway->origins, endpoint);
         remove_endpoint(gateway, endpoint);
         endpoint = NULL;
     }
@@ -132,6 +133,7 @@
 static void
 remove_superseded(Gateway *gateway, Endpoint *endpoint)
 {
+    Origins_OnLeft(gateway->origins, endpoint);
     endpoint->superseded = endpoint->state == ENDPOINT_READY;
     EndWatch_OnEnded(endpoint, "a newer incarnation is registered");
     Origins_OnReplaced(endpoint);
--- a/src/gateway/origins.c
+++ b/src/gateway/origins.c
@@ -3,18 +3,18 @@
  * control host and some keepers which version sent the first event of a
  * stream; a gateway at which a caller takes up another's stream asks them.
  * What nobody knows is not guessed, unless only one version can have begun the
- * stream.
+ * stream; what is uncertain is refused.
  */
 #include <string.h>
 #include <strings.h>
 
 #include "gateway/origin_copies.h"
 #include "gateway/origins.h"
+#include "gateway/sole_versions.h"
 #include "gateway/state.h"
 #include "kernel/counter.h"
 #include "kernel/log.h"
 #include "routes/origin_news.h"
-#include "routes/route_history.h"
 
 /* Longest wait for the first reply to a question: the lower of a fixed limit
  * and the remaining time divided by this number. */
@@ -25,11 +25,6 @@
 #define ASK_AGAIN_US (30 * US_PER_MS)
 /* Time for which an origin is kept after the caller's deadline. */
 #define KEPT_LONGER_US (2 * US_PER_S)
-/* Time for which a service must have had one version only, with all control
- * hosts connected, so that each stream began at that version: the lower bound
- * of it, and a multiple of the route's time-out. */
-#define SOLE_MIN_US (60 * US_PER_S)
-#define SOLE_TIMEOUTS 3
 /* Time with a control host after which a gateway knows all endpoints: the
  * longest delay of an announcement. */
 #define ENDPOINTS_KNOWN_US (10 * US_PER_S)
@@ -40,30 +35,15 @@
 /* Retry-After of a call whose origin or endpoint may become known. */
 #define UNKNOWN_RETRY_AFTER_MS 500
 
-/* The only version of a service. */
-typedef struct SoleSoftware {
-    char *software; /* "" if there are several, or one is unknown */
-    TimeUs since;
-} SoleSoftware;
-
 struct Origins {
     Gateway *gateway;
     StreamOrigins *begun;  /* streams that began here */
     OriginCopies *copies;  /* of them, at keepers */
     GHashTable *questions; /* nonce -> Call */
-    GHashTable *sole;      /* service name -> SoleSoftware */
-    RouteHistory *routes;
+    SoleVersions *sole;
     uint64_t last_nonce;
 };
 
-static void
-free_sole(gpointer data)
-{
-    SoleSoftware *sole = data;
-    g_free(sole->software);
-    g_free(sole);
-}
-
 Origins *
 Origins_New(Gateway *gateway)
 {
@@ -72,9 +52,7 @@
     origins->begun = StreamOrigins_New(ORIGIN_NEWS_TABLE_MAX);
     origins->copies = OriginCopies_New(gateway);
     origins->questions = g_hash_table_new(g_int64_hash, g_int64_equal);
-    origins->sole =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_sole);
-    origins->routes = RouteHistory_New();
+    origins->sole = SoleVersions_New(gateway);
     return origins;
 }
 
@@ -84,8 +62,7 @@
     StreamOrigins_Free(origins->begun);
     OriginCopies_Free(origins->copies);
     g_hash_table_destroy(origins->questions);
-    g_hash_table_destroy(origins->sole);
-    RouteHistory_Free(origins->routes);
+    SoleVersions_Free(origins->sole);
     g_free(origins);
 }
 
@@ -100,66 +77,22 @@
     g_free(name);
 }
 
-/* ---- The only version of a service ---- */
-
 void
 Origins_OnEndpoints(Origins *origins, const char *service)
 {
-    const char *software = NULL;
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, origins->gateway->endpoints);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const Endpoint *endpoint = value;
-        if (strcmp(endpoint->service, service) != 0) {
-            continue;
-        }
-        if (software != NULL && strcmp(software, endpoint->software) != 0) {
-            software = "";
-            break;
-        }
-        software = endpoint->software;
-    }
-    SoleSoftware *sole = g_hash_table_lookup(origins->sole, service);
-    if (software == NULL ||
-        (sole != NULL && strcmp(sole->software, software) == 0))
-    {
-        return;
-    }
-    sole = g_new0(SoleSoftware, 1);
-    sole->software = g_strdup(software);
-    sole->since = Clock_Now();
-    g_hash_table_replace(origins->sole, g_strdup(service), sole);
+    SoleVersions_OnEndpoints(origins->sole, service);
 }
 
 void
-Origins_OnTable(Origins *origins, const RouteTable *table)
+Origins_OnLeft(Origins *origins, const Endpoint *endpoint)
 {
-    RouteHistory_Apply(origins->routes, table, Clock_Now());
+    SoleVersions_OnLeft(origins->sole, endpoint);
 }
 
-/* Returns the only version of the call's service, at which each stream of the
- * service that may be taken up now must have begun, or NULL.
- * @param of_route  each stream of the call's route must have begun at the
- *                  service too. */
-static const char *
-find_sole(const Call *call, bool of_route)
+void
+Origins_OnTable(Origins *origins, const RouteTable *table)
 {
-    const Gateway *gateway = call->gateway;
-    const SoleSoftware *sole =
-        g_hash_table_lookup(gateway->origins->sole, call->service);
-    if (sole == NULL || sole->software[0] == '\0') {
-        return NULL;
-    }
-    TimeUs needed =
-        MAX(SOLE_MIN_US, call->route->timeout_ms * US_PER_MS * SOLE_TIMEOUTS);
-    TimeUs since =
-        MAX(sole->since, GatewayControl_ConnectedSince(gateway->control));
-    if (of_route) {
-        since = MAX(since, RouteHistory_SoleSince(gateway->origins->routes,
-                                                  call->route));
-    }
-    return Clock_Now() - since >= needed ? sole->software : NULL;
+    SoleVersions_OnTable(origins->sole, table);
 }
 
 /* ---- Binding ---- */
@@ -240,7 +173,8 @@
         return true;
     }
     if (call->origin.software[0] == '\0') {
-        const char *software = find_sole(call, false);
+        const char *software =
+            SoleVersions_Find(call->gateway->origins->sole, call, false);
         if (software == NULL) {
             return false;
         }
@@ -325,13 +259,10 @@
         return false;
     }
     call->service = service;
-    const char *software = origin->software[0] != '\0'
-                               ? origin->software
-                               : find_sole(call, false);
-    if (software == NULL) {
+    if (origin->software[0] == '\0') {
         return refuse_unknown(call, 0);
     }
-    bind_call(call, service, software);
+    bind_call(call, service, origin->software);
     call->origin.lookup = ORIGIN_FOUND;
     count_lookup(found_by);
     return true;
@@ -447,6 +378,27 @@
     return true;
 }
 
+/* Binds a call whose origin nobody knows to the only version at which it can
+ * have begun.
+ * @return false when there is none, and the call was refused and is freed. */
+static bool
+assume_sole(Call *call, uint32_t retry_after_ms)
+{
+    const char *software =
+        SoleVersions_Find(call->gateway->origins->sole, call, true);
+    if (software == NULL) {
+        return refuse_unknown(call, retry_after_ms);
+    }
+    LOG_INFO(GATEWAY_PART,
+             "Stream is taken for one of the only version. id=%s service=%s "
+             "software=%s",
+             call->id, call->service, software);
+    bind_call(call, call->service, software);
+    call->origin.lookup = ORIGIN_FOUND;
+    count_lookup("only_version");
+    return true;
+}
+
 /* Asks how the stream began, again if need be, and holds the call meanwhile.
  * @return false when the call is held, or was refused and is freed. */
 static bool
@@ -474,7 +426,7 @@
     }
     if (now >= origin->ask_until) {
         end_question(call);
-        return refuse_unknown(call, UNKNOWN_RETRY_AFTER_MS);
+        return assume_sole(call, UNKNOWN_RETRY_AFTER_MS);
     }
     if (now >= origin->ask_again_at) {
         ask(call, request);
@@ -524,15 +476,7 @@
         end_question(call);
         return apply_origin(call, origin, "gateway");
     }
-    const char *sole = find_sole(call, true);
-    if (sole != NULL) {
-        end_question(call);
-        bind_call(call, call->service, sole);
-        call->origin.lookup = ORIGIN_FOUND;
-        count_lookup("only_version");
-        return true;
-    }
-    return request == NULL ? refuse_unknown(call, 0)
+    return request == NULL ? assume_sole(call, 0)
                            : ask_and_hold(call, request);
 }
 
--- a/src/gateway/origins.h
+++ b/src/gateway/origins.h
@@ -71,6 +71,10 @@
  * endpoint was added, changed or removed. */
 void Origins_OnEndpoints(Origins *origins, const char *service);
 
+/* Records that an endpoint is removed whose start was uncertain, since another
+ * start may have begun streams without having been announced. */
+void Origins_OnLeft(Origins *origins, const Endpoint *endpoint);
+
 /* Updates since when routes have had one service, after the table in force was
  * replaced. */
 void Origins_OnTable(Origins *origins, const RouteTable *table);
