The version of a start that has ended is not certain again

Cause: a grant that was under way when an endpoint proved to have ended made the version of that start certain again, though the next start may answer already. A start that was replaced under its id was uncertain for 10 s only, though a request that runs there may send its first event later.

Change: a grant confirms a start no sooner than 1 s after a proof of its end, and a replaced start is never certain again. What keepers know of a start is applied in Endpoint_OnStartSeen.

--- a/src/gateway/end_watch.c
+++ b/src/gateway/end_watch.c
@@ -98,6 +98,7 @@
 EndWatch_OnEnded(Endpoint *endpoint, const char *why)
 {
     endpoint->ended_at = Clock_Now();
+    endpoint->end_proved_at = endpoint->ended_at;
     count_end(endpoint, END_PROVED, why);
 }
 
--- a/src/gateway/endpoints.c
+++ b/src/gateway/endpoints.c
@@ -14,6 +14,10 @@
 /* Longest delay of an endpoint's announcement: after that, a known endpoint
  * that had ended has not started again under its id without being known. */
 #define ANNOUNCE_DELAY_MAX_US (10 * US_PER_S)
+/* Time after a proved end for which a keeper may still report the start that
+ * ended: the longest probe (600 ms), the time between two probes (250 ms), and
+ * the way of the grant. */
+#define START_SEEN_DELAY_US (1 * US_PER_S)
 /* First and longest ejection of a failing endpoint. The time doubles with each
  * consecutive failure; after it, one request probes the endpoint. */
 #define EJECT_FIRST_MS 300
@@ -135,6 +139,7 @@
 {
     Origins_OnLeft(gateway->origins, endpoint);
     endpoint->superseded = endpoint->state == ENDPOINT_READY;
+    endpoint->replaced = true;
     EndWatch_OnEnded(endpoint, "a newer incarnation is registered");
     Origins_OnReplaced(endpoint);
     remove_endpoint(gateway, endpoint);
@@ -444,13 +449,31 @@
     return now >= endpoint->ejected_until && !endpoint->probing;
 }
 
+void
+Endpoint_OnStartSeen(Endpoint *endpoint, uint64_t born, bool uncertain)
+{
+    TimeUs now = Clock_Now();
+    bool other = born != 0 && born != endpoint->born;
+    bool is_late = endpoint->end_proved_at != 0 &&
+                   now - endpoint->end_proved_at < START_SEEN_DELAY_US;
+    if (uncertain || other) {
+        endpoint->ended_at = now;
+    }
+    else if (born != 0 && !is_late) {
+        endpoint->ended_at = 0;
+        endpoint->stored = false;
+    }
+}
+
 const char *
 Endpoint_CertainSoftware(const Endpoint *endpoint)
 {
     bool may_have_restarted =
         endpoint->ended_at != 0 &&
         Clock_Now() - endpoint->ended_at < ANNOUNCE_DELAY_MAX_US;
-    return may_have_restarted || endpoint->stored ? "" : endpoint->software;
+    return may_have_restarted || endpoint->stored || endpoint->replaced
+               ? ""
+               : endpoint->software;
 }
 
 bool
--- a/src/gateway/endpoints.h
+++ b/src/gateway/endpoints.h
@@ -50,8 +50,11 @@
                      nor its keeper has confirmed its start */
     bool removed; /* no longer in the endpoint table */
     bool superseded; /* a newer incarnation has its id or its address */
+    bool replaced;   /* a newer start has its id or its address, and may be the
+                        one that answers */
     TimeUs
         ended_at; /* since when it may have started again; 0 if it has not */
+    TimeUs end_proved_at; /* when its end was last proved; 0 if it was not */
 };
 
 /* Applies an endpoint record if it is newer than the known one. */
@@ -104,6 +107,12 @@
 /* Returns whether the endpoint may be sent requests now. */
 bool Endpoint_IsUsable(const Endpoint *endpoint, TimeUs now);
 
+/* Applies what the endpoint's keeper knows of its start, since the endpoint
+ * may have started again before that is announced.
+ * @param born  as the endpoint last reported to the keeper; 0 if unknown.
+ * @param uncertain  the endpoint may have started again since. */
+void Endpoint_OnStartSeen(Endpoint *endpoint, uint64_t born, bool uncertain);
+
 /* Returns the version of the endpoint's software; "" if it is unknown, or if
  * the endpoint may have started again with another one: it has ended or been
  * unreachable since, or its record is as old as a control host's file. */
--- a/src/gateway/keepers.c
+++ b/src/gateway/keepers.c
@@ -162,21 +162,6 @@
     keeper->busy_reported_at = Clock_Now();
 }
 
-/* Applies what the keeper knows of its engine's start, since the engine may
- * have started again before that is announced. */
-static void
-update_start(Endpoint *endpoint, const Wire__SlotGrant *grant)
-{
-    bool other = grant->born != 0 && grant->born != endpoint->born;
-    if (grant->start_uncertain || other) {
-        endpoint->ended_at = Clock_Now();
-    }
-    else if (grant->born != 0) {
-        endpoint->ended_at = 0;
-        endpoint->stored = false;
-    }
-}
-
 static void
 on_grant(Keeper *keeper, const Wire__SlotGrant *grant)
 {
@@ -192,7 +177,7 @@
         return;
     }
     g_ptr_array_remove_fast(want->pending, keeper);
-    update_start(endpoint, grant);
+    Endpoint_OnStartSeen(endpoint, grant->born, grant->start_uncertain);
     if (!Endpoint_MayServe(endpoint, want->call, Clock_Now())) {
         Want_SendEnd(keeper, id, SLOT_UNUSED);
         if (want->pending->len == 0) {
