--- a/src/sched/balancer.c
+++ b/src/sched/balancer.c
@@ -29,8 +29,8 @@
                     : BATCHING_SLOWDOWN + (load - 1);
 }
 
-static double
-cost_of(const BalancerCandidate *candidate)
+double
+Balancer_CostMs(const BalancerCandidate *candidate)
 {
     double run = candidate->expected_run_ms > 0 ? candidate->expected_run_ms
                                                 : DEFAULT_RUN_MS;
@@ -38,7 +38,7 @@
     return run * (1 + delay_fraction(candidate->load)) +
            distance_cost_ms[distance] +
            candidate->error_rate * FAILURE_COST_MS + candidate->rate_wait_ms +
-           (candidate->tried ? TRIED_COST_MS : 0);
+           candidate->spread_ms + (candidate->tried ? TRIED_COST_MS : 0);
 }
 
 int
@@ -52,7 +52,7 @@
         if (!candidate->usable || candidate->load >= max_load) {
             continue;
         }
-        double cost = cost_of(candidate);
+        double cost = Balancer_CostMs(candidate);
         if (best < 0 || cost < best_cost) {
             best = (int)i;
             best_cost = cost;
--- a/src/sched/balancer.h
+++ b/src/sched/balancer.h
@@ -21,8 +21,14 @@
     double expected_run_ms; /**< Run time of one request; 0 if unknown. */
     double rate_wait_ms; /**< Mean time between two requests that a rate limit
                             allows; 0 without a limit. */
+    double spread_ms;    /**< Additional cost that differs between senders, so
+                            that they do not all choose the same endpoint. */
 } BalancerCandidate;
 
+/** Returns the expected time of a request at the candidate, in milliseconds,
+ * where distance and failures count as additional time. */
+double Balancer_CostMs(const BalancerCandidate *candidate);
+
 /** Returns the index of the best candidate, or -1 if no usable candidate has a
  * load below @p max_load. An endpoint that already failed the request is
  * chosen only if no other is left. */
