Pace: plain requests avoid servers that are slow now

Gateways read the fourth figure of a load report (LoadReport_Parse), keep it with its time of receipt and choose by it. Invalid figures are counted, logged and ignored; servers that send three figures are chosen as before and not asked. Engines' expected run times follow the figure where their answers carry it.

--- a/src/gateway/endpoints.c
+++ b/src/gateway/endpoints.c
@@ -3,10 +3,10 @@
  * load seen from requests.
  */
 #include <math.h>
-#include <stdio.h>
 #include <string.h>
 #include <strings.h>
 
+#include "gateway/paces.h"
 #include "gateway/state.h"
 #include "kernel/counter.h"
 #include "kernel/log.h"
@@ -34,6 +34,7 @@
     g_free(endpoint->zone);
     g_free(endpoint->software);
     EndWatch_Clear(endpoint);
+    Paces_FreeQuestion(endpoint);
     g_free(endpoint);
 }
 
@@ -193,10 +194,12 @@
         Endpoint *endpoint = at->data;
         Upstream_CloseIdle(endpoint);
         EndWatch_Clear(endpoint);
+        Paces_FreeQuestion(endpoint);
         g_hash_table_remove(gateway->endpoints, endpoint->id);
         Endpoint_Unref(endpoint);
     }
     g_list_free(endpoints);
+    Paces_FreeServices(gateway);
 }
 
 void
@@ -223,6 +226,7 @@
         endpoint->expected_run_ms = ms;
     }
     endpoint->expected_run_ms += RUN_WEIGHT * (ms - endpoint->expected_run_ms);
+    Paces_OnRun(endpoint, ms);
 }
 
 double
@@ -246,20 +250,19 @@
 }
 
 void
-Endpoint_OnLoadReport(Endpoint *endpoint, const char *report)
+Endpoint_OnLoadReport(Endpoint *endpoint, const char *text)
 {
-    unsigned running;
-    unsigned waiting;
-    unsigned slots;
-    if (sscanf(report, "%u,%u,%u", &running, &waiting, &slots) != 3) {
+    LoadReport report;
+    if (!LoadReport_Parse(text, Clock_Now(), &report)) {
         LOG_DEBUG(GATEWAY_PART, "Invalid load report. endpoint=%s",
                   endpoint->id);
         return;
     }
-    unsigned all = running + waiting;
+    unsigned all = report.running + report.waiting;
     endpoint->other_running =
         all > endpoint->running ? all - endpoint->running : 0;
-    endpoint->load_reported_at = Clock_Now();
+    endpoint->load_reported_at = report.pace.received_at;
+    Paces_OnReport(endpoint, &report);
 }
 
 /* Returns the rate in the field of an answer, 0 if there is none, and -1 if it
--- a/src/gateway/endpoints.h
+++ b/src/gateway/endpoints.h
@@ -9,11 +9,13 @@
 #include "http1/parser.h"
 #include "routes/endpoint.h"
 #include "sched/named_rate.h"
+#include "sched/pace.h"
 #include "sched/rest.h"
 #include "wire/link.h"
 
 typedef struct Call Call;
 typedef struct Gateway Gateway;
+typedef struct PaceQuestion PaceQuestion;
 typedef struct Upstream Upstream;
 
 struct Endpoint {
@@ -43,7 +45,10 @@
     bool bad_rate_logged; /* an answer named a limit that cannot be read */
     /* Moving mean run time of non-streamed answers; 0 before the first. */
     double expected_run_ms;
-    GQueue idle_upstreams; /* idle Upstreams, most recently used first */
+    Pace pace;              /* its current speed, if it reports one */
+    PaceQuestion *question; /* NULL before the first question for its load */
+    bool bad_pace_logged;   /* a report had an invalid figure of the speed */
+    GQueue idle_upstreams;  /* idle Upstreams, most recently used first */
     /* Upstream whose callback runs; NULL once the callback has freed it. */
     Upstream *callback_upstream;
     bool removed;    /* no longer in the endpoint table */
@@ -70,8 +75,8 @@
  * answer with an error status. */
 void Endpoint_OnAnswer(Endpoint *endpoint, bool success);
 
-/* Applies the value of a load field, "RUNNING,WAITING,SLOTS". */
-void Endpoint_OnLoadReport(Endpoint *endpoint, const char *report);
+/* Applies the value of a load field, as LoadReport_Parse() reads it. */
+void Endpoint_OnLoadReport(Endpoint *endpoint, const char *text);
 
 /* Applies the rate limit that an answer names, if any.
  * @param sent_at  when the request was sent. */
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -25,7 +25,8 @@
     const char *account;      /**< Account name, set by the gateway. */
     const char *instance;     /**< Id of the intended endpoint, set by the
                                  gateway. */
-    const char *load;         /**< Endpoint's load: "RUNNING,WAITING,SLOTS". */
+    const char *load;         /**< Endpoint's load, as LoadReport_Parse() reads
+                                 it. */
     const char *rate_limit;   /**< Requests per second that the endpoint takes
                                      from all senders together. */
     const char *leaving;      /**< "1" in an answer: the endpoint leaves. */
--- a/src/gateway/service_queue.c
+++ b/src/gateway/service_queue.c
@@ -6,7 +6,10 @@
 #include <math.h>
 #include <string.h>
 
+#include "gateway/keepers.h"
+#include "gateway/paces.h"
 #include "gateway/state.h"
+#include "kernel/log.h"
 #include "sched/balancer.h"
 
 /* Requests per slot of an endpoint at which further requests stay queued. */
@@ -32,6 +35,11 @@
  * endpoints rest. */
 #define REST_SPREAD_MS 500
 
+/* Longest wait for an endpoint that is full but quicker than a free one. It is
+ * less than WAIT_FRACTION of the time of any request, so that none is refused
+ * while an endpoint is free. */
+#define QUICKER_WAIT_MAX_MS 100
+
 /* Time constant of the moving mean of demand. */
 #define DEMAND_DECAY_US (2 * US_PER_S)
 /* Least Retry-After of a request that no endpoint could accept. */
@@ -134,6 +142,7 @@
         g_queue_delete_link(&call->queue->waiting, call->queue_node);
         call->queue = NULL;
         call->queue_node = NULL;
+        call->question_id = 0;
     }
 }
 
@@ -145,16 +154,42 @@
     return (endpoint->running + others) / endpoint->slots;
 }
 
-/* Returns the best endpoint for a call, or NULL if none can take it now. */
-static Endpoint *
-choose_endpoint(const Call *call, const ServiceQueue *queue)
+/* Endpoints of a service with what the choice depends on, in parallel arrays.
+ */
+typedef struct EndpointChoice {
+    Endpoint **endpoints;
+    BalancerCandidate *candidates;
+    size_t count;
+    double max_load;
+    bool by_speed; /* an endpoint reports its current speed */
+} EndpointChoice;
+
+/* Replaces the mean run time of a candidate by the time that is expected at
+ * the speed that its endpoint has reported. */
+static void
+apply_speed(EndpointChoice *choice, const Endpoint *endpoint,
+            BalancerCandidate *candidate, TimeUs now)
+{
+    const GatewayOptions *options = endpoint->gateway->options;
+    if (!Pace_IsKnown(&endpoint->pace)) {
+        return;
+    }
+    choice->by_speed = true;
+    candidate->expected_run_ms =
+        Pace_RunMs(&endpoint->pace,
+                   Paces_Service(endpoint->gateway, endpoint->service), now);
+    candidate->spread_ms =
+        Pace_SpreadMs(g_str_hash(endpoint->id) * 31 +
+                      g_str_hash(options->name)) +
+        Paces_SilenceMs(endpoint, candidate->expected_run_ms);
+}
+
+static void
+collect_candidates(EndpointChoice *choice, const Call *call,
+                   const ServiceQueue *queue)
 {
     const Gateway *gateway = queue->gateway;
     TimeUs now = Clock_Now();
-    guint size = g_hash_table_size(gateway->endpoints);
-    BalancerCandidate *candidates = g_new0(BalancerCandidate, size + 1);
-    Endpoint **endpoints = g_new0(Endpoint *, size + 1);
-    size_t count = 0;
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, gateway->endpoints);
@@ -163,8 +198,9 @@
         if (strcmp(endpoint->service, queue->service) != 0) {
             continue;
         }
-        endpoints[count] = endpoint;
-        candidates[count++] = (BalancerCandidate){
+        BalancerCandidate *candidate = &choice->candidates[choice->count];
+        choice->endpoints[choice->count++] = endpoint;
+        *candidate = (BalancerCandidate){
             .usable = Endpoint_MayServe(endpoint, call, now) &&
                       NamedRate_MaySend(&endpoint->rate_limit,
                                         Endpoint_RateShare(endpoint), now),
@@ -175,15 +211,101 @@
             .expected_run_ms = endpoint->expected_run_ms,
             .rate_wait_ms = Endpoint_RateWaitMs(endpoint),
         };
+        apply_speed(choice, endpoint, candidate, now);
     }
+}
+
+/* Asks the endpoint whose current load and speed are most worth a question.
+ * @return false when none is. */
+static bool
+ask_for_load(const EndpointChoice *choice, Call *call)
+{
+    if (!choice->by_speed || call->load_questions >= LOAD_QUESTIONS_MAX) {
+        return false;
+    }
+    PaceOption *options = g_new0(PaceOption, choice->count);
+    size_t *indexes = g_new0(size_t, choice->count);
+    size_t count = 0;
+    for (size_t i = 0; i < choice->count; i++) {
+        const BalancerCandidate *candidate = &choice->candidates[i];
+        const Endpoint *endpoint = choice->endpoints[i];
+        if (!candidate->usable || candidate->load >= choice->max_load) {
+            continue;
+        }
+        bool can_be_asked = candidate->distance <= DISTANCE_REGION &&
+                            !candidate->tried &&
+                            endpoint->rate_limit.rate <= 0;
+        indexes[count] = i;
+        options[count++] = (PaceOption){
+            .pace = can_be_asked ? &endpoint->pace : NULL,
+            .run_ms = candidate->expected_run_ms,
+            .other_ms =
+                Balancer_CostMs(candidate) - candidate->expected_run_ms,
+        };
+    }
+    int asked = Pace_ChooseQuestion(
+        options, count, Paces_Service(call->gateway, call->service),
+        Clock_Now());
+    bool sent =
+        asked >= 0 && Paces_Ask(call, choice->endpoints[indexes[asked]]);
+    g_free(options);
+    g_free(indexes);
+    return sent;
+}
+
+/* Returns the index of the best candidate for a call, or -1 if none can take
+ * it now. Sets @p asked if the call waits for an answer about the load. */
+static int
+choose_candidate(const EndpointChoice *choice, Call *call, bool engine,
+                 bool *asked)
+{
+    if (!engine && ask_for_load(choice, call)) {
+        *asked = true;
+        return -1;
+    }
+    int best = Balancer_ChooseEndpoint(choice->candidates, choice->count,
+                                       choice->max_load);
+    double waited_ms = (double)(Clock_Now() - call->received_at) / US_PER_MS;
+    if (best < 0 || !choice->by_speed) {
+        return best;
+    }
+    if (!engine && waited_ms < QUICKER_WAIT_MAX_MS &&
+        Balancer_IsWorthWaiting(choice->candidates, choice->count, best,
+                                waited_ms))
+    {
+        LOG_INFO(GATEWAY_PART,
+                 "Request waits for a quicker endpoint. id=%s free=%s "
+                 "cost_ms=%.1f waited_ms=%.1f",
+                 call->id, choice->endpoints[best]->id,
+                 Balancer_CostMs(&choice->candidates[best]), waited_ms);
+        return -1;
+    }
+    if (Pace_IsKnown(&choice->endpoints[best]->pace)) {
+        Paces_LogChoice(call, choice->endpoints[best],
+                        Balancer_CostMs(&choice->candidates[best]));
+    }
+    return best;
+}
+
+/* Returns the best endpoint for a call, or NULL if none can take it now. Sets
+ * @p asked if the call waits for an answer about the load. */
+static Endpoint *
+choose_endpoint(Call *call, const ServiceQueue *queue, bool *asked)
+{
     const RouteService *service =
         RouteTable_Service(call->table, queue->service);
     bool engine = service != NULL && service->is_engine;
-    int best = Balancer_ChooseEndpoint(candidates, count,
-                                       engine ? ENGINE_LOAD_MAX : LOAD_MAX);
-    Endpoint *endpoint = best < 0 ? NULL : endpoints[best];
-    g_free(candidates);
-    g_free(endpoints);
+    guint size = g_hash_table_size(queue->gateway->endpoints) + 1;
+    EndpointChoice choice = {
+        .endpoints = g_new0(Endpoint *, size),
+        .candidates = g_new0(BalancerCandidate, size),
+        .max_load = engine ? ENGINE_LOAD_MAX : LOAD_MAX,
+    };
+    collect_candidates(&choice, call, queue);
+    int best = choose_candidate(&choice, call, engine, asked);
+    Endpoint *endpoint = best < 0 ? NULL : choice.endpoints[best];
+    g_free(choice.candidates);
+    g_free(choice.endpoints);
     return endpoint;
 }
 
@@ -296,6 +418,35 @@
                     });
 }
 
+/* Returns the first call that waits for no answer about the load. */
+static Call *
+next_call(const ServiceQueue *queue)
+{
+    for (GList *at = queue->waiting.head; at != NULL; at = at->next) {
+        Call *call = at->data;
+        if (call->question_id == 0) {
+            return call;
+        }
+    }
+    return NULL;
+}
+
+void
+ServiceQueue_OnQuestionEnded(Gateway *gateway, const char *service,
+                             uint64_t question_id)
+{
+    ServiceQueue *queue = g_hash_table_lookup(gateway->queues, service);
+    for (GList *at = queue == NULL ? NULL : queue->waiting.head; at != NULL;
+         at = at->next)
+    {
+        Call *call = at->data;
+        if (call->question_id == question_id) {
+            call->question_id = 0;
+        }
+    }
+    ServiceQueue_Pump(gateway, service);
+}
+
 void
 ServiceQueue_Pump(Gateway *gateway, const char *service)
 {
@@ -305,12 +456,16 @@
     }
     queue->pumping = true;
     Call *call;
-    while ((call = g_queue_peek_head(&queue->waiting)) != NULL) {
+    while ((call = next_call(queue)) != NULL) {
         if (Keepers_SendWants(call)) {
             ServiceQueue_Remove(call);
             continue;
         }
-        Endpoint *endpoint = choose_endpoint(call, queue);
+        bool asked = false;
+        Endpoint *endpoint = choose_endpoint(call, queue, &asked);
+        if (asked) {
+            continue;
+        }
         if (endpoint == NULL && !Origins_CanGoOn(call) &&
             Clock_Now() - call->received_at > VERSION_WAIT_US)
         {
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -56,7 +56,9 @@
     Keepers *keepers;
     Suspects *suspects;
     Origins *origins;
+    GHashTable *pace_services; /* service name -> PaceService; NULL at first */
     uint64_t last_want_id;
+    uint64_t last_question_id;
     GQueue held_calls;   /* Calls that wait for a configuration or lease */
     unsigned call_count; /* number of unfinished calls */
     size_t answer_bytes; /* of answers that are buffered until complete */
@@ -222,9 +224,11 @@
     struct evbuffer *partial_event; /* received bytes of an incomplete event */
     Events events;
     CallOrigin origin;
-    GList *queue_node;   /* position in queue, or NULL */
-    ServiceQueue *queue; /* queue in which the call waits, or NULL */
-    uint64_t want_id;    /* id of its want at slot keepers; 0 if none */
+    GList *queue_node;       /* position in queue, or NULL */
+    ServiceQueue *queue;     /* queue in which the call waits, or NULL */
+    uint64_t want_id;        /* id of its want at slot keepers; 0 if none */
+    unsigned load_questions; /* endpoints that were asked for their load */
+    uint64_t question_id;    /* question whose end it waits for; 0 if none */
 };
 
 /* Starts a call for a complete request. The answer goes to @p conn. */
@@ -368,6 +372,10 @@
  * again, if all of them rest; else 0. */
 uint32_t ServiceQueue_RestMs(const Call *call);
 
+/* Goes on with the queued calls that wait for the end of a question. */
+void ServiceQueue_OnQuestionEnded(Gateway *gateway, const char *service,
+                                  uint64_t question_id);
+
 /* Sends queued calls in order until no endpoint takes another. */
 void ServiceQueue_Pump(Gateway *gateway, const char *service);
 void ServiceQueue_FreeAll(Gateway *gateway);
--- a/src/gateway/wants.c
+++ b/src/gateway/wants.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "gateway/keepers.h"
+#include "gateway/paces.h"
 #include "kernel/log.h"
 #include "sched/balancer.h"
 
@@ -227,7 +228,8 @@
             .distance = Endpoint_Distance(endpoint),
             .load = keeper_load(keeper, endpoint, now),
             .error_rate = Endpoint_ErrorRate(endpoint, now),
-            .expected_run_ms = expected_run_ms(keeper, call),
+            .expected_run_ms =
+                expected_run_ms(keeper, call) * Paces_Factor(endpoint),
             .rate_wait_ms = Endpoint_RateWaitMs(endpoint),
         };
     }
--- a/src/routes/table.h
+++ b/src/routes/table.h
@@ -53,6 +53,8 @@
     bool is_engine;           /**< A model engine; sets slots and kv_tokens. */
     uint32_t slots;           /**< Slots of one engine. */
     uint64_t kv_tokens;       /**< KV-cache size of one engine, in tokens. */
+    const char *health_path;  /**< Path that each endpoint answers at once with
+                                 its load; NULL if there is none. */
 } RouteService;
 
 typedef struct RouteAccount {
--- a/src/sched/balancer.c
+++ b/src/sched/balancer.c
@@ -3,6 +3,8 @@
  */
 #include "sched/balancer.h"
 
+#include <math.h>
+
 /* Assumed run time while it is unknown, in milliseconds. */
 #define DEFAULT_RUN_MS 20
 /* Fraction by which a request runs longer on an endpoint whose slots are
@@ -60,3 +62,13 @@
     }
     return best;
 }
+
+bool
+Balancer_IsWorthWaiting(const BalancerCandidate *candidates, size_t count,
+                        int chosen, double waited_ms)
+{
+    int best = Balancer_ChooseEndpoint(candidates, count, HUGE_VAL);
+    return best >= 0 && best != chosen &&
+           Balancer_CostMs(&candidates[best]) + waited_ms <
+               Balancer_CostMs(&candidates[chosen]);
+}
--- a/src/sched/balancer.h
+++ b/src/sched/balancer.h
@@ -35,4 +35,11 @@
 int Balancer_ChooseEndpoint(const BalancerCandidate *candidates, size_t count,
                             double max_load);
 
+/** Returns whether waiting for a candidate whose load is too high now is
+ * quicker than the chosen one.
+ * @param waited_ms  time for which the request has waited; it bounds the wait
+ *                   by what can be gained. */
+bool Balancer_IsWorthWaiting(const BalancerCandidate *candidates, size_t count,
+                             int chosen, double waited_ms);
+
 #endif
--- a/test/fakes/fake_server.c
+++ b/test/fakes/fake_server.c
@@ -21,6 +21,7 @@
 #include "fake_endless.h"
 #include "fake_limit.h"
 #include "fake_server.h"
+#include "fake_speed.h"
 #include "http1/parser.h"
 #include "kernel/clock.h"
 #include "wire/address.h"
@@ -40,6 +41,7 @@
     char *deadly_target; /* names how the request ends the server */
     DeadlyWhen deadly;
     bool streamed;
+    bool running;   /* counts in the server's running requests */
     bool bare;      /* the stream has neither a length nor chunks */
     int next_event; /* id of the next event */
     /* Kind of fault; empty for none. "close" makes on_timer() close the
@@ -64,6 +66,7 @@
 static void
 free_connection(Connection *connection)
 {
+    FakeSpeed_SetRunning(connection->server, &connection->running, false);
     bufferevent_free(connection->bev);
     event_free(connection->timer);
     H1Parser_Free(connection->parser);
@@ -113,6 +116,7 @@
                             connection->server->id);
     }
     FakeLimit_Write(output_of(connection), connection->server->limit_file);
+    FakeSpeed_Write(output_of(connection), connection->server);
     if (connection->server->leaving) {
         evbuffer_add_printf(output_of(connection), "Server-Leaving: 1\r\n");
     }
@@ -132,6 +136,7 @@
 answer_plain(Connection *connection)
 {
     const char *fault = connection->fault;
+    FakeSpeed_SetRunning(connection->server, &connection->running, false);
     bool is_report = strcmp(connection->target, "/api/report") == 0;
     char *body =
         is_report
@@ -208,6 +213,7 @@
             evbuffer_add_printf(output_of(connection), "0\r\n\r\n");
         }
         record(server, "ended %s\n", connection->id);
+        FakeSpeed_SetRunning(connection->server, &connection->running, false);
         H1Parser_Reset(connection->parser);
         if (connection->deadly == DEADLY_AFTER_END) {
             end_server(connection);
@@ -264,6 +270,21 @@
     }
 }
 
+/* Answers the health path at once, with the load in the head.
+ * @return false when the request is for another path. */
+static bool
+answers_health(Connection *connection)
+{
+    const Server *server = connection->server;
+    if (g_strcmp0(connection->target, server->health_path) != 0) {
+        return false;
+    }
+    record(server, "asked %lld\n", (long long)Clock_WallMs());
+    write_head(connection, 200, "Content-Length: 0\r\n\r\n");
+    H1Parser_Reset(connection->parser);
+    return true;
+}
+
 /* Refuses a request for another instance, and all while the server rests.
  * @return false when the request is to be run. */
 static bool
@@ -306,7 +327,7 @@
     connection->deadly = DEADLY_NEVER;
     connection->fault[0] = '\0';
     record_arrival(server, id);
-    if (refuses(connection, head)) {
+    if (answers_health(connection) || refuses(connection, head)) {
         return;
     }
     bool has_turn = server->fault_every == 1;
@@ -353,7 +374,8 @@
                                     : "Content-Type: text/event-stream\r\n"
                                       "Transfer-Encoding: chunked\r\n\r\n");
     }
-    schedule(connection, server->delay_ms);
+    FakeSpeed_SetRunning(connection->server, &connection->running, true);
+    schedule(connection, FakeSpeed_DelayMs(server, server->delay_ms));
 }
 
 static void
--- a/test/fakes/fake_server.h
+++ b/test/fakes/fake_server.h
@@ -36,6 +36,10 @@
     gchar *limit_file;    /* lines are limits to name; read at each answer */
     gchar *rest_file;     /* Retry-After with which it refuses every request;
                              empty or missing: it refuses none */
+    gchar *speed_file;    /* figure of its current speed; NULL: it reports no
+                             load */
+    gchar *health_path;   /* it answers this path at once; NULL: it has none */
+    unsigned running;     /* requests that it runs */
     gboolean leaving; /* its answers say that it leaves, its heartbeats not */
     gint silent_ms;   /* time after a start before it announces itself */
     struct evconnlistener *listener;
--- a/test/fakes/fake_server_options.c
+++ b/test/fakes/fake_server_options.c
@@ -6,6 +6,26 @@
 
 #include "fake_server.h"
 
+/* Ends the process if an option is wrong or a required one is missing. */
+static void
+parse(const Server *server, const GOptionEntry *entries, int argc, char **argv)
+{
+    GOptionContext *context = g_option_context_new(NULL);
+    g_option_context_add_main_entries(context, entries, NULL);
+    GError *error = NULL;
+    if (!g_option_context_parse(context, &argc, &argv, &error) ||
+        server->listen == NULL || server->control == NULL ||
+        server->service == NULL || server->id == NULL)
+    {
+        fprintf(stderr, "fake_server: %s\n",
+                error != NULL
+                    ? error->message
+                    : "expected --listen, --control, --service and --id");
+        exit(2);
+    }
+    g_option_context_free(context);
+}
+
 void
 FakeServer_ReadOptions(Server *server, int argc, char **argv)
 {
@@ -24,8 +44,7 @@
          "File to append one line for each request to", "FILE"},
         {"fault", 0, 0, G_OPTION_ARG_STRING, &server->fault,
          "Fault: cut, extra, unframed, error, shed, mute, no-seal, wrong-id "
-         "or "
-         "one of fake_endless.h",
+         "or one of fake_endless.h",
          "KIND"},
         {"fault-count", 0, 0, G_OPTION_ARG_INT, &server->fault_count,
          "Number of requests with the fault", "N"},
@@ -57,22 +76,13 @@
         {"rest-file", 0, 0, G_OPTION_ARG_STRING, &server->rest_file,
          "File with the rest that it asks for while it refuses all requests",
          "FILE"},
+        {"speed-file", 0, 0, G_OPTION_ARG_STRING, &server->speed_file,
+         "File with the figure of its current speed (100 is usual)", "FILE"},
+        {"health-path", 0, 0, G_OPTION_ARG_STRING, &server->health_path,
+         "Path that it answers at once with its load", "PATH"},
         {"silent-ms", 0, 0, G_OPTION_ARG_INT, &server->silent_ms,
          "Time after a start before the first announcement", "MS"},
         {NULL},
     };
-    GOptionContext *context = g_option_context_new(NULL);
-    g_option_context_add_main_entries(context, entries, NULL);
-    GError *error = NULL;
-    if (!g_option_context_parse(context, &argc, &argv, &error) ||
-        server->listen == NULL || server->control == NULL ||
-        server->service == NULL || server->id == NULL)
-    {
-        fprintf(stderr, "fake_server: %s\n",
-                error != NULL
-                    ? error->message
-                    : "expected --listen, --control, --service and --id");
-        exit(2);
-    }
-    g_option_context_free(context);
+    parse(server, entries, argc, argv);
 }
--- a/test/unit/test_gateway.c
+++ b/test/unit/test_gateway.c
@@ -5,6 +5,7 @@
 
 #include <string.h>
 
+#include "gateway/load_report.h"
 #include "gateway/state.h"
 
 static GatewayOptions options = {
@@ -68,6 +69,34 @@
     evbuffer_free(out);
 }
 
+/* Guards against an invalid figure of the speed that hides the load, and
+ * against a figure read from a report of three. */
+static void
+load_reports_are_read(void **state)
+{
+    LoadReport report;
+    assert_true(LoadReport_Parse("3,1,6", 7, &report));
+    assert_int_equal(report.running, 3);
+    assert_int_equal(report.waiting, 1);
+    assert_int_equal(report.slots, 6);
+    assert_float_equal(report.pace.figure, 0, 0);
+    assert_false(report.pace_is_invalid);
+    assert_true(LoadReport_Parse("3,1,6,250", 7, &report));
+    assert_float_equal(report.pace.figure, 250, 0);
+    assert_int_equal(report.pace.received_at, 7);
+    static const char *const invalid[] = {"3,1,6,",     "3,1,6,5",
+                                          "3,1,6,fast", "3,1,6,100,1",
+                                          "3,1,6,-100", "3,1,6, 100"};
+    for (size_t i = 0; i < sizeof(invalid) / sizeof(invalid[0]); i++) {
+        assert_true(LoadReport_Parse(invalid[i], 7, &report));
+        assert_int_equal(report.running, 3);
+        assert_true(report.pace_is_invalid);
+        assert_float_equal(report.pace.figure, 0, 0);
+    }
+    assert_false(LoadReport_Parse("3,1", 7, &report));
+    assert_false(LoadReport_Parse("", 7, &report));
+}
+
 /* A gateway whose control hosts are out of its reach. */
 typedef struct AloneGateway {
     Gateway gateway;
@@ -249,6 +278,7 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(only_complete_events_are_forwarded),
+        cmocka_unit_test(load_reports_are_read),
         cmocka_unit_test(resumed_stream_skips_forwarded_events),
         cmocka_unit_test(short_bursts_are_delayed),
         cmocka_unit_test(part_starts_empty_and_retries_are_spread),
--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -34,6 +34,38 @@
     return table;
 }
 
+/* Guards against a health path that would break the request line. */
+static void
+health_paths_are_read(void **state)
+{
+    static const struct {
+        const char *json;
+        const char *path;
+    } cases[] = {
+        {"\"/healthz?x=1\"", "/healthz?x=1"},
+        {"\"\"", NULL},
+        {"\"healthz\"", NULL},
+        {"\"/a b\"", NULL},
+        {"\"/a\\r\\nB: c\"", NULL},
+        {"7", NULL},
+        {"null", NULL},
+    };
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        Error err;
+        char *text = g_strdup_printf(
+            "{\"version\":1,\"routeTable\":[" ROUTE(
+                "\"service\":\"t\"") "],\"services\":[{\"name\":\"t\","
+                                     "\"healthPath\":%s}]}",
+            cases[i].json);
+        RouteTable *table = decode(text, &err);
+        assert_non_null(table);
+        const char *path = RouteTable_Service(table, "t")->health_path;
+        assert_int_equal(g_strcmp0(path, cases[i].path), 0);
+        RouteTable_Unref(table);
+        g_free(text);
+    }
+}
+
 static void
 documents_are_decoded_to_route_tables(void **state)
 {
@@ -232,6 +264,7 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(documents_are_decoded_to_route_tables),
+        cmocka_unit_test(health_paths_are_read),
         cmocka_unit_test(invalid_documents_are_refused),
         cmocka_unit_test(heartbeats_are_decoded_to_records),
         cmocka_unit_test(software_that_is_not_named_is_unknown),
--- a/test/unit/test_shares.c
+++ b/test/unit/test_shares.c
@@ -90,6 +90,23 @@
     assert_int_equal(Balancer_ChooseEndpoint(candidates, 2, 10), 1);
 }
 
+/* Guards against a request at a slow endpoint while one that is full for the
+ * moment would answer sooner, and against an endless wait for it. */
+static void
+a_full_endpoint_is_worth_a_short_wait(void **state)
+{
+    BalancerCandidate candidates[] = {
+        candidate(0, 0, 150),
+        candidate(0, 1.5, 60),
+    };
+    assert_int_equal(Balancer_ChooseEndpoint(candidates, 2, 1.5), 0);
+    assert_true(Balancer_IsWorthWaiting(candidates, 2, 0, 0));
+    assert_true(Balancer_IsWorthWaiting(candidates, 2, 0, 40));
+    assert_false(Balancer_IsWorthWaiting(candidates, 2, 0, 50));
+    candidates[1].load = 4;
+    assert_false(Balancer_IsWorthWaiting(candidates, 2, 0, 0));
+}
+
 int
 main(void)
 {
@@ -98,6 +115,7 @@
         cmocka_unit_test(demand_above_the_limit_is_shared),
         cmocka_unit_test(the_shortest_expected_wait_wins),
         cmocka_unit_test(failing_endpoints_are_used_less),
+        cmocka_unit_test(a_full_endpoint_is_worth_a_short_wait),
     };
     return cmocka_run_group_tests_name("shares", tests, NULL, NULL);
 }
