Fair ranks: outlooks foresee a rank that goes ahead as others become unknown

A slow engine gets few requests of a tier's first rank, so that the last one goes ahead when these are forgotten. Retry-After is at least what the keepers named.

--- a/src/gateway/wants.c
+++ b/src/gateway/wants.c
@@ -386,10 +386,10 @@
     fill_pool(&choice);
     PoolRequest request = Pool_RequestOf(want->call);
     uint32_t key = g_str_hash(want->call->id) * SPREAD_FACTOR;
-    uint32_t ms = PoolView_ReturnMs(choice.pool, choice.count, &request, key,
-                                    Clock_Now());
+    uint32_t ms = PoolView_ReturnMs(choice.pool, choice.count, &request,
+                                    want->retry_after_ms, key, Clock_Now());
     free_candidates(&choice);
-    return ms > 0 ? ms : want->retry_after_ms;
+    return ms;
 }
 
 /* Starts the next round while the request still waits. */
--- a/src/sched/fair_ranks.c
+++ b/src/sched/fair_ranks.c
@@ -20,6 +20,9 @@
 /* Difference at which a rank may go ahead within the second for which others
  * believe what they were told of it. */
 #define NEAR_MARGIN 0.02
+/* Number of requests from which a higher rank is still judged after that
+ * second. */
+#define NEAR_REQUESTS_MIN (1.4 * REQUESTS_MIN)
 
 static RankRecord *
 find_record(FairRanks *ranks, const WorkSpec *work)
@@ -50,10 +53,10 @@
     record->run_time += weight * ((double)run_time - record->run_time);
 }
 
-static bool
-is_known(const RankRecord *record)
+static double
+count_requests(const RankRecord *record)
 {
-    return record->granted + record->refused >= REQUESTS_MIN;
+    return record->granted + record->refused;
 }
 
 static double
@@ -62,18 +65,19 @@
     return record->granted / (record->granted + record->refused);
 }
 
-/* Returns whether a rank goes ahead of all higher ones: a smaller fraction of
- * its requests is served, by the margin. */
+/* Returns whether a rank goes ahead of all higher ones that had enough
+ * requests: a smaller fraction of its own is served, by the margin. */
 static bool
-goes_ahead(const RankRecord *tier, unsigned rank, double margin)
+goes_ahead(const RankRecord *tier, unsigned rank, double margin,
+           double requests_min)
 {
     const RankRecord *own = &tier[rank];
-    if (!is_known(own)) {
+    if (count_requests(own) < REQUESTS_MIN) {
         return false;
     }
     bool above = false;
     for (unsigned r = 0; r < rank; r++) {
-        if (!is_known(&tier[r])) {
+        if (count_requests(&tier[r]) < requests_min) {
             continue;
         }
         above = true;
@@ -94,8 +98,8 @@
         RankRecord *tier = ranks->records[t];
         for (unsigned r = 0; r < FAIR_RANKS; r++) {
             decay(&tier[r], now);
-            bool ahead =
-                goes_ahead(tier, r, tier[r].ahead ? 0 : SERVED_MARGIN);
+            bool ahead = goes_ahead(tier, r, tier[r].ahead ? 0 : SERVED_MARGIN,
+                                    REQUESTS_MIN);
             changed = changed || ahead != tier[r].ahead;
             tier[r].ahead = ahead;
         }
@@ -108,7 +112,8 @@
 {
     const RankRecord *tier = ranks->records[MIN(work->tier, WORK_TIERS - 1)];
     unsigned rank = MIN(work->rank, FAIR_RANKS - 1);
-    return tier[rank].ahead || goes_ahead(tier, rank, NEAR_MARGIN);
+    return tier[rank].ahead ||
+           goes_ahead(tier, rank, NEAR_MARGIN, NEAR_REQUESTS_MIN);
 }
 
 int
--- a/src/sched/pool_view.c
+++ b/src/sched/pool_view.c
@@ -275,32 +275,32 @@
 
 uint32_t
 PoolView_ReturnMs(const PoolCandidate *candidates, size_t count,
-                  const PoolRequest *request, uint32_t key, TimeUs now)
+                  const PoolRequest *request, uint32_t named_ms, uint32_t key,
+                  TimeUs now)
 {
     TimeUs room = TIME_NEVER;
-    bool in_time = false;
+    TimeUs run = TIME_NEVER;
     for (size_t i = 0; i < count; i++) {
         const EngineView *view = candidates[i].view;
         if (!is_fresh(view, now) || now < view->closed_until) {
             continue;
         }
-        TimeUs wait = find_wait(view, request, now).expected;
-        TimeUs run = run_upper_bound(&view->outlook, request);
-        room = MIN(room, wait);
-        in_time = in_time || now + wait + run <= request->deadline;
+        room = MIN(room, find_wait(view, request, now).expected);
+        run = MIN(run, run_upper_bound(&view->outlook, request));
     }
     if (room == TIME_NEVER) {
-        return 0;
+        return named_ms;
     }
+    TimeUs left = request->deadline - now;
+    room = MAX(room, named_ms * US_PER_MS);
     double room_ms = MAX((double)room / US_PER_MS, RETURN_MIN_MS);
-    double spread = (double)key / UINT32_MAX;
     double last_ms = room_ms * (1 + SPREAD_FRACTION);
-    double third_ms =
-        (double)(request->deadline - now) / US_PER_MS * RETURN_FRACTION;
-    if (in_time && third_ms >= RETURN_MIN_MS) {
+    double third_ms = (double)left / US_PER_MS * RETURN_FRACTION;
+    if (room + run <= left && third_ms >= RETURN_MIN_MS) {
         last_ms = MIN(last_ms, third_ms);
         room_ms = MIN(room_ms, last_ms);
     }
+    double spread = (double)key / UINT32_MAX;
     return (uint32_t)MIN(room_ms + (last_ms - room_ms) * spread,
                          RETURN_MAX_MS);
 }
--- a/src/sched/pool_view.h
+++ b/src/sched/pool_view.h
@@ -96,10 +96,12 @@
                      TimeUs now, PoolChoice *choice);
 
 /** Returns the time after which the caller of a refused request should come
- * back, in ms, or 0 if nothing is known.
+ * back, in ms: the least wait of the view, and not before the time that the
+ * keepers have named.
+ * @param named_ms  least time in the refusals of keepers.
  * @param key  spreads callers; a hash of the request. */
 uint32_t PoolView_ReturnMs(const PoolCandidate *candidates, size_t count,
-                           const PoolRequest *request, uint32_t key,
-                           TimeUs now);
+                           const PoolRequest *request, uint32_t named_ms,
+                           uint32_t key, TimeUs now);
 
 #endif
--- a/test/unit/pool_play_gateway.c
+++ b/test/unit/pool_play_gateway.c
@@ -242,9 +242,9 @@
     Candidates candidates;
     collect(play, request, &candidates);
     PoolRequest wanted = pool_request(request);
-    uint32_t ms = PoolView_ReturnMs(candidates.pool, play->spec->engines,
-                                    &wanted, index * 2654435761U, play->now);
-    return ms == 0 ? request->retry_after_ms : ms;
+    return PoolView_ReturnMs(candidates.pool, play->spec->engines, &wanted,
+                             request->retry_after_ms, index * 2654435761U,
+                             play->now);
 }
 
 static void
--- a/test/unit/test_pool_load.c
+++ b/test/unit/test_pool_load.c
@@ -234,9 +234,13 @@
     assert_int_equal(both.before.refusals, both.after.refusals);
 }
 
+/* Usage: test_pool_load [PATTERN of test names] */
 int
-main(void)
+main(int argc, char **argv)
 {
+    if (argc > 1) {
+        cmocka_set_test_filter(argv[1]);
+    }
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(nobody_is_refused_below_the_capacity),
         cmocka_unit_test(slight_overload_is_refused_early),
