Pool view: hopeless requests end with 12 keepers; ranks near to going ahead

The view of an engine's last rank was wrong until a gateway heard that it goes ahead; outlooks now foresee it one request early.

--- a/src/gateway/keepers.h
+++ b/src/gateway/keepers.h
@@ -32,6 +32,7 @@
     Keeper *granted_by;      /* Keeper that granted it, or NULL */
     unsigned max_distance;   /* largest endpoint distance in the next round */
     bool limited; /* asks only the keepers that the view of the pool chooses */
+    bool hopeless;                  /* all engines were known to be late */
     struct event *next_round_timer; /* starts the next round of wants */
 } Want;
 
--- a/src/gateway/wants.c
+++ b/src/gateway/wants.c
@@ -331,6 +331,7 @@
     PoolRequest request = Pool_RequestOf(want->call);
     PoolSearch search = {
         .limited = want->limited,
+        .hopeless = want->hopeless,
         .refused = want->refused->len,
     };
     PoolChoice chosen;
@@ -343,6 +344,7 @@
         Pool_LogChoice(want, &chosen);
     }
     want->limited = true;
+    want->hopeless = want->hopeless || chosen.hopeless;
     want->max_distance = DISTANCE_ALL;
     for (size_t i = 0; i < chosen.count; i++) {
         Keeper *keeper = choice->keepers[chosen.chosen[i]];
@@ -350,7 +352,10 @@
         send_want(want, keeper, choice->slots[chosen.chosen[i]]);
     }
     *sent = (guint)chosen.count;
-    schedule_next_round(want, chosen.count > 0 ? LATER_ROUND_MS : RECHECK_MS);
+    if (!want->hopeless) {
+        schedule_next_round(want,
+                            chosen.count > 0 ? LATER_ROUND_MS : RECHECK_MS);
+    }
     return true;
 }
 
--- a/src/sched/fair_ranks.c
+++ b/src/sched/fair_ranks.c
@@ -4,6 +4,7 @@
 #include "sched/fair_ranks.h"
 
 #include <math.h>
+#include <string.h>
 
 #include <glib.h>
 
@@ -17,9 +18,6 @@
 /* Difference of the served fractions at which a rank goes ahead, so that the
  * order does not change with each request. */
 #define SERVED_MARGIN 0.05
-/* Difference at which a rank may go ahead within the second for which others
- * believe what they were told of it. */
-#define NEAR_MARGIN 0.02
 /* Number of requests from which a higher rank is still judged after that
  * second. */
 #define NEAR_REQUESTS_MIN (1.4 * REQUESTS_MIN)
@@ -110,10 +108,18 @@
 bool
 FairRanks_MayGoAhead(const FairRanks *ranks, const WorkSpec *work)
 {
-    const RankRecord *tier = ranks->records[MIN(work->tier, WORK_TIERS - 1)];
+    RankRecord tier[FAIR_RANKS];
+    memcpy(tier, ranks->records[MIN(work->tier, WORK_TIERS - 1)],
+           sizeof(tier));
     unsigned rank = MIN(work->rank, FAIR_RANKS - 1);
-    return tier[rank].ahead ||
-           goes_ahead(tier, rank, NEAR_MARGIN, NEAR_REQUESTS_MIN);
+    if (tier[rank].ahead) {
+        return true;
+    }
+    tier[rank].refused += 1;
+    for (unsigned r = 0; r < rank; r++) {
+        tier[r].granted += 1;
+    }
+    return goes_ahead(tier, rank, SERVED_MARGIN, 1 + NEAR_REQUESTS_MIN);
 }
 
 int
--- a/src/sched/pool_view.c
+++ b/src/sched/pool_view.c
@@ -250,6 +250,10 @@
     if (count <= POOL_WANTS_MAX) {
         return;
     }
+    if (search->hopeless) {
+        choice->limited = true;
+        return;
+    }
     Ranked *ranked = g_new(Ranked, count);
     for (size_t i = 0; i < count; i++) {
         ranked[i] = rank_candidate(&candidates[i], request, now);
@@ -265,6 +269,7 @@
         choose_cheapest(choice, candidates, ranked, count, ENGINE_UNKNOWN,
                         best);
         if (first) {
+            choice->hopeless = choice->in_time == 0 && choice->unknown == 0;
             choose_cheapest(choice, candidates, ranked, count, ENGINE_LATE,
                             best);
             choose_oldest(choice, candidates, ranked, count, POOL_WANTS_MAX);
--- a/src/sched/pool_view.h
+++ b/src/sched/pool_view.h
@@ -59,6 +59,7 @@
 /** State of the search of one request. */
 typedef struct PoolSearch {
     bool limited;     /**< The view has limited an earlier round. */
+    bool hopeless;    /**< PoolChoice.hopeless of that round. */
     unsigned refused; /**< Keepers that refused the request. */
 } PoolSearch;
 
@@ -66,6 +67,9 @@
     /** The pool is short of capacity: exactly the keepers of @c chosen are to
      * be asked now. Otherwise the view decides nothing. */
     bool limited;
+    /** In the first round: all engines are known to be late, so that the
+     * search ends with the keepers that are asked now. */
+    bool hopeless;
     size_t count;
     size_t
         chosen[POOL_CHOSEN_MAX]; /**< Positions of candidates, best first. */
@@ -90,7 +94,8 @@
 
 /** Decides whom the request asks now. A first round asks engines that are
  * known to be late, too, since an outlook may be wrong; later rounds ask only
- * others. An empty limited choice means that no other engine can serve it. */
+ * others, and none if the request is hopeless. An empty limited choice means
+ * that no other engine can serve it. */
 void PoolView_Choose(const PoolCandidate *candidates, size_t count,
                      const PoolRequest *request, const PoolSearch *search,
                      TimeUs now, PoolChoice *choice);
--- a/test/unit/pool_play_gateway.c
+++ b/test/unit/pool_play_gateway.c
@@ -144,6 +144,7 @@
     PoolRequest wanted = pool_request(request);
     PoolSearch search = {
         .limited = request->limited,
+        .hopeless = request->known_late,
         .refused = (unsigned)__builtin_popcountll(request->refused),
     };
     PoolChoice choice;
@@ -152,15 +153,15 @@
     if (!choice.limited) {
         return false;
     }
-    request->known_late =
-        request->known_late ||
-        (request->asked == 0 && choice.in_time == 0 && choice.unknown == 0);
+    request->known_late = request->known_late || choice.hopeless;
     request->limited = true;
     for (size_t i = 0; i < choice.count; i++) {
         send_want(play, index, (unsigned)choice.chosen[i]);
     }
     *sent = choice.count > 0;
-    schedule_round(play, index, *sent ? LATER_ROUND_US : RECHECK_US);
+    if (!request->known_late) {
+        schedule_round(play, index, *sent ? LATER_ROUND_US : RECHECK_US);
+    }
     return true;
 }
 
