Bookings: keepers keep capacity for callers that were told to come back

A caller that comes back under a new id competed with as many new requests and was mostly refused again.

--- a/src/gateway/pool.c
+++ b/src/gateway/pool.c
@@ -38,7 +38,8 @@
     {
         const uint32_t *numbers = &message->waits[i];
         outlook.waits[outlook.count++] = (ClassWait){
-            .class_index = numbers[0],
+            .class_index = numbers[0] % OUTLOOK_CLASSES,
+            .bookable = numbers[0] >= OUTLOOK_CLASSES,
             .on_time = read_wait(&numbers[1]),
             .late = read_wait(&numbers[3]),
         };
--- a/src/gateway/wants.c
+++ b/src/gateway/wants.c
@@ -5,6 +5,8 @@
  */
 #include <string.h>
 
+#include <xxhash.h>
+
 #include "gateway/keepers.h"
 #include "kernel/log.h"
 #include "sched/balancer.h"
@@ -128,8 +130,10 @@
     Link_Send(keeper->link, &frame);
 }
 
+/* @param told_ms  0 for a want; else the time after which the caller of the
+ *                 refused request was told to come back. */
 static void
-send_want(const Want *want, Keeper *keeper, uint32_t slots)
+send_want(const Want *want, Keeper *keeper, uint32_t slots, uint32_t told_ms)
 {
     const Call *call = want->call;
     TimeUs left = call->deadline - Clock_Now();
@@ -149,6 +153,7 @@
     message.prompt_tokens = call->prompt_tokens;
     message.output_tokens = call->expected_tokens;
     message.longest_output_tokens = call->output_tokens;
+    message.told_ms = told_ms;
     message.endpoint = keeper->endpoint_id;
     message.slots = slots;
     const Endpoint *endpoint =
@@ -263,7 +268,7 @@
         choice->candidates[best].usable = false;
         Keeper *keeper = choice->keepers[best];
         g_ptr_array_add(want->pending, keeper);
-        send_want(want, keeper, choice->slots[best]);
+        send_want(want, keeper, choice->slots[best], 0);
     }
     return max_count;
 }
@@ -296,10 +301,31 @@
     event_add(want->next_round_timer, &span);
 }
 
+/* Finds the keeper at which capacity is booked for a call that is refused: the
+ * one with the highest hash of request and engine, so that any gateway finds
+ * it when the caller repeats the request under another id.
+ * @return its position, or -1. */
+static int
+find_booking_keeper(const KeeperChoice *choice, Call *call)
+{
+    uint64_t key = Call_Fingerprint(call);
+    uint64_t highest = 0;
+    int found = -1;
+    for (size_t i = 0; i < choice->count; i++) {
+        const char *id = choice->keepers[i]->endpoint_id;
+        uint64_t hash = XXH3_64bits_withSeed(id, strlen(id), key);
+        if (found < 0 || hash > highest) {
+            highest = hash;
+            found = (int)i;
+        }
+    }
+    return found;
+}
+
 /* Describes the keepers for the view of the pool, without failing engines
  * while there are others. */
 static void
-fill_pool(KeeperChoice *choice)
+fill_pool(KeeperChoice *choice, Call *call)
 {
     bool others = false;
     for (size_t i = 0; i < choice->count; i++) {
@@ -316,6 +342,10 @@
             .cost_ms = Balancer_Cost(candidate),
         };
     }
+    int booking = find_booking_keeper(choice, call);
+    if (booking >= 0) {
+        choice->pool[booking].preferred = true;
+    }
 }
 
 /* Sends the wants that the view of the pool chooses, if it shows that the pool
@@ -327,7 +357,7 @@
     if (choice->count <= POOL_WANTS_MAX) {
         return false;
     }
-    fill_pool(choice);
+    fill_pool(choice, want->call);
     PoolRequest request = Pool_RequestOf(want->call);
     PoolSearch search = {
         .limited = want->limited,
@@ -349,7 +379,7 @@
     for (size_t i = 0; i < chosen.count; i++) {
         Keeper *keeper = choice->keepers[chosen.chosen[i]];
         g_ptr_array_add(want->pending, keeper);
-        send_want(want, keeper, choice->slots[chosen.chosen[i]]);
+        send_want(want, keeper, choice->slots[chosen.chosen[i]], 0);
     }
     *sent = (guint)chosen.count;
     if (!want->hopeless) {
@@ -380,6 +410,34 @@
     return more;
 }
 
+/* Books capacity for the refused request where the view shows that it will be
+ * free in time.
+ * @return when the caller should come back, in milliseconds; 0 if none was
+ *         booked. */
+static uint32_t
+book_return(const Want *want, const KeeperChoice *choice, uint32_t key)
+{
+    int booking = find_booking_keeper(choice, want->call);
+    if (booking < 0 || want->call->maybe_ran) {
+        return 0;
+    }
+    Keeper *keeper = choice->keepers[booking];
+    PoolRequest request = Pool_RequestOf(want->call);
+    uint32_t ms =
+        PoolView_BookingMs(&keeper->view, &request, key, Clock_Now());
+    if (ms > 0) {
+        LOG_INFO(
+            GATEWAY_PART,
+            "Capacity is booked for the caller's return. id=%s "
+            "endpoint=%s age_ms=%lld told_ms=%u",
+            want->call->id, keeper->endpoint_id,
+            (long long)((Clock_Now() - keeper->view.heard_at) / US_PER_MS),
+            ms);
+        send_want(want, keeper, choice->slots[booking], ms);
+    }
+    return ms;
+}
+
 uint32_t
 Want_ReturnMs(const Want *want)
 {
@@ -388,11 +446,14 @@
     }
     KeeperChoice choice;
     collect_candidates(&choice, want->call, want);
-    fill_pool(&choice);
+    fill_pool(&choice, want->call);
     PoolRequest request = Pool_RequestOf(want->call);
     uint32_t key = g_str_hash(want->call->id) * SPREAD_FACTOR;
-    uint32_t ms = PoolView_ReturnMs(choice.pool, choice.count, &request,
-                                    want->retry_after_ms, key, Clock_Now());
+    uint32_t ms = book_return(want, &choice, key);
+    if (ms == 0) {
+        ms = PoolView_ReturnMs(choice.pool, choice.count, &request,
+                               want->retry_after_ms, key, Clock_Now());
+    }
     free_candidates(&choice);
     return ms;
 }
@@ -404,6 +465,24 @@
     Want_SendNextRound(arg);
 }
 
+/* Asks the keeper that may keep capacity for the request, if requests of its
+ * class wait there. Needs the choice of send_by_view(). */
+static void
+send_preferred(Want *want, KeeperChoice *choice)
+{
+    PoolRequest request = Pool_RequestOf(want->call);
+    for (size_t i = 0; i < choice->count; i++) {
+        const PoolCandidate *candidate = &choice->pool[i];
+        if (candidate->preferred && candidate->usable &&
+            EngineView_Waits(candidate->view, &request, Clock_Now()))
+        {
+            choice->candidates[i].usable = false;
+            g_ptr_array_add(want->pending, choice->keepers[i]);
+            send_want(want, choice->keepers[i], choice->slots[i], 0);
+        }
+    }
+}
+
 bool
 Keepers_SendWants(Call *call)
 {
@@ -426,6 +505,7 @@
     g_hash_table_replace(call->gateway->keepers->wants, &want->id, want);
     guint sent = 0;
     if (!send_by_view(want, &choice, &sent)) {
+        send_preferred(want, &choice);
         send_wants(want, &choice, FIRST_ROUND_WANTS);
         schedule_next_round(want, SECOND_ROUND_MS);
     }
--- a/src/keeper/keeper.c
+++ b/src/keeper/keeper.c
@@ -70,6 +70,8 @@
     Counter *queued_gauge;
     Counter *busy_gauge;
     Counter *rate_gauge;
+    Counter *booked_counter;
+    Counter *unbooked_counter;
     uint64_t engine_born; /* as the engine last reported; 0 if unknown */
     bool start_uncertain; /* the engine may have started again since */
     Probe *probe;         /* NULL without a configured engine address */
@@ -223,6 +225,24 @@
     send_refusal(keeper, link, &action);
 }
 
+/* Keeps capacity free for a request that comes back. */
+static void
+book_return(Keeper *keeper, const Link *link, const WorkSpec *work,
+            uint32_t told_ms)
+{
+    TimeUs now = Clock_Now();
+    bool booked =
+        Queue_Book(keeper->queue, work, now + told_ms * US_PER_MS, now);
+    LOG_INFO(PART,
+             "Capacity %s for a request that comes back. want=%llu gateway=%s "
+             "tier=%u rank=%u prompt=%u output=%u told_ms=%u",
+             booked ? "is booked" : "is not booked: the limit is reached",
+             (unsigned long long)work->id.low, Link_Peer(link)->name,
+             work->tier, work->rank, work->prompt_tokens, work->output_tokens,
+             told_ms);
+    Counter_Add(booked ? keeper->booked_counter : keeper->unbooked_counter, 1);
+}
+
 static void
 on_slot_want(Keeper *keeper, Link *link, const Wire__SlotWant *want)
 {
@@ -257,6 +277,10 @@
         refuse_replaced(keeper, link, work.id);
         return;
     }
+    if (want->told_ms > 0) {
+        book_return(keeper, link, &work, want->told_ms);
+        return;
+    }
     Queue_AddWant(keeper->queue, &work, link_serial(link), now);
 }
 
@@ -510,6 +534,11 @@
         Counter_Get("keeper_rate_limit_millis",
                     "Requests in 1000 s that the engine takes; 0 without a "
                     "limit.");
+    keeper->booked_counter =
+        Counter_Get("keeper_bookings_total{kept=\"yes\"}",
+                    "Refused requests that capacity is kept for.");
+    keeper->unbooked_counter =
+        Counter_Get("keeper_bookings_total{kept=\"no\"}", NULL);
     QueueConfig config = {
         .max_wants = MAX_WANTS,
         .max_ended_ids = MAX_ENDED_IDS,
--- a/src/keeper/outlook.c
+++ b/src/keeper/outlook.c
@@ -27,7 +27,9 @@
     wire__engine_outlook__init(message);
     message->waits = out->waits;
     for (unsigned i = 0; i < outlook.count; i++) {
-        message->waits[message->n_waits++] = outlook.waits[i].class_index;
+        message->waits[message->n_waits++] =
+            outlook.waits[i].class_index +
+            (outlook.waits[i].bookable ? OUTLOOK_CLASSES : 0);
         add_wait(message, &outlook.waits[i].on_time);
         add_wait(message, &outlook.waits[i].late);
     }
--- a/src/sched/fair_ranks.c
+++ b/src/sched/fair_ranks.c
@@ -18,6 +18,9 @@
 /* Difference of the served fractions at which a rank goes ahead, so that the
  * order does not change with each request. */
 #define SERVED_MARGIN 0.05
+/* Served fraction of each higher rank below which no capacity is kept for a
+ * rank. An engine refuses some requests that another one serves. */
+#define HIGHER_SERVED_MIN 0.9
 /* Number of requests from which a higher rank is still judged after that
  * second. */
 #define NEAR_REQUESTS_MIN (1.4 * REQUESTS_MIN)
@@ -122,6 +125,23 @@
     return goes_ahead(tier, rank, SERVED_MARGIN, 1 + NEAR_REQUESTS_MIN);
 }
 
+bool
+FairRanks_HigherAreServed(const FairRanks *ranks, const WorkSpec *work)
+{
+    unsigned tier = MIN(work->tier, WORK_TIERS - 1);
+    unsigned rank = MIN(work->rank, FAIR_RANKS - 1);
+    for (unsigned i = 0; i < tier * FAIR_RANKS + rank; i++) {
+        const RankRecord *record =
+            &ranks->records[i / FAIR_RANKS][i % FAIR_RANKS];
+        if (count_requests(record) >= REQUESTS_MIN &&
+            served_fraction(record) < HIGHER_SERVED_MIN)
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
 int
 FairRanks_Order(const FairRanks *ranks, const WorkSpec *work)
 {
--- a/src/sched/fair_ranks.h
+++ b/src/sched/fair_ranks.h
@@ -46,6 +46,10 @@
  * would if it were served a little less often. */
 bool FairRanks_MayGoAhead(const FairRanks *ranks, const WorkSpec *work);
 
+/** Returns whether the requests of higher tiers and ranks are served, apart
+ * from a few, so that capacity may be kept for the rank. */
+bool FairRanks_HigherAreServed(const FairRanks *ranks, const WorkSpec *work);
+
 /** Returns the position of the request's rank in its tier: the lower one is
  * granted first. */
 int FairRanks_Order(const FairRanks *ranks, const WorkSpec *work);
--- a/src/sched/outlook.h
+++ b/src/sched/outlook.h
@@ -24,6 +24,7 @@
     unsigned class_index; /**< outlook_class() */
     PlannedWait on_time;
     PlannedWait late;
+    bool bookable; /**< Capacity may be kept for requests that come back. */
 } ClassWait;
 
 typedef struct EngineOutlook {
--- a/src/sched/pool_view.c
+++ b/src/sched/pool_view.c
@@ -24,6 +24,8 @@
 #define RETURN_FRACTION (1.0 / 3)
 /* Callers are told to come back over a time of this fraction of the wait. */
 #define SPREAD_FRACTION 0.5
+/* Time that a caller that comes back in time may still wait for a slot. */
+#define SLACK_US (800 * US_PER_MS)
 #define RETURN_MIN_MS 100
 #define RETURN_MAX_MS 60000
 
@@ -136,6 +138,13 @@
     return late > 0 ? ENGINE_LATE : ENGINE_IN_TIME;
 }
 
+bool
+EngineView_Waits(const EngineView *view, const PoolRequest *request,
+                 TimeUs now)
+{
+    return is_fresh(view, now) && find_wait(view, request, now).expected > 0;
+}
+
 /* A candidate with what is known of it. */
 typedef struct Ranked {
     EngineFit fit;
@@ -195,6 +204,19 @@
     }
 }
 
+static void
+choose_preferred(PoolChoice *choice, const PoolCandidate *candidates,
+                 Ranked *ranked, size_t count)
+{
+    for (size_t i = 0; i < count; i++) {
+        if (candidates[i].usable && candidates[i].preferred &&
+            !ranked[i].chosen && choice->count < POOL_WANTS_MAX)
+        {
+            choose(choice, ranked, i);
+        }
+    }
+}
+
 /* Chooses the usable candidates that were heard of least recently, until @p
  * max_count are chosen. */
 static void
@@ -270,6 +292,7 @@
                         best);
         if (first) {
             choice->hopeless = choice->in_time == 0 && choice->unknown == 0;
+            choose_preferred(choice, candidates, ranked, count);
             choose_cheapest(choice, candidates, ranked, count, ENGINE_LATE,
                             best);
             choose_oldest(choice, candidates, ranked, count, POOL_WANTS_MAX);
@@ -309,3 +332,38 @@
     return (uint32_t)MIN(room_ms + (last_ms - room_ms) * spread,
                          RETURN_MAX_MS);
 }
+
+static bool
+is_bookable(const EngineView *view, const PoolRequest *request)
+{
+    unsigned class_index = outlook_class(request->tier, request->rank);
+    for (unsigned i = 0; i < view->outlook.count; i++) {
+        if (view->outlook.waits[i].class_index == class_index) {
+            return view->outlook.waits[i].bookable;
+        }
+    }
+    return false;
+}
+
+uint32_t
+PoolView_BookingMs(const EngineView *view, const PoolRequest *request,
+                   uint32_t key, TimeUs now)
+{
+    if (!is_fresh(view, now) || now < view->closed_until ||
+        !is_bookable(view, request))
+    {
+        return 0;
+    }
+    TimeUs left = request->deadline - now;
+    TimeUs run = run_upper_bound(&view->outlook, request);
+    TimeUs wait = find_wait(view, request, now).planned;
+    double first_ms = MAX((double)wait / US_PER_MS, RETURN_MIN_MS);
+    double last_ms =
+        MIN((double)left * RETURN_FRACTION, (double)(left - run - SLACK_US)) /
+        US_PER_MS;
+    if (first_ms > last_ms) {
+        return 0;
+    }
+    double spread = (double)key / UINT32_MAX;
+    return (uint32_t)(first_ms + (last_ms - first_ms) * spread);
+}
--- a/src/sched/pool_view.h
+++ b/src/sched/pool_view.h
@@ -53,6 +53,7 @@
 typedef struct PoolCandidate {
     const EngineView *view;
     bool usable; /**< Can be asked; otherwise it counts as an engine only. */
+    bool preferred; /**< Capacity may be booked there for the request. */
     double cost_ms; /**< Balancer_Cost() */
 } PoolCandidate;
 
@@ -92,6 +93,11 @@
 EngineFit EngineView_Judge(const EngineView *view, const PoolRequest *request,
                            TimeUs now, TimeUs *lateness);
 
+/** Returns whether requests of the class of a request are known to wait at the
+ * engine. */
+bool EngineView_Waits(const EngineView *view, const PoolRequest *request,
+                      TimeUs now);
+
 /** Decides whom the request asks now. A first round asks engines that are
  * known to be late, too, since an outlook may be wrong; later rounds ask only
  * others, and none if the request is hopeless. An empty limited choice means
@@ -100,6 +106,13 @@
                      const PoolRequest *request, const PoolSearch *search,
                      TimeUs now, PoolChoice *choice);
 
+/** Returns the time after which an engine is expected to have capacity for a
+ * refused request, in ms, or 0 if that is unknown or too late for its caller
+ * to come back.
+ * @param key  spreads callers; a hash of the request. */
+uint32_t PoolView_BookingMs(const EngineView *view, const PoolRequest *request,
+                            uint32_t key, TimeUs now);
+
 /** Returns the time after which the caller of a refused request should come
  * back, in ms: the least wait of the view, and not before the time that the
  * keepers have named.
--- a/src/sched/queue.c
+++ b/src/sched/queue.c
@@ -175,12 +175,16 @@
     }
     queue->last_planned_at = now;
     queue->lowest_tier = WORK_TIERS - 1;
+    Bookings_Expire(&queue->bookings, now);
     TimeUs mean = QueueTimes_MeanRunTime(queue);
     uint32_t position = 0;
     while (position < queue->waiting_count) {
         Item *item = QueueItems_Waiting(queue, position);
         TimeUs start = MAX(Plan_NextFree(&plan),
                            QueueTimes_NextByRate(queue, position, now));
+        if (!item->booked) {
+            start += QueueTimes_BookedWait(queue, &item->work, start);
+        }
         TimeUs run_time = QueueTimes_RunTime(queue, item);
         TimeUs lateness =
             QueueTimes_PredictLateness(queue, item, start - now, mean, now);
@@ -270,6 +274,15 @@
     plan_and_grant(queue, now);
 }
 
+bool
+Queue_Book(WantQueue *queue, const WorkSpec *work, TimeUs from, TimeUs now)
+{
+    TimeUs run = Speed_RunTime(&queue->speed, work, 0);
+    return QueueTimes_MayBook(queue, work) &&
+           Bookings_Add(&queue->bookings, work, from, run, queue->config.slots,
+                        now);
+}
+
 static void
 add_dispatch_sample(WantQueue *queue, bool dispatched)
 {
@@ -516,6 +529,7 @@
         .margin = queue->margin,
         .lowest_tier = queue->lowest_tier,
         .retry_after_ms = MAX(queue->retry_after_ms, RETRY_AFTER_MIN_MS),
+        .booked = queue->bookings.count,
         .leaving = queue->leaving,
     };
     memcpy(state->queued_by_tier, queue->waiting_by_tier,
--- a/src/sched/queue.h
+++ b/src/sched/queue.h
@@ -85,6 +85,7 @@
     double margin;        /**< Safety factor applied to predicted run times. */
     uint32_t lowest_tier; /**< Entries should send no wants of lower tiers. */
     uint32_t retry_after_ms;
+    uint32_t booked; /**< Bookings that wait for their requests. */
     bool leaving;
 } QueueState;
 
@@ -96,6 +97,12 @@
 void Queue_AddWant(WantQueue *queue, const WorkSpec *work, uint64_t owner,
                    TimeUs now);
 
+/** Keeps capacity free for a request whose caller was told to come back at @p
+ * from (bookings.h).
+ * @return false if too much is booked for that time. */
+bool Queue_Book(WantQueue *queue, const WorkSpec *work, TimeUs from,
+                TimeUs now);
+
 /** Removes a want or an unused grant that its owner has withdrawn. */
 void Queue_Withdraw(WantQueue *queue, RequestId id, uint64_t owner,
                     TimeUs now);
--- a/src/sched/queue_items.c
+++ b/src/sched/queue_items.c
@@ -113,6 +113,9 @@
     if (a->work.tier != b->work.tier) {
         return a->work.tier < b->work.tier;
     }
+    if (a->booked != b->booked) {
+        return a->booked;
+    }
     int order_a = FairRanks_Order(&queue->fair_ranks, &a->work);
     int order_b = FairRanks_Order(&queue->fair_ranks, &b->work);
     if (order_a != order_b) {
@@ -295,6 +298,7 @@
         .owner = owner,
         .arrived_at = now,
         .sequence = queue->next_sequence++,
+        .booked = Bookings_Claim(&queue->bookings, work, now),
         .cached_blocks =
             Blocks_CountLeading(queue->blocks, work, QUEUE_CACHE_HOLDER),
     };
--- a/src/sched/queue_items.h
+++ b/src/sched/queue_items.h
@@ -8,6 +8,7 @@
 #define LAURELLIFT_SCHED_QUEUE_ITEMS_H
 
 #include "sched/blocks.h"
+#include "sched/bookings.h"
 #include "sched/fair_ranks.h"
 #include "sched/idmap.h"
 #include "sched/named_rate.h"
@@ -43,6 +44,7 @@
     TimeUs latest_start_at; /* sort key within one tier and rank */
     bool first_piece_late;  /* first piece is expected after
                                first_piece_deadline */
+    bool booked;            /* claimed a booking: goes first in its tier */
     uint64_t grant_id;
     TimeUs grant_expires_at; /* valid in ITEM_GRANTED */
     TimeUs started_at;
@@ -89,6 +91,7 @@
     FairRanks fair_ranks; /* unused unless config.fair_ranks */
     NamedRate rate_limit; /* of the endpoint */
     Rest rest;            /* that the endpoint asked for */
+    Bookings bookings;
     uint32_t lowest_tier; /* entries should send no wants of lower tiers */
     uint32_t retry_after_ms;
     /* Least values of recent plans: of the current and the previous span. */
--- a/src/sched/queue_outlook.c
+++ b/src/sched/queue_outlook.c
@@ -60,12 +60,13 @@
 
 /* Returns the planned wait of a request at the walk's position. */
 static TimeUs
-planned_wait(const Walk *walk)
+planned_wait(const Walk *walk, const WorkSpec *work)
 {
     TimeUs start =
         MAX(Plan_NextFree(&walk->plan),
             QueueTimes_NextByRate(walk->queue, walk->position, walk->now));
-    return MAX(start - walk->now, 0);
+    start = MAX(start, walk->now);
+    return start + QueueTimes_BookedWait(walk->queue, work, start) - walk->now;
 }
 
 static bool
@@ -106,7 +107,7 @@
 static PlannedWait
 wait_here(const Walk *walk, const WorkSpec *work)
 {
-    PlannedWait wait = {.planned = planned_wait(walk)};
+    PlannedWait wait = {.planned = planned_wait(walk, work)};
     wait.expected = wait.planned;
     if (walk->queue->config.refuse_early) {
         TimeUs behind = QueueTimes_WaitBehindHigher(walk->queue, work,
@@ -153,6 +154,17 @@
     return wait_here(walk, &work);
 }
 
+/* Passes the requests that claimed a booking, which go first in their tier. */
+static void
+pass_booked(Walk *walk, uint32_t tier)
+{
+    const Item *item;
+    while ((item = peek(walk)) != NULL && item->work.tier == tier &&
+           item->booked) {
+        advance(walk);
+    }
+}
+
 /* Predicts the waits of all classes by the plan of this moment; the position
  * of a class in the result is its index. */
 static void
@@ -164,6 +176,7 @@
     for (uint32_t t = 0; t < WORK_TIERS; t++) {
         uint32_t ranks[OUTLOOK_RANKS];
         order_ranks(queue, t, ranks);
+        pass_booked(&walk, t);
         PlannedWait first = wait_ahead(&walk, t);
         for (uint32_t i = 0; i < OUTLOOK_RANKS; i++) {
             WorkSpec work = {.tier = t, .rank = ranks[i]};
@@ -173,6 +186,7 @@
             wait->on_time = wait_here(&walk, &work);
             pass_class(&walk, &work);
             wait->late = wait_here(&walk, &work);
+            wait->bookable = QueueTimes_MayBook(queue, &work);
             if (queue->config.fair_ranks &&
                 FairRanks_MayGoAhead(&queue->fair_ranks, &work))
             {
@@ -269,11 +283,12 @@
     item.latest_start_at = QueueItems_LatestStart(queue, &item);
     Walk walk = start_walk(queue, now);
     pass_preceding(&walk, &item);
-    if (QueueTimes_IsNewlyLate(queue, &item, now + planned_wait(&walk))) {
+    if (QueueTimes_IsNewlyLate(queue, &item, now + planned_wait(&walk, work)))
+    {
         item.first_piece_late = true;
         item.latest_start_at = QueueItems_LatestStart(queue, &item);
         pass_preceding(&walk, &item);
     }
-    return QueueTimes_PredictLateness(queue, &item, planned_wait(&walk),
+    return QueueTimes_PredictLateness(queue, &item, planned_wait(&walk, work),
                                       walk.mean, now);
 }
--- a/src/sched/queue_times.c
+++ b/src/sched/queue_times.c
@@ -171,7 +171,7 @@
     TimeUs lateness = now + planned + run - item->work.deadline;
     lateness =
         MAX(lateness, predict_first_piece_lateness(queue, item, planned, now));
-    if (!queue->config.refuse_early) {
+    if (!queue->config.refuse_early || item->booked) {
         return lateness;
     }
     TimeUs wait =
@@ -189,6 +189,21 @@
     return MAX(next, queue->rest.until);
 }
 
+bool
+QueueTimes_MayBook(const WantQueue *queue, const WorkSpec *work)
+{
+    return !queue->leaving &&
+           FairRanks_HigherAreServed(&queue->fair_ranks, work);
+}
+
+TimeUs
+QueueTimes_BookedWait(const WantQueue *queue, const WorkSpec *work,
+                      TimeUs start)
+{
+    return Bookings_WorkBefore(&queue->bookings, work, start) /
+           MAX(queue->config.slots, 1);
+}
+
 /* Moves a margin towards a quantile of the ratio of measured to predicted
  * time. */
 static void
--- a/src/sched/queue_times.h
+++ b/src/sched/queue_times.h
@@ -57,6 +57,15 @@
 TimeUs QueueTimes_NextByRate(const WantQueue *queue, uint32_t position,
                              TimeUs now);
 
+/** Returns whether capacity may be kept for requests of the class of a
+ * request. */
+bool QueueTimes_MayBook(const WantQueue *queue, const WorkSpec *work);
+
+/** Returns by how much the bookings of the request's class and of higher ones
+ * delay a request that would start at @p start. */
+TimeUs QueueTimes_BookedWait(const WantQueue *queue, const WorkSpec *work,
+                             TimeUs start);
+
 /** Includes the plan of this moment in the queue's outlook. */
 void QueueOutlook_Sample(WantQueue *queue, TimeUs now);
 
--- a/test/unit/pool_play.c
+++ b/test/unit/pool_play.c
@@ -127,10 +127,9 @@
 start_on_engine(Play *play, PlayEngine *engine, unsigned index)
 {
     Request *request = pool_play_request(play, index);
-    const Kind *kind = &PoolPlay_Kinds[request->rank];
     engine->running++;
-    TimeUs prefill =
-        (TimeUs)(kind->prompt / PREFILL_TOKENS_MS / engine->speed * US_PER_MS);
+    TimeUs prefill = (TimeUs)(request->prompt / PREFILL_TOKENS_MS /
+                              engine->speed * US_PER_MS);
     engine->prefill_free_at =
         MAX(engine->prefill_free_at, play->now) + prefill;
     TimeUs end =
@@ -221,7 +220,7 @@
         .deadline = request->deadline,
         .first_piece_deadline =
             MAX(request->arrived_at + kind->target_ms * US_PER_MS, play->now),
-        .prompt_tokens = kind->prompt,
+        .prompt_tokens = request->prompt,
         .output_tokens = kind->output,
         .longest_output_tokens = 2 * kind->output,
     };
@@ -251,6 +250,8 @@
         unsigned index = (unsigned)action.id.low - 1;
         const Request *request = pool_play_request(play, index);
         Event reply = {.kind = EVENT_REFUSED, .request = index, .engine = e};
+        play->result->claimed_refused +=
+            action.kind == QUEUE_REFUSE && (request->claimed >> e & 1) != 0;
         if (action.kind == QUEUE_GRANT) {
             reply.kind = EVENT_GRANTED;
             Queue_OnDispatch(engine->queue, action.id, action.grant_id,
@@ -275,6 +276,22 @@
     schedule_tick(play, e);
 }
 
+static void
+add_want(Play *play, const Event *event, const WorkSpec *work)
+{
+    WantQueue *queue = play->engines[event->engine].queue;
+    Request *request = pool_play_request(play, event->request);
+    QueueState before;
+    QueueState after;
+    Queue_GetState(queue, play->now, &before);
+    Queue_AddWant(queue, work, request->gateway, play->now);
+    Queue_GetState(queue, play->now, &after);
+    if (after.booked < before.booked) {
+        play->result->claimed++;
+        request->claimed |= 1ULL << event->engine;
+    }
+}
+
 /* Handles an event at a keeper. */
 static void
 at_keeper(Play *play, const Event *event)
@@ -291,7 +308,16 @@
     WorkSpec work = PoolPlay_Work(play, request, event->request);
     switch (event->kind) {
     case EVENT_WANT:
-        Queue_AddWant(engine->queue, &work, request->gateway, play->now);
+        add_want(play, event, &work);
+        break;
+    case EVENT_BOOK:
+        if (Queue_Book(engine->queue, &work, request->told_at, play->now)) {
+            play->result->booked++;
+            pool_play_request(play, event->request)->booked = true;
+        }
+        else {
+            play->result->not_booked++;
+        }
         break;
     case EVENT_WITHDRAWN:
         Queue_Withdraw(engine->queue, work.id, request->gateway, play->now);
@@ -377,8 +403,13 @@
         .gateway = gateway,
         .arrived_at = play->now,
         .deadline = play->now + kind->deadline_ms * US_PER_MS,
+        .prompt = kind->prompt,
         .actual_output = MIN(kind->output * length, 2.0 * kind->output),
     };
+    request.key = play->result->callers;
+    if (play->spec->sizes) {
+        request.prompt += (uint32_t)g_rand_int_range(play->random, 0, 400);
+    }
     play->result->callers++;
     play->result->classes[pool_play_class(&request)].callers++;
     play->result->arrived_in[span_of(play->now)]++;
@@ -426,6 +457,7 @@
     }
     case EVENT_WANT:
     case EVENT_WITHDRAWN:
+    case EVENT_BOOK:
     case EVENT_UNUSED:
     case EVENT_SLOT_END:
     case EVENT_PREFILLED:
--- a/test/unit/pool_play.h
+++ b/test/unit/pool_play.h
@@ -18,6 +18,8 @@
 
 typedef struct PoolCase {
     bool use_view;
+    bool sizes;    /* prompts differ, and callers return to other gateways */
+    bool bookings; /* capacity is kept for callers that come back */
     unsigned engines;
     double load;        /* demand / capacity of all engines */
     int run_ms;         /* time for which requests arrive */
@@ -46,6 +48,12 @@
     unsigned wrong;    /* refusals while an engine would have served */
     unsigned returns;  /* callers that came back */
     unsigned returns_served;
+    unsigned booked;         /* bookings that keepers accepted */
+    unsigned not_booked;     /* those beyond their limit */
+    unsigned booked_callers; /* that came back for an accepted booking */
+    unsigned booked_served;
+    unsigned claimed;          /* bookings that a request has claimed */
+    unsigned claimed_refused;  /* of these requests, refused by that keeper */
     unsigned wants;            /* messages to keepers */
     unsigned refusal_wants;    /* those of refused requests */
     unsigned refused_after_12; /* refused requests that asked more */
--- a/test/unit/pool_play_gateway.c
+++ b/test/unit/pool_play_gateway.c
@@ -33,6 +33,25 @@
                play->spec->fault_from_ms * US_PER_MS + LOSS_NOTICED_US;
 }
 
+/* Returns the engine at which capacity is booked for a request: the one with
+ * the highest hash, so that each gateway finds it when the caller returns. */
+static unsigned
+booking_engine(const Play *play, const Request *request)
+{
+    unsigned best = 0;
+    uint32_t best_hash = 0;
+    for (unsigned e = 0; e < play->spec->engines; e++) {
+        uint32_t hash = (request->key * 64 + e + 1) * 2654435761U;
+        hash = (hash ^ hash >> 15) * 2246822519U;
+        hash ^= hash >> 13;
+        if (hash > best_hash && !is_known_lost(play, e)) {
+            best = e;
+            best_hash = hash;
+        }
+    }
+    return best;
+}
+
 static void
 collect(const Play *play, const Request *request, Candidates *out)
 {
@@ -53,7 +72,7 @@
             .distance = PoolPlay_Distance(request->gateway, e),
             .load = MAX(reported, keeper->granted_slots) / SLOTS,
             .expected_run_ms =
-                1000 * (kind->prompt / prefill + kind->output / decode),
+                1000 * (request->prompt / prefill + kind->output / decode),
         };
         out->pool[e] = (PoolCandidate){
             .view = &keeper->view,
@@ -61,6 +80,9 @@
             .cost_ms = Balancer_Cost(&out->balance[e]),
         };
     }
+    if (play->spec->bookings) {
+        out->pool[booking_engine(play, request)].preferred = true;
+    }
 }
 
 static PoolRequest
@@ -70,7 +92,7 @@
     return (PoolRequest){
         .tier = request->tier,
         .rank = request->rank,
-        .prompt_tokens = kind->prompt,
+        .prompt_tokens = request->prompt,
         .output_tokens = kind->output,
         .longest_output_tokens = 2 * kind->output,
         .deadline = request->deadline,
@@ -185,6 +207,23 @@
     return more;
 }
 
+/* Asks the engine at which capacity may be booked for the request, if requests
+ * of its class wait there. */
+static void
+send_preferred(Play *play, unsigned index, Candidates *candidates)
+{
+    PoolRequest wanted = pool_request(pool_play_request(play, index));
+    for (unsigned e = 0; e < play->spec->engines; e++) {
+        const PoolCandidate *candidate = &candidates->pool[e];
+        if (candidate->preferred && candidate->usable &&
+            EngineView_Waits(candidate->view, &wanted, play->now))
+        {
+            candidates->balance[e].usable = false;
+            send_want(play, index, e);
+        }
+    }
+}
+
 void
 PoolPlay_StartRequest(Play *play, const Request *request)
 {
@@ -197,6 +236,7 @@
     collect(play, request, &candidates);
     bool sent;
     if (!send_by_view(play, index, &candidates, &sent)) {
+        send_preferred(play, index, &candidates);
         send_best(play, index, &candidates, 2, FIRST_ROUND_WANTS);
         schedule_round(play, index, SECOND_ROUND_US);
     }
@@ -267,6 +307,25 @@
     result->refused_in[MIN(span, POOL_PLAY_SPANS - 1)]++;
 }
 
+/* Books capacity for a refused request where the view shows that it will be
+ * free in time.
+ * @return when the caller should come back, in ms. */
+static uint32_t
+book(Play *play, Request *request, unsigned index)
+{
+    unsigned engine = booking_engine(play, request);
+    const EngineView *view = &play->keepers[request->gateway][engine].view;
+    PoolRequest wanted = pool_request(request);
+    uint32_t ms =
+        PoolView_BookingMs(view, &wanted, index * 2654435761U, play->now);
+    if (ms == 0 || request->returned) {
+        return retry_after_ms(play, request, index);
+    }
+    request->told_at = play->now + ms * US_PER_MS;
+    send_to(play, index, engine, EVENT_BOOK);
+    return ms;
+}
+
 /* Ends a request that no keeper can grant; its caller may come back once. */
 static void
 refuse(Play *play, unsigned index)
@@ -274,7 +333,10 @@
     Request *request = pool_play_request(play, index);
     request->ended = true;
     count_refusal(play, request, index);
-    TimeUs wait = retry_after_ms(play, request, index) * US_PER_MS;
+    TimeUs wait = (play->spec->bookings && request->limited
+                       ? book(play, request, index)
+                       : retry_after_ms(play, request, index)) *
+                  US_PER_MS;
     if (!request->returned && wait <= (request->deadline - play->now) / 3) {
         PoolPlay_Push(play, play->now + wait,
                       (Event){.kind = EVENT_RETURN, .request = index});
@@ -288,13 +350,18 @@
     Request request = {
         .tier = old->tier,
         .rank = old->rank,
-        .gateway = old->gateway,
+        .gateway =
+            play->spec->sizes ? (old->gateway + 17) % GATEWAYS : old->gateway,
+        .prompt = old->prompt,
+        .key = old->key,
+        .booked = old->booked,
         .arrived_at = play->now,
         .deadline = old->deadline,
         .actual_output = old->actual_output,
         .returned = true,
     };
     play->result->returns++;
+    play->result->booked_callers += request.booked;
     PoolPlay_StartRequest(play, &request);
 }
 
@@ -344,6 +411,7 @@
         play->result->served++;
         play->result->classes[pool_play_class(request)].served++;
         play->result->returns_served += request->returned;
+        play->result->booked_served += request->returned && request->booked;
     }
 }
 
--- a/test/unit/pool_play_state.h
+++ b/test/unit/pool_play_state.h
@@ -41,6 +41,7 @@
     /* at keepers */
     EVENT_WANT,
     EVENT_WITHDRAWN,
+    EVENT_BOOK,
     EVENT_UNUSED,
     EVENT_SLOT_END,
     EVENT_PREFILLED,
@@ -77,6 +78,11 @@
     TimeUs arrived_at;
     TimeUs deadline;
     double actual_output;
+    uint32_t prompt;
+    uint32_t key;     /* the same for a request that comes back */
+    uint64_t claimed; /* engines, as bits, whose booking it claimed */
+    bool booked;      /* a keeper has accepted its booking */
+    TimeUs told_at;   /* when its caller was told to come back */
     uint64_t pending; /* engines, as bits */
     uint64_t refused;
     unsigned granted_by;
--- a/test/unit/test_pool_load.c
+++ b/test/unit/test_pool_load.c
@@ -8,88 +8,15 @@
 
 #include <glib.h>
 
-#include "pool_play.h"
+#include "pool_report.h"
 
 #define ENGINES 44
-#define SEEDS 3
 /* Of the refusals, those of requests that an engine would have taken. */
 #define WRONG_MAX 0.01
 /* Noise of the served fraction of a rank between two plays of a load. */
 #define SERVED_NOISE 0.015
 #define RECOVERY_MS 1000
 
-static double
-fraction(unsigned part, unsigned all)
-{
-    return all == 0 ? 0 : (double)part / all;
-}
-
-static void
-print_result(const char *what, const PoolResult *r)
-{
-    print_message("  %s: served %.3f of %u;", what,
-                  fraction(r->served, r->callers), r->callers);
-    for (int c = 0; c < POOL_PLAY_CLASSES; c++) {
-        print_message(" %.3f",
-                      fraction(r->classes[c].served, r->classes[c].callers));
-    }
-    print_message("; refusals %u after %.0f/%.0f/%.0f ms (p10/50/90), wrong "
-                  "%.4f, keepers asked %.1f; known late %u, of these slow %u, "
-                  "over 12 asked %u; came back %u, served %.3f; wants %u, "
-                  "outlook bytes a want %.1f, rounds %u\n",
-                  r->refusals, r->refusal_p10_ms, r->refusal_p50_ms,
-                  r->refusal_p90_ms, fraction(r->wrong, r->refusals),
-                  fraction(r->refusal_wants, r->refusals), r->known_late,
-                  r->known_late_over, r->known_late_wants_over, r->returns,
-                  fraction(r->returns_served, r->returns), r->wants,
-                  fraction(r->outlook_bytes, r->wants), r->rounds);
-}
-
-static void
-add_result(PoolResult *sum, const PoolResult *r)
-{
-    for (int c = 0; c < POOL_PLAY_CLASSES; c++) {
-        sum->classes[c].callers += r->classes[c].callers;
-        sum->classes[c].served += r->classes[c].served;
-    }
-    sum->callers += r->callers;
-    sum->served += r->served;
-    sum->refusals += r->refusals;
-    sum->wrong += r->wrong;
-    sum->returns += r->returns;
-    sum->returns_served += r->returns_served;
-    sum->wants += r->wants;
-    sum->refusal_wants += r->refusal_wants;
-    sum->known_late += r->known_late;
-    sum->known_late_over += r->known_late_over;
-    sum->known_late_wants_over += r->known_late_wants_over;
-    sum->outlook_bytes += r->outlook_bytes;
-    sum->rounds += r->rounds;
-    sum->refusal_p10_ms += r->refusal_p10_ms / SEEDS;
-    sum->refusal_p50_ms += r->refusal_p50_ms / SEEDS;
-    sum->refusal_p90_ms += r->refusal_p90_ms / SEEDS;
-    for (int i = 0; i < POOL_PLAY_SPANS; i++) {
-        sum->refused_in[i] += r->refused_in[i];
-        sum->arrived_in[i] += r->arrived_in[i];
-    }
-}
-
-/* Plays a case with several seeds and adds the results. Times are means. */
-static PoolResult
-play_seeds(const PoolCase *spec, bool use_view)
-{
-    PoolResult sum = {.callers = 0};
-    for (uint32_t seed = 1; seed <= SEEDS; seed++) {
-        PoolCase play = *spec;
-        play.seed = seed;
-        play.use_view = use_view;
-        PoolResult result;
-        PoolPlay_Run(&play, &result);
-        add_result(&sum, &result);
-    }
-    return sum;
-}
-
 typedef struct Comparison {
     PoolResult before;
     PoolResult after;
@@ -99,12 +26,12 @@
 compare(const char *what, const PoolCase *spec)
 {
     Comparison both = {
-        .before = play_seeds(spec, false),
-        .after = play_seeds(spec, true),
+        .before = PoolReport_PlaySeeds(spec, false),
+        .after = PoolReport_PlaySeeds(spec, true),
     };
     print_message("%s\n", what);
-    print_result("before", &both.before);
-    print_result("after ", &both.after);
+    PoolReport_Print("before", &both.before);
+    PoolReport_Print("after ", &both.after);
     return both;
 }
 
@@ -114,8 +41,9 @@
     for (int c = 0; c < POOL_PLAY_CLASSES; c++) {
         const PoolClassResult *before = &both->before.classes[c];
         const PoolClassResult *after = &both->after.classes[c];
-        assert_true(fraction(after->served, after->callers) >=
-                    fraction(before->served, before->callers) - SERVED_NOISE);
+        assert_true(PoolReport_Fraction(after->served, after->callers) >=
+                    PoolReport_Fraction(before->served, before->callers) -
+                        SERVED_NOISE);
     }
 }
 
@@ -125,11 +53,13 @@
 static void
 refusals_are_early_and_right(const PoolResult *after)
 {
-    assert_true(fraction(after->wrong, after->refusals) <= WRONG_MAX);
+    assert_true(PoolReport_Fraction(after->wrong, after->refusals) <=
+                WRONG_MAX);
     assert_true(after->known_late > 0);
-    assert_true(fraction(after->known_late_over, after->known_late) <= 0.01);
-    assert_true(fraction(after->known_late_wants_over, after->known_late) <=
-                0.01);
+    assert_true(PoolReport_Fraction(after->known_late_over,
+                                    after->known_late) <= 0.01);
+    assert_true(PoolReport_Fraction(after->known_late_wants_over,
+                                    after->known_late) <= 0.01);
 }
 
 static void
@@ -209,17 +139,20 @@
     frozen.frozen = 6;
     Comparison both = compare("load 1.2, 6 keepers frozen for 3 s", &frozen);
     no_class_is_served_less(&both);
-    assert_true(fraction(both.after.wrong, both.after.refusals) <= WRONG_MAX);
+    assert_true(PoolReport_Fraction(both.after.wrong, both.after.refusals) <=
+                WRONG_MAX);
     PoolCase crashed = spec;
     crashed.crashed = 8;
     both = compare("load 1.2, 8 engines crash", &crashed);
     no_class_is_served_less(&both);
-    assert_true(fraction(both.after.wrong, both.after.refusals) <= WRONG_MAX);
+    assert_true(PoolReport_Fraction(both.after.wrong, both.after.refusals) <=
+                WRONG_MAX);
     PoolCase cut = spec;
     cut.region_cut = true;
     both = compare("load 1.2, regions cut off from each other for 3 s", &cut);
     no_class_is_served_less(&both);
-    assert_true(fraction(both.after.wrong, both.after.refusals) <= WRONG_MAX);
+    assert_true(PoolReport_Fraction(both.after.wrong, both.after.refusals) <=
+                WRONG_MAX);
 }
 
 /* Small fleets are searched as without a view. */
