--- a/src/keeper/keeper.c
+++ b/src/keeper/keeper.c
@@ -10,6 +10,7 @@
 
 #include <glib.h>
 
+#include "keeper/outlook.h"
 #include "keeper/probe.h"
 #include "kernel/clock.h"
 #include "kernel/counter.h"
@@ -73,6 +74,8 @@
     Counter *queued_gauge;
     Counter *busy_gauge;
     Counter *rate_gauge;
+    Counter *booked_counter;
+    Counter *unbooked_counter;
     uint64_t engine_born;   /* as the engine last reported; 0 if unknown */
     bool start_uncertain;   /* the engine may have started again since */
     Probe *probe;           /* NULL without a configured engine address */
@@ -106,6 +109,11 @@
     grant.decode_tokens_s = (uint32_t)state.decode_tokens_s;
     grant.born = keeper->engine_born;
     grant.start_uncertain = keeper->start_uncertain;
+    OutlookMessage outlook;
+    Outlook_Fill(&outlook, keeper->queue, Clock_Now());
+    if (outlook.message.n_waits > 0) {
+        grant.outlook = &outlook.message;
+    }
     Wire__Frame frame = WIRE__FRAME__INIT;
     frame.body_case = WIRE__FRAME__BODY_SLOT_GRANT;
     frame.slot_grant = &grant;
@@ -123,6 +131,9 @@
     refuse.retry_after_ms = action->retry_after_ms;
     refuse.queued = state.queued;
     refuse.busy = state.running + state.granted;
+    OutlookMessage outlook;
+    Outlook_Fill(&outlook, keeper->queue, Clock_Now());
+    refuse.outlook = &outlook.message;
     LOG_INFO(PART,
              "Slot refused. want=%llu gateway=%s reason=%s queued=%u busy=%u "
              "slots=%u prefill_tokens_s=%.0f decode_tokens_s=%.0f margin=%.2f "
@@ -221,6 +232,24 @@
     send_refusal(keeper, link, &action);
 }
 
+/* Keeps capacity free for a request that comes back. */
+static void
+book_return(Keeper *keeper, const Link *link, const WorkSpec *work,
+            uint32_t told_ms)
+{
+    TimeUs now = Clock_Now();
+    bool booked =
+        Queue_Book(keeper->queue, work, now + told_ms * US_PER_MS, now);
+    LOG_INFO(PART,
+             "Capacity %s for a request that comes back. want=%llu gateway=%s "
+             "tier=%u rank=%u prompt=%u output=%u told_ms=%u",
+             booked ? "is booked" : "is not booked: the limit is reached",
+             (unsigned long long)work->id.low, Link_Peer(link)->name,
+             work->tier, work->rank, work->prompt_tokens, work->output_tokens,
+             told_ms);
+    Counter_Add(booked ? keeper->booked_counter : keeper->unbooked_counter, 1);
+}
+
 static void
 on_slot_want(Keeper *keeper, Link *link, const Wire__SlotWant *want)
 {
@@ -262,6 +291,10 @@
         refuse_replaced(keeper, link, work.id);
         return;
     }
+    if (want->told_ms > 0) {
+        book_return(keeper, link, &work, want->told_ms);
+        return;
+    }
     Queue_AddWant(keeper->queue, &work, link_serial(link), now);
 }
 
@@ -544,6 +577,11 @@
         Counter_Get("keeper_origin_replies_total",
                     "Questions of gateways that this keeper answered.");
     keeper->origins = StreamOrigins_New(ORIGIN_NEWS_KEEPER_MAX);
+    keeper->booked_counter =
+        Counter_Get("keeper_bookings_total{kept=\"yes\"}",
+                    "Refused requests that capacity is kept for.");
+    keeper->unbooked_counter =
+        Counter_Get("keeper_bookings_total{kept=\"no\"}", NULL);
     QueueConfig config = {
         .max_wants = MAX_WANTS,
         .max_ended_ids = MAX_ENDED_IDS,
--- a/src/sched/fair_ranks.c
+++ b/src/sched/fair_ranks.c
@@ -4,6 +4,7 @@
 #include "sched/fair_ranks.h"
 
 #include <math.h>
+#include <string.h>
 
 #include <glib.h>
 
@@ -17,6 +18,12 @@
 /* Difference of the served fractions at which a rank goes ahead, so that the
  * order does not change with each request. */
 #define SERVED_MARGIN 0.05
+/* Served fraction of each higher rank below which no capacity is kept for a
+ * rank. An engine refuses some requests that another one serves. */
+#define HIGHER_SERVED_MIN 0.9
+/* Number of requests from which a higher rank is still judged after that
+ * second. */
+#define NEAR_REQUESTS_MIN (1.4 * REQUESTS_MIN)
 
 static RankRecord *
 find_record(FairRanks *ranks, const WorkSpec *work)
@@ -47,10 +54,10 @@
     record->run_time += weight * ((double)run_time - record->run_time);
 }
 
-static bool
-is_known(const RankRecord *record)
+static double
+count_requests(const RankRecord *record)
 {
-    return record->granted + record->refused >= REQUESTS_MIN;
+    return record->granted + record->refused;
 }
 
 static double
@@ -59,18 +66,19 @@
     return record->granted / (record->granted + record->refused);
 }
 
-/* Returns whether a rank goes ahead of all higher ones. */
+/* Returns whether a rank goes ahead of all higher ones that had enough
+ * requests: a smaller fraction of its own is served, by the margin. */
 static bool
-goes_ahead(const RankRecord *tier, unsigned rank)
+goes_ahead(const RankRecord *tier, unsigned rank, double margin,
+           double requests_min)
 {
     const RankRecord *own = &tier[rank];
-    if (!is_known(own)) {
+    if (count_requests(own) < REQUESTS_MIN) {
         return false;
     }
     bool above = false;
-    double margin = own->ahead ? 0 : SERVED_MARGIN;
     for (unsigned r = 0; r < rank; r++) {
-        if (!is_known(&tier[r])) {
+        if (count_requests(&tier[r]) < requests_min) {
             continue;
         }
         above = true;
@@ -91,7 +99,8 @@
         RankRecord *tier = ranks->records[t];
         for (unsigned r = 0; r < FAIR_RANKS; r++) {
             decay(&tier[r], now);
-            bool ahead = goes_ahead(tier, r);
+            bool ahead = goes_ahead(tier, r, tier[r].ahead ? 0 : SERVED_MARGIN,
+                                    REQUESTS_MIN);
             changed = changed || ahead != tier[r].ahead;
             tier[r].ahead = ahead;
         }
@@ -99,6 +108,40 @@
     return changed;
 }
 
+bool
+FairRanks_MayGoAhead(const FairRanks *ranks, const WorkSpec *work)
+{
+    RankRecord tier[FAIR_RANKS];
+    memcpy(tier, ranks->records[MIN(work->tier, WORK_TIERS - 1)],
+           sizeof(tier));
+    unsigned rank = MIN(work->rank, FAIR_RANKS - 1);
+    if (tier[rank].ahead) {
+        return true;
+    }
+    tier[rank].refused += 1;
+    for (unsigned r = 0; r < rank; r++) {
+        tier[r].granted += 1;
+    }
+    return goes_ahead(tier, rank, SERVED_MARGIN, 1 + NEAR_REQUESTS_MIN);
+}
+
+bool
+FairRanks_HigherAreServed(const FairRanks *ranks, const WorkSpec *work)
+{
+    unsigned tier = MIN(work->tier, WORK_TIERS - 1);
+    unsigned rank = MIN(work->rank, FAIR_RANKS - 1);
+    for (unsigned i = 0; i < tier * FAIR_RANKS + rank; i++) {
+        const RankRecord *record =
+            &ranks->records[i / FAIR_RANKS][i % FAIR_RANKS];
+        if (count_requests(record) >= REQUESTS_MIN &&
+            served_fraction(record) < HIGHER_SERVED_MIN)
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
 int
 FairRanks_Order(const FairRanks *ranks, const WorkSpec *work)
 {
--- a/src/sched/queue.c
+++ b/src/sched/queue.c
@@ -25,8 +25,6 @@
  * because an engine that does not stream sends its first piece only at the
  * end. */
 #define PREFILL_TIMEOUT_US (2 * US_PER_S)
-/* The queue sends all requests that the endpoint gets. */
-#define WHOLE_RATE 1.0
 #define RETRY_AFTER_MIN_MS 100
 #define RETRY_AFTER_MAX_MS 60000
 
@@ -153,7 +151,7 @@
 {
     /* Keeps the level up to date while no slot is free, for
      * Queue_NextTimer(). */
-    NamedRate_MaySend(&queue->rate_limit, WHOLE_RATE, now);
+    NamedRate_MaySend(&queue->rate_limit, QUEUE_WHOLE_RATE, now);
     while (!queue->leaving && queue->waiting_count > 0 && !runs_alone(queue)) {
         Item *item = QueueItems_Waiting(queue, 0);
         if (!has_room(queue, item, now)) {
@@ -178,7 +176,7 @@
             return;
         }
         if (prefill_is_full(queue, now) || !Rest_MaySend(&queue->rest, now) ||
-            !NamedRate_MaySend(&queue->rate_limit, WHOLE_RATE, now))
+            !NamedRate_MaySend(&queue->rate_limit, QUEUE_WHOLE_RATE, now))
         {
             return;
         }
@@ -188,16 +186,6 @@
     }
 }
 
-/* Returns when the rate limit and a rest let the request at a position start.
- * Some of those before it are dispatched elsewhere. */
-static TimeUs
-next_by_rate(const WantQueue *queue, uint32_t position, TimeUs now)
-{
-    TimeUs next = NamedRate_NextAt(&queue->rate_limit, WHOLE_RATE,
-                                   position * queue->dispatch_ratio, now);
-    return MAX(next, queue->rest.until);
-}
-
 /* Refuses the waiting requests whose planned finish is past their deadline.
  * Checks them in grant order, so that each is planned after the requests that
  * precede it. */
@@ -207,14 +195,21 @@
     Plan plan;
     QueueTimes_PlanSlots(queue, &plan, now);
     QueueTimes_SampleClasses(queue, now);
+    if (queue->config.refuse_early) {
+        QueueOutlook_Sample(queue, now);
+    }
     queue->last_planned_at = now;
     queue->lowest_tier = WORK_TIERS - 1;
+    Bookings_Expire(&queue->bookings, now);
     TimeUs mean = QueueTimes_MeanRunTime(queue);
     uint32_t position = 0;
     while (position < queue->waiting_count) {
         Item *item = QueueItems_Waiting(queue, position);
-        TimeUs start =
-            MAX(Plan_NextFree(&plan), next_by_rate(queue, position, now));
+        TimeUs start = MAX(Plan_NextFree(&plan),
+                           QueueTimes_NextByRate(queue, position, now));
+        if (!item->booked) {
+            start += QueueTimes_BookedWait(queue, &item->work, start);
+        }
         TimeUs run_time = QueueTimes_RunTime(queue, item);
         TimeUs lateness =
             QueueTimes_PredictLateness(queue, item, start - now, mean, now);
@@ -230,7 +225,7 @@
         position++;
     }
     TimeUs next =
-        MAX(Plan_NextFree(&plan), next_by_rate(queue, position, now));
+        MAX(Plan_NextFree(&plan), QueueTimes_NextByRate(queue, position, now));
     queue->retry_after_ms = to_retry_after_ms(next - now);
 }
 
@@ -304,6 +299,15 @@
     plan_and_grant(queue, now);
 }
 
+bool
+Queue_Book(WantQueue *queue, const WorkSpec *work, TimeUs from, TimeUs now)
+{
+    TimeUs run = Speed_RunTime(&queue->speed, work, 0);
+    return QueueTimes_MayBook(queue, work) &&
+           Bookings_Add(&queue->bookings, work, from, run, queue->config.slots,
+                        now);
+}
+
 static void
 add_dispatch_sample(WantQueue *queue, bool dispatched)
 {
@@ -527,8 +531,9 @@
     if (queue->waiting_count > 0) {
         next = queue->last_planned_at + SHED_CHECK_PERIOD_US;
         if (queue->rate_limit.rate > 0 && queue->rate_limit.level < 1) {
-            next = MIN(next, NamedRate_NextAt(&queue->rate_limit, WHOLE_RATE,
-                                              0, queue->rate_limit.filled_at));
+            next = MIN(next,
+                       NamedRate_NextAt(&queue->rate_limit, QUEUE_WHOLE_RATE,
+                                        0, queue->rate_limit.filled_at));
         }
     }
     for (uint32_t i = 0; i < queue->busy_count; i++) {
@@ -556,6 +561,7 @@
         .margin = queue->margin,
         .lowest_tier = queue->lowest_tier,
         .retry_after_ms = MAX(queue->retry_after_ms, RETRY_AFTER_MIN_MS),
+        .booked = queue->bookings.count,
         .leaving = queue->leaving,
     };
     memcpy(state->queued_by_tier, queue->waiting_by_tier,
--- a/src/sched/queue.h
+++ b/src/sched/queue.h
@@ -9,6 +9,7 @@
 
 #include <stddef.h>
 
+#include "sched/outlook.h"
 #include "sched/work.h"
 
 typedef struct WantQueue WantQueue;
@@ -84,6 +85,7 @@
     double margin;        /**< Safety factor applied to predicted run times. */
     uint32_t lowest_tier; /**< Entries should send no wants of lower tiers. */
     uint32_t retry_after_ms;
+    uint32_t booked; /**< Bookings that wait for their requests. */
     bool leaving;
 } QueueState;
 
@@ -95,6 +97,12 @@
 void Queue_AddWant(WantQueue *queue, const WorkSpec *work, uint64_t owner,
                    TimeUs now);
 
+/** Keeps capacity free for a request whose caller was told to come back at @p
+ * from (bookings.h).
+ * @return false if too much is booked for that time. */
+bool Queue_Book(WantQueue *queue, const WorkSpec *work, TimeUs from,
+                TimeUs now);
+
 /** Removes a want or an unused grant that its owner has withdrawn. */
 void Queue_Withdraw(WantQueue *queue, RequestId id, uint64_t owner,
                     TimeUs now);
@@ -161,6 +169,16 @@
 size_t Queue_TakeActions(WantQueue *queue, QueueAction *actions,
                          size_t capacity);
 
+/** Predicts the waits of new requests, from the plan that refuses late
+ * ones. */
+void Queue_GetOutlook(const WantQueue *queue, TimeUs now,
+                      EngineOutlook *outlook);
+
+/** Predicts by how much a want that is added now would be late; 0 or less
+ * means that it would be served. */
+TimeUs Queue_PredictLateness(const WantQueue *queue, const WorkSpec *work,
+                             TimeUs now);
+
 void Queue_GetState(const WantQueue *queue, TimeUs now, QueueState *state);
 
 #endif
--- a/src/sched/queue_items.c
+++ b/src/sched/queue_items.c
@@ -113,6 +113,9 @@
     if (a->work.tier != b->work.tier) {
         return a->work.tier < b->work.tier;
     }
+    if (a->booked != b->booked) {
+        return a->booked;
+    }
     int order_a = FairRanks_Order(&queue->fair_ranks, &a->work);
     int order_b = FairRanks_Order(&queue->fair_ranks, &b->work);
     if (order_a != order_b) {
@@ -200,11 +203,8 @@
     queue->output_tokens -= item->work.output_tokens;
 }
 
-/* Returns the latest start time. A long request must start well before its
- * deadline, so it does not wait behind a short one whose deadline is
- * earlier. */
-static TimeUs
-compute_latest_start(const WantQueue *queue, const Item *item)
+TimeUs
+QueueItems_LatestStart(const WantQueue *queue, const Item *item)
 {
     const WorkSpec *work = &item->work;
     if (work->first_piece_deadline == 0) {
@@ -225,7 +225,7 @@
 {
     remove_waiting(queue, item);
     item->first_piece_late = true;
-    item->latest_start_at = compute_latest_start(queue, item);
+    item->latest_start_at = QueueItems_LatestStart(queue, item);
     insert_waiting(queue, item);
 }
 
@@ -298,10 +298,11 @@
         .owner = owner,
         .arrived_at = now,
         .sequence = queue->next_sequence++,
+        .booked = Bookings_Claim(&queue->bookings, work, now),
         .cached_blocks =
             Blocks_CountLeading(queue->blocks, work, QUEUE_CACHE_HOLDER),
     };
-    item->latest_start_at = compute_latest_start(queue, item);
+    item->latest_start_at = QueueItems_LatestStart(queue, item);
     IdMap_Put(&queue->ids, work->id, index);
     insert_waiting(queue, item);
 }
--- a/src/sched/queue_items.h
+++ b/src/sched/queue_items.h
@@ -8,6 +8,7 @@
 #define LAURELLIFT_SCHED_QUEUE_ITEMS_H
 
 #include "sched/blocks.h"
+#include "sched/bookings.h"
 #include "sched/fair_ranks.h"
 #include "sched/idmap.h"
 #include "sched/named_rate.h"
@@ -20,6 +21,9 @@
 /** Holder id of the endpoint in the table of prefix blocks. */
 #define QUEUE_CACHE_HOLDER 1
 
+/** The queue sends all requests that the endpoint gets. */
+#define QUEUE_WHOLE_RATE 1.0
+
 /** Number of classes per tier, one for each rank, in grant order. The last
  * class also includes all lower ranks. */
 #define QUEUE_CLASS_RANKS 4
@@ -40,6 +44,7 @@
     TimeUs latest_start_at; /* sort key within one tier and rank */
     bool first_piece_late;  /* first piece is expected after
                                first_piece_deadline */
+    bool booked;            /* claimed a booking: goes first in its tier */
     uint64_t grant_id;
     TimeUs grant_expires_at; /* valid in ITEM_GRANTED */
     TimeUs started_at;
@@ -83,12 +88,16 @@
     TimeUs last_sampled_at;
     /* fraction of the slots used by each class, moving average */
     double class_slot_share[QUEUE_CLASSES];
-    FairRanks fair_ranks;   /* unused unless config.fair_ranks */
-    NamedRate rate_limit;   /* of the endpoint */
-    Rest rest;              /* that the endpoint asked for */
+    FairRanks fair_ranks; /* unused unless config.fair_ranks */
+    NamedRate rate_limit; /* of the endpoint */
+    Rest rest;            /* that the endpoint asked for */
+    Bookings bookings;
     uint64_t memory_tokens; /* of the engine; 0 if unknown */
     uint32_t lowest_tier;   /* entries should send no wants of lower tiers */
     uint32_t retry_after_ms;
+    /* Least values of recent plans: of the current and the previous span. */
+    EngineOutlook least[2];
+    TimeUs least_since; /* start of the current span */
 };
 
 /** Adds a waiting request. The pool must have a free item. */
@@ -107,6 +116,11 @@
 /** Returns true if @p a is granted before @p b. */
 bool QueueItems_Precedes(const WantQueue *queue, const Item *a, const Item *b);
 
+/** Returns the latest start time, the sort key within a tier and rank. A long
+ * request must start well before its deadline, so it does not wait behind a
+ * short one whose deadline is earlier. */
+TimeUs QueueItems_LatestStart(const WantQueue *queue, const Item *item);
+
 /** Orders the waiting items anew, after FairRanks_Update(). */
 void QueueItems_Sort(WantQueue *queue);
 
