--- a/src/gateway/wants.c
+++ b/src/gateway/wants.c
@@ -5,6 +5,8 @@
  */
 #include <string.h>
 
+#include <xxhash.h>
+
 #include "gateway/keepers.h"
 #include "gateway/paces.h"
 #include "kernel/log.h"
@@ -18,11 +20,17 @@
 /* Time between the later rounds, which include all regions. A request that
  * waits less than a round trip between regions gains nothing from them. */
 #define LATER_ROUND_MS 90
+/* Spreads hashes of similar request ids over all values (Knuth). */
+#define SPREAD_FACTOR 2654435761U
 /* Engines with a higher error rate get no wants while there are others. */
 #define ERROR_RATE_MAX 0.3
 /* Keepers in each later round: enough to find a free slot, and few enough to
  * bound the number of messages in a fleet of any size. */
 #define LATER_ROUND_WANTS 6
+/* Time until the view of the pool is asked again for a request that waits at
+ * some keepers while all others are known to be late. Outlooks change within
+ * about this time. */
+#define RECHECK_MS 250
 /* Time over which the load in a keeper's report decays to 0. */
 #define LOAD_DECAY_US (300 * US_PER_MS)
 /* Assumed speeds of an engine before its keeper reports them, in tokens/s. */
@@ -123,8 +131,10 @@
     Link_Send(keeper->link, &frame);
 }
 
+/* @param told_ms  0 for a want; else the time after which the caller of the
+ *                 refused request was told to come back. */
 static void
-send_want(const Want *want, Keeper *keeper, uint32_t slots)
+send_want(const Want *want, Keeper *keeper, uint32_t slots, uint32_t told_ms)
 {
     const Call *call = want->call;
     TimeUs left = call->deadline - Clock_Now();
@@ -144,6 +154,7 @@
     message.prompt_tokens = call->prompt_tokens;
     message.output_tokens = call->expected_tokens;
     message.longest_output_tokens = call->output_tokens;
+    message.told_ms = told_ms;
     message.endpoint = keeper->endpoint_id;
     message.slots = slots;
     const Endpoint *endpoint =
@@ -185,9 +196,11 @@
            (call->prompt_tokens / prefill + call->expected_tokens / decode);
 }
 
-/* Keepers to which the wants of a call may be sent, in parallel arrays. */
+/* Connected keepers whose engines may serve a call, in parallel arrays. Those
+ * to which the wants of the call may be sent are usable. */
 typedef struct KeeperChoice {
     BalancerCandidate *candidates;
+    PoolCandidate *pool;
     Keeper **keepers;
     uint32_t *slots;
     size_t count;
@@ -200,8 +213,6 @@
                             g_ptr_array_find(want->refused, keeper, NULL));
 }
 
-/* Collects the connected keepers of the call's service to which the want has
- * not been sent yet. */
 static void
 collect_candidates(KeeperChoice *choice, const Call *call, const Want *want)
 {
@@ -209,6 +220,7 @@
     TimeUs now = Clock_Now();
     guint size = g_hash_table_size(keepers->by_endpoint) + 1;
     choice->candidates = g_new0(BalancerCandidate, size);
+    choice->pool = g_new0(PoolCandidate, size);
     choice->keepers = g_new0(Keeper *, size);
     choice->slots = g_new0(uint32_t, size);
     choice->count = 0;
@@ -221,14 +233,14 @@
             Endpoints_Find(call->gateway, keeper->endpoint_id);
         if (endpoint == NULL || !Link_IsConnected(keeper->link) ||
             strcmp(endpoint->service, call->service) != 0 ||
-            was_sent(want, keeper))
+            !Endpoint_MayServe(endpoint, call, now))
         {
             continue;
         }
         choice->keepers[choice->count] = keeper;
         choice->slots[choice->count] = endpoint->slots;
         choice->candidates[choice->count++] = (BalancerCandidate){
-            .usable = Endpoint_MayServe(endpoint, call, now),
+            .usable = !was_sent(want, keeper),
             .tried = Endpoint_WasTried(endpoint, call),
             .distance = Endpoint_Distance(endpoint),
             .load = keeper_load(keeper, endpoint, now),
@@ -244,6 +256,7 @@
 free_candidates(KeeperChoice *choice)
 {
     g_free(choice->candidates);
+    g_free(choice->pool);
     g_free(choice->keepers);
     g_free(choice->slots);
 }
@@ -262,7 +275,7 @@
         choice->candidates[best].usable = false;
         Keeper *keeper = choice->keepers[best];
         g_ptr_array_add(want->pending, keeper);
-        send_want(want, keeper, choice->slots[best]);
+        send_want(want, keeper, choice->slots[best], 0);
     }
     return max_count;
 }
@@ -295,13 +308,106 @@
     event_add(want->next_round_timer, &span);
 }
 
+/* Finds the keeper at which capacity is booked for a call that is refused: the
+ * one with the highest hash of request and engine, so that any gateway finds
+ * it when the caller repeats the request under another id.
+ * @return its position, or -1. */
+static int
+find_booking_keeper(const KeeperChoice *choice, Call *call)
+{
+    uint64_t key = Call_Fingerprint(call);
+    uint64_t highest = 0;
+    int found = -1;
+    for (size_t i = 0; i < choice->count; i++) {
+        const char *id = choice->keepers[i]->endpoint_id;
+        uint64_t hash = XXH3_64bits_withSeed(id, strlen(id), key);
+        if (found < 0 || hash > highest) {
+            highest = hash;
+            found = (int)i;
+        }
+    }
+    return found;
+}
+
+/* Describes the keepers for the view of the pool, without failing engines
+ * while there are others. */
+static void
+fill_pool(KeeperChoice *choice, Call *call)
+{
+    bool others = false;
+    for (size_t i = 0; i < choice->count; i++) {
+        const BalancerCandidate *candidate = &choice->candidates[i];
+        others = others || (candidate->usable &&
+                            candidate->error_rate <= ERROR_RATE_MAX);
+    }
+    for (size_t i = 0; i < choice->count; i++) {
+        const BalancerCandidate *candidate = &choice->candidates[i];
+        bool excluded = others && candidate->error_rate > ERROR_RATE_MAX;
+        choice->pool[i] = (PoolCandidate){
+            .view = &choice->keepers[i]->view,
+            .usable = candidate->usable && !excluded,
+            .cost_ms = Balancer_CostMs(candidate),
+        };
+    }
+    int booking = find_booking_keeper(choice, call);
+    if (booking >= 0) {
+        choice->pool[booking].preferred = true;
+    }
+}
+
+/* Sends the wants that the view of the pool chooses, if it shows that the pool
+ * is short of capacity.
+ * @return false if it decides nothing. */
+static bool
+send_by_view(Want *want, KeeperChoice *choice, guint *sent)
+{
+    if (choice->count <= POOL_WANTS_MAX) {
+        return false;
+    }
+    fill_pool(choice, want->call);
+    PoolRequest request = Pool_RequestOf(want->call);
+    PoolSearch search = {
+        .limited = want->limited,
+        .hopeless = want->hopeless,
+        .refused = want->refused->len,
+    };
+    PoolChoice chosen;
+    PoolView_Choose(choice->pool, choice->count, &request, &search,
+                    Clock_Now(), &chosen);
+    if (!chosen.limited) {
+        return false;
+    }
+    if (!want->limited) {
+        Pool_LogChoice(want, &chosen);
+    }
+    want->limited = true;
+    want->hopeless = want->hopeless || chosen.hopeless;
+    want->max_distance = DISTANCE_ALL;
+    for (size_t i = 0; i < chosen.count; i++) {
+        Keeper *keeper = choice->keepers[chosen.chosen[i]];
+        g_ptr_array_add(want->pending, keeper);
+        send_want(want, keeper, choice->slots[chosen.chosen[i]], 0);
+    }
+    *sent = (guint)chosen.count;
+    if (!want->hopeless) {
+        schedule_next_round(want,
+                            chosen.count > 0 ? LATER_ROUND_MS : RECHECK_MS);
+    }
+    return true;
+}
+
 bool
 Want_SendNextRound(Want *want)
 {
     KeeperChoice choice;
     collect_candidates(&choice, want->call, want);
+    guint sent = 0;
+    if (send_by_view(want, &choice, &sent)) {
+        free_candidates(&choice);
+        return sent > 0;
+    }
     exclude_candidates(&choice, want->max_distance);
-    guint sent = send_wants(want, &choice, LATER_ROUND_WANTS);
+    sent = send_wants(want, &choice, LATER_ROUND_WANTS);
     free_candidates(&choice);
     bool more = sent > 0 || want->max_distance < DISTANCE_ALL;
     if (more) {
@@ -311,6 +417,54 @@
     return more;
 }
 
+/* Books capacity for the refused request where the view shows that it will be
+ * free in time.
+ * @return when the caller should come back, in milliseconds; 0 if none was
+ *         booked. */
+static uint32_t
+book_return(const Want *want, const KeeperChoice *choice, uint32_t key)
+{
+    int booking = find_booking_keeper(choice, want->call);
+    if (booking < 0 || want->call->maybe_ran) {
+        return 0;
+    }
+    Keeper *keeper = choice->keepers[booking];
+    PoolRequest request = Pool_RequestOf(want->call);
+    uint32_t ms =
+        PoolView_BookingMs(&keeper->view, &request, key, Clock_Now());
+    if (ms > 0) {
+        LOG_INFO(
+            GATEWAY_PART,
+            "Capacity is booked for the caller's return. id=%s "
+            "endpoint=%s age_ms=%lld told_ms=%u",
+            want->call->id, keeper->endpoint_id,
+            (long long)((Clock_Now() - keeper->view.heard_at) / US_PER_MS),
+            ms);
+        send_want(want, keeper, choice->slots[booking], ms);
+    }
+    return ms;
+}
+
+uint32_t
+Want_ReturnMs(const Want *want)
+{
+    if (!want->limited) {
+        return want->retry_after_ms;
+    }
+    KeeperChoice choice;
+    collect_candidates(&choice, want->call, want);
+    fill_pool(&choice, want->call);
+    PoolRequest request = Pool_RequestOf(want->call);
+    uint32_t key = g_str_hash(want->call->id) * SPREAD_FACTOR;
+    uint32_t ms = book_return(want, &choice, key);
+    if (ms == 0) {
+        ms = PoolView_ReturnMs(choice.pool, choice.count, &request,
+                               want->retry_after_ms, key, Clock_Now());
+    }
+    free_candidates(&choice);
+    return ms;
+}
+
 /* Starts the next round while the request still waits. */
 static void
 on_next_round_timer(evutil_socket_t fd, short events, void *arg)
@@ -318,6 +472,24 @@
     Want_SendNextRound(arg);
 }
 
+/* Asks the keeper that may keep capacity for the request, if requests of its
+ * class wait there. Needs the choice of send_by_view(). */
+static void
+send_preferred(Want *want, KeeperChoice *choice)
+{
+    PoolRequest request = Pool_RequestOf(want->call);
+    for (size_t i = 0; i < choice->count; i++) {
+        const PoolCandidate *candidate = &choice->pool[i];
+        if (candidate->preferred && candidate->usable &&
+            EngineView_Waits(candidate->view, &request, Clock_Now()))
+        {
+            choice->candidates[i].usable = false;
+            g_ptr_array_add(want->pending, choice->keepers[i]);
+            send_want(want, choice->keepers[i], choice->slots[i], 0);
+        }
+    }
+}
+
 bool
 Keepers_SendWants(Call *call)
 {
@@ -338,8 +510,12 @@
         event_new(call->gateway->base, -1, 0, on_next_round_timer, want);
     call->want_id = want->id;
     g_hash_table_replace(call->gateway->keepers->wants, &want->id, want);
-    send_wants(want, &choice, FIRST_ROUND_WANTS);
-    schedule_next_round(want, SECOND_ROUND_MS);
+    guint sent = 0;
+    if (!send_by_view(want, &choice, &sent)) {
+        send_preferred(want, &choice);
+        send_wants(want, &choice, FIRST_ROUND_WANTS);
+        schedule_next_round(want, SECOND_ROUND_MS);
+    }
     free_candidates(&choice);
     return true;
 }
