--- a/test/unit/pool_play_gateway.c
+++ b/test/unit/pool_play_gateway.c
@@ -232,9 +232,9 @@
     pool_play_request(play, index)->max_distance = 1;
     PoolPlay_Push(play, request->deadline,
                   (Event){.kind = EVENT_DEADLINE, .request = index});
-    Candidates candidates;
+    Candidates candidates = {.pool = {{.usable = false}}};
     collect(play, request, &candidates);
-    bool sent;
+    bool sent = false;
     if (!send_by_view(play, index, &candidates, &sent)) {
         send_preferred(play, index, &candidates);
         send_best(play, index, &candidates, 2, FIRST_ROUND_WANTS);
