Zones: what leaves a zone is weighed where its cost is set

With zone_transfer in the settings of a gateway, plain requests and the first wants of engine requests go to the zone that sched/zone_choice picks, later wants leave the region only for a share there, after a quarter of the objective, or when all its keepers were asked, and the link between regions carries at most the gateways' parts of its bound. Without the setting, the fixed costs apply as before.

--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -5,6 +5,7 @@
 #include <strings.h>
 
 #include "gateway/state.h"
+#include "gateway/zones.h"
 #include "kernel/counter.h"
 #include "kernel/log.h"
 
@@ -154,6 +155,7 @@
         return;
     }
     Suspects_OnSend(call->gateway->suspects, call);
+    Zones_OnSent(call, endpoint);
     Call_Fingerprint(call);
     struct evbuffer *request = evbuffer_new();
     print_request(call, endpoint, request);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "gateway/state.h"
+#include "gateway/zones.h"
 #include "kernel/counter.h"
 #include "kernel/log.h"
 #include "wire/address.h"
@@ -200,6 +201,7 @@
     gateway->retries = Retries_New(gateway);
     gateway->suspects = Suspects_New(gateway);
     gateway->origins = Origins_New(gateway);
+    gateway->zones = Zones_New(gateway);
     gateway->keepers = Keepers_New(gateway);
     gateway->control = GatewayControl_New(gateway);
     return ERR_OK;
@@ -233,6 +235,7 @@
     Retries_Free(gateway->retries);
     Suspects_Free(gateway->suspects);
     Origins_Free(gateway->origins);
+    Zones_Free(gateway->zones);
     Endpoints_FreeAll(gateway);
     Directory_Free(gateway->directory);
     RouteTable_Unref(gateway->table);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -7,6 +7,7 @@
 #include "kernel/settings.h"
 #include "kernel/task.h"
 #include "routes/codec.h"
+#include "sched/zone_choice.h"
 
 typedef struct Gateway Gateway;
 
@@ -67,6 +68,9 @@
     const RouteCodec *codec;
     const GatewayFields *fields;
     GatewayBounds bounds;
+    ZoneTransfer zone_transfer; /**< Costs of leaving the zone; if not enabled,
+                                     fixed ones apply. */
+    unsigned regions;           /**< Number of regions of the fleet. */
 } GatewayOptions;
 
 /** Creates the gateway and adds its task. @p options must outlive the
--- a/src/gateway/keepers.c
+++ b/src/gateway/keepers.c
@@ -153,9 +153,10 @@
 }
 
 static void
-update_load(Keeper *keeper, uint32_t busy)
+update_load(Keeper *keeper, uint32_t busy, uint32_t queued)
 {
     keeper->busy_slots = busy;
+    keeper->queued_wants = queued;
     keeper->busy_reported_at = Clock_Now();
 }
 
@@ -177,7 +178,7 @@
 on_grant(Keeper *keeper, const Wire__SlotGrant *grant)
 {
     Keepers *keepers = keeper->keepers;
-    update_load(keeper, grant->busy);
+    update_load(keeper, grant->busy, grant->queued);
     keeper->prefill_tokens_s = grant->prefill_tokens_s;
     keeper->decode_tokens_s = grant->decode_tokens_s;
     uint64_t id = grant->id;
@@ -207,7 +208,7 @@
 static void
 on_refuse(Keeper *keeper, const Wire__SlotRefuse *refuse)
 {
-    update_load(keeper, refuse->busy);
+    update_load(keeper, refuse->busy, refuse->queued);
     uint64_t id = refuse->id;
     Want *want = g_hash_table_lookup(keeper->keepers->wants, &id);
     if (want == NULL) {
--- a/src/gateway/keepers.h
+++ b/src/gateway/keepers.h
@@ -15,7 +15,8 @@
     char *endpoint_id;
     Link *link;
     unsigned granted_slots; /* granted to this gateway, not yet returned */
-    unsigned busy_slots; /* slots in use by all gateways, as last reported */
+    unsigned busy_slots;   /* slots in use by all gateways, as last reported */
+    unsigned queued_wants; /* wants that wait, in the same report */
     TimeUs busy_reported_at; /* time of that report */
     uint32_t prefill_tokens_s;
     uint32_t decode_tokens_s;
--- a/src/gateway/paces.c
+++ b/src/gateway/paces.c
@@ -14,9 +14,14 @@
 /* Time limit of a question: several round trips in a region. A request gains
  * nothing by a longer wait. */
 #define QUESTION_TIMEOUT_MS 15
-/* Pause after a question that failed, so that requests do not wait for an
- * endpoint that does not answer. */
-#define FAILED_PAUSE_US (1 * US_PER_S)
+/* Consecutive failed questions after which an endpoint counts as slow. A
+ * single one is often due to the gateway itself, which has little processor
+ * time. */
+#define SILENT_FAILURES 2
+/* Pauses after a failed question, and after SILENT_FAILURES, so that requests
+ * do not wait for an endpoint that does not answer. */
+#define FAILED_PAUSE_US (100 * US_PER_MS)
+#define SILENT_PAUSE_US (1 * US_PER_S)
 /* Largest head, body and unread input of an answer. */
 #define ANSWER_MAX_BYTES (16 * 1024)
 
@@ -27,6 +32,7 @@
     uint64_t id;         /* 0 while none is in progress */
     TimeUs asked_at;
     bool answered;
+    unsigned failures; /* consecutive ones */
     TimeUs pause_until;
 };
 
@@ -102,7 +108,8 @@
 Paces_SilenceMs(const Endpoint *endpoint, double run_ms)
 {
     const PaceQuestion *question = endpoint->question;
-    return question != NULL && Clock_Now() < question->pause_until
+    return question != NULL && question->failures >= SILENT_FAILURES &&
+                   Clock_Now() < question->pause_until
                ? run_ms * service_of(endpoint)->slow_excess
                : 0;
 }
@@ -129,6 +136,7 @@
     question->id = 0;
     if (question->answered) {
         count_question("answered");
+        question->failures = 0;
     }
     else {
         count_question("failed");
@@ -137,7 +145,10 @@
                  "%lld",
                  endpoint->id,
                  (long long)(now - question->asked_at) / US_PER_MS);
-        question->pause_until = now + FAILED_PAUSE_US;
+        question->failures++;
+        question->pause_until =
+            now + (question->failures < SILENT_FAILURES ? FAILED_PAUSE_US
+                                                        : SILENT_PAUSE_US);
         g_clear_pointer(&question->connection, evhttp_connection_free);
     }
     ServiceQueue_OnQuestionEnded(endpoint->gateway, endpoint->service, id);
--- a/src/gateway/paces.h
+++ b/src/gateway/paces.h
@@ -28,7 +28,7 @@
 double Paces_Factor(const Endpoint *endpoint);
 
 /* Returns the additional cost of an endpoint that did not answer the newest
- * question: it counts as slow until it may be asked again. */
+ * questions: it counts as slow until it may be asked again. */
 double Paces_SilenceMs(const Endpoint *endpoint, double run_ms);
 
 /* Asks the endpoint for its load, or joins the question in progress.
--- a/src/gateway/service_queue.c
+++ b/src/gateway/service_queue.c
@@ -9,6 +9,7 @@
 #include "gateway/keepers.h"
 #include "gateway/paces.h"
 #include "gateway/state.h"
+#include "gateway/zones.h"
 #include "kernel/log.h"
 #include "sched/balancer.h"
 
@@ -299,9 +300,12 @@
     EndpointChoice choice = {
         .endpoints = g_new0(Endpoint *, size),
         .candidates = g_new0(BalancerCandidate, size),
-        .max_load = engine ? ENGINE_LOAD_MAX : LOAD_MAX,
+        .max_load =
+            engine ? ENGINE_LOAD_MAX : Zones_MaxLoad(queue->gateway, LOAD_MAX),
     };
     collect_candidates(&choice, call, queue);
+    Zones_Choose(call, choice.endpoints, NULL, choice.candidates,
+                 choice.count);
     int best = choose_candidate(&choice, call, engine, asked);
     Endpoint *endpoint = best < 0 ? NULL : choice.endpoints[best];
     g_free(choice.candidates);
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -33,6 +33,7 @@
 typedef struct Retries Retries;
 typedef struct Keepers Keepers;
 typedef struct Suspects Suspects;
+typedef struct Zones Zones;
 typedef struct QuotaDecision QuotaDecision;
 
 struct Gateway {
@@ -56,6 +57,7 @@
     Keepers *keepers;
     Suspects *suspects;
     Origins *origins;
+    Zones *zones;              /* NULL in tests of other parts */
     GHashTable *pace_services; /* service name -> PaceService; NULL at first */
     uint64_t last_want_id;
     uint64_t last_question_id;
@@ -224,11 +226,15 @@
     struct evbuffer *partial_event; /* received bytes of an incomplete event */
     Events events;
     CallOrigin origin;
-    GList *queue_node;       /* position in queue, or NULL */
-    ServiceQueue *queue;     /* queue in which the call waits, or NULL */
-    uint64_t want_id;        /* id of its want at slot keepers; 0 if none */
-    unsigned load_questions; /* endpoints that were asked for their load */
-    uint64_t question_id;    /* question whose end it waits for; 0 if none */
+    GList *queue_node;          /* position in queue, or NULL */
+    ServiceQueue *queue;        /* queue in which the call waits, or NULL */
+    uint64_t want_id;           /* id of its want at slot keepers; 0 if none */
+    unsigned load_questions;    /* endpoints that were asked for their load */
+    char zone[ZONE_NAME_BYTES]; /* zone that was chosen for it */
+    unsigned zone_distance;     /* of that zone */
+    double zone_hold_ms;        /* cost of other zones, besides the transfer */
+    ZoneReason zone_reason;     /* of the newest choice */
+    uint64_t question_id; /* question whose end it waits for; 0 if none */
 };
 
 /* Starts a call for a complete request. The answer goes to @p conn. */
--- a/src/gateway/wants.c
+++ b/src/gateway/wants.c
@@ -7,6 +7,7 @@
 
 #include "gateway/keepers.h"
 #include "gateway/paces.h"
+#include "gateway/zones.h"
 #include "kernel/log.h"
 #include "sched/balancer.h"
 
@@ -167,6 +168,15 @@
     return MAX(reported, keeper->granted_slots) / endpoint->slots;
 }
 
+/* Returns the requests that wait for the keeper's engine, by its newest
+ * report. Each waits at FIRST_ROUND_WANTS keepers or more. */
+static double
+keeper_queued(const Keeper *keeper, TimeUs now)
+{
+    double age = (double)(now - keeper->busy_reported_at) / LOAD_DECAY_US;
+    return age < 1 ? keeper->queued_wants * (1 - age) / FIRST_ROUND_WANTS : 0;
+}
+
 /* Returns the expected run time of the call on the keeper's engine, in
  * milliseconds. */
 static double
@@ -184,6 +194,8 @@
 typedef struct KeeperChoice {
     BalancerCandidate *candidates;
     Keeper **keepers;
+    Endpoint **endpoints;
+    double *queued; /* waiting requests, as the keepers last reported */
     uint32_t *slots;
     size_t count;
 } KeeperChoice;
@@ -198,13 +210,15 @@
 /* Collects the connected keepers of the call's service to which the want has
  * not been sent yet. */
 static void
-collect_candidates(KeeperChoice *choice, const Call *call, const Want *want)
+collect_candidates(KeeperChoice *choice, Call *call, const Want *want)
 {
     const Keepers *keepers = call->gateway->keepers;
     TimeUs now = Clock_Now();
     guint size = g_hash_table_size(keepers->by_endpoint) + 1;
     choice->candidates = g_new0(BalancerCandidate, size);
     choice->keepers = g_new0(Keeper *, size);
+    choice->endpoints = g_new0(Endpoint *, size);
+    choice->queued = g_new0(double, size);
     choice->slots = g_new0(uint32_t, size);
     choice->count = 0;
     GHashTableIter iter;
@@ -212,7 +226,7 @@
     g_hash_table_iter_init(&iter, keepers->by_endpoint);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         Keeper *keeper = value;
-        const Endpoint *endpoint =
+        Endpoint *endpoint =
             Endpoints_Find(call->gateway, keeper->endpoint_id);
         if (endpoint == NULL || !Link_IsConnected(keeper->link) ||
             strcmp(endpoint->service, call->service) != 0 ||
@@ -221,6 +235,8 @@
             continue;
         }
         choice->keepers[choice->count] = keeper;
+        choice->endpoints[choice->count] = endpoint;
+        choice->queued[choice->count] = keeper_queued(keeper, now);
         choice->slots[choice->count] = endpoint->slots;
         choice->candidates[choice->count++] = (BalancerCandidate){
             .usable = Endpoint_MayServe(endpoint, call, now),
@@ -233,6 +249,14 @@
             .rate_wait_ms = Endpoint_RateWaitMs(endpoint),
         };
     }
+    if (want == NULL) {
+        Zones_Choose(call, choice->endpoints, choice->queued,
+                     choice->candidates, choice->count);
+    }
+    else {
+        Zones_SetCosts(call, choice->endpoints, choice->candidates,
+                       choice->count);
+    }
 }
 
 static void
@@ -241,6 +265,8 @@
     g_free(choice->candidates);
     g_free(choice->keepers);
     g_free(choice->slots);
+    g_free(choice->endpoints);
+    g_free(choice->queued);
 }
 
 /* Sends the want to at most @p max_count of the usable candidates, best first.
@@ -302,7 +328,9 @@
     if (more) {
         schedule_next_round(want, LATER_ROUND_MS);
     }
-    want->max_distance = DISTANCE_ALL;
+    want->max_distance = Zones_MayLeaveRegion(want->call, sent > 0)
+                             ? DISTANCE_ALL
+                             : DISTANCE_REGION;
     return more;
 }
 
--- a/src/sched/balancer.c
+++ b/src/sched/balancer.c
@@ -38,7 +38,8 @@
                                                 : DEFAULT_RUN_MS;
     unsigned distance = candidate->distance < 2 ? candidate->distance : 2;
     return run * (1 + delay_fraction(candidate->load)) +
-           distance_cost_ms[distance] +
+           (candidate->has_transfer ? candidate->transfer_ms
+                                    : distance_cost_ms[distance]) +
            candidate->error_rate * FAILURE_COST_MS + candidate->rate_wait_ms +
            candidate->spread_ms + (candidate->tried ? TRIED_COST_MS : 0);
 }
--- a/src/sched/balancer.h
+++ b/src/sched/balancer.h
@@ -21,8 +21,10 @@
     double expected_run_ms; /**< Run time of one request; 0 if unknown. */
     double rate_wait_ms; /**< Mean time between two requests that a rate limit
                             allows; 0 without a limit. */
-    double spread_ms;    /**< Additional cost that differs between senders, so
-                            that they do not all choose the same endpoint. */
+    bool has_transfer; /**< transfer_ms replaces the fixed cost of distance. */
+    double transfer_ms; /**< Cost of the round trip and the bytes. */
+    double spread_ms;   /**< Additional cost that differs between senders, so
+                           that they do not all choose the same endpoint. */
 } BalancerCandidate;
 
 /** Returns the expected time of a request at the candidate, in milliseconds,
--- a/src/sched/zone_choice.c
+++ b/src/sched/zone_choice.c
@@ -38,6 +38,9 @@
 /* Least gain at which a share begins, as a part of the run time. With 2, 4 of
  * 500,000 requests left their zone under even demand. */
 #define BEGIN_PART 2.5
+/* Longest such gain in milliseconds: runs of engines take seconds, more than
+ * the objectives of their callers. */
+#define BEGIN_MAX_MS 150
 /* Least and largest noise, as parts of the run time. Beyond the largest, costs
  * differ since load moves, not by chance. */
 #define NOISE_MIN_PART 0.05
@@ -117,6 +120,12 @@
     return servers->run_ms * (1 + delay);
 }
 
+double
+ZoneChoice_DelayMs(const ZoneServers *servers)
+{
+    return time_in(servers) - servers->run_ms;
+}
+
 /* Returns the time that one more request costs the others in the zone. */
 static double
 time_of_others(const ZoneServers *servers)
@@ -201,7 +210,8 @@
                          NOISE_MIN_PART * run, NOISE_MAX_PART * run);
     double gain = here->cost_ms - there->cost_ms - transfer_ms;
     double gain_now = here->now_ms - there->now_ms - transfer_ms;
-    double begin = MAX(BEGIN_NOISES * noise, BEGIN_PART * run);
+    double begin =
+        MAX(BEGIN_NOISES * noise, MIN(BEGIN_PART * run, BEGIN_MAX_MS));
     if (there->share < SHARE_MIN && MIN(gain, gain_now) < begin) {
         there->share = 0;
         return;
--- a/src/sched/zone_choice.h
+++ b/src/sched/zone_choice.h
@@ -89,6 +89,9 @@
 double ZoneChoice_TransferMs(const ZoneTransfer *transfer, unsigned distance,
                              double megabytes);
 
+/** Returns the time that the load adds to a run in the zone. */
+double ZoneChoice_DelayMs(const ZoneServers *servers);
+
 /** Counts bytes sent over the link between regions. */
 void ZoneLink_OnSent(ZoneLink *link, double megabytes, TimeUs now);
 
--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -231,6 +231,33 @@
     PlatformSettings_Free(settings);
 }
 
+/* Guards against costs of traffic that apply where none are set, and against
+ * costs that cannot be meant. */
+static void
+zone_costs_are_read(void **state)
+{
+    Error err;
+    PlatformSettings *settings = load(SETTINGS(""), &err);
+    assert_false(settings->gateway.zone_transfer.enabled);
+    assert_int_equal(settings->gateway.regions, 2);
+    PlatformSettings_Free(settings);
+    settings = load(SETTINGS(",\"zone_transfer\":{\"zoneMsPerMb\":50,"
+                             "\"regionMsPerMb\":400.5,"
+                             "\"regionMbitPerS\":60}"),
+                    &err);
+    const ZoneTransfer *costs = &settings->gateway.zone_transfer;
+    assert_true(costs->enabled);
+    assert_float_equal(costs->zone_ms_per_mb, 50, 0);
+    assert_float_equal(costs->region_ms_per_mb, 400.5, 0);
+    assert_float_equal(costs->region_mbit_s, 60, 0);
+    PlatformSettings_Free(settings);
+    assert_null(load(SETTINGS(",\"zone_transfer\":7"), &err));
+    assert_null(
+        load(SETTINGS(",\"zone_transfer\":{\"zoneMsPerMb\":-1}"), &err));
+    assert_null(load(
+        SETTINGS(",\"zone_transfer\":{\"regionMbitPerS\":\"60\"}"), &err));
+}
+
 /* A control host that is not a seed never bootstraps a cluster. */
 static void
 only_seeds_bootstrap(void **state)
@@ -269,6 +296,7 @@
         cmocka_unit_test(heartbeats_are_decoded_to_records),
         cmocka_unit_test(software_that_is_not_named_is_unknown),
         cmocka_unit_test(settings_are_read_into_options),
+        cmocka_unit_test(zone_costs_are_read),
         cmocka_unit_test(only_seeds_bootstrap),
         cmocka_unit_test(invalid_settings_are_reported),
     };
