--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "gateway/state.h"
+#include "gateway/zones.h"
 #include "kernel/counter.h"
 #include "kernel/log.h"
 #include "wire/address.h"
@@ -202,6 +203,7 @@
     gateway->held = Held_New(gateway);
     gateway->suspects = Suspects_New(gateway);
     gateway->origins = Origins_New(gateway);
+    gateway->zones = Zones_New(gateway);
     gateway->keepers = Keepers_New(gateway);
     gateway->control = GatewayControl_New(gateway);
     return ERR_OK;
@@ -237,6 +239,7 @@
     Held_Free(gateway->held);
     Suspects_Free(gateway->suspects);
     Origins_Free(gateway->origins);
+    Zones_Free(gateway->zones);
     Endpoints_FreeAll(gateway);
     Directory_Free(gateway->directory);
     RouteTable_Unref(gateway->table);
