Control hosts take orders of roll-outs and keep them in the replicated log

The operator's order that a service's traffic move to a version must survive the loss of any host, of two disks and of all processes. Orders and reads are confirmed by a majority and redirected to the leader. Without the settings the calls answer 404 as before.

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -8,6 +8,7 @@
 #include <sodium.h>
 
 #include "fleet/directory_file.h"
+#include "fleet/rollout_log.h"
 #include "fleet/state.h"
 #include "kernel/counter.h"
 #include "kernel/log.h"
@@ -22,17 +23,6 @@
 #define TICK_MS 100
 /* Delay that combines several changes of the directory into one save. */
 #define SAVE_DELAY_MS 250
-/* Time after which a command that was not applied is reported as
- * FLEET_UNAVAILABLE. It may still be applied later. */
-#define COMMAND_TIMEOUT_US (4 * US_PER_S)
-
-/* A command that this host proposed and that is not yet applied. */
-typedef struct PendingCommand {
-    FleetDone done;
-    void *arg;
-    TimeUs expires_at;
-} PendingCommand;
-
 /* A read that waits for the confirmation that this host is the leader. */
 typedef struct PendingRead {
     Fleet *fleet;
@@ -67,22 +57,6 @@
     fleet->table = table;
 }
 
-static void
-finish_command(Fleet *fleet, uint64_t id, FleetOutcome outcome)
-{
-    PendingCommand *pending =
-        g_hash_table_lookup(fleet->pending_commands, &id);
-    if (pending == NULL) {
-        return;
-    }
-    FleetResult result = {
-        .outcome = outcome,
-        .version = fleet->document.version,
-    };
-    pending->done(pending->arg, &result);
-    g_hash_table_remove(fleet->pending_commands, &id);
-}
-
 static void
 on_apply(void *owner, uint64_t index, const uint8_t *command, size_t length)
 {
@@ -99,7 +73,9 @@
         decode_table(fleet);
         FleetGateways_SchedulePush(fleet);
     }
-    finish_command(fleet, id, FLEET_DONE);
+    FleetOutcome outcome =
+        FleetRollouts_OnApply(fleet, index, id, command, length);
+    FleetCommands_Finish(fleet, id, outcome);
 }
 
 static void
@@ -117,7 +93,8 @@
 on_snapshot(void *owner)
 {
     const Fleet *fleet = owner;
-    return Document_Save(&fleet->document);
+    return RolloutLog_AppendTo(Document_Save(&fleet->document),
+                               FleetRollouts_Table(fleet));
 }
 
 static int
@@ -127,34 +104,20 @@
     int result = Document_Load(&fleet->document, bytes, length, err);
     if (result == ERR_OK) {
         decode_table(fleet);
+        result = FleetRollouts_OnRestore(fleet, bytes, length, err);
     }
     return result;
 }
 
-/* Reports FLEET_UNAVAILABLE for all pending commands. They may still be
- * applied later. */
-static void
-fail_pending_commands(Fleet *fleet)
-{
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, fleet->pending_commands);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        PendingCommand *pending = value;
-        FleetResult result = {.outcome = FLEET_UNAVAILABLE};
-        pending->done(pending->arg, &result);
-        g_hash_table_iter_remove(&iter);
-    }
-}
-
 static void
 on_leadership_changed(void *owner, bool is_leader)
 {
     Fleet *fleet = owner;
     fleet->is_leader = is_leader;
     fleet->leader_since = Clock_Now();
+    FleetRollouts_OnLeadership(fleet);
     if (!is_leader) {
-        fail_pending_commands(fleet);
+        FleetCommands_FailAll(fleet);
     }
     else {
         FleetQuotas_OnLeader(fleet);
@@ -230,49 +193,13 @@
 
 /* ---- Requests of operators and endpoints ---- */
 
-/* Reports the leader, or FLEET_UNAVAILABLE when no other host is known to be
- * the leader. */
-static void
-report_not_leader(Fleet *fleet, FleetDone done, void *arg)
-{
-    ReplicaStatus status;
-    Replica_GetStatus(fleet->replica, &status);
-    FleetResult result = {.outcome = FLEET_UNAVAILABLE};
-    char *host = g_strdup(status.leader_address);
-    char *colon = strrchr(host, ':');
-    if (!status.is_leader && status.leader != 0 &&
-        status.leader != status.id && colon != NULL)
-    {
-        *colon = '\0';
-        result.outcome = FLEET_NOT_LEADER;
-        result.leader = host;
-    }
-    done(arg, &result);
-    g_free(host);
-}
-
 static void
 propose(Fleet *fleet, const Document *document, FleetDone done, void *arg)
 {
     uint64_t id;
     randombytes_buf(&id, sizeof(id));
-    GBytes *command = Document_PackCommand(id, document);
-    gsize length;
-    const uint8_t *bytes = g_bytes_get_data(command, &length);
-    int result = Replica_Propose(fleet->replica, bytes, length);
-    g_bytes_unref(command);
-    if (result != ERR_OK) {
-        report_not_leader(fleet, done, arg);
-        return;
-    }
-    PendingCommand *pending = g_new0(PendingCommand, 1);
-    *pending = (PendingCommand){
-        .done = done,
-        .arg = arg,
-        .expires_at = Clock_Now() + COMMAND_TIMEOUT_US,
-    };
-    g_hash_table_insert(fleet->pending_commands, g_memdup2(&id, sizeof(id)),
-                        pending);
+    FleetCommands_Propose(fleet, id, Document_PackCommand(id, document), done,
+                          arg);
 }
 
 void
@@ -319,7 +246,7 @@
     PendingRead *read = arg;
     Fleet *fleet = read->fleet;
     if (!is_leader) {
-        report_not_leader(fleet, read->done, read->arg);
+        FleetCommands_ReportNotLeader(fleet, read->done, read->arg);
         g_free(read);
         return;
     }
@@ -405,27 +332,13 @@
 
 /* ---- The task ---- */
 
-static void
-expire_pending_commands(Fleet *fleet, TimeUs now)
-{
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, fleet->pending_commands);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        PendingCommand *pending = value;
-        if (now >= pending->expires_at) {
-            FleetResult result = {.outcome = FLEET_UNAVAILABLE};
-            pending->done(pending->arg, &result);
-            g_hash_table_iter_remove(&iter);
-        }
-    }
-}
-
 static void
 on_tick(evutil_socket_t fd, short events, void *arg)
 {
     Fleet *fleet = arg;
-    expire_pending_commands(fleet, Clock_Now());
+    TimeUs now = Clock_Now();
+    FleetCommands_Expire(fleet, now);
+    FleetRollouts_OnTick(fleet, now);
     if (fleet->draining && !fleet->is_leader) {
         Task_ReportDrained(fleet->task);
     }
@@ -507,7 +420,7 @@
 stop(TaskHandle self, void *state)
 {
     Fleet *fleet = state;
-    fail_pending_commands(fleet);
+    FleetCommands_FailAll(fleet);
     if (fleet->replica != NULL) {
         Replica_Close(fleet->replica);
     }
@@ -524,6 +437,7 @@
     CrashTable_Free(fleet->crashes);
     StreamOrigins_Free(fleet->origins);
     QuotaLedger_Free(fleet->quotas);
+    FleetRollouts_Free(fleet->rollouts);
     g_hash_table_destroy(fleet->lost_gateways);
     StateFile_Free(fleet->directory_file);
     StateFile_Free(fleet->crash_file);
@@ -570,6 +484,7 @@
     fleet->crashes = CrashTable_New();
     fleet->origins = StreamOrigins_New(ORIGIN_NEWS_TABLE_MAX);
     fleet->quotas = QuotaLedger_New();
+    fleet->rollouts = FleetRollouts_New(&options->rollouts);
     fleet->lost_gateways =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     const char *folder = options->settings->control->data_dir;
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -13,12 +13,21 @@
 #include "kernel/task.h"
 #include "routes/codec.h"
 #include "routes/endpoint.h"
+#include "routes/rollout.h"
 
 typedef struct Fleet Fleet;
 
+/** Limits of roll-outs that the fleet's operators set. */
+typedef struct FleetRolloutBounds {
+    double exposure_share; /**< Largest fraction of a service's requests that a
+                              bad version gets; 0: there are no roll-outs. */
+    double exposure_slack; /**< Requests beyond that share. */
+} FleetRolloutBounds;
+
 typedef struct FleetOptions {
     const Settings *settings; /**< Its `control` member must be set. */
     const RouteCodec *codec;
+    FleetRolloutBounds rollouts;
 } FleetOptions;
 
 typedef enum FleetOutcome {
@@ -27,6 +36,7 @@
     FLEET_NOT_LEADER,  /**< Another host is the leader. */
     FLEET_UNAVAILABLE, /**< No known leader, leadership was lost, or the
                           command timed out. The caller may retry. */
+    FLEET_CONFLICT,    /**< Another roll-out of the service is in progress. */
 } FleetOutcome;
 
 typedef struct FleetResult {
@@ -35,6 +45,8 @@
     const char *leader; /**< IP address of the leader for FLEET_NOT_LEADER. */
     uint64_t version;   /**< Current version for FLEET_DONE; 0: no document. */
     GBytes *document;   /**< Result of Fleet_Read(); NULL: no document. */
+    const Rollout *rollout; /**< Result of Fleet_ReadRollout(); NULL: the
+                               service has had none. */
 } FleetResult;
 
 typedef void (*FleetDone)(void *arg, const FleetResult *result);
@@ -51,6 +63,21 @@
  * still the leader. */
 void Fleet_Read(Fleet *fleet, FleetDone done, void *arg);
 
+/** Returns whether the settings allow roll-outs. */
+bool Fleet_HasRollouts(const Fleet *fleet);
+
+/** Orders that the traffic of a service move to a version. FLEET_DONE means
+ * that the order is in the replicated log. A repetition of an order is
+ * acknowledged like the first one until the deadline of the first.
+ * @param deadline_ms  time until the roll-out has completed or is reverted. */
+void Fleet_BeginRollout(Fleet *fleet, const char *service, const char *target,
+                        uint64_t deadline_ms, FleetDone done, void *arg);
+
+/** Reads the newest roll-out of a service after a majority has confirmed that
+ * this host is still the leader. */
+void Fleet_ReadRollout(Fleet *fleet, const char *service, FleetDone done,
+                       void *arg);
+
 /** Updates the directory and sends changed records to every gateway. */
 void Fleet_UpdateEndpoint(Fleet *fleet, const EndpointRecord *record);
 
--- a/src/fleet/gateways.c
+++ b/src/fleet/gateways.c
@@ -188,7 +188,14 @@
         state.n_endpoints = query->endpoints->len;
         state.endpoints = (Wire__EndpointUse **)query->endpoints->pdata;
     }
+    RolloutMessages rollouts = {.count = 0};
+    if (is_leader) {
+        RolloutMessages_Fill(&rollouts, FleetRollouts_Table(fleet));
+        state.n_rollouts = rollouts.count;
+        state.rollouts = rollouts.pointers;
+    }
     send_state(query->link, &state);
+    RolloutMessages_Clear(&rollouts);
 }
 
 static void
@@ -263,6 +270,9 @@
     case WIRE__FRAME__BODY_QUOTA_QUERY:
         FleetQuotas_OnQuery(fleet, link, frame->quota_query);
         break;
+    case WIRE__FRAME__BODY_ROLLOUT_REPORT:
+        FleetRollouts_OnReport(fleet, link, frame->rollout_report);
+        break;
     case WIRE__FRAME__BODY_STREAM_ORIGIN_QUERY:
         FleetOrigins_OnQuery(fleet, link, frame->stream_origin_query);
         break;
@@ -293,10 +303,15 @@
     state.version = fleet->document.version;
     state.gateways = count_gateways(fleet);
     fill_document(fleet, &state);
+    RolloutMessages rollouts;
+    RolloutMessages_Fill(&rollouts, FleetRollouts_Table(fleet));
+    state.n_rollouts = rollouts.count;
+    state.rollouts = rollouts.pointers;
     Wire__Frame frame = WIRE__FRAME__INIT;
     frame.body_case = WIRE__FRAME__BODY_CONFIG_STATE;
     frame.config_state = &state;
     FleetGateways_Broadcast(fleet, &frame);
+    RolloutMessages_Clear(&rollouts);
 }
 
 static void
--- a/src/fleet/state.h
+++ b/src/fleet/state.h
@@ -16,6 +16,8 @@
 
 #define FLEET_PART "fleet"
 
+typedef struct FleetRollouts FleetRollouts;
+
 /* A process that is connected to this host by a link. */
 typedef struct FleetPeer {
     uint64_t serial; /* distinguishes links that reuse a pointer */
@@ -57,6 +59,7 @@
     double silent_fraction;    /* of the gateways, as of silent_checked_at */
     TimeUs silent_checked_at;
     struct event *tick_event;
+    FleetRollouts *rollouts;
 };
 
 /* ---- fleet.c ---- */
@@ -66,6 +69,32 @@
 void Fleet_OnEndpointLeaving(Fleet *fleet,
                              const Wire__EndpointLeaving *leaving);
 
+/* ---- commands.c ---- */
+
+/* Proposes a command and takes ownership of it. @p done, which may be NULL, is
+ * called when it is applied or its outcome is unknown.
+ * @return false if this host cannot propose; the call has been reported. */
+bool FleetCommands_Propose(Fleet *fleet, uint64_t id, GBytes *command,
+                           FleetDone done, void *arg);
+
+/* Returns whether this host proposed the command, still leads, and waits for
+ * it. */
+bool FleetCommands_IsPending(const Fleet *fleet, uint64_t id);
+
+/* Reports the outcome of a command if this host proposed it. */
+void FleetCommands_Finish(Fleet *fleet, uint64_t id, FleetOutcome outcome);
+
+/* Reports FLEET_UNAVAILABLE for all pending commands. They may still be
+ * applied later. */
+void FleetCommands_FailAll(Fleet *fleet);
+
+/* Reports FLEET_UNAVAILABLE for commands that were not applied in time. */
+void FleetCommands_Expire(Fleet *fleet, TimeUs now);
+
+/* Reports the leader, or FLEET_UNAVAILABLE when no other host is known to be
+ * the leader. */
+void FleetCommands_ReportNotLeader(Fleet *fleet, FleetDone done, void *arg);
+
 /* ---- gateways.c ---- */
 
 /* Handles a frame from a process other than a control host. */
@@ -116,6 +145,38 @@
 /* Adds the units that a gateway returns with a query. */
 void FleetQuotas_OnReturned(Fleet *fleet, const Wire__ConfigQuery *query);
 
+/* ---- rollouts.c: orders and records ---- */
+
+FleetRollouts *FleetRollouts_New(const FleetRolloutBounds *bounds);
+void FleetRollouts_Free(FleetRollouts *rollouts);
+
+const RolloutTable *FleetRollouts_Table(const Fleet *fleet);
+
+/* Applies a command if it is about a roll-out.
+ * @return the outcome for the caller that proposed it. */
+FleetOutcome FleetRollouts_OnApply(Fleet *fleet, uint64_t index, uint64_t id,
+                                   const uint8_t *command, size_t length);
+
+/* Replaces the roll-outs by those of a snapshot. */
+int FleetRollouts_OnRestore(Fleet *fleet, const uint8_t *bytes, size_t length,
+                            Error *err);
+
+/* Sends all roll-outs to every gateway if this host is the leader. */
+void FleetRollouts_Push(Fleet *fleet);
+
+/* ---- rollout_runs.c: evidence and ledger of the leader ---- */
+
+/* Begins with no evidence and an unknown ledger, as this host became the
+ * leader or lost the leadership. */
+void FleetRollouts_OnLeadership(Fleet *fleet);
+
+/* Handles the report of a gateway and replies to it. */
+void FleetRollouts_OnReport(Fleet *fleet, Link *link,
+                            const Wire__RolloutReport *report);
+
+/* Decides roll-outs in progress if this host is the leader. */
+void FleetRollouts_OnTick(Fleet *fleet, TimeUs now);
+
 /* ---- crashes.c ---- */
 
 /* Applies crashes and acquittals that a gateway reports. */
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -46,9 +46,12 @@
     uint32_t retry_min_count;   /**< Further retries allowed in a window, for
                                    all gateways together. */
     uint32_t retry_window_ms;   /**< Length of the window of both limits. */
-    double quota_slack; /**< Units by which all gateways together may exceed
-                           an account's limit. */
-    uint32_t stop_ms;   /**< Longest time of a planned stop. */
+    double quota_slack;    /**< Units by which all gateways together may exceed
+                              an account's limit. */
+    uint32_t stop_ms;      /**< Longest time of a planned stop. */
+    double exposure_share; /**< Largest fraction of a service's requests that
+                              a bad version gets; 0: there are no
+                              roll-outs. */
 } GatewayBounds;
 
 typedef struct GatewayOptions {
--- a/test/fakes/fake_server.c
+++ b/test/fakes/fake_server.c
@@ -255,8 +255,10 @@
 static void
 record_arrival(const Server *server, const char *id)
 {
-    if ((server->limit_file != NULL || server->rest_file != NULL) &&
-        id != NULL) {
+    if ((server->limit_file != NULL || server->rest_file != NULL ||
+         server->arrivals) &&
+        id != NULL)
+    {
         record(server, "arrived %lld %s\n", (long long)Clock_WallMs(), id);
     }
     if (server->rest_file != NULL && id == NULL) {
@@ -317,6 +319,14 @@
         server->fault_count--;
         g_strlcpy(connection->fault, server->fault, sizeof(connection->fault));
     }
+    bool fails =
+        server->error_every > 0 && id != NULL &&
+        Clock_WallMs() - (int64_t)server->born >= server->error_after_ms &&
+        ++server->request_count % (guint)server->error_every == 0;
+    if (fails) {
+        record(server, "failed %lld %s\n", (long long)Clock_WallMs(), id);
+        g_strlcpy(connection->fault, "error", sizeof(connection->fault));
+    }
     if (strcmp(connection->fault, "shed") == 0) {
         refuse(connection, 503, "Not-Executed: 1\r\n");
         return;
@@ -328,7 +338,7 @@
            tenant != NULL ? tenant : "-",
            last_event != NULL ? last_event : "-", has_key ? "yes" : "no",
            evbuffer_get_length(body));
-    connection->streamed = H1Head_Get(head, "Model") != NULL;
+    connection->streamed = H1Head_Get(head, "Model") != NULL && !fails;
     connection->deadly_target = Deadly_Target(
         server->deadly_parts, H1Head_Get(head, "Prefix-Hash"), head->target);
     connection->deadly = Deadly_When(connection->deadly_target);
--- a/test/fakes/fake_server.h
+++ b/test/fakes/fake_server.h
@@ -17,12 +17,16 @@
     gchar *service;
     gchar *id;
     gchar *zone;
-    gchar *record;    /* path of the record file; NULL for none */
-    gchar *fault;     /* kind of fault; NULL for none */
-    gint fault_count; /* number of further requests that get the fault */
-    gint fault_every; /* if above 1, each of so many streams gets it */
-    gchar *software;  /* version that it announces; NULL for the default. Of
-                         several, separated by commas, each start has one */
+    gchar *record;       /* path of the record file; NULL for none */
+    gchar *fault;        /* kind of fault; NULL for none */
+    gint fault_count;    /* number of further requests that get the fault */
+    gint fault_every;    /* if above 1, each of so many streams gets it */
+    gint error_every;    /* each of so many requests fails; 0: none */
+    gint error_after_ms; /* time after the start before the first of these */
+    guint request_count;
+    gboolean arrivals; /* records the arrival of each request */
+    gchar *software;   /* version that it announces; NULL for the default. Of
+                          several, separated by commas, each start has one */
     guint stream_count;
     gint slots;
     gint events;          /* number of events in a stream */
