Gateways serve roll-outs: sides of calls, permits, evidence and reports

A call is assigned its side when it looks for an endpoint: the candidate while a permit of the leader is free, else the old versions. Few endpoints of the candidate get the requests of the trial; if none of them has capacity, an old one serves. Gateways report cumulative numbers and samples four times a second; the leader lends, judges and changes the record.

--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -64,6 +64,7 @@
 release_resources(Call *call)
 {
     ServiceQueue_Remove(call);
+    Rollouts_Forget(call);
     g_queue_remove(&call->gateway->held_calls, call);
     if (call->upstream != NULL) {
         Upstream_Cancel(call->upstream);
@@ -192,6 +193,7 @@
     }
     if (call->maybe_ran || call->state != CALL_WAITING) {
         call->maybe_ran = true;
+        Rollouts_OnEnd(call, ROLLOUT_FAILED);
         Call_Fail(call, &(CallError){
                             .status = 504,
                             .code = "deadline",
--- a/src/gateway/call_answer.c
+++ b/src/gateway/call_answer.c
@@ -66,6 +66,7 @@
     if (call->state != CALL_STREAMING) {
         call->state = CALL_STREAMING;
         Origins_OnFirstEvent(call);
+        Rollouts_OnEnd(call, ROLLOUT_ANSWERED);
         call->first_output_at = Clock_Now();
         print_framing(call, false);
         Conn_SendHead(call->conn, call->answer_head);
@@ -157,6 +158,9 @@
     bool failure =
         head->status >= 500 || GatewayErrors_MeansNotRun(head->status);
     Endpoint_OnAnswer(call->endpoint, !failure);
+    if (failure) {
+        Rollouts_OnEnd(call, ROLLOUT_FAILED);
+    }
     const char *fault = find_fault(call, head);
     if (fault != NULL) {
         Upstream_Cancel(call->upstream);
@@ -271,6 +275,8 @@
     if (!call->is_stream && call->status < 500) {
         Endpoint_AddRunTime(call->endpoint, Clock_Now() - call->sent_at);
     }
+    Rollouts_OnEnd(call,
+                   call->is_stream ? ROLLOUT_NO_EVIDENCE : ROLLOUT_ANSWERED);
     Call_ReleaseEndpoint(call, SLOT_SERVED);
     if (call->is_stream) {
         finish_stream(call);
--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -140,7 +140,8 @@
         return;
     }
     if (!Route_HasService(call->route, endpoint->service) ||
-        !Endpoint_MayContinue(endpoint, call))
+        !Endpoint_MayContinue(endpoint, call) ||
+        !Rollouts_MayServe(endpoint, call))
     {
         /* The new configuration routes the call to another service, or the
          * endpoint has changed. */
@@ -182,6 +183,7 @@
     g_free(call->last_software);
     call->last_software = g_strdup(endpoint->software);
     Endpoint_Ref(endpoint);
+    Rollouts_OnSend(call, endpoint);
     endpoint->running++;
     call->state =
         call->state == CALL_STREAMING ? CALL_STREAMING : CALL_DISPATCHED;
@@ -259,6 +261,8 @@
         call->attempts--;
     }
     call->maybe_ran = call->maybe_ran || outcome == ATTEMPT_MAYBE_RAN;
+    Rollouts_OnEnd(call, outcome == ATTEMPT_MAYBE_RAN ? ROLLOUT_FAILED
+                                                      : ROLLOUT_NO_EVIDENCE);
     Call_ReleaseEndpoint(call, outcome == ATTEMPT_OTHER_INSTANCE
                                    ? SLOT_OTHER_INSTANCE
                                    : SLOT_NOT_SERVED);
--- a/src/gateway/endpoints.c
+++ b/src/gateway/endpoints.c
@@ -465,7 +465,8 @@
 {
     return Endpoint_IsUsable(endpoint, now) &&
            Rest_MaySend(&endpoint->rest, now) &&
-           Endpoint_MayContinue(endpoint, call);
+           Endpoint_MayContinue(endpoint, call) &&
+           Rollouts_MayServe(endpoint, call);
 }
 
 unsigned
--- a/src/gateway/endpoints.h
+++ b/src/gateway/endpoints.h
@@ -113,6 +113,10 @@
 /* Returns whether the endpoint is eligible for the call now. */
 bool Endpoint_MayServe(const Endpoint *endpoint, const Call *call, TimeUs now);
 
+/* Returns the endpoint's requests per slot: those of this gateway and of
+ * others, as it last reported. */
+double Endpoint_Load(const Endpoint *endpoint, TimeUs now);
+
 /* Returns the distance from this gateway: 0 in the same zone, 1 in the same
  * region, 2 in another region. */
 unsigned Endpoint_Distance(const Endpoint *endpoint);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -200,6 +200,7 @@
     gateway->retries = Retries_New(gateway);
     gateway->suspects = Suspects_New(gateway);
     gateway->origins = Origins_New(gateway);
+    gateway->rollouts = Rollouts_New(gateway);
     gateway->keepers = Keepers_New(gateway);
     gateway->control = GatewayControl_New(gateway);
     return ERR_OK;
@@ -233,6 +234,7 @@
     Retries_Free(gateway->retries);
     Suspects_Free(gateway->suspects);
     Origins_Free(gateway->origins);
+    Rollouts_Free(gateway->rollouts);
     Endpoints_FreeAll(gateway);
     Directory_Free(gateway->directory);
     RouteTable_Unref(gateway->table);
--- a/src/gateway/hosts.c
+++ b/src/gateway/hosts.c
@@ -327,6 +327,7 @@
     if (g_strcmp0(control->leader, host->address) != 0) {
         g_free(control->leader);
         control->leader = g_strdup(host->address);
+        Rollouts_OnLeader(control->gateway->rollouts);
     }
     if (!Gateway_HasLease(control->gateway)) {
         query_leader(control);
@@ -339,6 +340,7 @@
     Gateway *gateway = control->gateway;
     apply_document(gateway, state);
     if (state->nonce == 0) {
+        Rollouts_OnState(gateway->rollouts, state, Clock_Now());
         on_push(control, host);
         return;
     }
@@ -363,7 +365,9 @@
         control->leader = g_strdup(host->address);
         LOG_INFO(GATEWAY_PART, "Leading control host. address=%s",
                  host->address);
+        Rollouts_OnLeader(gateway->rollouts);
     }
+    Rollouts_OnState(gateway->rollouts, state, control->queried_at);
     gateway->gateway_count = state->gateways;
     renew_lease(control, state);
     Quotas_OnLeaderHeard(gateway->quotas);
@@ -434,6 +438,9 @@
     case WIRE__FRAME__BODY_QUOTA_REPLY:
         Quotas_OnReply(gateway->quotas, frame->quota_reply);
         break;
+    case WIRE__FRAME__BODY_ROLLOUT_PERMIT:
+        Rollouts_OnPermit(gateway->rollouts, frame->rollout_permit);
+        break;
     case WIRE__FRAME__BODY_STREAM_ORIGIN_REPLY:
         Origins_OnReply(gateway->origins, frame->stream_origin_reply);
         break;
@@ -469,6 +476,12 @@
     return control->hosts_changed_at;
 }
 
+const char *
+GatewayControl_Leader(const GatewayControl *control)
+{
+    return control->leader;
+}
+
 bool
 GatewayControl_SendLeader(const GatewayControl *control,
                           const Wire__Frame *frame)
--- a/src/gateway/keepers.c
+++ b/src/gateway/keepers.c
@@ -235,6 +235,11 @@
              refuse->busy, (unsigned long long)id);
     uint32_t retry_after_ms = want->retry_after_ms;
     Call *call = want->call;
+    if (Rollouts_FallBack(call, "all engines refused")) {
+        Keepers_EndWant(call, SLOT_NOT_SERVED);
+        ServiceQueue_Add(keeper->keepers->gateway, call);
+        return;
+    }
     Keepers_EndWant(call, SLOT_NOT_SERVED);
     if (call->maybe_ran) {
         Call_Fail(call, &(CallError){
--- /dev/null
+++ b/src/gateway/rollout_reports.c
@@ -0,0 +1,265 @@
+/** @file
+ * Gateway: reports of roll-outs to the leader, its permits, and the answers
+ * that are evidence.
+ */
+#include <math.h>
+#include <string.h>
+
+#include "gateway/rollout_run.h"
+#include "sched/exposure.h"
+
+/* Most versions that a report names. */
+#define VERSIONS_MAX 16
+/* Most samples that a report carries: routes, sides and load classes. */
+#define SAMPLES_MAX 768
+
+/* ---- Reports ---- */
+
+static void
+count_endpoints(const Gateway *gateway, const Rollout *rollout,
+                Wire__RolloutReport *report)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, gateway->endpoints);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const Endpoint *endpoint = value;
+        if (strcmp(endpoint->service, rollout->service) != 0) {
+            continue;
+        }
+        bool ready = endpoint->state == ENDPOINT_READY;
+        if (RolloutRun_IsTarget(rollout, endpoint)) {
+            report->ready_target += ready ? 1 : 0;
+            continue;
+        }
+        report->running_old += endpoint->running;
+        if (ready && !Rollout_IsBarred(rollout, endpoint->software)) {
+            report->ready_old++;
+        }
+        bool known = false;
+        for (size_t i = 0; i < report->n_old_versions; i++) {
+            known = known ||
+                    strcmp(report->old_versions[i], endpoint->software) == 0;
+        }
+        if (!known && report->n_old_versions < VERSIONS_MAX) {
+            report->old_versions[report->n_old_versions++] =
+                endpoint->software;
+        }
+    }
+}
+
+static size_t
+fill_samples(const RolloutRun *run, Wire__RolloutSample *items,
+             Wire__RolloutSample **pointers)
+{
+    size_t count = 0;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, run->samples);
+    while (count < SAMPLES_MAX && g_hash_table_iter_next(&iter, NULL, &value))
+    {
+        const RolloutCounts *sample = value;
+        Wire__RolloutSample *item = &items[count];
+        wire__rollout_sample__init(item);
+        item->route = sample->route;
+        item->candidate = sample->candidate;
+        item->load_class = sample->load_class;
+        item->answers = sample->sum.answers;
+        item->failures = sample->sum.failures;
+        item->timed = sample->sum.timed;
+        item->log_sum = sample->sum.log_sum;
+        item->log_square_sum = sample->sum.log_square_sum;
+        pointers[count++] = item;
+    }
+    return count;
+}
+
+static void
+send_report(Rollouts *rollouts, const Rollout *rollout, RolloutRun *run)
+{
+    const Gateway *gateway = rollouts->gateway;
+    const char *leader = GatewayControl_Leader(gateway->control);
+    if (leader == NULL) {
+        return;
+    }
+    uint64_t nonce = ++rollouts->last_nonce;
+    if (g_strcmp0(run->leader, leader) != 0) {
+        /* Replies of an earlier leader do not count from now on. */
+        g_free(run->leader);
+        run->leader = g_strdup(leader);
+        run->first_nonce = nonce;
+        g_hash_table_remove_all(run->sent_at);
+    }
+    Wire__RolloutReport report = WIRE__ROLLOUT_REPORT__INIT;
+    char *versions[VERSIONS_MAX];
+    report.nonce = nonce;
+    report.service = rollout->service;
+    report.target = rollout->target;
+    report.order = run->order;
+    report.revision = rollout->revision;
+    report.requests = run->requests;
+    report.sent = run->sent;
+    report.lent = run->lent;
+    report.old_versions = versions;
+    count_endpoints(gateway, rollout, &report);
+    guint size = MIN(g_hash_table_size(run->samples), SAMPLES_MAX);
+    Wire__RolloutSample *items = g_new0(Wire__RolloutSample, size + 1);
+    Wire__RolloutSample **pointers = g_new0(Wire__RolloutSample *, size + 1);
+    report.n_samples = fill_samples(run, items, pointers);
+    report.samples = pointers;
+    Wire__Frame frame = WIRE__FRAME__INIT;
+    frame.body_case = WIRE__FRAME__BODY_ROLLOUT_REPORT;
+    frame.rollout_report = &report;
+    if (GatewayControl_SendLeader(gateway->control, &frame)) {
+        TimeUs now = Clock_Now();
+        g_hash_table_insert(run->sent_at, g_memdup2(&nonce, sizeof(nonce)),
+                            g_memdup2(&now, sizeof(now)));
+    }
+    g_free(items);
+    g_free(pointers);
+}
+
+static void
+add_in_progress(void *arg, const Rollout *rollout)
+{
+    if (Rollout_InProgress(rollout)) {
+        g_ptr_array_add(arg, rollout->service);
+    }
+}
+
+void
+RolloutRun_SendReports(Rollouts *rollouts)
+{
+    GPtrArray *services = g_ptr_array_new();
+    RolloutTable_ForEach(rollouts->table, add_in_progress, services);
+    for (guint i = 0; i < services->len; i++) {
+        const Rollout *rollout =
+            RolloutTable_Find(rollouts->table, services->pdata[i]);
+        RolloutRun *run = RolloutRun_Find(rollouts->gateway, rollout);
+        if (run != NULL) {
+            send_report(rollouts, rollout, run);
+        }
+    }
+    if (services->len == 0) {
+        event_del(rollouts->timer);
+    }
+    g_ptr_array_unref(services);
+}
+
+void
+Rollouts_OnLeader(Rollouts *rollouts)
+{
+    RolloutRun_SendReports(rollouts);
+}
+
+static gboolean
+is_before(gpointer key, gpointer value, gpointer nonce)
+{
+    return *(const uint64_t *)key <= *(const uint64_t *)nonce;
+}
+
+void
+Rollouts_OnPermit(Rollouts *rollouts, const Wire__RolloutPermit *permit)
+{
+    const Rollout *rollout =
+        RolloutTable_Find(rollouts->table, permit->service);
+    RolloutRun *run =
+        rollout == NULL ? NULL : RolloutRun_Find(rollouts->gateway, rollout);
+    uint64_t nonce = permit->nonce;
+    if (run == NULL || run->order != permit->order || nonce < run->first_nonce)
+    {
+        return;
+    }
+    const TimeUs *sent_at = g_hash_table_lookup(run->sent_at, &nonce);
+    if (sent_at == NULL) {
+        return;
+    }
+    TimeUs confirmed_at = *sent_at - permit->confirmed_age_ms * US_PER_MS;
+    run->lent = MAX(run->lent, permit->number);
+    run->permit_until =
+        MAX(run->permit_until, confirmed_at + EXPOSURE_PERMIT_US);
+    run->heard_at = MAX(run->heard_at, confirmed_at);
+    g_hash_table_foreach_remove(run->sent_at, is_before, &nonce);
+}
+
+/* ---- Evidence ---- */
+
+static unsigned
+load_class_of(const Endpoint *endpoint)
+{
+    double load = Endpoint_Load(endpoint, Clock_Now());
+    return load < 0.5 ? 0 : load < 1 ? 1 : 2;
+}
+
+void
+Rollouts_OnSend(Call *call, const Endpoint *endpoint)
+{
+    const Rollout *rollout =
+        RolloutTable_Find(call->gateway->rollouts->table, endpoint->service);
+    RolloutRun *run =
+        rollout == NULL ? NULL : RolloutRun_Find(call->gateway, rollout);
+    CallRollout *own = &call->rollout;
+    own->counts = false;
+    if (run == NULL || !Rollout_InProgress(rollout)) {
+        Rollouts_Forget(call);
+        return;
+    }
+    bool target = RolloutRun_IsTarget(rollout, endpoint);
+    Rollouts_Forget(call);
+    own->order = run->order;
+    own->to_candidate = target;
+    own->load_class = load_class_of(endpoint);
+    run->requests += call->attempts == 0 ? 1 : 0;
+    run->sent += target ? 1 : 0;
+    /* The evidence of both sides begins with the first request to the
+     * candidate. */
+    own->counts = run->sent > 0;
+}
+
+static RolloutCounts *
+find_sample(const RolloutRun *run, const Call *call)
+{
+    const CallRollout *own = &call->rollout;
+    char *key = g_strdup_printf("%s %d %u", call->route->name,
+                                own->to_candidate, own->load_class);
+    RolloutCounts *sample = g_hash_table_lookup(run->samples, key);
+    if (sample != NULL) {
+        g_free(key);
+        return sample;
+    }
+    sample = g_new0(RolloutCounts, 1);
+    sample->route = g_strdup(call->route->name);
+    sample->candidate = own->to_candidate;
+    sample->load_class = own->load_class;
+    g_hash_table_insert(run->samples, key, sample);
+    return sample;
+}
+
+void
+Rollouts_OnEnd(Call *call, RolloutEnd end)
+{
+    CallRollout *own = &call->rollout;
+    bool counts = own->counts;
+    own->counts = counts && end == ROLLOUT_ANSWERED && call->is_stream;
+    const RolloutRun *run =
+        counts ? RolloutRun_FindOrder(call->gateway->rollouts, own->order)
+               : NULL;
+    Subject barred;
+    if (run == NULL || end == ROLLOUT_NO_EVIDENCE ||
+        (end == ROLLOUT_FAILED &&
+         Suspects_FindBarred(call->gateway->suspects, call, &barred)))
+    {
+        return;
+    }
+    RolloutSample *sum = &find_sample(run, call)->sum;
+    sum->answers++;
+    if (end == ROLLOUT_FAILED) {
+        sum->failures++;
+        return;
+    }
+    double ms =
+        (double)MAX(Clock_Now() - call->sent_at, 1) / (double)US_PER_MS;
+    sum->timed++;
+    sum->log_sum += log(ms);
+    sum->log_square_sum += log(ms) * log(ms);
+}
--- a/src/gateway/service_queue.c
+++ b/src/gateway/service_queue.c
@@ -137,8 +137,8 @@
     }
 }
 
-static double
-endpoint_load(const Endpoint *endpoint, TimeUs now)
+double
+Endpoint_Load(const Endpoint *endpoint, TimeUs now)
 {
     double age = (double)(now - endpoint->load_reported_at) / REPORT_DECAY_US;
     double others = age < 1 ? endpoint->other_running * (1 - age) : 0;
@@ -170,7 +170,7 @@
                                         Endpoint_RateShare(endpoint), now),
             .tried = Endpoint_WasTried(endpoint, call),
             .distance = Endpoint_Distance(endpoint),
-            .load = endpoint_load(endpoint, now),
+            .load = Endpoint_Load(endpoint, now),
             .error_rate = Endpoint_ErrorRate(endpoint, now),
             .expected_run_ms = endpoint->expected_run_ms,
             .rate_wait_ms = Endpoint_RateWaitMs(endpoint),
@@ -306,11 +306,15 @@
     queue->pumping = true;
     Call *call;
     while ((call = g_queue_peek_head(&queue->waiting)) != NULL) {
+        Rollouts_Assign(call);
         if (Keepers_SendWants(call)) {
             ServiceQueue_Remove(call);
             continue;
         }
         Endpoint *endpoint = choose_endpoint(call, queue);
+        if (endpoint == NULL && Rollouts_FallBack(call, "no capacity")) {
+            continue;
+        }
         if (endpoint == NULL && !Origins_CanGoOn(call) &&
             Clock_Now() - call->received_at > VERSION_WAIT_US)
         {
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -12,6 +12,7 @@
 #include "gateway/events.h"
 #include "gateway/gateway.h"
 #include "gateway/origins.h"
+#include "gateway/rollouts.h"
 #include "http1/parser.h"
 #include "kernel/clock.h"
 #include "sched/bucket.h"
@@ -56,6 +57,7 @@
     Keepers *keepers;
     Suspects *suspects;
     Origins *origins;
+    Rollouts *rollouts;
     uint64_t last_want_id;
     GQueue held_calls;   /* Calls that wait for a configuration or lease */
     unsigned call_count; /* number of unfinished calls */
@@ -222,6 +224,7 @@
     struct evbuffer *partial_event; /* received bytes of an incomplete event */
     Events events;
     CallOrigin origin;
+    CallRollout rollout;
     GList *queue_node;   /* position in queue, or NULL */
     ServiceQueue *queue; /* queue in which the call waits, or NULL */
     uint64_t want_id;    /* id of its want at slot keepers; 0 if none */
@@ -385,6 +388,9 @@
  * not. */
 TimeUs GatewayControl_ConnectedSince(const GatewayControl *control);
 
+/* Returns the address of the leading control host, or NULL. */
+const char *GatewayControl_Leader(const GatewayControl *control);
+
 /* Sends a frame to the leading control host.
  * @return false if it is unknown or not connected. */
 bool GatewayControl_SendLeader(const GatewayControl *control,
--- a/src/gateway/wants.c
+++ b/src/gateway/wants.c
@@ -219,13 +219,15 @@
         {
             continue;
         }
+        double load = keeper_load(keeper, endpoint, now);
+        bool busy = Rollouts_IsTrial(call) && load >= 1;
         choice->keepers[choice->count] = keeper;
         choice->slots[choice->count] = endpoint->slots;
         choice->candidates[choice->count++] = (BalancerCandidate){
-            .usable = Endpoint_MayServe(endpoint, call, now),
+            .usable = !busy && Endpoint_MayServe(endpoint, call, now),
             .tried = Endpoint_WasTried(endpoint, call),
             .distance = Endpoint_Distance(endpoint),
-            .load = keeper_load(keeper, endpoint, now),
+            .load = load,
             .error_rate = Endpoint_ErrorRate(endpoint, now),
             .expected_run_ms = expected_run_ms(keeper, call),
             .rate_wait_ms = Endpoint_RateWaitMs(endpoint),
@@ -308,7 +310,16 @@
 static void
 on_next_round_timer(evutil_socket_t fd, short events, void *arg)
 {
-    Want_SendNextRound(arg);
+    Want *want = arg;
+    Call *call = want->call;
+    if (want->max_distance == DISTANCE_ALL &&
+        Rollouts_FallBack(call, "the engines are busy"))
+    {
+        Keepers_EndWant(call, SLOT_NOT_SERVED);
+        ServiceQueue_Add(call->gateway, call);
+        return;
+    }
+    Want_SendNextRound(want);
 }
 
 bool
