--- a/src/fleet/rollout_runs.c
+++ b/src/fleet/rollout_runs.c
@@ -26,7 +26,7 @@
 /* Time before the deadline at which a roll-out that is still undecided is
  * decided, and at which an accepted one is completed while requests still run
  * at old versions. */
-#define DECIDE_BEFORE_MS 2000
+#define DECIDE_BEFORE_MS 2500
 #define COMPLETE_BEFORE_MS 1000
 /* Time after which a change that was not applied is proposed again. */
 #define PROPOSE_AGAIN_US (2 * US_PER_S)
@@ -278,7 +278,9 @@
     read_report(run, find_report(run, id, peer->name), message, now);
     Exposure_OnReport(run->exposure, id, message->requests, message->sent,
                       message->lent, now);
-    if (now - fleet->rollouts->confirmed_at <= CONFIRMED_MAX_US &&
+    /* Without replies, permits expire. */
+    if (!run->stopped &&
+        now - fleet->rollouts->confirmed_at <= CONFIRMED_MAX_US &&
         fleet->rollouts->confirmed_at >= fleet->leader_since)
     {
         bool lends = rollout->state == WIRE__ROLLOUT_STATE__ROLLOUT_SERVING;
@@ -482,6 +484,7 @@
     if (step.state == WIRE__ROLLOUT_STATE__ROLLOUT_NONE) {
         return;
     }
+    run->stopped = step.state == WIRE__ROLLOUT_STATE__ROLLOUT_REVERTED;
     run->proposed_at = now;
     run->proposed_at_revision = rollout->revision;
     Rollout *changed = Rollout_Copy(rollout);
--- a/src/fleet/rollouts.h
+++ b/src/fleet/rollouts.h
@@ -15,7 +15,9 @@
     RolloutTest *test;    /* evidence */
     Exposure *exposure;   /* ledger */
     GHashTable *gateways; /* id of a gateway's process -> GatewayReport */
-    TimeUs proposed_at;   /* when a change was last proposed; 0: never */
+    bool stopped; /* the target is bad; nothing more is lent, whether or not
+                     the log takes the verdict */
+    TimeUs proposed_at; /* when a change was last proposed; 0: never */
     uint64_t proposed_at_revision; /* revision that it replaces */
     TimeUs ready_at; /* when the target last had a ready endpoint */
 } RolloutRun;
--- a/src/gateway/call_answer.c
+++ b/src/gateway/call_answer.c
@@ -151,6 +151,7 @@
 {
     Call *call = owner;
     const GatewayFields *fields = call->gateway->options->fields;
+    Rollouts_OnHead(call);
     if (GatewayFields_SayNotRun(fields, head)) {
         on_refused(call, head);
         return;
--- a/src/gateway/endpoints.c
+++ b/src/gateway/endpoints.c
@@ -225,6 +225,14 @@
     endpoint->expected_run_ms += RUN_WEIGHT * (ms - endpoint->expected_run_ms);
 }
 
+void
+Endpoint_AddRoundTrip(Endpoint *endpoint, TimeUs time)
+{
+    if (endpoint->round_trip == 0 || time < endpoint->round_trip) {
+        endpoint->round_trip = MAX(time, 1);
+    }
+}
+
 double
 Endpoint_ErrorRate(const Endpoint *endpoint, TimeUs now)
 {
--- a/src/gateway/rollout_reports.c
+++ b/src/gateway/rollout_reports.c
@@ -8,6 +8,9 @@
 #include "gateway/rollout_run.h"
 #include "sched/exposure.h"
 
+/* Shorter run times count as this one: below it the errors of the round trip
+ * prevail. */
+#define TIME_MIN_US (1 * US_PER_MS)
 /* Most versions that a report names. */
 #define VERSIONS_MAX 16
 /* Most samples that a report carries: routes, sides and load classes. */
@@ -235,6 +238,12 @@
     return sample;
 }
 
+void
+Rollouts_OnHead(Call *call)
+{
+    call->rollout.begun_at = Upstream_BegunAt(call->upstream);
+}
+
 void
 Rollouts_OnEnd(Call *call, RolloutEnd end)
 {
@@ -257,8 +266,8 @@
         sum->failures++;
         return;
     }
-    double ms =
-        (double)MAX(Clock_Now() - call->sent_at, 1) / (double)US_PER_MS;
+    TimeUs time = MAX(Clock_Now() - own->begun_at, TIME_MIN_US);
+    double ms = (double)time / (double)US_PER_MS;
     sum->timed++;
     sum->log_sum += log(ms);
     sum->log_square_sum += log(ms) * log(ms);
--- a/src/gateway/rollouts.h
+++ b/src/gateway/rollouts.h
@@ -33,6 +33,7 @@
     bool counts;         /* the answer of the present attempt is evidence */
     bool to_candidate;   /* side of the present attempt */
     unsigned load_class; /* of its endpoint, before it was sent */
+    TimeUs begun_at;     /* from which the run time of the attempt counts */
 } CallRollout;
 
 /* How an attempt ended, as evidence. */
@@ -72,6 +73,9 @@
 /* Records that the call is sent to the endpoint. */
 void Rollouts_OnSend(Call *call, const Endpoint *endpoint);
 
+/* Records that the head of an answer arrived. */
+void Rollouts_OnHead(Call *call);
+
 /* Records how the call's present attempt ended; later ends of it are
  * ignored, but for a failure after the first event. */
 void Rollouts_OnEnd(Call *call, RolloutEnd end);
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -145,6 +145,11 @@
 Upstream *Upstream_Send(Endpoint *endpoint, const UpstreamRequest *request,
                         const UpstreamOps *ops, void *owner);
 
+/* Returns the time from which the run time of the request counts: when it was
+ * sent over an established connection, and the round trip of its endpoint
+ * later, so that it does not depend on the distance. */
+TimeUs Upstream_BegunAt(const Upstream *upstream);
+
 /* Closes the connection and frees it; no callback follows. */
 void Upstream_Cancel(Upstream *upstream);
 
--- a/src/gateway/upstream.c
+++ b/src/gateway/upstream.c
@@ -49,7 +49,8 @@
     Subjects subjects; /* of the request */
     bool resumed;      /* the request asks for the rest of a stream */
     TimeUs sent_at;
-    bool success; /* the head of the answer has a status of success */
+    TimeUs written_at; /* as sent_at, or when the connection was established */
+    bool success;      /* the head of the answer has a status of success */
     bool not_run; /* the endpoint states that it did not run the request */
     bool connected;
     bool busy;        /* carries a request */
@@ -347,6 +348,9 @@
     Upstream *upstream = arg;
     if ((events & BEV_EVENT_CONNECTED) != 0) {
         upstream->connected = true;
+        upstream->written_at = Clock_Now();
+        Endpoint_AddRoundTrip(upstream->endpoint,
+                              upstream->written_at - upstream->sent_at);
         event_del(upstream->timer);
         schedule_discard_end(upstream);
         return;
@@ -509,6 +513,7 @@
     upstream->resumed = request->resumed;
     upstream->success = false;
     upstream->sent_at = Clock_Now();
+    upstream->written_at = upstream->sent_at;
     upstream->not_run = false;
     if (request->head_only) {
         H1Parser_ExpectNoBody(upstream->parser);
@@ -519,6 +524,12 @@
     return upstream;
 }
 
+TimeUs
+Upstream_BegunAt(const Upstream *upstream)
+{
+    return upstream->written_at + upstream->endpoint->round_trip;
+}
+
 void
 Upstream_Cancel(Upstream *upstream)
 {
