--- a/src/fleet/rollout_runs.c
+++ b/src/fleet/rollout_runs.c
@@ -23,10 +23,12 @@
 #define SETTLE_US (1 * US_PER_S)
 /* Age of a report from which it says nothing about the present. */
 #define REPORT_MAX_AGE_US (1 * US_PER_S)
-/* Time before the deadline at which a roll-out that is still undecided is
- * decided, and at which an accepted one is completed while requests still run
- * at old versions. */
-#define DECIDE_BEFORE_MS 2500
+/* Time before the deadline at which a roll-out with too few answers for the
+ * test is decided; at which any other one is, after the last look of the test;
+ * and at which an accepted one is completed while requests still run at old
+ * versions. Each change takes the time of a commit. */
+#define DECIDE_FEW_BEFORE_MS 2500
+#define DECIDE_BEFORE_MS 1500
 #define COMPLETE_BEFORE_MS 1000
 /* Time after which a change that was not applied is proposed again. */
 #define PROPOSE_AGAIN_US (2 * US_PER_S)
@@ -451,7 +453,10 @@
                       "nothing speaks against it"};
     }
     if (serving) {
-        return settled && left_ms <= DECIDE_BEFORE_MS
+        int64_t decide_before_ms = reason->answers < ROLLOUT_ANSWERS_MIN
+                                       ? DECIDE_FEW_BEFORE_MS
+                                       : DECIDE_BEFORE_MS;
+        return settled && left_ms <= decide_before_ms
                    ? decide_at_end(reason, overview)
                    : stay;
     }
--- a/src/gateway/rollout_reports.c
+++ b/src/gateway/rollout_reports.c
@@ -215,8 +215,9 @@
     run->requests += call->attempts == 0 ? 1 : 0;
     run->sent += target ? 1 : 0;
     /* The evidence of both sides begins with the first request to the
-     * candidate. */
-    own->counts = run->sent > 0;
+     * candidate and ends when it is accepted. */
+    own->counts = run->sent > 0 &&
+                  rollout->state == WIRE__ROLLOUT_STATE__ROLLOUT_SERVING;
 }
 
 static RolloutCounts *
