--- a/src/gateway/endpoints.h
+++ b/src/gateway/endpoints.h
@@ -43,7 +43,7 @@
     bool bad_rate_logged; /* an answer named a limit that cannot be read */
     /* Moving mean run time of non-streamed answers; 0 before the first. */
     double expected_run_ms;
-    TimeUs round_trip; /* least time to establish a connection; 0: unknown */
+    TimeUs round_trip;     /* least, from handshakes; 0: unknown */
     GQueue idle_upstreams; /* idle Upstreams, most recently used first */
     /* Upstream whose callback runs; NULL once the callback has freed it. */
     Upstream *callback_upstream;
@@ -94,7 +94,7 @@
  * not streamed. */
 void Endpoint_AddRunTime(Endpoint *endpoint, TimeUs run_time);
 
-/* Records the time that it took to establish a connection. */
+/* Records the round trip of a handshake. */
 void Endpoint_AddRoundTrip(Endpoint *endpoint, TimeUs time);
 
 /* Returns the moving fraction of failed answers. It decays with time. */
--- a/src/gateway/upstream.c
+++ b/src/gateway/upstream.c
@@ -342,6 +342,21 @@
     event_add(upstream->timer, &span);
 }
 
+/* Reads the kernel's measurement of the handshake. The time until the event
+ * loop notices the connection would include the load of this process. */
+static void
+measure_round_trip(const Upstream *upstream)
+{
+    struct tcp_info info = {.tcpi_rtt = 0};
+    socklen_t length = sizeof(info);
+    if (getsockopt(bufferevent_getfd(upstream->stream), IPPROTO_TCP, TCP_INFO,
+                   &info, &length) == 0 &&
+        info.tcpi_rtt > 0)
+    {
+        Endpoint_AddRoundTrip(upstream->endpoint, info.tcpi_rtt);
+    }
+}
+
 static void
 on_event(struct bufferevent *stream, short events, void *arg)
 {
@@ -349,8 +364,7 @@
     if ((events & BEV_EVENT_CONNECTED) != 0) {
         upstream->connected = true;
         upstream->written_at = Clock_Now();
-        Endpoint_AddRoundTrip(upstream->endpoint,
-                              upstream->written_at - upstream->sent_at);
+        measure_round_trip(upstream);
         event_del(upstream->timer);
         schedule_discard_end(upstream);
         return;
