--- a/src/fleet/rollouts.c
+++ b/src/fleet/rollouts.c
@@ -125,7 +125,9 @@
 void
 FleetRollouts_Push(Fleet *fleet)
 {
-    if (!fleet->is_leader || fleet->document.version == 0) {
+    if (!fleet->is_leader || fleet->document.version == 0 ||
+        RolloutTable_Count(fleet->rollouts->table) == 0)
+    {
         return;
     }
     RolloutMessages messages;
