--- a/src/gateway/endpoints.c
+++ b/src/gateway/endpoints.c
@@ -237,6 +237,14 @@
     Paces_OnRun(endpoint, ms);
 }
 
+void
+Endpoint_AddRoundTrip(Endpoint *endpoint, TimeUs time)
+{
+    if (endpoint->round_trip == 0 || time < endpoint->round_trip) {
+        endpoint->round_trip = MAX(time, 1);
+    }
+}
+
 double
 Endpoint_ErrorRate(const Endpoint *endpoint, TimeUs now)
 {
@@ -494,7 +502,8 @@
 {
     return Endpoint_IsUsable(endpoint, now) &&
            Rest_MaySend(&endpoint->rest, now) &&
-           Endpoint_MayContinue(endpoint, call);
+           Endpoint_MayContinue(endpoint, call) &&
+           Rollouts_MayServe(endpoint, call);
 }
 
 unsigned
--- a/src/gateway/endpoints.h
+++ b/src/gateway/endpoints.h
@@ -49,6 +49,7 @@
     PaceQuestion *question; /* NULL before the first question for its load */
     bool bad_pace_logged;   /* a report had an invalid figure of the speed */
     GQueue idle_upstreams;  /* idle Upstreams, most recently used first */
+    TimeUs round_trip;      /* least, from handshakes; 0: unknown */
     /* Upstream whose callback runs; NULL once the callback has freed it. */
     Upstream *callback_upstream;
     bool stored;  /* its record comes from a file, and neither an announcement
@@ -103,6 +104,9 @@
  * not streamed. */
 void Endpoint_AddRunTime(Endpoint *endpoint, TimeUs run_time);
 
+/* Records the round trip of a handshake. */
+void Endpoint_AddRoundTrip(Endpoint *endpoint, TimeUs time);
+
 /* Returns the moving fraction of failed answers. It decays with time. */
 double Endpoint_ErrorRate(const Endpoint *endpoint, TimeUs now);
 
@@ -130,6 +134,10 @@
 /* Returns whether the endpoint is eligible for the call now. */
 bool Endpoint_MayServe(const Endpoint *endpoint, const Call *call, TimeUs now);
 
+/* Returns the endpoint's requests per slot: those of this gateway and of
+ * others, as it last reported. */
+double Endpoint_Load(const Endpoint *endpoint, TimeUs now);
+
 /* Returns the distance from this gateway: 0 in the same zone, 1 in the same
  * region, 2 in another region. */
 unsigned Endpoint_Distance(const Endpoint *endpoint);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -204,6 +204,7 @@
     gateway->suspects = Suspects_New(gateway);
     gateway->origins = Origins_New(gateway);
     gateway->zones = Zones_New(gateway);
+    gateway->rollouts = Rollouts_New(gateway);
     gateway->keepers = Keepers_New(gateway);
     gateway->control = GatewayControl_New(gateway);
     return ERR_OK;
@@ -240,6 +241,7 @@
     Suspects_Free(gateway->suspects);
     Origins_Free(gateway->origins);
     Zones_Free(gateway->zones);
+    Rollouts_Free(gateway->rollouts);
     Endpoints_FreeAll(gateway);
     Directory_Free(gateway->directory);
     RouteTable_Unref(gateway->table);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -55,6 +55,9 @@
      * use; 0 without a bound. With one, engines are sent only what fits into
      * their memory. */
     size_t memory_bytes;
+    double exposure_share; /**< Largest fraction of a service's requests that
+                              a bad version gets; 0: there are no
+                              roll-outs. */
 } GatewayBounds;
 
 typedef struct GatewayOptions {
--- a/src/gateway/service_queue.c
+++ b/src/gateway/service_queue.c
@@ -147,8 +147,8 @@
     }
 }
 
-static double
-endpoint_load(const Endpoint *endpoint, TimeUs now)
+double
+Endpoint_Load(const Endpoint *endpoint, TimeUs now)
 {
     double age = (double)(now - endpoint->load_reported_at) / REPORT_DECAY_US;
     double others = age < 1 ? endpoint->other_running * (1 - age) : 0;
@@ -207,7 +207,7 @@
                                         Endpoint_RateShare(endpoint), now),
             .tried = Endpoint_WasTried(endpoint, call),
             .distance = Endpoint_Distance(endpoint),
-            .load = endpoint_load(endpoint, now),
+            .load = Endpoint_Load(endpoint, now),
             .error_rate = Endpoint_ErrorRate(endpoint, now),
             .expected_run_ms = endpoint->expected_run_ms,
             .rate_wait_ms = Endpoint_RateWaitMs(endpoint),
@@ -461,6 +461,7 @@
     queue->pumping = true;
     Call *call;
     while ((call = next_call(queue)) != NULL) {
+        Rollouts_Assign(call);
         if (Keepers_SendWants(call)) {
             ServiceQueue_Remove(call);
             continue;
@@ -470,6 +471,9 @@
         if (asked) {
             continue;
         }
+        if (endpoint == NULL && Rollouts_FallBack(call, "no capacity")) {
+            continue;
+        }
         if (endpoint == NULL && !Origins_CanGoOn(call) &&
             Clock_Now() - call->received_at > VERSION_WAIT_US)
         {
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -13,6 +13,7 @@
 #include "gateway/gateway.h"
 #include "gateway/held.h"
 #include "gateway/origins.h"
+#include "gateway/rollouts.h"
 #include "gateway/run_times.h"
 #include "http1/parser.h"
 #include "kernel/clock.h"
@@ -64,6 +65,7 @@
     Origins *origins;
     Zones *zones;              /* NULL in tests of other parts */
     GHashTable *pace_services; /* service name -> PaceService; NULL at first */
+    Rollouts *rollouts;
     uint64_t last_want_id;
     uint64_t last_question_id;
     GQueue held_calls;   /* Calls that wait for a configuration or lease */
@@ -158,6 +160,11 @@
 Upstream *Upstream_Send(Endpoint *endpoint, const UpstreamRequest *request,
                         const UpstreamOps *ops, void *owner);
 
+/* Returns the time from which the run time of the request counts: when it was
+ * sent over an established connection, and the round trip of its endpoint
+ * later, so that it does not depend on the distance. */
+TimeUs Upstream_BegunAt(const Upstream *upstream);
+
 /* Closes the connection and frees it; no callback follows. */
 void Upstream_Cancel(Upstream *upstream);
 
@@ -237,6 +244,7 @@
     struct evbuffer *partial_event; /* received bytes of an incomplete event */
     Events events;
     CallOrigin origin;
+    CallRollout rollout;
     GList *queue_node;          /* position in queue, or NULL */
     ServiceQueue *queue;        /* queue in which the call waits, or NULL */
     uint64_t want_id;           /* id of its want at slot keepers; 0 if none */
@@ -417,6 +425,9 @@
  * not. */
 TimeUs GatewayControl_ConnectedSince(const GatewayControl *control);
 
+/* Returns the address of the leading control host, or NULL. */
+const char *GatewayControl_Leader(const GatewayControl *control);
+
 /* Sends a frame to the leading control host.
  * @return false if it is unknown or not connected. */
 bool GatewayControl_SendLeader(const GatewayControl *control,
--- a/src/gateway/wants.c
+++ b/src/gateway/wants.c
@@ -251,15 +251,17 @@
         {
             continue;
         }
+        double load = keeper_load(keeper, endpoint, now);
+        bool busy = Rollouts_IsTrial(call) && load >= 1;
         choice->keepers[choice->count] = keeper;
         choice->endpoints[choice->count] = endpoint;
         choice->queued[choice->count] = keeper_queued(keeper, now);
         choice->slots[choice->count] = endpoint->slots;
         choice->candidates[choice->count++] = (BalancerCandidate){
-            .usable = !was_sent(want, keeper),
+            .usable = !busy && !was_sent(want, keeper),
             .tried = Endpoint_WasTried(endpoint, call),
             .distance = Endpoint_Distance(endpoint),
-            .load = keeper_load(keeper, endpoint, now),
+            .load = load,
             .error_rate = Endpoint_ErrorRate(endpoint, now),
             .expected_run_ms =
                 expected_run_ms(keeper, call) * Paces_Factor(endpoint),
@@ -497,7 +499,16 @@
 static void
 on_next_round_timer(evutil_socket_t fd, short events, void *arg)
 {
-    Want_SendNextRound(arg);
+    Want *want = arg;
+    Call *call = want->call;
+    if (want->max_distance == DISTANCE_ALL &&
+        Rollouts_FallBack(call, "the engines are busy"))
+    {
+        Keepers_EndWant(call, SLOT_NOT_SERVED);
+        ServiceQueue_Add(call->gateway, call);
+        return;
+    }
+    Want_SendNextRound(want);
 }
 
 /* Asks the keeper that may keep capacity for the request, if requests of its
