--- a/src/gateway/call_answer.c
+++ b/src/gateway/call_answer.c
@@ -10,13 +10,8 @@
 
 /* Largest answer that is not a stream. It is buffered until complete. */
 #define ANSWER_MAX_BYTES (8u * 1024 * 1024)
-/* The same for all answers together. */
-#define ANSWERS_MAX_BYTES (32u * 1024 * 1024)
 /* Time for which the rest of an answer that is not forwarded is read. */
 #define DISCARD_MAX_US (1 * US_PER_S)
-/* Reading from the endpoint pauses when more than this is unsent to the
- * caller. */
-#define UNSENT_MAX_BYTES (256u * 1024)
 
 /* Prints the head for the caller, without the framing fields. */
 static void
@@ -66,6 +61,7 @@
     if (call->state != CALL_STREAMING) {
         call->state = CALL_STREAMING;
         Origins_OnFirstEvent(call);
+        Rollouts_OnEnd(call, ROLLOUT_ANSWERED);
         call->first_output_at = Clock_Now();
         print_framing(call, false);
         Conn_SendHead(call->conn, call->answer_head);
@@ -85,7 +81,7 @@
         evbuffer_add(call->answer, "\r\n", 2);
     }
     Conn_SendBody(call->conn, call->answer);
-    if (Conn_UnsentBytes(call->conn) > UNSENT_MAX_BYTES) {
+    if (Conn_UnsentBytes(call->conn) > Held_CallerPart(call->gateway->held)) {
         Upstream_Pause(call->upstream, true);
     }
 }
@@ -150,6 +146,7 @@
 {
     Call *call = owner;
     const GatewayFields *fields = call->gateway->options->fields;
+    Rollouts_OnHead(call);
     if (GatewayFields_SayNotRun(fields, head)) {
         on_refused(call, head);
         return;
@@ -157,6 +154,9 @@
     bool failure =
         head->status >= 500 || GatewayErrors_MeansNotRun(head->status);
     Endpoint_OnAnswer(call->endpoint, !failure);
+    if (failure) {
+        Rollouts_OnEnd(call, ROLLOUT_FAILED);
+    }
     const char *fault = find_fault(call, head);
     if (fault != NULL) {
         Upstream_Cancel(call->upstream);
@@ -206,7 +206,9 @@
     call->gateway->answer_bytes += length;
     evbuffer_add_buffer(call->answer, body);
     bool too_long = call->counted_bytes > ANSWER_MAX_BYTES;
-    if (!too_long && call->gateway->answer_bytes <= ANSWERS_MAX_BYTES) {
+    if (!too_long &&
+        call->gateway->answer_bytes <= Held_AnswersMax(call->gateway->held))
+    {
         return;
     }
     Upstream_Cancel(call->upstream);
@@ -271,6 +273,11 @@
     if (!call->is_stream && call->status < 500) {
         Endpoint_AddRunTime(call->endpoint, Clock_Now() - call->sent_at);
     }
+    if (call->status < 300) {
+        RunTimes_Add(call->gateway->run_times, call);
+    }
+    Rollouts_OnEnd(call,
+                   call->is_stream ? ROLLOUT_NO_EVIDENCE : ROLLOUT_ANSWERED);
     Call_ReleaseEndpoint(call, SLOT_SERVED);
     if (call->is_stream) {
         finish_stream(call);
--- a/src/gateway/endpoints.c
+++ b/src/gateway/endpoints.c
@@ -3,10 +3,10 @@
  * load seen from requests.
  */
 #include <math.h>
-#include <stdio.h>
 #include <string.h>
 #include <strings.h>
 
+#include "gateway/paces.h"
 #include "gateway/state.h"
 #include "kernel/counter.h"
 #include "kernel/log.h"
@@ -14,6 +14,10 @@
 /* Longest delay of an endpoint's announcement: after that, a known endpoint
  * that had ended has not started again under its id without being known. */
 #define ANNOUNCE_DELAY_MAX_US (10 * US_PER_S)
+/* Time after a proved end for which a keeper may still report the start that
+ * ended: the longest probe (600 ms), the time between two probes (250 ms), and
+ * the way of the grant. */
+#define START_SEEN_DELAY_US (1 * US_PER_S)
 /* First and longest ejection of a failing endpoint. The time doubles with each
  * consecutive failure; after it, one request probes the endpoint. */
 #define EJECT_FIRST_MS 300
@@ -34,6 +38,7 @@
     g_free(endpoint->zone);
     g_free(endpoint->software);
     EndWatch_Clear(endpoint);
+    Paces_FreeQuestion(endpoint);
     g_free(endpoint);
 }
 
@@ -94,6 +99,7 @@
     if (endpoint != NULL &&
         (record->state == ENDPOINT_GONE || has_moved(endpoint, record)))
     {
+        Origins_OnLeft(gateway->origins, endpoint);
         remove_endpoint(gateway, endpoint);
         endpoint = NULL;
     }
@@ -110,6 +116,7 @@
     endpoint->software =
         g_strdup(record->software != NULL ? record->software : "");
     endpoint->state = record->state;
+    endpoint->stored = record->stored;
     endpoint->born = record->born;
     endpoint->slots = MAX(record->slots, 1);
     endpoint->cold_until = Clock_Now() + record->cold_ms * US_PER_MS;
@@ -131,7 +138,9 @@
 static void
 remove_superseded(Gateway *gateway, Endpoint *endpoint)
 {
+    Origins_OnLeft(gateway->origins, endpoint);
     endpoint->superseded = endpoint->state == ENDPOINT_READY;
+    endpoint->replaced = true;
     EndWatch_OnEnded(endpoint, "a newer incarnation is registered");
     Origins_OnReplaced(endpoint);
     remove_endpoint(gateway, endpoint);
@@ -193,10 +202,12 @@
         Endpoint *endpoint = at->data;
         Upstream_CloseIdle(endpoint);
         EndWatch_Clear(endpoint);
+        Paces_FreeQuestion(endpoint);
         g_hash_table_remove(gateway->endpoints, endpoint->id);
         Endpoint_Unref(endpoint);
     }
     g_list_free(endpoints);
+    Paces_FreeServices(gateway);
 }
 
 void
@@ -223,6 +234,15 @@
         endpoint->expected_run_ms = ms;
     }
     endpoint->expected_run_ms += RUN_WEIGHT * (ms - endpoint->expected_run_ms);
+    Paces_OnRun(endpoint, ms);
+}
+
+void
+Endpoint_AddRoundTrip(Endpoint *endpoint, TimeUs time)
+{
+    if (endpoint->round_trip == 0 || time < endpoint->round_trip) {
+        endpoint->round_trip = MAX(time, 1);
+    }
 }
 
 double
@@ -246,20 +266,19 @@
 }
 
 void
-Endpoint_OnLoadReport(Endpoint *endpoint, const char *report)
+Endpoint_OnLoadReport(Endpoint *endpoint, const char *text)
 {
-    unsigned running;
-    unsigned waiting;
-    unsigned slots;
-    if (sscanf(report, "%u,%u,%u", &running, &waiting, &slots) != 3) {
+    LoadReport report;
+    if (!LoadReport_Parse(text, Clock_Now(), &report)) {
         LOG_DEBUG(GATEWAY_PART, "Invalid load report. endpoint=%s",
                   endpoint->id);
         return;
     }
-    unsigned all = running + waiting;
+    unsigned all = report.running + report.waiting;
     endpoint->other_running =
         all > endpoint->running ? all - endpoint->running : 0;
-    endpoint->load_reported_at = Clock_Now();
+    endpoint->load_reported_at = report.pace.received_at;
+    Paces_OnReport(endpoint, &report);
 }
 
 /* Returns the rate in the field of an answer, 0 if there is none, and -1 if it
@@ -441,13 +460,31 @@
     return now >= endpoint->ejected_until && !endpoint->probing;
 }
 
+void
+Endpoint_OnStartSeen(Endpoint *endpoint, uint64_t born, bool uncertain)
+{
+    TimeUs now = Clock_Now();
+    bool other = born != 0 && born != endpoint->born;
+    bool is_late = endpoint->end_proved_at != 0 &&
+                   now - endpoint->end_proved_at < START_SEEN_DELAY_US;
+    if (uncertain || other) {
+        endpoint->ended_at = now;
+    }
+    else if (born != 0 && !is_late) {
+        endpoint->ended_at = 0;
+        endpoint->stored = false;
+    }
+}
+
 const char *
 Endpoint_CertainSoftware(const Endpoint *endpoint)
 {
     bool may_have_restarted =
         endpoint->ended_at != 0 &&
         Clock_Now() - endpoint->ended_at < ANNOUNCE_DELAY_MAX_US;
-    return may_have_restarted ? "" : endpoint->software;
+    return may_have_restarted || endpoint->stored || endpoint->replaced
+               ? ""
+               : endpoint->software;
 }
 
 bool
@@ -465,7 +502,8 @@
 {
     return Endpoint_IsUsable(endpoint, now) &&
            Rest_MaySend(&endpoint->rest, now) &&
-           Endpoint_MayContinue(endpoint, call);
+           Endpoint_MayContinue(endpoint, call) &&
+           Rollouts_MayServe(endpoint, call);
 }
 
 unsigned
--- a/src/gateway/endpoints.h
+++ b/src/gateway/endpoints.h
@@ -9,11 +9,13 @@
 #include "http1/parser.h"
 #include "routes/endpoint.h"
 #include "sched/named_rate.h"
+#include "sched/pace.h"
 #include "sched/rest.h"
 #include "wire/link.h"
 
 typedef struct Call Call;
 typedef struct Gateway Gateway;
+typedef struct PaceQuestion PaceQuestion;
 typedef struct Upstream Upstream;
 
 struct Endpoint {
@@ -43,13 +45,22 @@
     bool bad_rate_logged; /* an answer named a limit that cannot be read */
     /* Moving mean run time of non-streamed answers; 0 before the first. */
     double expected_run_ms;
-    GQueue idle_upstreams; /* idle Upstreams, most recently used first */
+    Pace pace;              /* its current speed, if it reports one */
+    PaceQuestion *question; /* NULL before the first question for its load */
+    bool bad_pace_logged;   /* a report had an invalid figure of the speed */
+    GQueue idle_upstreams;  /* idle Upstreams, most recently used first */
+    TimeUs round_trip;      /* least, from handshakes; 0: unknown */
     /* Upstream whose callback runs; NULL once the callback has freed it. */
     Upstream *callback_upstream;
-    bool removed;    /* no longer in the endpoint table */
+    bool stored;  /* its record comes from a file, and neither an announcement
+                     nor its keeper has confirmed its start */
+    bool removed; /* no longer in the endpoint table */
     bool superseded; /* a newer incarnation has its id or its address */
+    bool replaced;   /* a newer start has its id or its address, and may be the
+                        one that answers */
     TimeUs
         ended_at; /* since when it may have started again; 0 if it has not */
+    TimeUs end_proved_at; /* when its end was last proved; 0 if it was not */
 };
 
 /* Applies an endpoint record if it is newer than the known one. */
@@ -70,8 +81,8 @@
  * answer with an error status. */
 void Endpoint_OnAnswer(Endpoint *endpoint, bool success);
 
-/* Applies the value of a load field, "RUNNING,WAITING,SLOTS". */
-void Endpoint_OnLoadReport(Endpoint *endpoint, const char *report);
+/* Applies the value of a load field, as LoadReport_Parse() reads it. */
+void Endpoint_OnLoadReport(Endpoint *endpoint, const char *text);
 
 /* Applies the rate limit that an answer names, if any.
  * @param sent_at  when the request was sent. */
@@ -93,6 +104,9 @@
  * not streamed. */
 void Endpoint_AddRunTime(Endpoint *endpoint, TimeUs run_time);
 
+/* Records the round trip of a handshake. */
+void Endpoint_AddRoundTrip(Endpoint *endpoint, TimeUs time);
+
 /* Returns the moving fraction of failed answers. It decays with time. */
 double Endpoint_ErrorRate(const Endpoint *endpoint, TimeUs now);
 
@@ -102,8 +116,15 @@
 /* Returns whether the endpoint may be sent requests now. */
 bool Endpoint_IsUsable(const Endpoint *endpoint, TimeUs now);
 
+/* Applies what the endpoint's keeper knows of its start, since the endpoint
+ * may have started again before that is announced.
+ * @param born  as the endpoint last reported to the keeper; 0 if unknown.
+ * @param uncertain  the endpoint may have started again since. */
+void Endpoint_OnStartSeen(Endpoint *endpoint, uint64_t born, bool uncertain);
+
 /* Returns the version of the endpoint's software; "" if it is unknown, or if
- * the endpoint may have started again with another one. */
+ * the endpoint may have started again with another one: it has ended or been
+ * unreachable since, or its record is as old as a control host's file. */
 const char *Endpoint_CertainSoftware(const Endpoint *endpoint);
 
 /* Returns whether the endpoint's software is that which began the call's
@@ -113,6 +134,10 @@
 /* Returns whether the endpoint is eligible for the call now. */
 bool Endpoint_MayServe(const Endpoint *endpoint, const Call *call, TimeUs now);
 
+/* Returns the endpoint's requests per slot: those of this gateway and of
+ * others, as it last reported. */
+double Endpoint_Load(const Endpoint *endpoint, TimeUs now);
+
 /* Returns the distance from this gateway: 0 in the same zone, 1 in the same
  * region, 2 in another region. */
 unsigned Endpoint_Distance(const Endpoint *endpoint);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "gateway/state.h"
+#include "gateway/zones.h"
 #include "kernel/counter.h"
 #include "kernel/log.h"
 #include "wire/address.h"
@@ -198,8 +199,12 @@
     }
     gateway->quotas = Quotas_New(gateway);
     gateway->retries = Retries_New(gateway);
+    gateway->run_times = RunTimes_New();
+    gateway->held = Held_New(gateway);
     gateway->suspects = Suspects_New(gateway);
     gateway->origins = Origins_New(gateway);
+    gateway->zones = Zones_New(gateway);
+    gateway->rollouts = Rollouts_New(gateway);
     gateway->keepers = Keepers_New(gateway);
     gateway->control = GatewayControl_New(gateway);
     return ERR_OK;
@@ -231,8 +236,12 @@
     Keepers_Free(gateway->keepers);
     Quotas_Free(gateway->quotas);
     Retries_Free(gateway->retries);
+    RunTimes_Free(gateway->run_times);
+    Held_Free(gateway->held);
     Suspects_Free(gateway->suspects);
     Origins_Free(gateway->origins);
+    Zones_Free(gateway->zones);
+    Rollouts_Free(gateway->rollouts);
     Endpoints_FreeAll(gateway);
     Directory_Free(gateway->directory);
     RouteTable_Unref(gateway->table);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -7,6 +7,7 @@
 #include "kernel/settings.h"
 #include "kernel/task.h"
 #include "routes/codec.h"
+#include "sched/zone_choice.h"
 
 typedef struct Gateway Gateway;
 
@@ -25,7 +26,8 @@
     const char *account;      /**< Account name, set by the gateway. */
     const char *instance;     /**< Id of the intended endpoint, set by the
                                  gateway. */
-    const char *load;         /**< Endpoint's load: "RUNNING,WAITING,SLOTS". */
+    const char *load;         /**< Endpoint's load, as LoadReport_Parse() reads
+                                 it. */
     const char *rate_limit;   /**< Requests per second that the endpoint takes
                                      from all senders together. */
     const char *leaving;      /**< "1" in an answer: the endpoint leaves. */
@@ -51,6 +53,13 @@
     uint32_t stop_ms;   /**< Longest time of a planned stop. */
     bool fair_accounts; /**< Engine time is divided between the accounts of a
                            tier (sched/fair_accounts.h). */
+    /** Memory of the process that the requests and answers which it holds may
+     * use; 0 without a bound. With one, engines are sent only what fits into
+     * their memory. */
+    size_t memory_bytes;
+    double exposure_share; /**< Largest fraction of a service's requests that
+                              a bad version gets; 0: there are no
+                              roll-outs. */
 } GatewayBounds;
 
 typedef struct GatewayOptions {
@@ -68,6 +77,9 @@
     const RouteCodec *codec;
     const GatewayFields *fields;
     GatewayBounds bounds;
+    ZoneTransfer zone_transfer; /**< Costs of leaving the zone; if not enabled,
+                                     fixed ones apply. */
+    unsigned regions;           /**< Number of regions of the fleet. */
 } GatewayOptions;
 
 /** Creates the gateway and adds its task. @p options must outlive the
--- a/src/gateway/hosts.c
+++ b/src/gateway/hosts.c
@@ -28,7 +28,8 @@
     GatewayControl *control;
     char *address;
     Link *link;
-    bool listed; /* in the newest member list, or from the settings */
+    bool listed;         /* in the newest member list, or from the settings */
+    TimeUs connected_at; /* when it connected last */
 } Host;
 
 struct GatewayControl {
@@ -327,6 +328,7 @@
     if (g_strcmp0(control->leader, host->address) != 0) {
         g_free(control->leader);
         control->leader = g_strdup(host->address);
+        Rollouts_OnLeader(control->gateway->rollouts);
     }
     if (!Gateway_HasLease(control->gateway)) {
         query_leader(control);
@@ -339,6 +341,7 @@
     Gateway *gateway = control->gateway;
     apply_document(gateway, state);
     if (state->nonce == 0) {
+        Rollouts_OnState(gateway->rollouts, state, Clock_Now());
         on_push(control, host);
         return;
     }
@@ -363,7 +366,9 @@
         control->leader = g_strdup(host->address);
         LOG_INFO(GATEWAY_PART, "Leading control host. address=%s",
                  host->address);
+        Rollouts_OnLeader(gateway->rollouts);
     }
+    Rollouts_OnState(gateway->rollouts, state, control->queried_at);
     gateway->gateway_count = state->gateways;
     renew_lease(control, state);
     Quotas_OnLeaderHeard(gateway->quotas);
@@ -393,7 +398,8 @@
     Host *host = owner;
     LOG_INFO(GATEWAY_PART, "Control host connected. address=%s",
              host->address);
-    host->control->hosts_changed_at = Clock_Now();
+    host->connected_at = Clock_Now();
+    host->control->hosts_changed_at = host->connected_at;
     Suspects_SendAll(host->control->gateway->suspects, link);
     Origins_SendAll(host->control->gateway->origins, link);
     Endpoints_SendLeaving(host->control->gateway, link);
@@ -434,8 +440,11 @@
     case WIRE__FRAME__BODY_QUOTA_REPLY:
         Quotas_OnReply(gateway->quotas, frame->quota_reply);
         break;
+    case WIRE__FRAME__BODY_ROLLOUT_PERMIT:
+        Rollouts_OnPermit(gateway->rollouts, frame->rollout_permit);
+        break;
     case WIRE__FRAME__BODY_STREAM_ORIGIN_REPLY:
-        Origins_OnReply(gateway->origins, frame->stream_origin_reply);
+        Origins_OnReply(gateway->origins, host, frame->stream_origin_reply);
         break;
     default:
         break;
@@ -469,6 +478,12 @@
     return control->hosts_changed_at;
 }
 
+const char *
+GatewayControl_Leader(const GatewayControl *control)
+{
+    return control->leader;
+}
+
 bool
 GatewayControl_SendLeader(const GatewayControl *control,
                           const Wire__Frame *frame)
@@ -482,15 +497,31 @@
     return true;
 }
 
-void
+TimeUs
+GatewayControl_InformedSince(const GatewayControl *control)
+{
+    TimeUs since = Clock_Now();
+    for (guint i = 0; i < control->hosts->len; i++) {
+        const Host *host = control->hosts->pdata[i];
+        if (Link_IsConnected(host->link)) {
+            since = MIN(since, host->connected_at);
+        }
+    }
+    return since;
+}
+
+unsigned
 GatewayControl_SendAll(const GatewayControl *control, const Wire__Frame *frame)
 {
+    unsigned count = 0;
     for (guint i = 0; i < control->hosts->len; i++) {
         const Host *host = control->hosts->pdata[i];
         if (Link_IsConnected(host->link)) {
             Link_Send(host->link, frame);
+            count++;
         }
     }
+    return count;
 }
 
 GatewayControl *
--- a/src/gateway/keepers.c
+++ b/src/gateway/keepers.c
@@ -89,6 +89,7 @@
 {
     Link_Close(keeper->link);
     g_free(keeper->endpoint_id);
+    g_free(keeper->address);
     g_free(keeper);
 }
 
@@ -113,6 +114,8 @@
     const Keeper *keeper = owner;
     LOG_INFO(GATEWAY_PART, "Slot keeper connected. endpoint=%s",
              keeper->endpoint_id);
+    Origins_OnKeeper(keeper->keepers->gateway->origins, keeper->endpoint_id,
+                     keeper->address, link);
     /* The keeper may have started again without the engine. */
     const Endpoint *endpoint =
         Endpoints_Find(keeper->keepers->gateway, keeper->endpoint_id);
@@ -154,31 +157,18 @@
 }
 
 static void
-update_load(Keeper *keeper, uint32_t busy)
+update_load(Keeper *keeper, uint32_t busy, uint32_t queued)
 {
     keeper->busy_slots = busy;
+    keeper->queued_wants = queued;
     keeper->busy_reported_at = Clock_Now();
 }
 
-/* Applies what the keeper knows of its engine's start, since the engine may
- * have started again before that is announced. */
-static void
-update_start(Endpoint *endpoint, const Wire__SlotGrant *grant)
-{
-    bool other = grant->born != 0 && grant->born != endpoint->born;
-    if (grant->start_uncertain || other) {
-        endpoint->ended_at = Clock_Now();
-    }
-    else if (grant->born != 0) {
-        endpoint->ended_at = 0;
-    }
-}
-
 static void
 on_grant(Keeper *keeper, const Wire__SlotGrant *grant)
 {
     Keepers *keepers = keeper->keepers;
-    update_load(keeper, grant->busy);
+    update_load(keeper, grant->busy, grant->queued);
     keeper->prefill_tokens_s = grant->prefill_tokens_s;
     keeper->decode_tokens_s = grant->decode_tokens_s;
     if (grant->outlook != NULL) {
@@ -195,7 +185,7 @@
         return;
     }
     g_ptr_array_remove_fast(want->pending, keeper);
-    update_start(endpoint, grant);
+    Endpoint_OnStartSeen(endpoint, grant->born, grant->start_uncertain);
     if (!Endpoint_MayServe(endpoint, want->call, Clock_Now())) {
         Want_SendEnd(keeper, id, SLOT_UNUSED);
         if (want->pending->len == 0) {
@@ -214,7 +204,7 @@
 static void
 on_refuse(Keeper *keeper, const Wire__SlotRefuse *refuse)
 {
-    update_load(keeper, refuse->busy);
+    update_load(keeper, refuse->busy, refuse->queued);
     if (refuse->reason == WIRE__REFUSE_REASON__REFUSE_LEAVING) {
         EngineView_OnClosed(&keeper->view, Clock_Now());
     }
@@ -249,6 +239,11 @@
              refuse->busy, (unsigned long long)id,
              want->limited ? "view" : "search", retry_after_ms);
     Call *call = want->call;
+    if (Rollouts_FallBack(call, "all engines refused")) {
+        Keepers_EndWant(call, SLOT_NOT_SERVED);
+        ServiceQueue_Add(keeper->keepers->gateway, call);
+        return;
+    }
     Keepers_EndWant(call, SLOT_NOT_SERVED);
     if (call->maybe_ran) {
         Call_Fail(call, &(CallError){
@@ -278,6 +273,10 @@
     case WIRE__FRAME__BODY_SLOT_REFUSE:
         on_refuse(owner, frame->slot_refuse);
         break;
+    case WIRE__FRAME__BODY_STREAM_ORIGIN_REPLY:
+        Origins_OnReply(((Keeper *)owner)->keepers->gateway->origins, NULL,
+                        frame->stream_origin_reply);
+        break;
     default:
         break;
     }
@@ -308,10 +307,10 @@
         g_free(text);
         return NULL;
     }
-    g_free(text);
     Keeper *keeper = g_new0(Keeper, 1);
     keeper->keepers = keepers;
     keeper->endpoint_id = g_strdup(endpoint->id);
+    keeper->address = text;
     keeper->link = Link_Dial(keepers->gateway->base, &keepers->gateway->self,
                              &address, &link_ops, keeper);
     g_hash_table_insert(keepers->by_endpoint, keeper->endpoint_id, keeper);
@@ -328,6 +327,23 @@
     }
 }
 
+void
+Keepers_SendRoute(const Keepers *keepers, const Route *route,
+                  const Wire__Frame *frame)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, keepers->by_endpoint);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const Keeper *keeper = value;
+        const Endpoint *endpoint =
+            Endpoints_Find(keepers->gateway, keeper->endpoint_id);
+        if (endpoint != NULL && Route_HasService(route, endpoint->service)) {
+            Link_Send(keeper->link, frame);
+        }
+    }
+}
+
 void
 Keepers_Disconnect(Keepers *keepers, const char *endpoint_id)
 {
--- a/src/gateway/keepers.h
+++ b/src/gateway/keepers.h
@@ -14,9 +14,11 @@
 typedef struct Keeper {
     Keepers *keepers;
     char *endpoint_id;
+    char *address; /* IP:PORT of the keeper, whichever engine is beside it */
     Link *link;
     unsigned granted_slots; /* granted to this gateway, not yet returned */
-    unsigned busy_slots; /* slots in use by all gateways, as last reported */
+    unsigned busy_slots;   /* slots in use by all gateways, as last reported */
+    unsigned queued_wants; /* wants that wait, in the same report */
     TimeUs busy_reported_at; /* time of that report */
     uint32_t prefill_tokens_s;
     uint32_t decode_tokens_s;
@@ -32,6 +34,7 @@
     Keeper *granted_by;      /* Keeper that granted it, or NULL */
     unsigned max_distance;   /* largest endpoint distance in the next round */
     bool limited; /* asks only the keepers that the view of the pool chooses */
+    bool hopeless;                  /* all engines were known to be late */
     struct event *next_round_timer; /* starts the next round of wants */
 } Want;
 
--- a/src/gateway/origins.c
+++ b/src/gateway/origins.c
@@ -1,20 +1,22 @@
 /** @file
  * Gateway: versions of software that began streams. Each gateway tells every
- * control host which version sent the first event of a stream; a gateway at
- * which a caller takes up another's stream asks them. What nobody knows is
- * not guessed, unless only one version can have begun the stream.
+ * control host and some keepers which version sent the first event of a
+ * stream; a gateway at which a caller takes up another's stream asks them.
+ * What nobody knows is not guessed, unless only one version can have begun the
+ * stream; what is uncertain is refused.
  */
 #include <string.h>
 #include <strings.h>
 
+#include "gateway/origin_copies.h"
 #include "gateway/origins.h"
+#include "gateway/sole_versions.h"
 #include "gateway/state.h"
 #include "kernel/counter.h"
 #include "kernel/log.h"
 #include "routes/origin_news.h"
-#include "routes/route_history.h"
 
-/* Longest wait for the answer of a control host: the lower of a fixed limit
+/* Longest wait for the first reply to a question: the lower of a fixed limit
  * and the remaining time divided by this number. */
 #define ASK_MAX_US (1 * US_PER_S)
 #define ASK_DIVISOR 3
@@ -23,47 +25,34 @@
 #define ASK_AGAIN_US (30 * US_PER_MS)
 /* Time for which an origin is kept after the caller's deadline. */
 #define KEPT_LONGER_US (2 * US_PER_S)
-/* Time for which a service must have had one version only, with all control
- * hosts connected, so that each stream began at that version: the lower bound
- * of it, and a multiple of the route's time-out. */
-#define SOLE_MIN_US (60 * US_PER_S)
-#define SOLE_TIMEOUTS 3
-/* Retry-After of a call whose origin may become known. */
+/* Time with a control host after which a gateway knows all endpoints: the
+ * longest delay of an announcement. */
+#define ENDPOINTS_KNOWN_US (10 * US_PER_S)
+/* Before that, a call waits for an endpoint of its version for the caller's
+ * time divided by WAIT_DIVISOR. */
+#define WAIT_DIVISOR 3
+#define WAIT_STEP_US (50 * US_PER_MS)
+/* Retry-After of a call whose origin or endpoint may become known. */
 #define UNKNOWN_RETRY_AFTER_MS 500
 
-/* The only version of a service. */
-typedef struct SoleSoftware {
-    char *software; /* "" if there are several, or one is unknown */
-    TimeUs since;
-} SoleSoftware;
-
 struct Origins {
     Gateway *gateway;
     StreamOrigins *begun;  /* streams that began here */
+    OriginCopies *copies;  /* of them, at keepers */
     GHashTable *questions; /* nonce -> Call */
-    GHashTable *sole;      /* service name -> SoleSoftware */
-    RouteHistory *routes;
+    SoleVersions *sole;
     uint64_t last_nonce;
 };
 
-static void
-free_sole(gpointer data)
-{
-    SoleSoftware *sole = data;
-    g_free(sole->software);
-    g_free(sole);
-}
-
 Origins *
 Origins_New(Gateway *gateway)
 {
     Origins *origins = g_new0(Origins, 1);
     origins->gateway = gateway;
     origins->begun = StreamOrigins_New(ORIGIN_NEWS_TABLE_MAX);
+    origins->copies = OriginCopies_New(gateway);
     origins->questions = g_hash_table_new(g_int64_hash, g_int64_equal);
-    origins->sole =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_sole);
-    origins->routes = RouteHistory_New();
+    origins->sole = SoleVersions_New(gateway);
     return origins;
 }
 
@@ -71,9 +60,9 @@
 Origins_Free(Origins *origins)
 {
     StreamOrigins_Free(origins->begun);
+    OriginCopies_Free(origins->copies);
     g_hash_table_destroy(origins->questions);
-    g_hash_table_destroy(origins->sole);
-    RouteHistory_Free(origins->routes);
+    SoleVersions_Free(origins->sole);
     g_free(origins);
 }
 
@@ -88,66 +77,22 @@
     g_free(name);
 }
 
-/* ---- The only version of a service ---- */
-
 void
 Origins_OnEndpoints(Origins *origins, const char *service)
 {
-    const char *software = NULL;
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, origins->gateway->endpoints);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const Endpoint *endpoint = value;
-        if (strcmp(endpoint->service, service) != 0) {
-            continue;
-        }
-        if (software != NULL && strcmp(software, endpoint->software) != 0) {
-            software = "";
-            break;
-        }
-        software = endpoint->software;
-    }
-    SoleSoftware *sole = g_hash_table_lookup(origins->sole, service);
-    if (software == NULL ||
-        (sole != NULL && strcmp(sole->software, software) == 0))
-    {
-        return;
-    }
-    sole = g_new0(SoleSoftware, 1);
-    sole->software = g_strdup(software);
-    sole->since = Clock_Now();
-    g_hash_table_replace(origins->sole, g_strdup(service), sole);
+    SoleVersions_OnEndpoints(origins->sole, service);
 }
 
 void
-Origins_OnTable(Origins *origins, const RouteTable *table)
+Origins_OnLeft(Origins *origins, const Endpoint *endpoint)
 {
-    RouteHistory_Apply(origins->routes, table, Clock_Now());
+    SoleVersions_OnLeft(origins->sole, endpoint);
 }
 
-/* Returns the only version of the call's service, at which each stream of the
- * service that may be taken up now must have begun, or NULL.
- * @param of_route  each stream of the call's route must have begun at the
- *                  service too. */
-static const char *
-find_sole(const Call *call, bool of_route)
+void
+Origins_OnTable(Origins *origins, const RouteTable *table)
 {
-    const Gateway *gateway = call->gateway;
-    const SoleSoftware *sole =
-        g_hash_table_lookup(gateway->origins->sole, call->service);
-    if (sole == NULL || sole->software[0] == '\0') {
-        return NULL;
-    }
-    TimeUs needed =
-        MAX(SOLE_MIN_US, call->route->timeout_ms * US_PER_MS * SOLE_TIMEOUTS);
-    TimeUs since =
-        MAX(sole->since, GatewayControl_ConnectedSince(gateway->control));
-    if (of_route) {
-        since = MAX(since, RouteHistory_SoleSince(gateway->origins->routes,
-                                                  call->route));
-    }
-    return Clock_Now() - since >= needed ? sole->software : NULL;
+    SoleVersions_OnTable(origins->sole, table);
 }
 
 /* ---- Binding ---- */
@@ -165,7 +110,7 @@
     g_free(old_software);
 }
 
-/* Stores how a stream began, and tells every control host. */
+/* Stores how a stream began, and tells every control host and some keepers. */
 static void
 publish(const Call *call, const char *software)
 {
@@ -191,6 +136,7 @@
     frame.body_case = WIRE__FRAME__BODY_STREAM_ORIGIN_NEWS;
     frame.stream_origin_news = &news;
     GatewayControl_SendAll(gateway->control, &frame);
+    OriginCopies_Tell(gateway->origins->copies, call, &origin);
 }
 
 void
@@ -227,7 +173,8 @@
         return true;
     }
     if (call->origin.software[0] == '\0') {
-        const char *software = find_sole(call, false);
+        const char *software =
+            SoleVersions_Find(call->gateway->origins->sole, call, false);
         if (software == NULL) {
             return false;
         }
@@ -312,13 +259,10 @@
         return false;
     }
     call->service = service;
-    const char *software = origin->software[0] != '\0'
-                               ? origin->software
-                               : find_sole(call, false);
-    if (software == NULL) {
+    if (origin->software[0] == '\0') {
         return refuse_unknown(call, 0);
     }
-    bind_call(call, service, software);
+    bind_call(call, service, origin->software);
     call->origin.lookup = ORIGIN_FOUND;
     count_lookup(found_by);
     return true;
@@ -332,27 +276,130 @@
                             &call->origin.nonce);
         call->origin.nonce = 0;
     }
+    g_clear_pointer(&call->origin.replies, OriginReplies_Free);
+}
+
+static void
+fill_question(Wire__Frame *frame, Wire__StreamOriginQuery *query,
+              const Call *call, const char *request)
+{
+    wire__stream_origin_query__init(query);
+    query->nonce = call->origin.nonce;
+    query->request = (char *)request;
+    wire__frame__init(frame);
+    frame->body_case = WIRE__FRAME__BODY_STREAM_ORIGIN_QUERY;
+    frame->stream_origin_query = query;
+}
+
+/* Returns whether the control hosts together know all origins: each has been
+ * connected for longer than any origin lives. Otherwise keepers are asked
+ * too. */
+static bool
+hosts_know_all(const Gateway *gateway)
+{
+    TimeUs since = GatewayControl_ConnectedSince(gateway->control);
+    return Clock_Now() - since >= STREAM_ORIGIN_LIFE_MAX_US;
 }
 
 static void
 ask(Call *call, const char *request)
 {
-    Origins *origins = call->gateway->origins;
+    const Gateway *gateway = call->gateway;
     CallOrigin *origin = &call->origin;
     if (origin->nonce == 0) {
-        origin->nonce = ++origins->last_nonce;
-        g_hash_table_insert(origins->questions, &origin->nonce, call);
+        origin->nonce = ++gateway->origins->last_nonce;
+        g_hash_table_insert(gateway->origins->questions, &origin->nonce, call);
     }
-    Wire__StreamOriginQuery query = WIRE__STREAM_ORIGIN_QUERY__INIT;
-    query.nonce = origin->nonce;
-    query.request = (char *)request;
-    Wire__Frame frame = WIRE__FRAME__INIT;
-    frame.body_case = WIRE__FRAME__BODY_STREAM_ORIGIN_QUERY;
-    frame.stream_origin_query = &query;
-    GatewayControl_SendAll(call->gateway->control, &frame);
+    Wire__StreamOriginQuery query;
+    Wire__Frame frame;
+    fill_question(&frame, &query, call, request);
+    origin->hosts_asked = GatewayControl_SendAll(gateway->control, &frame);
+    if (!hosts_know_all(gateway)) {
+        Keepers_SendRoute(gateway->keepers, call->route, &frame);
+    }
+}
+
+void
+Origins_OnKeeper(Origins *origins, const char *endpoint_id,
+                 const char *address, Link *link)
+{
+    OriginCopies_SendAll(origins->copies, address, link);
+    const Endpoint *endpoint = Endpoints_Find(origins->gateway, endpoint_id);
+    if (endpoint == NULL || hosts_know_all(origins->gateway)) {
+        return;
+    }
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, origins->questions);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const Call *call = value;
+        const char *request = named_origin(call);
+        if (request == NULL ||
+            !Route_HasService(call->route, endpoint->service)) {
+            continue;
+        }
+        Wire__StreamOriginQuery query;
+        Wire__Frame frame;
+        fill_question(&frame, &query, call, request);
+        Link_Send(link, &frame);
+    }
+}
+
+static void
+log_origin(const Call *call, const StreamOrigin *origin)
+{
+    const Gateway *gateway = call->gateway;
+    TimeUs now = Clock_Now();
+    LOG_INFO(
+        GATEWAY_PART,
+        "Origin of a stream is known. id=%s resumes=%s service=%s software=%s "
+        "replies=%u hosts_asked=%u waited_ms=%lld hosts_connected_ms=%lld",
+        call->id, origin->request, origin->service, origin->software,
+        OriginReplies_Count(call->origin.replies), call->origin.hosts_asked,
+        (long long)((now - call->origin.asked_at) / US_PER_MS),
+        (long long)((now - GatewayControl_ConnectedSince(gateway->control)) /
+                    US_PER_MS));
+}
+
+/* Applies what the replies agree on.
+ * @return false when the call was refused and is freed. */
+static bool
+apply_replies(Call *call)
+{
+    const OriginReplies *replies = call->origin.replies;
+    const StreamOrigin *origin = OriginReplies_Origin(replies, Clock_Now());
+    log_origin(call, origin);
+    if (!apply_origin(call, origin,
+                      OriginReplies_HasHost(replies) ? "control" : "keeper"))
+    {
+        return false;
+    }
+    end_question(call);
+    return true;
+}
+
+/* Binds a call whose origin nobody knows to the only version at which it can
+ * have begun.
+ * @return false when there is none, and the call was refused and is freed. */
+static bool
+assume_sole(Call *call, uint32_t retry_after_ms)
+{
+    const char *software =
+        SoleVersions_Find(call->gateway->origins->sole, call, true);
+    if (software == NULL) {
+        return refuse_unknown(call, retry_after_ms);
+    }
+    LOG_INFO(GATEWAY_PART,
+             "Stream is taken for one of the only version. id=%s service=%s "
+             "software=%s",
+             call->id, call->service, software);
+    bind_call(call, call->service, software);
+    call->origin.lookup = ORIGIN_FOUND;
+    count_lookup("only_version");
+    return true;
 }
 
-/* Asks the control hosts, again if need be, and holds the call meanwhile.
+/* Asks how the stream began, again if need be, and holds the call meanwhile.
  * @return false when the call is held, or was refused and is freed. */
 static bool
 ask_and_hold(Call *call, const char *request)
@@ -361,14 +408,25 @@
     TimeUs now = Clock_Now();
     if (origin->lookup == ORIGIN_NOT_ASKED) {
         origin->lookup = ORIGIN_ASKED;
+        origin->replies = OriginReplies_New(request);
+        origin->asked_at = now;
         origin->ask_until =
             now + MIN((call->caller_deadline - now) / ASK_DIVISOR, ASK_MAX_US);
         origin->ask_again_at = now;
         origin->ask_delay = ASK_AGAIN_US;
     }
+    if (OriginReplies_Judge(origin->replies, origin->hosts_asked, now) !=
+        ORIGIN_OPEN)
+    {
+        return apply_replies(call);
+    }
+    if (OriginReplies_Count(origin->replies) > 0) {
+        Call_Hold(call, OriginReplies_SettlesAt(origin->replies));
+        return false;
+    }
     if (now >= origin->ask_until) {
         end_question(call);
-        return refuse_unknown(call, UNKNOWN_RETRY_AFTER_MS);
+        return assume_sole(call, UNKNOWN_RETRY_AFTER_MS);
     }
     if (now >= origin->ask_again_at) {
         ask(call, request);
@@ -379,16 +437,36 @@
     return false;
 }
 
-bool
-Origins_Resolve(Call *call)
+/* Holds a call for which no endpoint of its version is known while the gateway
+ * has not yet heard of all endpoints. Once it has, the queue refuses the call.
+ * @return false when the call is held, or was refused and is freed. */
+static bool
+await_version(Call *call)
 {
-    const GatewayFields *fields = call->gateway->options->fields;
-    bool has_events = Call_Field(call, fields->last_event) != NULL;
-    if (call->route->kind != ROUTE_STREAM || !has_events ||
-        call->origin.lookup == ORIGIN_FOUND)
-    {
+    TimeUs now = Clock_Now();
+    TimeUs informed_since =
+        GatewayControl_InformedSince(call->gateway->control);
+    if (Origins_CanGoOn(call) || now - informed_since >= ENDPOINTS_KNOWN_US) {
         return true;
     }
+    TimeUs until = call->received_at +
+                   (call->caller_deadline - call->received_at) / WAIT_DIVISOR;
+    if (now >= until) {
+        refuse(call, "version_unknown",
+               "No endpoint with the version of the software that began the "
+               "stream is known yet.",
+               UNKNOWN_RETRY_AFTER_MS);
+        return false;
+    }
+    Call_Hold(call, MIN(now + WAIT_STEP_US, until));
+    return false;
+}
+
+/* Finds out how the stream began that the call takes up.
+ * @return false when the call is held, or was refused and is freed. */
+static bool
+find_origin(Call *call)
+{
     const char *request = named_origin(call);
     const StreamOrigin *origin =
         request == NULL ? NULL
@@ -398,31 +476,35 @@
         end_question(call);
         return apply_origin(call, origin, "gateway");
     }
-    const char *sole = find_sole(call, true);
-    if (sole != NULL) {
-        end_question(call);
-        bind_call(call, call->service, sole);
-        call->origin.lookup = ORIGIN_FOUND;
-        count_lookup("only_version");
+    return request == NULL ? assume_sole(call, 0)
+                           : ask_and_hold(call, request);
+}
+
+bool
+Origins_Resolve(Call *call)
+{
+    const GatewayFields *fields = call->gateway->options->fields;
+    bool has_events = Call_Field(call, fields->last_event) != NULL;
+    if (call->route->kind != ROUTE_STREAM || !has_events) {
         return true;
     }
-    return request == NULL ? refuse_unknown(call, 0)
-                           : ask_and_hold(call, request);
+    return (call->origin.lookup == ORIGIN_FOUND || find_origin(call)) &&
+           await_version(call);
 }
 
 void
-Origins_OnReply(Origins *origins, const Wire__StreamOriginReply *reply)
+Origins_OnReply(Origins *origins, const void *host,
+                const Wire__StreamOriginReply *reply)
 {
     uint64_t nonce = reply->nonce;
     Call *call = g_hash_table_lookup(origins->questions, &nonce);
     if (call == NULL || reply->origin == NULL) {
         return;
     }
-    StreamOrigin origin = OriginNews_Read(reply->origin, Clock_Now());
-    end_question(call);
-    if (apply_origin(call, &origin, "control")) {
-        Call_Readmit(call);
-    }
+    TimeUs now = Clock_Now();
+    StreamOrigin origin = OriginNews_Read(reply->origin, now);
+    OriginReplies_Add(call->origin.replies, host, &origin, now);
+    Call_Readmit(call);
 }
 
 void
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -11,10 +11,14 @@
 #include "gateway/endpoints.h"
 #include "gateway/events.h"
 #include "gateway/gateway.h"
+#include "gateway/held.h"
 #include "gateway/origins.h"
+#include "gateway/rollouts.h"
+#include "gateway/run_times.h"
 #include "http1/parser.h"
 #include "kernel/clock.h"
 #include "sched/bucket.h"
+#include "sched/held_bytes.h"
 #include "sched/subjects.h"
 #include "wire/link.h"
 
@@ -33,6 +37,7 @@
 typedef struct Retries Retries;
 typedef struct Keepers Keepers;
 typedef struct Suspects Suspects;
+typedef struct Zones Zones;
 typedef struct QuotaDecision QuotaDecision;
 
 struct Gateway {
@@ -53,10 +58,16 @@
     GatewayControl *control;
     Quotas *quotas;
     Retries *retries;
+    RunTimes *run_times;
+    Held *held; /* NULL without a bound */
     Keepers *keepers;
     Suspects *suspects;
     Origins *origins;
+    Zones *zones;              /* NULL in tests of other parts */
+    GHashTable *pace_services; /* service name -> PaceService; NULL at first */
+    Rollouts *rollouts;
     uint64_t last_want_id;
+    uint64_t last_question_id;
     GQueue held_calls;   /* Calls that wait for a configuration or lease */
     unsigned call_count; /* number of unfinished calls */
     size_t answer_bytes; /* of answers that are buffered until complete */
@@ -95,6 +106,12 @@
 /* Returns the number of answer bytes that are not yet written. */
 size_t Conn_UnsentBytes(const Conn *conn);
 
+/* Returns the bytes that are held for the connection's caller. */
+HeldFor Conn_Held(const Conn *conn);
+
+/* Closes the connection to free what is held for its caller. */
+void Conn_CutOff(Conn *conn);
+
 /* Closes the connection if it is idle and @p close_idle is set. Called
  * repeatedly during a planned stop. */
 void Conn_Drain(Conn *conn, bool close_idle);
@@ -143,6 +160,11 @@
 Upstream *Upstream_Send(Endpoint *endpoint, const UpstreamRequest *request,
                         const UpstreamOps *ops, void *owner);
 
+/* Returns the time from which the run time of the request counts: when it was
+ * sent over an established connection, and the round trip of its endpoint
+ * later, so that it does not depend on the distance. */
+TimeUs Upstream_BegunAt(const Upstream *upstream);
+
 /* Closes the connection and frees it; no callback follows. */
 void Upstream_Cancel(Upstream *upstream);
 
@@ -222,9 +244,16 @@
     struct evbuffer *partial_event; /* received bytes of an incomplete event */
     Events events;
     CallOrigin origin;
-    GList *queue_node;   /* position in queue, or NULL */
-    ServiceQueue *queue; /* queue in which the call waits, or NULL */
-    uint64_t want_id;    /* id of its want at slot keepers; 0 if none */
+    CallRollout rollout;
+    GList *queue_node;          /* position in queue, or NULL */
+    ServiceQueue *queue;        /* queue in which the call waits, or NULL */
+    uint64_t want_id;           /* id of its want at slot keepers; 0 if none */
+    unsigned load_questions;    /* endpoints that were asked for their load */
+    char zone[ZONE_NAME_BYTES]; /* zone that was chosen for it */
+    unsigned zone_distance;     /* of that zone */
+    double zone_hold_ms;        /* cost of other zones, besides the transfer */
+    ZoneReason zone_reason;     /* of the newest choice */
+    uint64_t question_id; /* question whose end it waits for; 0 if none */
 };
 
 /* Starts a call for a complete request. The answer goes to @p conn. */
@@ -232,8 +261,9 @@
                 struct evbuffer *body);
 
 /* Refuses the call if it waits for an endpoint and would outlast a planned
- * stop. */
-void Call_CheckStop(Call *call);
+ * stop.
+ * @return true when the call was refused and is freed. */
+bool Call_CheckStop(Call *call);
 
 /* Returns when the caller gives up unless it has the first output; 0 if only
  * the deadline counts, or a part of the answer was sent. */
@@ -255,6 +285,12 @@
 /* Ends the call after its caller disconnected. */
 void Call_OnCallerDisconnect(Call *call);
 
+/* Returns the bytes of request and answer that are held for the call. */
+size_t Call_HeldBytes(const Call *call);
+
+/* Ends the call to free what is held for it. */
+void Call_CutOff(Call *call);
+
 /* Resumes reading from the endpoint once the answer bytes are written. */
 void Call_OnBytesWritten(Call *call);
 
@@ -368,6 +404,10 @@
  * again, if all of them rest; else 0. */
 uint32_t ServiceQueue_RestMs(const Call *call);
 
+/* Goes on with the queued calls that wait for the end of a question. */
+void ServiceQueue_OnQuestionEnded(Gateway *gateway, const char *service,
+                                  uint64_t question_id);
+
 /* Sends queued calls in order until no endpoint takes another. */
 void ServiceQueue_Pump(Gateway *gateway, const char *service);
 void ServiceQueue_FreeAll(Gateway *gateway);
@@ -385,14 +425,22 @@
  * not. */
 TimeUs GatewayControl_ConnectedSince(const GatewayControl *control);
 
+/* Returns the address of the leading control host, or NULL. */
+const char *GatewayControl_Leader(const GatewayControl *control);
+
 /* Sends a frame to the leading control host.
  * @return false if it is unknown or not connected. */
 bool GatewayControl_SendLeader(const GatewayControl *control,
                                const Wire__Frame *frame);
 
-/* Sends a frame to all connected control hosts. */
-void GatewayControl_SendAll(const GatewayControl *control,
-                            const Wire__Frame *frame);
+/* Sends a frame to all connected control hosts.
+ * @return their number. */
+unsigned GatewayControl_SendAll(const GatewayControl *control,
+                                const Wire__Frame *frame);
+
+/* Returns since when some control host has been connected without
+ * interruption; now if none is. */
+TimeUs GatewayControl_InformedSince(const GatewayControl *control);
 
 /* ---- keepers.c, wants.c: slots of engines ---- */
 
@@ -412,6 +460,10 @@
  * serve them any more. */
 void Keepers_WithdrawUseless(Keepers *keepers);
 
+/* Sends a frame to the connected keepers of the services of a route. */
+void Keepers_SendRoute(const Keepers *keepers, const Route *route,
+                       const Wire__Frame *frame);
+
 /* Closes the link and queues the calls that depended on it. */
 void Keepers_Disconnect(Keepers *keepers, const char *endpoint_id);
 
--- a/src/gateway/wants.c
+++ b/src/gateway/wants.c
@@ -5,7 +5,11 @@
  */
 #include <string.h>
 
+#include <xxhash.h>
+
 #include "gateway/keepers.h"
+#include "gateway/paces.h"
+#include "gateway/zones.h"
 #include "kernel/log.h"
 #include "sched/balancer.h"
 
@@ -128,8 +132,10 @@
     Link_Send(keeper->link, &frame);
 }
 
+/* @param told_ms  0 for a want; else the time after which the caller of the
+ *                 refused request was told to come back. */
 static void
-send_want(const Want *want, Keeper *keeper, uint32_t slots)
+send_want(const Want *want, Keeper *keeper, uint32_t slots, uint32_t told_ms)
 {
     const Call *call = want->call;
     TimeUs left = call->deadline - Clock_Now();
@@ -149,12 +155,18 @@
     message.prompt_tokens = call->prompt_tokens;
     message.output_tokens = call->expected_tokens;
     message.longest_output_tokens = call->output_tokens;
+    message.told_ms = told_ms;
     message.endpoint = keeper->endpoint_id;
     message.slots = slots;
     const Endpoint *endpoint =
         Endpoints_Find(call->gateway, keeper->endpoint_id);
     message.born = endpoint == NULL ? 0 : endpoint->born;
     message.account = Pool_AccountOf(call);
+    if (call->gateway->options->bounds.memory_bytes > 0) {
+        const RouteService *service =
+            RouteTable_Service(call->table, call->service);
+        message.memory_tokens = service == NULL ? 0 : service->kv_tokens;
+    }
     Wire__Frame frame = WIRE__FRAME__INIT;
     frame.body_case = WIRE__FRAME__BODY_SLOT_WANT;
     frame.slot_want = &message;
@@ -173,6 +185,15 @@
     return MAX(reported, keeper->granted_slots) / endpoint->slots;
 }
 
+/* Returns the requests that wait for the keeper's engine, by its newest
+ * report. Each waits at FIRST_ROUND_WANTS keepers or more. */
+static double
+keeper_queued(const Keeper *keeper, TimeUs now)
+{
+    double age = (double)(now - keeper->busy_reported_at) / LOAD_DECAY_US;
+    return age < 1 ? keeper->queued_wants * (1 - age) / FIRST_ROUND_WANTS : 0;
+}
+
 /* Returns the expected run time of the call on the keeper's engine, in
  * milliseconds. */
 static double
@@ -192,6 +213,8 @@
     BalancerCandidate *candidates;
     PoolCandidate *pool;
     Keeper **keepers;
+    Endpoint **endpoints;
+    double *queued; /* waiting requests, as the keepers last reported */
     uint32_t *slots;
     size_t count;
 } KeeperChoice;
@@ -204,7 +227,7 @@
 }
 
 static void
-collect_candidates(KeeperChoice *choice, const Call *call, const Want *want)
+collect_candidates(KeeperChoice *choice, Call *call, const Want *want)
 {
     const Keepers *keepers = call->gateway->keepers;
     TimeUs now = Clock_Now();
@@ -212,6 +235,8 @@
     choice->candidates = g_new0(BalancerCandidate, size);
     choice->pool = g_new0(PoolCandidate, size);
     choice->keepers = g_new0(Keeper *, size);
+    choice->endpoints = g_new0(Endpoint *, size);
+    choice->queued = g_new0(double, size);
     choice->slots = g_new0(uint32_t, size);
     choice->count = 0;
     GHashTableIter iter;
@@ -219,7 +244,7 @@
     g_hash_table_iter_init(&iter, keepers->by_endpoint);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         Keeper *keeper = value;
-        const Endpoint *endpoint =
+        Endpoint *endpoint =
             Endpoints_Find(call->gateway, keeper->endpoint_id);
         if (endpoint == NULL || !Link_IsConnected(keeper->link) ||
             strcmp(endpoint->service, call->service) != 0 ||
@@ -227,18 +252,31 @@
         {
             continue;
         }
+        double load = keeper_load(keeper, endpoint, now);
+        bool busy = Rollouts_IsTrial(call) && load >= 1;
         choice->keepers[choice->count] = keeper;
+        choice->endpoints[choice->count] = endpoint;
+        choice->queued[choice->count] = keeper_queued(keeper, now);
         choice->slots[choice->count] = endpoint->slots;
         choice->candidates[choice->count++] = (BalancerCandidate){
-            .usable = !was_sent(want, keeper),
+            .usable = !busy && !was_sent(want, keeper),
             .tried = Endpoint_WasTried(endpoint, call),
             .distance = Endpoint_Distance(endpoint),
-            .load = keeper_load(keeper, endpoint, now),
+            .load = load,
             .error_rate = Endpoint_ErrorRate(endpoint, now),
-            .expected_run_ms = expected_run_ms(keeper, call),
+            .expected_run_ms =
+                expected_run_ms(keeper, call) * Paces_Factor(endpoint),
             .rate_wait_ms = Endpoint_RateWaitMs(endpoint),
         };
     }
+    if (want == NULL) {
+        Zones_Choose(call, choice->endpoints, choice->queued,
+                     choice->candidates, choice->count);
+    }
+    else {
+        Zones_SetCosts(call, choice->endpoints, choice->candidates,
+                       choice->count);
+    }
 }
 
 static void
@@ -248,6 +286,8 @@
     g_free(choice->pool);
     g_free(choice->keepers);
     g_free(choice->slots);
+    g_free(choice->endpoints);
+    g_free(choice->queued);
 }
 
 /* Sends the want to at most @p max_count of the usable candidates, best first.
@@ -264,7 +304,7 @@
         choice->candidates[best].usable = false;
         Keeper *keeper = choice->keepers[best];
         g_ptr_array_add(want->pending, keeper);
-        send_want(want, keeper, choice->slots[best]);
+        send_want(want, keeper, choice->slots[best], 0);
     }
     return max_count;
 }
@@ -297,10 +337,31 @@
     event_add(want->next_round_timer, &span);
 }
 
+/* Finds the keeper at which capacity is booked for a call that is refused: the
+ * one with the highest hash of request and engine, so that any gateway finds
+ * it when the caller repeats the request under another id.
+ * @return its position, or -1. */
+static int
+find_booking_keeper(const KeeperChoice *choice, Call *call)
+{
+    uint64_t key = Call_Fingerprint(call);
+    uint64_t highest = 0;
+    int found = -1;
+    for (size_t i = 0; i < choice->count; i++) {
+        const char *id = choice->keepers[i]->endpoint_id;
+        uint64_t hash = XXH3_64bits_withSeed(id, strlen(id), key);
+        if (found < 0 || hash > highest) {
+            highest = hash;
+            found = (int)i;
+        }
+    }
+    return found;
+}
+
 /* Describes the keepers for the view of the pool, without failing engines
  * while there are others. */
 static void
-fill_pool(KeeperChoice *choice)
+fill_pool(KeeperChoice *choice, Call *call)
 {
     bool others = false;
     for (size_t i = 0; i < choice->count; i++) {
@@ -314,9 +375,13 @@
         choice->pool[i] = (PoolCandidate){
             .view = &choice->keepers[i]->view,
             .usable = candidate->usable && !excluded,
-            .cost_ms = Balancer_Cost(candidate),
+            .cost_ms = Balancer_CostMs(candidate),
         };
     }
+    int booking = find_booking_keeper(choice, call);
+    if (booking >= 0) {
+        choice->pool[booking].preferred = true;
+    }
 }
 
 /* Sends the wants that the view of the pool chooses, if it shows that the pool
@@ -328,10 +393,11 @@
     if (choice->count <= POOL_WANTS_MAX) {
         return false;
     }
-    fill_pool(choice);
+    fill_pool(choice, want->call);
     PoolRequest request = Pool_RequestOf(want->call);
     PoolSearch search = {
         .limited = want->limited,
+        .hopeless = want->hopeless,
         .refused = want->refused->len,
     };
     PoolChoice chosen;
@@ -344,14 +410,18 @@
         Pool_LogChoice(want, &chosen);
     }
     want->limited = true;
+    want->hopeless = want->hopeless || chosen.hopeless;
     want->max_distance = DISTANCE_ALL;
     for (size_t i = 0; i < chosen.count; i++) {
         Keeper *keeper = choice->keepers[chosen.chosen[i]];
         g_ptr_array_add(want->pending, keeper);
-        send_want(want, keeper, choice->slots[chosen.chosen[i]]);
+        send_want(want, keeper, choice->slots[chosen.chosen[i]], 0);
     }
     *sent = (guint)chosen.count;
-    schedule_next_round(want, chosen.count > 0 ? LATER_ROUND_MS : RECHECK_MS);
+    if (!want->hopeless) {
+        schedule_next_round(want,
+                            chosen.count > 0 ? LATER_ROUND_MS : RECHECK_MS);
+    }
     return true;
 }
 
@@ -372,10 +442,40 @@
     if (more) {
         schedule_next_round(want, LATER_ROUND_MS);
     }
-    want->max_distance = DISTANCE_ALL;
+    want->max_distance = Zones_MayLeaveRegion(want->call, sent > 0)
+                             ? DISTANCE_ALL
+                             : DISTANCE_REGION;
     return more;
 }
 
+/* Books capacity for the refused request where the view shows that it will be
+ * free in time.
+ * @return when the caller should come back, in milliseconds; 0 if none was
+ *         booked. */
+static uint32_t
+book_return(const Want *want, const KeeperChoice *choice, uint32_t key)
+{
+    int booking = find_booking_keeper(choice, want->call);
+    if (booking < 0 || want->call->maybe_ran) {
+        return 0;
+    }
+    Keeper *keeper = choice->keepers[booking];
+    PoolRequest request = Pool_RequestOf(want->call);
+    uint32_t ms =
+        PoolView_BookingMs(&keeper->view, &request, key, Clock_Now());
+    if (ms > 0) {
+        LOG_INFO(
+            GATEWAY_PART,
+            "Capacity is booked for the caller's return. id=%s "
+            "endpoint=%s age_ms=%lld told_ms=%u",
+            want->call->id, keeper->endpoint_id,
+            (long long)((Clock_Now() - keeper->view.heard_at) / US_PER_MS),
+            ms);
+        send_want(want, keeper, choice->slots[booking], ms);
+    }
+    return ms;
+}
+
 uint32_t
 Want_ReturnMs(const Want *want)
 {
@@ -384,20 +484,50 @@
     }
     KeeperChoice choice;
     collect_candidates(&choice, want->call, want);
-    fill_pool(&choice);
+    fill_pool(&choice, want->call);
     PoolRequest request = Pool_RequestOf(want->call);
     uint32_t key = g_str_hash(want->call->id) * SPREAD_FACTOR;
-    uint32_t ms = PoolView_ReturnMs(choice.pool, choice.count, &request, key,
-                                    Clock_Now());
+    uint32_t ms = book_return(want, &choice, key);
+    if (ms == 0) {
+        ms = PoolView_ReturnMs(choice.pool, choice.count, &request,
+                               want->retry_after_ms, key, Clock_Now());
+    }
     free_candidates(&choice);
-    return ms > 0 ? ms : want->retry_after_ms;
+    return ms;
 }
 
 /* Starts the next round while the request still waits. */
 static void
 on_next_round_timer(evutil_socket_t fd, short events, void *arg)
 {
-    Want_SendNextRound(arg);
+    Want *want = arg;
+    Call *call = want->call;
+    if (want->max_distance == DISTANCE_ALL &&
+        Rollouts_FallBack(call, "the engines are busy"))
+    {
+        Keepers_EndWant(call, SLOT_NOT_SERVED);
+        ServiceQueue_Add(call->gateway, call);
+        return;
+    }
+    Want_SendNextRound(want);
+}
+
+/* Asks the keeper that may keep capacity for the request, if requests of its
+ * class wait there. Needs the choice of send_by_view(). */
+static void
+send_preferred(Want *want, KeeperChoice *choice)
+{
+    PoolRequest request = Pool_RequestOf(want->call);
+    for (size_t i = 0; i < choice->count; i++) {
+        const PoolCandidate *candidate = &choice->pool[i];
+        if (candidate->preferred && candidate->usable &&
+            EngineView_Waits(candidate->view, &request, Clock_Now()))
+        {
+            choice->candidates[i].usable = false;
+            g_ptr_array_add(want->pending, choice->keepers[i]);
+            send_want(want, choice->keepers[i], choice->slots[i], 0);
+        }
+    }
 }
 
 bool
@@ -422,6 +552,7 @@
     g_hash_table_replace(call->gateway->keepers->wants, &want->id, want);
     guint sent = 0;
     if (!send_by_view(want, &choice, &sent)) {
+        send_preferred(want, &choice);
         send_wants(want, &choice, FIRST_ROUND_WANTS);
         schedule_next_round(want, SECOND_ROUND_MS);
     }
--- a/src/keeper/keeper.c
+++ b/src/keeper/keeper.c
@@ -1,6 +1,8 @@
 /** @file
  * Keeper task. Wants wait in a WantQueue; a granted slot stays occupied until
- * its gateway reports the end of the request or disconnects.
+ * its gateway reports the end of the request or disconnects. The keeper also
+ * knows how some streams began, for gateways and control hosts that start
+ * again.
  */
 #include "keeper/keeper.h"
 
@@ -14,6 +16,7 @@
 #include "kernel/clock.h"
 #include "kernel/counter.h"
 #include "kernel/log.h"
+#include "routes/origin_news.h"
 #include "sched/queue.h"
 #include "wire/identity.h"
 #include "wire/link.h"
@@ -63,6 +66,7 @@
     LinkServer *link_server;
     WantQueue *queue;
     uint32_t slots;
+    uint64_t memory_tokens;   /* of the engine; 0 without a bound */
     uint64_t rated_born;      /* start of the engine that names a rate limit */
     uint64_t replaced_target; /* Work_TargetHash() of the replaced engine */
     TimeUs replaced_until;    /* end of refusing wants for that engine */
@@ -76,9 +80,14 @@
     Counter *accounts_gauge;
     Counter *refused_within; /* wants of accounts, by their share */
     Counter *refused_beyond;
-    uint64_t engine_born; /* as the engine last reported; 0 if unknown */
-    bool start_uncertain; /* the engine may have started again since */
-    Probe *probe;         /* NULL without a configured engine address */
+    Counter *booked_counter;
+    Counter *unbooked_counter;
+    uint64_t engine_born;   /* as the engine last reported; 0 if unknown */
+    bool start_uncertain;   /* the engine may have started again since */
+    Probe *probe;           /* NULL without a configured engine address */
+    StreamOrigins *origins; /* of streams, as gateways told */
+    Counter *origin_questions;
+    Counter *origin_replies;
 } Keeper;
 
 static uint64_t
@@ -256,6 +265,24 @@
     send_refusal(keeper, link, &action);
 }
 
+/* Keeps capacity free for a request that comes back. */
+static void
+book_return(Keeper *keeper, const Link *link, const WorkSpec *work,
+            uint32_t told_ms)
+{
+    TimeUs now = Clock_Now();
+    bool booked =
+        Queue_Book(keeper->queue, work, now + told_ms * US_PER_MS, now);
+    LOG_INFO(PART,
+             "Capacity %s for a request that comes back. want=%llu gateway=%s "
+             "tier=%u rank=%u prompt=%u output=%u told_ms=%u",
+             booked ? "is booked" : "is not booked: the limit is reached",
+             (unsigned long long)work->id.low, Link_Peer(link)->name,
+             work->tier, work->rank, work->prompt_tokens, work->output_tokens,
+             told_ms);
+    Counter_Add(booked ? keeper->booked_counter : keeper->unbooked_counter, 1);
+}
+
 static void
 on_slot_want(Keeper *keeper, Link *link, const Wire__SlotWant *want)
 {
@@ -266,6 +293,13 @@
         keeper->slots = want->slots;
         Queue_SetSlots(keeper->queue, want->slots, now);
     }
+    if (want->memory_tokens != keeper->memory_tokens) {
+        LOG_INFO(PART, "Memory of the engine changed. tokens=%llu before=%llu",
+                 (unsigned long long)want->memory_tokens,
+                 (unsigned long long)keeper->memory_tokens);
+        keeper->memory_tokens = want->memory_tokens;
+        Queue_SetMemory(keeper->queue, want->memory_tokens, now);
+    }
     if (want->born > keeper->rated_born && keeper->rated_born != 0) {
         LOG_INFO(PART, "Rate limit ended with its engine.");
         keeper->rated_born = 0;
@@ -291,6 +325,10 @@
         refuse_replaced(keeper, link, work.id);
         return;
     }
+    if (want->told_ms > 0) {
+        book_return(keeper, link, &work, want->told_ms);
+        return;
+    }
     Queue_AddWant(keeper->queue, &work, link_serial(link), now);
 }
 
@@ -352,11 +390,29 @@
     Queue_Withdraw(keeper->queue, id, link_serial(link), now);
 }
 
+static void
+on_origin_query(const Keeper *keeper, Link *link,
+                const Wire__StreamOriginQuery *query)
+{
+    Counter_Add(keeper->origin_questions, 1);
+    if (OriginNews_Answer(keeper->origins, link, query)) {
+        Counter_Add(keeper->origin_replies, 1);
+        LOG_DEBUG(PART, "Origin of a stream told. request=%s gateway=%s",
+                  query->request, Link_Peer(link)->name);
+    }
+}
+
 static void
 on_frame(Link *link, const Wire__Frame *frame, void *owner)
 {
     Keeper *keeper = owner;
     switch (frame->body_case) {
+    case WIRE__FRAME__BODY_STREAM_ORIGIN_NEWS:
+        OriginNews_AddAll(keeper->origins, frame->stream_origin_news);
+        return;
+    case WIRE__FRAME__BODY_STREAM_ORIGIN_QUERY:
+        on_origin_query(keeper, link, frame->stream_origin_query);
+        return;
     case WIRE__FRAME__BODY_SLOT_WANT:
         on_slot_want(keeper, link, frame->slot_want);
         break;
@@ -502,6 +558,7 @@
     }
     event_free(keeper->timer);
     Queue_Free(keeper->queue);
+    StreamOrigins_Free(keeper->origins);
     g_hash_table_destroy(keeper->links_by_serial);
     g_hash_table_destroy(keeper->granted_ids);
     g_free(keeper);
@@ -516,6 +573,9 @@
     json_object_set_new(out, "slots", json_integer(queue.slots));
     json_object_set_new(out, "running", json_integer(queue.running));
     json_object_set_new(out, "queued", json_integer(queue.queued));
+    json_object_set_new(
+        out, "origins",
+        json_integer((json_int_t)StreamOrigins_Count(keeper->origins)));
 }
 
 static const TaskOps task_ops = {
@@ -552,6 +612,18 @@
         Counter_Get("keeper_rate_limit_millis",
                     "Requests in 1000 s that the engine takes; 0 without a "
                     "limit.");
+    keeper->origin_questions =
+        Counter_Get("keeper_origin_questions_total",
+                    "Questions of gateways how a stream began.");
+    keeper->origin_replies =
+        Counter_Get("keeper_origin_replies_total",
+                    "Questions of gateways that this keeper answered.");
+    keeper->origins = StreamOrigins_New(ORIGIN_NEWS_KEEPER_MAX);
+    keeper->booked_counter =
+        Counter_Get("keeper_bookings_total{kept=\"yes\"}",
+                    "Refused requests that capacity is kept for.");
+    keeper->unbooked_counter =
+        Counter_Get("keeper_bookings_total{kept=\"no\"}", NULL);
     QueueConfig config = {
         .max_wants = MAX_WANTS,
         .max_ended_ids = MAX_ENDED_IDS,
--- a/src/sched/balancer.c
+++ b/src/sched/balancer.c
@@ -3,6 +3,8 @@
  */
 #include "sched/balancer.h"
 
+#include <math.h>
+
 /* Assumed run time while it is unknown, in milliseconds. */
 #define DEFAULT_RUN_MS 20
 /* Fraction by which a request runs longer on an endpoint whose slots are
@@ -30,15 +32,16 @@
 }
 
 double
-Balancer_Cost(const BalancerCandidate *candidate)
+Balancer_CostMs(const BalancerCandidate *candidate)
 {
     double run = candidate->expected_run_ms > 0 ? candidate->expected_run_ms
                                                 : DEFAULT_RUN_MS;
     unsigned distance = candidate->distance < 2 ? candidate->distance : 2;
     return run * (1 + delay_fraction(candidate->load)) +
-           distance_cost_ms[distance] +
+           (candidate->has_transfer ? candidate->transfer_ms
+                                    : distance_cost_ms[distance]) +
            candidate->error_rate * FAILURE_COST_MS + candidate->rate_wait_ms +
-           (candidate->tried ? TRIED_COST_MS : 0);
+           candidate->spread_ms + (candidate->tried ? TRIED_COST_MS : 0);
 }
 
 int
@@ -52,7 +55,7 @@
         if (!candidate->usable || candidate->load >= max_load) {
             continue;
         }
-        double cost = Balancer_Cost(candidate);
+        double cost = Balancer_CostMs(candidate);
         if (best < 0 || cost < best_cost) {
             best = (int)i;
             best_cost = cost;
@@ -60,3 +63,13 @@
     }
     return best;
 }
+
+bool
+Balancer_IsWorthWaiting(const BalancerCandidate *candidates, size_t count,
+                        int chosen, double waited_ms)
+{
+    int best = Balancer_ChooseEndpoint(candidates, count, HUGE_VAL);
+    return best >= 0 && best != chosen &&
+           Balancer_CostMs(&candidates[best]) + waited_ms <
+               Balancer_CostMs(&candidates[chosen]);
+}
--- a/src/sched/balancer.h
+++ b/src/sched/balancer.h
@@ -21,11 +21,15 @@
     double expected_run_ms; /**< Run time of one request; 0 if unknown. */
     double rate_wait_ms; /**< Mean time between two requests that a rate limit
                             allows; 0 without a limit. */
+    bool has_transfer; /**< transfer_ms replaces the fixed cost of distance. */
+    double transfer_ms; /**< Cost of the round trip and the bytes. */
+    double spread_ms;   /**< Additional cost that differs between senders, so
+                           that they do not all choose the same endpoint. */
 } BalancerCandidate;
 
-/** Returns the expected cost of sending a request to the candidate, in
- * milliseconds. */
-double Balancer_Cost(const BalancerCandidate *candidate);
+/** Returns the expected time of a request at the candidate, in milliseconds,
+ * where distance and failures count as additional time. */
+double Balancer_CostMs(const BalancerCandidate *candidate);
 
 /** Returns the index of the best candidate, or -1 if no usable candidate has a
  * load below @p max_load. An endpoint that already failed the request is
@@ -33,4 +37,11 @@
 int Balancer_ChooseEndpoint(const BalancerCandidate *candidates, size_t count,
                             double max_load);
 
+/** Returns whether waiting for a candidate whose load is too high now is
+ * quicker than the chosen one.
+ * @param waited_ms  time for which the request has waited; it bounds the wait
+ *                   by what can be gained. */
+bool Balancer_IsWorthWaiting(const BalancerCandidate *candidates, size_t count,
+                             int chosen, double waited_ms);
+
 #endif
--- a/src/sched/outlook.h
+++ b/src/sched/outlook.h
@@ -33,6 +33,7 @@
                              requests beyond the share of their account. */
     PlannedWait on_time;
     PlannedWait late;
+    bool bookable; /**< Capacity may be kept for requests that come back. */
 } ClassWait;
 
 typedef struct EngineOutlook {
--- a/src/sched/pool_view.h
+++ b/src/sched/pool_view.h
@@ -54,12 +54,14 @@
 typedef struct PoolCandidate {
     const EngineView *view;
     bool usable; /**< Can be asked; otherwise it counts as an engine only. */
-    double cost_ms; /**< Balancer_Cost() */
+    bool preferred; /**< Capacity may be booked there for the request. */
+    double cost_ms; /**< Balancer_CostMs() */
 } PoolCandidate;
 
 /** State of the search of one request. */
 typedef struct PoolSearch {
     bool limited;     /**< The view has limited an earlier round. */
+    bool hopeless;    /**< PoolChoice.hopeless of that round. */
     unsigned refused; /**< Keepers that refused the request. */
 } PoolSearch;
 
@@ -67,6 +69,9 @@
     /** The pool is short of capacity: exactly the keepers of @c chosen are to
      * be asked now. Otherwise the view decides nothing. */
     bool limited;
+    /** In the first round: all engines are known to be late, so that the
+     * search ends with the keepers that are asked now. */
+    bool hopeless;
     size_t count;
     size_t
         chosen[POOL_CHOSEN_MAX]; /**< Positions of candidates, best first. */
@@ -89,18 +94,33 @@
 EngineFit EngineView_Judge(const EngineView *view, const PoolRequest *request,
                            TimeUs now, TimeUs *lateness);
 
+/** Returns whether requests of the class of a request are known to wait at the
+ * engine. */
+bool EngineView_Waits(const EngineView *view, const PoolRequest *request,
+                      TimeUs now);
+
 /** Decides whom the request asks now. A first round asks engines that are
  * known to be late, too, since an outlook may be wrong; later rounds ask only
- * others. An empty limited choice means that no other engine can serve it. */
+ * others, and none if the request is hopeless. An empty limited choice means
+ * that no other engine can serve it. */
 void PoolView_Choose(const PoolCandidate *candidates, size_t count,
                      const PoolRequest *request, const PoolSearch *search,
                      TimeUs now, PoolChoice *choice);
 
+/** Returns the time after which an engine is expected to have capacity for a
+ * refused request, in ms, or 0 if that is unknown or too late for its caller
+ * to come back.
+ * @param key  spreads callers; a hash of the request. */
+uint32_t PoolView_BookingMs(const EngineView *view, const PoolRequest *request,
+                            uint32_t key, TimeUs now);
+
 /** Returns the time after which the caller of a refused request should come
- * back, in ms, or 0 if nothing is known.
+ * back, in ms: the least wait of the view, and not before the time that the
+ * keepers have named.
+ * @param named_ms  least time in the refusals of keepers.
  * @param key  spreads callers; a hash of the request. */
 uint32_t PoolView_ReturnMs(const PoolCandidate *candidates, size_t count,
-                           const PoolRequest *request, uint32_t key,
-                           TimeUs now);
+                           const PoolRequest *request, uint32_t named_ms,
+                           uint32_t key, TimeUs now);
 
 #endif
--- a/src/sched/queue.c
+++ b/src/sched/queue.c
@@ -120,6 +120,26 @@
     return prompts >= PREFILL_PROMPTS && tokens >= PREFILL_TOKENS;
 }
 
+/* Returns the tokens that a request may need in the engine's memory. */
+static uint64_t
+tokens_needed(const WorkSpec *work)
+{
+    return (uint64_t)work->prompt_tokens +
+           MAX(work->output_tokens, work->longest_output_tokens);
+}
+
+/* Returns true if the request fits into the engine's memory beside those that
+ * the engine holds. */
+static bool
+fits_memory(const WantQueue *queue, const Item *item)
+{
+    uint64_t tokens = tokens_needed(&item->work);
+    for (uint32_t i = 0; i < queue->busy_count; i++) {
+        tokens += tokens_needed(&QueueItems_Busy(queue, i)->work);
+    }
+    return queue->memory_tokens == 0 || tokens <= queue->memory_tokens;
+}
+
 /* Returns true if one more request may be sent to the endpoint. */
 static bool
 has_room(const WantQueue *queue, const Item *item, TimeUs now)
@@ -152,7 +172,12 @@
                            finish - item->work.deadline, now);
             continue;
         }
-        if (item->work.alone && queue->busy_count > 0) {
+        if (!fits_memory(queue, item) && queue->busy_count == 0) {
+            refuse_waiting(queue, item, REFUSE_UNFIT, 0, now);
+            continue;
+        }
+        if (!fits_memory(queue, item) ||
+            (item->work.alone && queue->busy_count > 0)) {
             return;
         }
         if (prefill_is_full(queue, now) || !Rest_MaySend(&queue->rest, now) ||
@@ -180,12 +205,16 @@
     }
     queue->last_planned_at = now;
     queue->lowest_tier = WORK_TIERS - 1;
+    Bookings_Expire(&queue->bookings, now);
     TimeUs mean = QueueTimes_MeanRunTime(queue);
     uint32_t position = 0;
     while (position < queue->waiting_count) {
         Item *item = QueueItems_Waiting(queue, position);
         TimeUs start = MAX(Plan_NextFree(&plan),
                            QueueTimes_NextByRate(queue, position, now));
+        if (!item->booked) {
+            start += QueueTimes_BookedWait(queue, &item->work, start);
+        }
         TimeUs run_time = QueueTimes_RunTime(queue, item);
         TimeUs lateness =
             QueueTimes_PredictLateness(queue, item, start - now, mean, now);
@@ -287,6 +316,16 @@
     plan_and_grant(queue, now);
 }
 
+bool
+Queue_Book(WantQueue *queue, const WorkSpec *work, TimeUs from, TimeUs now)
+{
+    TimeUs run = Speed_RunTime(&queue->speed, work, 0);
+    bool beyond = FairAccounts_IsBeyond(&queue->fair_accounts, work);
+    return QueueTimes_MayBook(queue, work, beyond) &&
+           Bookings_Add(&queue->bookings, work, from, run, queue->config.slots,
+                        now);
+}
+
 static void
 add_dispatch_sample(WantQueue *queue, bool dispatched)
 {
@@ -419,6 +458,13 @@
     plan_and_grant(queue, now);
 }
 
+void
+Queue_SetMemory(WantQueue *queue, uint64_t tokens, TimeUs now)
+{
+    queue->memory_tokens = tokens;
+    plan_and_grant(queue, now);
+}
+
 bool
 Queue_OnNamedRate(WantQueue *queue, double rate, TimeUs sent_at, TimeUs now)
 {
@@ -537,6 +583,7 @@
         .margin = queue->margin,
         .lowest_tier = queue->lowest_tier,
         .retry_after_ms = MAX(queue->retry_after_ms, RETRY_AFTER_MIN_MS),
+        .booked = queue->bookings.count,
         .leaving = queue->leaving,
     };
     memcpy(state->queued_by_tier, queue->waiting_by_tier,
--- a/src/sched/queue.h
+++ b/src/sched/queue.h
@@ -92,6 +92,7 @@
     double margin;        /**< Safety factor applied to predicted run times. */
     uint32_t lowest_tier; /**< Entries should send no wants of lower tiers. */
     uint32_t retry_after_ms;
+    uint32_t booked; /**< Bookings that wait for their requests. */
     bool leaving;
 } QueueState;
 
@@ -103,6 +104,12 @@
 void Queue_AddWant(WantQueue *queue, const WorkSpec *work, uint64_t owner,
                    TimeUs now);
 
+/** Keeps capacity free for a request whose caller was told to come back at @p
+ * from (bookings.h).
+ * @return false if too much is booked for that time. */
+bool Queue_Book(WantQueue *queue, const WorkSpec *work, TimeUs from,
+                TimeUs now);
+
 /** Removes a want or an unused grant that its owner has withdrawn. */
 void Queue_Withdraw(WantQueue *queue, RequestId id, uint64_t owner,
                     TimeUs now);
@@ -132,6 +139,11 @@
 
 void Queue_SetSlots(WantQueue *queue, uint32_t slots, TimeUs now);
 
+/** Sets the memory of the engine in tokens; 0 if it is unknown. Requests are
+ * granted only while all that the engine holds fit with their longest outputs,
+ * since an engine that holds more than its memory ends. */
+void Queue_SetMemory(WantQueue *queue, uint64_t tokens, TimeUs now);
+
 /** Applies an answer of the endpoint that names a rate limit, or none (0).
  * Requests are granted at that rate.
  * @return true when the limit began, changed or ended. */
--- a/src/sched/queue_items.c
+++ b/src/sched/queue_items.c
@@ -114,6 +114,9 @@
     if (a->work.tier != b->work.tier) {
         return a->work.tier < b->work.tier;
     }
+    if (a->booked != b->booked) {
+        return a->booked;
+    }
     if (a->beyond_share != b->beyond_share) {
         return b->beyond_share;
     }
@@ -300,6 +303,7 @@
         .arrived_at = now,
         .sequence = queue->next_sequence++,
         .beyond_share = FairAccounts_IsBeyond(&queue->fair_accounts, work),
+        .booked = Bookings_Claim(&queue->bookings, work, now),
         .cached_blocks =
             Blocks_CountLeading(queue->blocks, work, QUEUE_CACHE_HOLDER),
     };
--- a/src/sched/queue_outlook.c
+++ b/src/sched/queue_outlook.c
@@ -66,12 +66,13 @@
 
 /* Returns the planned wait of a request at the walk's position. */
 static TimeUs
-planned_wait(const Walk *walk)
+planned_wait(const Walk *walk, const WorkSpec *work)
 {
     TimeUs start =
         MAX(Plan_NextFree(&walk->plan),
             QueueTimes_NextByRate(walk->queue, walk->position, walk->now));
-    return MAX(start - walk->now, 0);
+    start = MAX(start, walk->now);
+    return start + QueueTimes_BookedWait(walk->queue, work, start) - walk->now;
 }
 
 static bool
@@ -117,7 +118,7 @@
 static PlannedWait
 wait_here(const Walk *walk, const WorkSpec *work, bool beyond)
 {
-    PlannedWait wait = {.planned = planned_wait(walk)};
+    PlannedWait wait = {.planned = planned_wait(walk, work)};
     wait.expected = wait.planned;
     if (walk->queue->config.refuse_early) {
         TimeUs behind = QueueTimes_WaitBehindHigher(walk->queue, work, beyond,
@@ -147,13 +148,44 @@
     }
 }
 
+static void
+lower(PlannedWait *wait, const PlannedWait *other)
+{
+    wait->planned = MIN(wait->planned, other->planned);
+    wait->expected = MIN(wait->expected, other->expected);
+}
+
+/* Returns the wait of a rank that goes ahead of its tier, within or beyond the
+ * shares of accounts. */
+static PlannedWait
+wait_ahead(const Walk *walk, uint32_t tier, bool beyond)
+{
+    /* Rank 0 has no higher rank, so that the wait is that behind the higher
+     * tiers, and behind the requests within their share if beyond. */
+    WorkSpec work = {.tier = tier};
+    return wait_here(walk, &work, beyond);
+}
+
+/* Passes the requests that claimed a booking, which go first in their tier. */
+static void
+pass_booked(Walk *walk, uint32_t tier)
+{
+    const Item *item;
+    while ((item = peek(walk)) != NULL && item->work.tier == tier &&
+           item->booked) {
+        advance(walk);
+    }
+}
+
 /* Predicts the waits of the classes of a tier, within or beyond the shares of
  * accounts. */
 static void
 plan_tier(Walk *walk, uint32_t tier, bool beyond, EngineOutlook *outlook)
 {
+    const WantQueue *queue = walk->queue;
     uint32_t ranks[OUTLOOK_RANKS];
-    order_ranks(walk->queue, tier, ranks);
+    order_ranks(queue, tier, ranks);
+    PlannedWait first = wait_ahead(walk, tier, beyond);
     for (uint32_t i = 0; i < OUTLOOK_RANKS; i++) {
         WorkSpec work = {.tier = tier, .rank = ranks[i]};
         unsigned class_index =
@@ -164,6 +196,13 @@
         wait->on_time = wait_here(walk, &work, beyond);
         pass_class(walk, &work, beyond);
         wait->late = wait_here(walk, &work, beyond);
+        wait->bookable = QueueTimes_MayBook(queue, &work, beyond);
+        if (queue->config.fair_ranks &&
+            FairRanks_MayGoAhead(&queue->fair_ranks, &work))
+        {
+            lower(&wait->on_time, &first);
+            lower(&wait->late, &first);
+        }
     }
 }
 
@@ -176,18 +215,12 @@
     outlook->mean_run = walk.mean;
     outlook->count = OUTLOOK_WAITS;
     for (uint32_t t = 0; t < WORK_TIERS; t++) {
+        pass_booked(&walk, t);
         plan_tier(&walk, t, false, outlook);
         plan_tier(&walk, t, true, outlook);
     }
 }
 
-static void
-lower(PlannedWait *wait, const PlannedWait *other)
-{
-    wait->planned = MIN(wait->planned, other->planned);
-    wait->expected = MIN(wait->expected, other->expected);
-}
-
 /* Lowers the values of an outlook of all classes to those of another. */
 static void
 lower_outlook(EngineOutlook *outlook, const EngineOutlook *other)
@@ -309,11 +342,12 @@
     item.latest_start_at = QueueItems_LatestStart(queue, &item);
     Walk walk = start_walk(queue, now);
     pass_preceding(&walk, &item);
-    if (QueueTimes_IsNewlyLate(queue, &item, now + planned_wait(&walk))) {
+    if (QueueTimes_IsNewlyLate(queue, &item, now + planned_wait(&walk, work)))
+    {
         item.first_piece_late = true;
         item.latest_start_at = QueueItems_LatestStart(queue, &item);
         pass_preceding(&walk, &item);
     }
-    return QueueTimes_PredictLateness(queue, &item, planned_wait(&walk),
+    return QueueTimes_PredictLateness(queue, &item, planned_wait(&walk, work),
                                       walk.mean, now);
 }
--- a/src/sched/queue_times.h
+++ b/src/sched/queue_times.h
@@ -59,6 +59,18 @@
 TimeUs QueueTimes_NextByRate(const WantQueue *queue, uint32_t position,
                              TimeUs now);
 
+/** Returns whether capacity may be kept for requests of the class of a
+ * request.
+ * @param beyond  the request is beyond the share of its account; none is kept
+ *                for those. */
+bool QueueTimes_MayBook(const WantQueue *queue, const WorkSpec *work,
+                        bool beyond);
+
+/** Returns by how much the bookings of the request's class and of higher ones
+ * delay a request that would start at @p start. */
+TimeUs QueueTimes_BookedWait(const WantQueue *queue, const WorkSpec *work,
+                             TimeUs start);
+
 /** Includes the plan of this moment in the queue's outlook. */
 void QueueOutlook_Sample(WantQueue *queue, TimeUs now);
 
--- a/test/fakes/fake_server.c
+++ b/test/fakes/fake_server.c
@@ -21,6 +21,7 @@
 #include "fake_endless.h"
 #include "fake_limit.h"
 #include "fake_server.h"
+#include "fake_speed.h"
 #include "http1/parser.h"
 #include "kernel/clock.h"
 #include "wire/address.h"
@@ -40,6 +41,7 @@
     char *deadly_target; /* names how the request ends the server */
     DeadlyWhen deadly;
     bool streamed;
+    bool running;   /* counts in the server's running requests */
     bool bare;      /* the stream has neither a length nor chunks */
     int next_event; /* id of the next event */
     /* Kind of fault; empty for none. "close" makes on_timer() close the
@@ -64,6 +66,7 @@
 static void
 free_connection(Connection *connection)
 {
+    FakeSpeed_SetRunning(connection->server, &connection->running, false);
     bufferevent_free(connection->bev);
     event_free(connection->timer);
     H1Parser_Free(connection->parser);
@@ -113,6 +116,7 @@
                             connection->server->id);
     }
     FakeLimit_Write(output_of(connection), connection->server->limit_file);
+    FakeSpeed_Write(output_of(connection), connection->server);
     if (connection->server->leaving) {
         evbuffer_add_printf(output_of(connection), "Server-Leaving: 1\r\n");
     }
@@ -132,6 +136,7 @@
 answer_plain(Connection *connection)
 {
     const char *fault = connection->fault;
+    FakeSpeed_SetRunning(connection->server, &connection->running, false);
     bool is_report = strcmp(connection->target, "/api/report") == 0;
     char *body =
         is_report
@@ -181,10 +186,12 @@
 send_event(Connection *connection)
 {
     const Server *server = connection->server;
-    char *event =
-        g_strdup_printf("id: %d\ndata: %s%s%s\n\n", connection->next_event,
-                        server->id, server->software != NULL ? " " : "",
-                        server->software != NULL ? server->software : "");
+    char *padding = g_strnfill((gsize)server->event_bytes, '.');
+    char *event = g_strdup_printf(
+        "id: %d\ndata: %s%s%s%s\n\n", connection->next_event, server->id,
+        server->software != NULL ? " " : "",
+        server->software != NULL ? server->software : "", padding);
+    g_free(padding);
     write_chunk(connection, event);
     g_free(event);
     if (strcmp(connection->fault, "cut") == 0 &&
@@ -208,6 +215,7 @@
             evbuffer_add_printf(output_of(connection), "0\r\n\r\n");
         }
         record(server, "ended %s\n", connection->id);
+        FakeSpeed_SetRunning(connection->server, &connection->running, false);
         H1Parser_Reset(connection->parser);
         if (connection->deadly == DEADLY_AFTER_END) {
             end_server(connection);
@@ -255,8 +263,10 @@
 static void
 record_arrival(const Server *server, const char *id)
 {
-    if ((server->limit_file != NULL || server->rest_file != NULL) &&
-        id != NULL) {
+    if ((server->limit_file != NULL || server->rest_file != NULL ||
+         server->arrivals) &&
+        id != NULL)
+    {
         record(server, "arrived %lld %s\n", (long long)Clock_WallMs(), id);
     }
     if (server->rest_file != NULL && id == NULL) {
@@ -264,6 +274,21 @@
     }
 }
 
+/* Answers the health path at once, with the load in the head.
+ * @return false when the request is for another path. */
+static bool
+answers_health(Connection *connection)
+{
+    const Server *server = connection->server;
+    if (g_strcmp0(connection->target, server->health_path) != 0) {
+        return false;
+    }
+    record(server, "asked %lld\n", (long long)Clock_WallMs());
+    write_head(connection, 200, "Content-Length: 0\r\n\r\n");
+    H1Parser_Reset(connection->parser);
+    return true;
+}
+
 /* Refuses a request for another instance, and all while the server rests.
  * @return false when the request is to be run. */
 static bool
@@ -306,7 +331,7 @@
     connection->deadly = DEADLY_NEVER;
     connection->fault[0] = '\0';
     record_arrival(server, id);
-    if (refuses(connection, head)) {
+    if (answers_health(connection) || refuses(connection, head)) {
         return;
     }
     bool has_turn = server->fault_every == 1;
@@ -317,6 +342,14 @@
         server->fault_count--;
         g_strlcpy(connection->fault, server->fault, sizeof(connection->fault));
     }
+    bool fails =
+        server->error_every > 0 && id != NULL &&
+        Clock_WallMs() - (int64_t)server->born >= server->error_after_ms &&
+        ++server->request_count % (guint)server->error_every == 0;
+    if (fails) {
+        record(server, "failed %lld %s\n", (long long)Clock_WallMs(), id);
+        g_strlcpy(connection->fault, "error", sizeof(connection->fault));
+    }
     if (strcmp(connection->fault, "shed") == 0) {
         refuse(connection, 503, "Not-Executed: 1\r\n");
         return;
@@ -328,7 +361,7 @@
            tenant != NULL ? tenant : "-",
            last_event != NULL ? last_event : "-", has_key ? "yes" : "no",
            evbuffer_get_length(body));
-    connection->streamed = H1Head_Get(head, "Model") != NULL;
+    connection->streamed = H1Head_Get(head, "Model") != NULL && !fails;
     connection->deadly_target = Deadly_Target(
         server->deadly_parts, H1Head_Get(head, "Prefix-Hash"), head->target);
     connection->deadly = Deadly_When(connection->deadly_target);
@@ -353,7 +386,8 @@
                                     : "Content-Type: text/event-stream\r\n"
                                       "Transfer-Encoding: chunked\r\n\r\n");
     }
-    schedule(connection, server->delay_ms);
+    FakeSpeed_SetRunning(connection->server, &connection->running, true);
+    schedule(connection, FakeSpeed_DelayMs(server, server->delay_ms));
 }
 
 static void
@@ -402,6 +436,9 @@
     connection->timer = event_new(server->base, -1, 0, on_timer, connection);
     connection->bev =
         bufferevent_socket_new(server->base, fd, BEV_OPT_CLOSE_ON_FREE);
+    if (server->read_limit != NULL) {
+        bufferevent_set_rate_limit(connection->bev, server->read_limit);
+    }
     bufferevent_setcb(connection->bev, on_read, NULL, on_event, connection);
     bufferevent_enable(connection->bev, EV_READ | EV_WRITE);
 }
@@ -567,6 +604,11 @@
     FakeServer_ReadOptions(&server, argc, argv);
     signal(SIGPIPE, SIG_IGN);
     server.control_hosts = g_strsplit(server.control, ",", -1);
+    if (server.read_rate > 0) {
+        size_t rate = (size_t)server.read_rate;
+        server.read_limit = ev_token_bucket_cfg_new(
+            rate, rate, EV_RATE_LIMIT_MAX, EV_RATE_LIMIT_MAX, NULL);
+    }
     if (server.restart_ms > 0) {
         return Deadly_Supervise(server.restart_ms, run_server, &server);
     }
--- a/test/unit/pool_play.h
+++ b/test/unit/pool_play.h
@@ -22,6 +22,8 @@
 
 typedef struct PoolCase {
     bool use_view;
+    bool sizes;    /* prompts differ, and callers return to other gateways */
+    bool bookings; /* capacity is kept for callers that come back */
     unsigned engines;
     double load;        /* demand / capacity of all engines */
     int run_ms;         /* time for which requests arrive */
@@ -62,6 +64,12 @@
     unsigned wrong;    /* refusals while an engine would have served */
     unsigned returns;  /* callers that came back */
     unsigned returns_served;
+    unsigned booked;         /* bookings that keepers accepted */
+    unsigned not_booked;     /* those beyond their limit */
+    unsigned booked_callers; /* that came back for an accepted booking */
+    unsigned booked_served;
+    unsigned claimed;          /* bookings that a request has claimed */
+    unsigned claimed_refused;  /* of these requests, refused by that keeper */
     unsigned wants;            /* messages to keepers */
     unsigned refusal_wants;    /* those of refused requests */
     unsigned refused_after_12; /* refused requests that asked more */
@@ -73,7 +81,7 @@
     unsigned outlook_bytes;         /* in all answers of keepers */
     unsigned rounds; /* wake-ups of gateways by timers of wants */
     double refusal_p10_ms, refusal_p50_ms, refusal_p90_ms;
-    unsigned refused_in[POOL_PLAY_SPANS]; /* by time of the refusal */
+    unsigned refused_in[POOL_PLAY_SPANS]; /* by arrival of the request */
     unsigned arrived_in[POOL_PLAY_SPANS];
 } PoolResult;
 
--- a/test/unit/pool_play_gateway.c
+++ b/test/unit/pool_play_gateway.c
@@ -33,6 +33,25 @@
                play->spec->fault_from_ms * US_PER_MS + LOSS_NOTICED_US;
 }
 
+/* Returns the engine at which capacity is booked for a request: the one with
+ * the highest hash, so that each gateway finds it when the caller returns. */
+static unsigned
+booking_engine(const Play *play, const Request *request)
+{
+    unsigned best = 0;
+    uint32_t best_hash = 0;
+    for (unsigned e = 0; e < play->spec->engines; e++) {
+        uint32_t hash = (request->key * 64 + e + 1) * 2654435761U;
+        hash = (hash ^ hash >> 15) * 2246822519U;
+        hash ^= hash >> 13;
+        if (hash > best_hash && !is_known_lost(play, e)) {
+            best = e;
+            best_hash = hash;
+        }
+    }
+    return best;
+}
+
 static void
 collect(const Play *play, const Request *request, Candidates *out)
 {
@@ -53,14 +72,17 @@
             .distance = PoolPlay_Distance(request->gateway, e),
             .load = MAX(reported, keeper->granted_slots) / SLOTS,
             .expected_run_ms =
-                1000 * (kind->prompt / prefill + kind->output / decode),
+                1000 * (request->prompt / prefill + kind->output / decode),
         };
         out->pool[e] = (PoolCandidate){
             .view = &keeper->view,
             .usable = out->balance[e].usable,
-            .cost_ms = Balancer_Cost(&out->balance[e]),
+            .cost_ms = Balancer_CostMs(&out->balance[e]),
         };
     }
+    if (play->spec->bookings) {
+        out->pool[booking_engine(play, request)].preferred = true;
+    }
 }
 
 static PoolRequest
@@ -71,7 +93,7 @@
         .account = PoolPlay_AccountHash(play, request),
         .tier = request->tier,
         .rank = request->rank,
-        .prompt_tokens = kind->prompt,
+        .prompt_tokens = request->prompt,
         .output_tokens = kind->output,
         .longest_output_tokens = 2 * kind->output,
         .deadline = request->deadline,
@@ -145,6 +167,7 @@
     PoolRequest wanted = pool_request(play, request);
     PoolSearch search = {
         .limited = request->limited,
+        .hopeless = request->known_late,
         .refused = (unsigned)__builtin_popcountll(request->refused),
     };
     PoolChoice choice;
@@ -153,15 +176,15 @@
     if (!choice.limited) {
         return false;
     }
-    request->known_late =
-        request->known_late ||
-        (request->asked == 0 && choice.in_time == 0 && choice.unknown == 0);
+    request->known_late = request->known_late || choice.hopeless;
     request->limited = true;
     for (size_t i = 0; i < choice.count; i++) {
         send_want(play, index, (unsigned)choice.chosen[i]);
     }
     *sent = choice.count > 0;
-    schedule_round(play, index, *sent ? LATER_ROUND_US : RECHECK_US);
+    if (!request->known_late) {
+        schedule_round(play, index, *sent ? LATER_ROUND_US : RECHECK_US);
+    }
     return true;
 }
 
@@ -185,6 +208,23 @@
     return more;
 }
 
+/* Asks the engine at which capacity may be booked for the request, if requests
+ * of its class wait there. */
+static void
+send_preferred(Play *play, unsigned index, Candidates *candidates)
+{
+    PoolRequest wanted = pool_request(play, pool_play_request(play, index));
+    for (unsigned e = 0; e < play->spec->engines; e++) {
+        const PoolCandidate *candidate = &candidates->pool[e];
+        if (candidate->preferred && candidate->usable &&
+            EngineView_Waits(candidate->view, &wanted, play->now))
+        {
+            candidates->balance[e].usable = false;
+            send_want(play, index, e);
+        }
+    }
+}
+
 void
 PoolPlay_StartRequest(Play *play, const Request *request)
 {
@@ -193,10 +233,11 @@
     pool_play_request(play, index)->max_distance = 1;
     PoolPlay_Push(play, request->deadline,
                   (Event){.kind = EVENT_DEADLINE, .request = index});
-    Candidates candidates;
+    Candidates candidates = {.pool = {{.usable = false}}};
     collect(play, request, &candidates);
-    bool sent;
+    bool sent = false;
     if (!send_by_view(play, index, &candidates, &sent)) {
+        send_preferred(play, index, &candidates);
         send_best(play, index, &candidates, 2, FIRST_ROUND_WANTS);
         schedule_round(play, index, SECOND_ROUND_US);
     }
@@ -243,9 +284,9 @@
     Candidates candidates;
     collect(play, request, &candidates);
     PoolRequest wanted = pool_request(play, request);
-    uint32_t ms = PoolView_ReturnMs(candidates.pool, play->spec->engines,
-                                    &wanted, index * 2654435761U, play->now);
-    return ms == 0 ? request->retry_after_ms : ms;
+    return PoolView_ReturnMs(candidates.pool, play->spec->engines, &wanted,
+                             request->retry_after_ms, index * 2654435761U,
+                             play->now);
 }
 
 static void
@@ -263,10 +304,29 @@
     result->known_late_over += request->known_late && ms > eighth_ms;
     result->known_late_wants_over +=
         request->known_late && request->asked > POOL_WANTS_MAX;
-    TimeUs span = play->now / US_PER_MS / POOL_PLAY_SPAN_MS;
+    TimeUs span = request->arrived_at / US_PER_MS / POOL_PLAY_SPAN_MS;
     result->refused_in[MIN(span, POOL_PLAY_SPANS - 1)]++;
 }
 
+/* Books capacity for a refused request where the view shows that it will be
+ * free in time.
+ * @return when the caller should come back, in ms. */
+static uint32_t
+book(Play *play, Request *request, unsigned index)
+{
+    unsigned engine = booking_engine(play, request);
+    const EngineView *view = &play->keepers[request->gateway][engine].view;
+    PoolRequest wanted = pool_request(play, request);
+    uint32_t ms =
+        PoolView_BookingMs(view, &wanted, index * 2654435761U, play->now);
+    if (ms == 0 || request->returned) {
+        return retry_after_ms(play, request, index);
+    }
+    request->told_at = play->now + ms * US_PER_MS;
+    send_to(play, index, engine, EVENT_BOOK);
+    return ms;
+}
+
 /* Ends a request that no keeper can grant; its caller may come back once. */
 static void
 refuse(Play *play, unsigned index)
@@ -274,7 +334,10 @@
     Request *request = pool_play_request(play, index);
     request->ended = true;
     count_refusal(play, request, index);
-    TimeUs wait = retry_after_ms(play, request, index) * US_PER_MS;
+    TimeUs wait = (play->spec->bookings && request->limited
+                       ? book(play, request, index)
+                       : retry_after_ms(play, request, index)) *
+                  US_PER_MS;
     if (!request->returned && wait <= (request->deadline - play->now) / 3) {
         PoolPlay_Push(play, play->now + wait,
                       (Event){.kind = EVENT_RETURN, .request = index});
@@ -290,13 +353,18 @@
         .first_arrived_at = old->first_arrived_at,
         .tier = old->tier,
         .rank = old->rank,
-        .gateway = old->gateway,
+        .gateway =
+            play->spec->sizes ? (old->gateway + 17) % GATEWAYS : old->gateway,
+        .prompt = old->prompt,
+        .key = old->key,
+        .booked = old->booked,
         .arrived_at = play->now,
         .deadline = old->deadline,
         .actual_output = old->actual_output,
         .returned = true,
     };
     play->result->returns++;
+    play->result->booked_callers += request.booked;
     PoolPlay_StartRequest(play, &request);
 }
 
@@ -342,10 +410,10 @@
     if (!pool_play_is_counted(play, request)) {
         return;
     }
-    const Kind *kind = &PoolPlay_Kinds[request->rank];
     play->result->accounts[request->account][request->rank].served++;
     play->result->account_slot_ms[request->account] +=
-        kind->prompt / PREFILL_TOKENS_MS + request->actual_output * TOKEN_MS;
+        request->prompt / PREFILL_TOKENS_MS +
+        request->actual_output * TOKEN_MS;
 }
 
 static void
@@ -359,6 +427,7 @@
         play->result->classes[pool_play_class(request)].served++;
         play->result->returns_served += request->returned;
         count_account(play, request);
+        play->result->booked_served += request->returned && request->booked;
     }
 }
 
--- a/test/unit/test_fair_accounts.c
+++ b/test/unit/test_fair_accounts.c
@@ -155,12 +155,12 @@
 /* ---- Queue ---- */
 
 static WantQueue *
-new_queue(bool fair_accounts)
+new_queue_of(bool fair_accounts, uint32_t slots)
 {
     return Queue_New(&(QueueConfig){
         .max_wants = 64,
         .max_ended_ids = 64,
-        .slots = 1,
+        .slots = slots,
         .grant_ttl = 60 * US_PER_S,
         .prefill_tokens_s = 1000,
         .decode_tokens_s = 100,
@@ -170,6 +170,12 @@
     });
 }
 
+static WantQueue *
+new_queue(bool fair_accounts)
+{
+    return new_queue_of(fair_accounts, 1);
+}
+
 static void
 add(WantQueue *queue, uint64_t id, uint64_t account, uint32_t tier,
     uint32_t rank, TimeUs now)
@@ -319,6 +325,41 @@
     Queue_Free(queue);
 }
 
+static bool
+book(WantQueue *queue, uint64_t account, TimeUs from, TimeUs now)
+{
+    WorkSpec work = {
+        .account = account,
+        .tier = 1,
+        .rank = 2,
+        .output_tokens = 100,
+    };
+    return Queue_Book(queue, &work, from, now);
+}
+
+/* Guards against shares that delay a request whose caller was told to come
+ * back, and against capacity that is kept for an account beyond its share. */
+static void
+booked_requests_precede_shares(void **state)
+{
+    WantQueue *queue = new_queue_of(true, 2);
+    TimeUs told = 100 * US_PER_MS;
+    add(queue, 1, 1, 1, 0, 0);
+    serve_next(queue, 0, 0);
+    add(queue, 2, 1, 1, 0, 0);
+    serve_next(queue, 0, 0);
+    assert_true(book(queue, 3, told, 0));
+    add(queue, 3, 1, 1, 0, 1000);
+    add(queue, 4, 2, 1, 2, 2000);
+    add(queue, 5, 3, 1, 2, told);
+    assert_false(book(queue, 1, 2 * US_PER_S, told));
+    assert_true(book(queue, 2, 2 * US_PER_S, told));
+    assert_int_equal(serve_next(queue, 1, US_PER_S), 5);
+    assert_int_equal(serve_next(queue, 2, US_PER_S), 4);
+    assert_int_equal(serve_next(queue, 5, 3 * US_PER_S), 3);
+    Queue_Free(queue);
+}
+
 int
 main(void)
 {
@@ -336,6 +377,7 @@
         cmocka_unit_test(unused_grant_is_not_charged),
         cmocka_unit_test(refusal_tells_the_share),
         cmocka_unit_test(outlook_names_accounts_beyond_their_share),
+        cmocka_unit_test(booked_requests_precede_shares),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -34,6 +34,38 @@
     return table;
 }
 
+/* Guards against a health path that would break the request line. */
+static void
+health_paths_are_read(void **state)
+{
+    static const struct {
+        const char *json;
+        const char *path;
+    } cases[] = {
+        {"\"/healthz?x=1\"", "/healthz?x=1"},
+        {"\"\"", NULL},
+        {"\"healthz\"", NULL},
+        {"\"/a b\"", NULL},
+        {"\"/a\\r\\nB: c\"", NULL},
+        {"7", NULL},
+        {"null", NULL},
+    };
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        Error err;
+        char *text = g_strdup_printf(
+            "{\"version\":1,\"routeTable\":[" ROUTE(
+                "\"service\":\"t\"") "],\"services\":[{\"name\":\"t\","
+                                     "\"healthPath\":%s}]}",
+            cases[i].json);
+        RouteTable *table = decode(text, &err);
+        assert_non_null(table);
+        const char *path = RouteTable_Service(table, "t")->health_path;
+        assert_int_equal(g_strcmp0(path, cases[i].path), 0);
+        RouteTable_Unref(table);
+        g_free(text);
+    }
+}
+
 static void
 documents_are_decoded_to_route_tables(void **state)
 {
@@ -213,6 +245,33 @@
     assert_null(load(SETTINGS(",\"fairAccounts\":3"), &err));
 }
 
+/* Guards against costs of traffic that apply where none are set, and against
+ * costs that cannot be meant. */
+static void
+zone_costs_are_read(void **state)
+{
+    Error err;
+    PlatformSettings *settings = load(SETTINGS(""), &err);
+    assert_false(settings->gateway.zone_transfer.enabled);
+    assert_int_equal(settings->gateway.regions, 2);
+    PlatformSettings_Free(settings);
+    settings = load(SETTINGS(",\"zone_transfer\":{\"zoneMsPerMb\":50,"
+                             "\"regionMsPerMb\":400.5,"
+                             "\"regionMbitPerS\":60}"),
+                    &err);
+    const ZoneTransfer *costs = &settings->gateway.zone_transfer;
+    assert_true(costs->enabled);
+    assert_float_equal(costs->zone_ms_per_mb, 50, 0);
+    assert_float_equal(costs->region_ms_per_mb, 400.5, 0);
+    assert_float_equal(costs->region_mbit_s, 60, 0);
+    PlatformSettings_Free(settings);
+    assert_null(load(SETTINGS(",\"zone_transfer\":7"), &err));
+    assert_null(
+        load(SETTINGS(",\"zone_transfer\":{\"zoneMsPerMb\":-1}"), &err));
+    assert_null(load(
+        SETTINGS(",\"zone_transfer\":{\"regionMbitPerS\":\"60\"}"), &err));
+}
+
 /* A control host that is not a seed never bootstraps a cluster. */
 static void
 only_seeds_bootstrap(void **state)
@@ -246,11 +305,13 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(documents_are_decoded_to_route_tables),
+        cmocka_unit_test(health_paths_are_read),
         cmocka_unit_test(invalid_documents_are_refused),
         cmocka_unit_test(heartbeats_are_decoded_to_records),
         cmocka_unit_test(software_that_is_not_named_is_unknown),
         cmocka_unit_test(settings_are_read_into_options),
         cmocka_unit_test(fair_accounts_are_read),
+        cmocka_unit_test(zone_costs_are_read),
         cmocka_unit_test(only_seeds_bootstrap),
         cmocka_unit_test(invalid_settings_are_reported),
     };
