--- a/src/keeper/keeper.c
+++ b/src/keeper/keeper.c
@@ -10,12 +10,12 @@
 
 #include <glib.h>
 
+#include "keeper/origins.h"
 #include "keeper/outlook.h"
 #include "keeper/probe.h"
 #include "kernel/clock.h"
 #include "kernel/counter.h"
 #include "kernel/log.h"
-#include "routes/origin_news.h"
 #include "sched/queue.h"
 #include "wire/identity.h"
 #include "wire/link.h"
@@ -79,9 +79,7 @@
     uint64_t engine_born;   /* as the engine last reported; 0 if unknown */
     bool start_uncertain;   /* the engine may have started again since */
     Probe *probe;           /* NULL without a configured engine address */
-    StreamOrigins *origins; /* of streams, as gateways told */
-    Counter *origin_questions;
-    Counter *origin_replies;
+    KeeperOrigins *origins; /* of streams, as gateways told */
 } Keeper;
 
 static uint64_t
@@ -356,28 +354,17 @@
     Queue_Withdraw(keeper->queue, id, link_serial(link), now);
 }
 
-static void
-on_origin_query(const Keeper *keeper, Link *link,
-                const Wire__StreamOriginQuery *query)
-{
-    Counter_Add(keeper->origin_questions, 1);
-    if (OriginNews_Answer(keeper->origins, link, query)) {
-        Counter_Add(keeper->origin_replies, 1);
-        LOG_DEBUG(PART, "Origin of a stream told. request=%s gateway=%s",
-                  query->request, Link_Peer(link)->name);
-    }
-}
-
 static void
 on_frame(Link *link, const Wire__Frame *frame, void *owner)
 {
     Keeper *keeper = owner;
     switch (frame->body_case) {
     case WIRE__FRAME__BODY_STREAM_ORIGIN_NEWS:
-        OriginNews_AddAll(keeper->origins, frame->stream_origin_news);
+        KeeperOrigins_OnNews(keeper->origins, frame->stream_origin_news);
         return;
     case WIRE__FRAME__BODY_STREAM_ORIGIN_QUERY:
-        on_origin_query(keeper, link, frame->stream_origin_query);
+        KeeperOrigins_OnQuery(keeper->origins, link,
+                              frame->stream_origin_query);
         return;
     case WIRE__FRAME__BODY_SLOT_WANT:
         on_slot_want(keeper, link, frame->slot_want);
@@ -524,7 +511,7 @@
     }
     event_free(keeper->timer);
     Queue_Free(keeper->queue);
-    StreamOrigins_Free(keeper->origins);
+    KeeperOrigins_Free(keeper->origins);
     g_hash_table_destroy(keeper->links_by_serial);
     g_hash_table_destroy(keeper->granted_ids);
     g_free(keeper);
@@ -541,7 +528,7 @@
     json_object_set_new(out, "queued", json_integer(queue.queued));
     json_object_set_new(
         out, "origins",
-        json_integer((json_int_t)StreamOrigins_Count(keeper->origins)));
+        json_integer((json_int_t)KeeperOrigins_Count(keeper->origins)));
 }
 
 static const TaskOps task_ops = {
@@ -570,13 +557,7 @@
         Counter_Get("keeper_rate_limit_millis",
                     "Requests in 1000 s that the engine takes; 0 without a "
                     "limit.");
-    keeper->origin_questions =
-        Counter_Get("keeper_origin_questions_total",
-                    "Questions of gateways how a stream began.");
-    keeper->origin_replies =
-        Counter_Get("keeper_origin_replies_total",
-                    "Questions of gateways that this keeper answered.");
-    keeper->origins = StreamOrigins_New(ORIGIN_NEWS_KEEPER_MAX);
+    keeper->origins = KeeperOrigins_New();
     keeper->booked_counter =
         Counter_Get("keeper_bookings_total{kept=\"yes\"}",
                     "Refused requests that capacity is kept for.");
--- a/src/sched/pace.c
+++ b/src/sched/pace.c
@@ -11,7 +11,7 @@
 /* Shortest of the compared holding times; each is twice the one before. */
 #define HOLDING_FIRST_US (50 * US_PER_MS)
 /* Holding time while fewer pairs of reports are known: a third of the time for
- * which servers are slow at Hartwell, so that an old figure does not bar a
+ * which servers are slow, so that an old figure does not bar a
  * server. */
 #define HOLDING_DEFAULT_US (200 * US_PER_MS)
 #define PAIRS_MIN 12
