--- a/test/fakes/fake_server.c
+++ b/test/fakes/fake_server.c
@@ -314,25 +314,13 @@
     return true;
 }
 
-static void
-run_request(Connection *connection, const H1Head *head)
+/* Sets the fault that the request gets, if any.
+ * @return true when it fails by --error-every. */
+static bool
+select_fault(Connection *connection, const H1Head *head)
 {
     Server *server = connection->server;
-    const char *last_event = H1Head_Get(head, "Last-Event-Id");
-    const char *tenant = H1Head_Get(head, "Tenant");
     const char *id = H1Head_Get(head, "Attempt-Id");
-    g_free(connection->id);
-    connection->id = g_strdup(id != NULL ? id : "none");
-    g_free(connection->target);
-    connection->target = g_strdup(head->target);
-    g_free(connection->deadly_target);
-    connection->deadly_target = NULL;
-    connection->deadly = DEADLY_NEVER;
-    connection->fault[0] = '\0';
-    record_arrival(server, id);
-    if (answers_health(connection) || refuses(connection, head)) {
-        return;
-    }
     bool has_turn = server->fault_every == 1;
     if (!has_turn && H1Head_Get(head, "Model") != NULL) {
         has_turn = ++server->stream_count % server->fault_every == 0;
@@ -349,6 +337,29 @@
         record(server, "failed %lld %s\n", (long long)Clock_WallMs(), id);
         g_strlcpy(connection->fault, "error", sizeof(connection->fault));
     }
+    return fails;
+}
+
+static void
+run_request(Connection *connection, const H1Head *head)
+{
+    Server *server = connection->server;
+    const char *last_event = H1Head_Get(head, "Last-Event-Id");
+    const char *tenant = H1Head_Get(head, "Tenant");
+    const char *id = H1Head_Get(head, "Attempt-Id");
+    g_free(connection->id);
+    connection->id = g_strdup(id != NULL ? id : "none");
+    g_free(connection->target);
+    connection->target = g_strdup(head->target);
+    g_free(connection->deadly_target);
+    connection->deadly_target = NULL;
+    connection->deadly = DEADLY_NEVER;
+    connection->fault[0] = '\0';
+    record_arrival(server, id);
+    if (answers_health(connection) || refuses(connection, head)) {
+        return;
+    }
+    bool fails = select_fault(connection, head);
     if (strcmp(connection->fault, "shed") == 0) {
         refuse(connection, 503, "Not-Executed: 1\r\n");
         return;
