--- a/src/keeper/keeper.c
+++ b/src/keeper/keeper.c
@@ -6,7 +6,6 @@
  */
 #include "keeper/keeper.h"
 
-#include <math.h>
 #include <string.h>
 
 #include <glib.h>
@@ -14,6 +13,7 @@
 #include "keeper/origins.h"
 #include "keeper/outlook.h"
 #include "keeper/probe.h"
+#include "keeper/share_counters.h"
 #include "kernel/clock.h"
 #include "kernel/counter.h"
 #include "kernel/log.h"
@@ -36,8 +36,6 @@
 /* Number of slots until the first want carries the configured number. */
 #define INITIAL_SLOTS 1
 #define ACTION_BATCH_MAX 32
-/* Space for the fields of describe_share(). */
-#define SHARE_TEXT_BYTES 160
 /* Retry delay sent with a refusal because the engine was replaced: its
  * successor announces itself within about one heartbeat. */
 #define REPLACED_RETRY_AFTER_MS 500
@@ -77,9 +75,7 @@
     Counter *queued_gauge;
     Counter *busy_gauge;
     Counter *rate_gauge;
-    Counter *accounts_gauge;
-    Counter *refused_within; /* wants of accounts, by their share */
-    Counter *refused_beyond;
+    ShareCounters shares;
     Counter *booked_counter;
     Counter *unbooked_counter;
     uint64_t engine_born;   /* as the engine last reported; 0 if unknown */
@@ -124,30 +120,6 @@
     Link_Send(link, &frame);
 }
 
-/* Counts a refused want of an account, and prints what decided whether it was
- * within the share as fields of a log record. The values are mean numbers of
- * slots. */
-static void
-describe_share(Keeper *keeper, const QueueAction *action, char *text,
-               size_t size)
-{
-    const AccountStanding *standing = &action->standing;
-    text[0] = '\0';
-    if (action->account == 0) {
-        return;
-    }
-    Counter_Add(
-        standing->beyond ? keeper->refused_beyond : keeper->refused_within, 1);
-    char share[32] = "none";
-    if (isfinite(standing->share)) {
-        g_snprintf(share, sizeof(share), "%.3f", standing->share);
-    }
-    g_snprintf(text, size,
-               " account=%016llx share=%s used=%.3f asked=%.3f beyond=%s",
-               (unsigned long long)action->account, share, standing->used,
-               standing->asked, standing->beyond ? "yes" : "no");
-}
-
 static void
 send_refusal(Keeper *keeper, Link *link, const QueueAction *action)
 {
@@ -163,7 +135,7 @@
     Outlook_Fill(&outlook, keeper->queue, Clock_Now());
     refuse.outlook = &outlook.message;
     char share[SHARE_TEXT_BYTES];
-    describe_share(keeper, action, share, sizeof(share));
+    ShareCounters_OnRefused(&keeper->shares, action, share);
     LOG_INFO(PART,
              "Slot refused. want=%llu gateway=%s reason=%s queued=%u busy=%u "
              "slots=%u prefill_tokens_s=%.0f decode_tokens_s=%.0f margin=%.2f "
@@ -207,7 +179,7 @@
     Queue_GetState(keeper->queue, Clock_Now(), &state);
     Counter_Set(keeper->queued_gauge, state.queued);
     Counter_Set(keeper->busy_gauge, state.running + state.granted);
-    Counter_Set(keeper->accounts_gauge, Queue_CountAccounts(keeper->queue));
+    Counter_Set(keeper->shares.accounts, Queue_CountAccounts(keeper->queue));
 }
 
 static void
@@ -587,14 +559,7 @@
     keeper->slots = INITIAL_SLOTS;
     keeper->queued_gauge = Counter_Get("keeper_queued", "Requests that wait.");
     keeper->busy_gauge = Counter_Get("keeper_busy", "Slots in use.");
-    keeper->accounts_gauge =
-        Counter_Get("keeper_accounts", "Accounts that have a share.");
-    keeper->refused_within =
-        Counter_Get("keeper_account_refused_total{share=\"within\"}",
-                    "Refused wants of accounts within and beyond a share.");
-    keeper->refused_beyond =
-        Counter_Get("keeper_account_refused_total{share=\"beyond\"}",
-                    "Refused wants of accounts within and beyond a share.");
+    ShareCounters_Init(&keeper->shares);
     keeper->rate_gauge =
         Counter_Get("keeper_rate_limit_millis",
                     "Requests in 1000 s that the engine takes; 0 without a "
--- a/test/unit/pool_play.c
+++ b/test/unit/pool_play.c
@@ -28,18 +28,6 @@
      .deadline_ms = 4000},
 };
 
-/* Part of the usual demand that each large account has. */
-#define LARGE_SHARE 0.2
-#define ACCOUNT_HASH_FACTOR 0x9E3779B97F4A7C15U
-
-unsigned
-PoolPlay_AccountTier(unsigned account)
-{
-    return account == 1 || (account >= POOL_PLAY_LARGE && account % 3 == 0)
-               ? 0
-               : 1;
-}
-
 /* ---- Events ---- */
 
 static bool
@@ -222,13 +210,6 @@
     return bytes;
 }
 
-uint64_t
-PoolPlay_AccountHash(const Play *play, const Request *request)
-{
-    return play->spec->accounts ? (request->account + 1) * ACCOUNT_HASH_FACTOR
-                                : 0;
-}
-
 WorkSpec
 PoolPlay_Work(const Play *play, const Request *request, unsigned index)
 {
@@ -407,55 +388,6 @@
                          POOL_PLAY_SPANS - 1);
 }
 
-/* Returns the demand of an account, as a fraction of the usual demand of
- * all. */
-static double
-account_demand(const Play *play, unsigned account)
-{
-    const PoolCase *spec = play->spec;
-    double usual = account < POOL_PLAY_LARGE
-                       ? LARGE_SHARE
-                       : (1 - POOL_PLAY_LARGE * LARGE_SHARE) /
-                             (POOL_PLAY_ACCOUNTS - POOL_PLAY_LARGE);
-    bool bursts = account == spec->burst_account &&
-                  play->now >= spec->account_burst_from_ms * US_PER_MS;
-    return usual * (bursts ? spec->account_burst : 1);
-}
-
-/* Returns the demand of all accounts, as a fraction of their usual demand. */
-static double
-accounts_demand(const Play *play)
-{
-    double sum = 0;
-    for (unsigned a = 0; a < POOL_PLAY_ACCOUNTS; a++) {
-        sum += account_demand(play, a);
-    }
-    return sum;
-}
-
-static unsigned
-pick_account(const Play *play)
-{
-    double point = g_rand_double(play->random) * accounts_demand(play);
-    unsigned account = 0;
-    while (account < POOL_PLAY_ACCOUNTS - 1 &&
-           point >= account_demand(play, account))
-    {
-        point -= account_demand(play, account++);
-    }
-    return account;
-}
-
-static void
-set_account(const Play *play, Request *request)
-{
-    request->account = pick_account(play);
-    request->tier = PoolPlay_AccountTier(request->account);
-    if (pool_play_is_counted(play, request)) {
-        play->result->accounts[request->account][request->rank].callers++;
-    }
-}
-
 static void
 arrive(Play *play)
 {
@@ -478,7 +410,7 @@
         .actual_output = MIN(kind->output * length, 2.0 * kind->output),
     };
     if (play->spec->accounts) {
-        set_account(play, &request);
+        PoolPlay_SetAccount(play, &request);
     }
     request.key = play->result->callers;
     if (play->spec->sizes) {
@@ -498,7 +430,7 @@
     double load = play->now < spec->burst_until_ms * US_PER_MS
                       ? spec->burst_load
                       : spec->load;
-    load *= spec->accounts ? accounts_demand(play) : 1;
+    load *= spec->accounts ? PoolPlay_AccountsDemand(play) : 1;
     double gap = -log(1 - g_rand_double(play->random)) /
                  (load * play->capacity_per_ms) * US_PER_MS;
     TimeUs next = play->now + (TimeUs)gap;
--- a/test/unit/pool_play_state.h
+++ b/test/unit/pool_play_state.h
@@ -160,6 +160,12 @@
 unsigned PoolPlay_Distance(unsigned gateway, unsigned engine);
 TimeUs PoolPlay_Delay(unsigned gateway, unsigned engine);
 uint64_t PoolPlay_AccountHash(const Play *play, const Request *request);
+
+/* Returns the demand of all accounts, as a fraction of their usual demand. */
+double PoolPlay_AccountsDemand(const Play *play);
+
+/* Draws the account of a request, which sets its tier. */
+void PoolPlay_SetAccount(const Play *play, Request *request);
 WorkSpec PoolPlay_Work(const Play *play, const Request *request,
                        unsigned index);
 
