--- a/src/gateway/wants.c
+++ b/src/gateway/wants.c
@@ -161,6 +161,7 @@
     const Endpoint *endpoint =
         Endpoints_Find(call->gateway, keeper->endpoint_id);
     message.born = endpoint == NULL ? 0 : endpoint->born;
+    message.account = Pool_AccountOf(call);
     if (call->gateway->options->bounds.memory_bytes > 0) {
         const RouteService *service =
             RouteTable_Service(call->table, call->service);
--- a/src/keeper/keeper.c
+++ b/src/keeper/keeper.c
@@ -13,6 +13,7 @@
 #include "keeper/origins.h"
 #include "keeper/outlook.h"
 #include "keeper/probe.h"
+#include "keeper/share_counters.h"
 #include "kernel/clock.h"
 #include "kernel/counter.h"
 #include "kernel/log.h"
@@ -74,6 +75,7 @@
     Counter *queued_gauge;
     Counter *busy_gauge;
     Counter *rate_gauge;
+    ShareCounters shares;
     Counter *booked_counter;
     Counter *unbooked_counter;
     uint64_t engine_born;   /* as the engine last reported; 0 if unknown */
@@ -132,15 +134,17 @@
     OutlookMessage outlook;
     Outlook_Fill(&outlook, keeper->queue, Clock_Now());
     refuse.outlook = &outlook.message;
+    char share[SHARE_TEXT_BYTES];
+    ShareCounters_OnRefused(&keeper->shares, action, share);
     LOG_INFO(PART,
              "Slot refused. want=%llu gateway=%s reason=%s queued=%u busy=%u "
              "slots=%u prefill_tokens_s=%.0f decode_tokens_s=%.0f margin=%.2f "
-             "retry_after_ms=%u",
+             "retry_after_ms=%u%s",
              (unsigned long long)action->id.low, Link_Peer(link)->name,
              RefuseReason_Name(action->reason), state.queued,
              state.running + state.granted, state.slots,
              state.prefill_tokens_s, state.decode_tokens_s, state.margin,
-             action->retry_after_ms);
+             action->retry_after_ms, share);
     Wire__Frame frame = WIRE__FRAME__INIT;
     frame.body_case = WIRE__FRAME__BODY_SLOT_REFUSE;
     frame.slot_refuse = &refuse;
@@ -175,6 +179,7 @@
     Queue_GetState(keeper->queue, Clock_Now(), &state);
     Counter_Set(keeper->queued_gauge, state.queued);
     Counter_Set(keeper->busy_gauge, state.running + state.granted);
+    Counter_Set(keeper->shares.accounts, Queue_CountAccounts(keeper->queue));
 }
 
 static void
@@ -283,6 +288,7 @@
         .prompt_tokens = want->prompt_tokens,
         .output_tokens = want->output_tokens,
         .longest_output_tokens = want->longest_output_tokens,
+        .account = want->account,
     };
     if (work.target == keeper->replaced_target && now < keeper->replaced_until)
     {
@@ -553,6 +559,7 @@
     keeper->slots = INITIAL_SLOTS;
     keeper->queued_gauge = Counter_Get("keeper_queued", "Requests that wait.");
     keeper->busy_gauge = Counter_Get("keeper_busy", "Slots in use.");
+    ShareCounters_Init(&keeper->shares);
     keeper->rate_gauge =
         Counter_Get("keeper_rate_limit_millis",
                     "Requests in 1000 s that the engine takes; 0 without a "
@@ -573,6 +580,8 @@
         .seed = keeper->self.incarnation,
         .refuse_early = true,
         .fair_ranks = true,
+        /* Gateways name accounts only where their settings say so. */
+        .fair_accounts = true,
         .run_quantile = RUN_TIME_QUANTILE,
         .prefetch_requests = PREFETCH_REQUESTS,
         .prefetch_min_wait = PREFETCH_MIN_WAIT_US,
--- a/src/sched/pool_view.c
+++ b/src/sched/pool_view.c
@@ -72,7 +72,8 @@
 find_wait(const EngineView *view, const PoolRequest *request, TimeUs now)
 {
     const EngineOutlook *outlook = &view->outlook;
-    unsigned class_index = outlook_class(request->tier, request->rank);
+    unsigned class_index = outlook_class_of(outlook, request->account,
+                                            request->tier, request->rank);
     TimeUs age = now - view->heard_at;
     PlannedWait wait = {0};
     for (unsigned i = 0; i < outlook->count; i++) {
@@ -336,7 +337,8 @@
 static bool
 is_bookable(const EngineView *view, const PoolRequest *request)
 {
-    unsigned class_index = outlook_class(request->tier, request->rank);
+    unsigned class_index = outlook_class_of(&view->outlook, request->account,
+                                            request->tier, request->rank);
     for (unsigned i = 0; i < view->outlook.count; i++) {
         if (view->outlook.waits[i].class_index == class_index) {
             return view->outlook.waits[i].bookable;
--- a/src/sched/queue_items.c
+++ b/src/sched/queue_items.c
@@ -41,6 +41,7 @@
     queue->margin = 1;
     queue->first_piece_margin = 1;
     queue->lowest_tier = WORK_TIERS - 1;
+    FairAccounts_Init(&queue->fair_accounts);
     return queue;
 }
 
@@ -116,6 +117,9 @@
     if (a->booked != b->booked) {
         return a->booked;
     }
+    if (a->beyond_share != b->beyond_share) {
+        return b->beyond_share;
+    }
     int order_a = FairRanks_Order(&queue->fair_ranks, &a->work);
     int order_b = FairRanks_Order(&queue->fair_ranks, &b->work);
     if (order_a != order_b) {
@@ -298,6 +302,7 @@
         .owner = owner,
         .arrived_at = now,
         .sequence = queue->next_sequence++,
+        .beyond_share = FairAccounts_IsBeyond(&queue->fair_accounts, work),
         .booked = Bookings_Claim(&queue->bookings, work, now),
         .cached_blocks =
             Blocks_CountLeading(queue->blocks, work, QUEUE_CACHE_HOLDER),
--- a/src/sched/queue_times.h
+++ b/src/sched/queue_times.h
@@ -47,10 +47,12 @@
 /** Predicts the wait of a request when requests of higher classes keep
  * arriving, so that the other classes share the remaining slots. This is
  * longer than the planned wait.
+ * @param beyond  the request is beyond the share of its account, so that those
+ *                within a share count as a higher class.
  * @param mean  result of QueueTimes_MeanRunTime. */
 TimeUs QueueTimes_WaitBehindHigher(const WantQueue *queue,
-                                   const WorkSpec *work, TimeUs planned,
-                                   TimeUs mean);
+                                   const WorkSpec *work, bool beyond,
+                                   TimeUs planned, TimeUs mean);
 
 /** Returns when the rate limit and a rest let the request at a position start.
  * Some of those before it are dispatched elsewhere. */
@@ -58,8 +60,11 @@
                              TimeUs now);
 
 /** Returns whether capacity may be kept for requests of the class of a
- * request. */
-bool QueueTimes_MayBook(const WantQueue *queue, const WorkSpec *work);
+ * request.
+ * @param beyond  the request is beyond the share of its account; none is kept
+ *                for those. */
+bool QueueTimes_MayBook(const WantQueue *queue, const WorkSpec *work,
+                        bool beyond);
 
 /** Returns by how much the bookings of the request's class and of higher ones
  * delay a request that would start at @p start. */
--- a/test/unit/pool_play.c
+++ b/test/unit/pool_play.c
@@ -202,6 +202,7 @@
         varint_bytes((uint64_t)(outlook->first_us_per_token * 1000)) +
         varint_bytes((uint64_t)outlook->decode_us_per_token) +
         varint_bytes((uint64_t)(outlook->mean_run / US_PER_MS)) + 4;
+    bytes += outlook->account_count > 0 ? 2 + 8 * outlook->account_count : 0;
     for (unsigned i = 0; i < outlook->count; i++) {
         const ClassWait *wait = &outlook->waits[i];
         bytes += 1 + wait_bytes(&wait->on_time) + wait_bytes(&wait->late);
@@ -216,6 +217,7 @@
     return (WorkSpec){
         .id = {.high = request->gateway + 1, .low = index + 1},
         .tier = request->tier,
+        .account = PoolPlay_AccountHash(play, request),
         .rank = request->rank,
         .deadline = request->deadline,
         .first_piece_deadline =
@@ -401,11 +403,15 @@
         .tier = g_rand_double(play->random) < 0.3 ? 0 : 1,
         .rank = rank,
         .gateway = gateway,
+        .first_arrived_at = play->now,
         .arrived_at = play->now,
         .deadline = play->now + kind->deadline_ms * US_PER_MS,
         .prompt = kind->prompt,
         .actual_output = MIN(kind->output * length, 2.0 * kind->output),
     };
+    if (play->spec->accounts) {
+        PoolPlay_SetAccount(play, &request);
+    }
     request.key = play->result->callers;
     if (play->spec->sizes) {
         request.prompt += (uint32_t)g_rand_int_range(play->random, 0, 400);
@@ -424,6 +430,7 @@
     double load = play->now < spec->burst_until_ms * US_PER_MS
                       ? spec->burst_load
                       : spec->load;
+    load *= spec->accounts ? PoolPlay_AccountsDemand(play) : 1;
     double gap = -log(1 - g_rand_double(play->random)) /
                  (load * play->capacity_per_ms) * US_PER_MS;
     TimeUs next = play->now + (TimeUs)gap;
@@ -488,6 +495,7 @@
                 .seed = 100 + e,
                 .refuse_early = true,
                 .fair_ranks = true,
+                .fair_accounts = play->spec->fair_accounts,
                 .run_quantile = 0.75,
                 .prefetch_requests = 1,
                 .prefetch_min_wait = 30 * US_PER_MS,
--- a/test/unit/pool_play_gateway.c
+++ b/test/unit/pool_play_gateway.c
@@ -86,10 +86,11 @@
 }
 
 static PoolRequest
-pool_request(const Request *request)
+pool_request(const Play *play, const Request *request)
 {
     const Kind *kind = &PoolPlay_Kinds[request->rank];
     return (PoolRequest){
+        .account = PoolPlay_AccountHash(play, request),
         .tier = request->tier,
         .rank = request->rank,
         .prompt_tokens = request->prompt,
@@ -163,7 +164,7 @@
     if (!play->spec->use_view) {
         return false;
     }
-    PoolRequest wanted = pool_request(request);
+    PoolRequest wanted = pool_request(play, request);
     PoolSearch search = {
         .limited = request->limited,
         .hopeless = request->known_late,
@@ -212,7 +213,7 @@
 static void
 send_preferred(Play *play, unsigned index, Candidates *candidates)
 {
-    PoolRequest wanted = pool_request(pool_play_request(play, index));
+    PoolRequest wanted = pool_request(play, pool_play_request(play, index));
     for (unsigned e = 0; e < play->spec->engines; e++) {
         const PoolCandidate *candidate = &candidates->pool[e];
         if (candidate->preferred && candidate->usable &&
@@ -282,7 +283,7 @@
     }
     Candidates candidates;
     collect(play, request, &candidates);
-    PoolRequest wanted = pool_request(request);
+    PoolRequest wanted = pool_request(play, request);
     return PoolView_ReturnMs(candidates.pool, play->spec->engines, &wanted,
                              request->retry_after_ms, index * 2654435761U,
                              play->now);
@@ -315,7 +316,7 @@
 {
     unsigned engine = booking_engine(play, request);
     const EngineView *view = &play->keepers[request->gateway][engine].view;
-    PoolRequest wanted = pool_request(request);
+    PoolRequest wanted = pool_request(play, request);
     uint32_t ms =
         PoolView_BookingMs(view, &wanted, index * 2654435761U, play->now);
     if (ms == 0 || request->returned) {
@@ -348,6 +349,8 @@
 {
     Request *old = pool_play_request(play, index);
     Request request = {
+        .account = old->account,
+        .first_arrived_at = old->first_arrived_at,
         .tier = old->tier,
         .rank = old->rank,
         .gateway =
@@ -401,6 +404,18 @@
     send_to(play, index, event->engine, EVENT_SENT);
 }
 
+static void
+count_account(Play *play, const Request *request)
+{
+    if (!pool_play_is_counted(play, request)) {
+        return;
+    }
+    play->result->accounts[request->account][request->rank].served++;
+    play->result->account_slot_ms[request->account] +=
+        request->prompt / PREFILL_TOKENS_MS +
+        request->actual_output * TOKEN_MS;
+}
+
 static void
 on_answered(Play *play, const Event *event, Request *request)
 {
@@ -411,6 +426,7 @@
         play->result->served++;
         play->result->classes[pool_play_class(request)].served++;
         play->result->returns_served += request->returned;
+        count_account(play, request);
         play->result->booked_served += request->returned && request->booked;
     }
 }
--- a/test/unit/pool_play_state.h
+++ b/test/unit/pool_play_state.h
@@ -72,9 +72,11 @@
 } Event;
 
 typedef struct Request {
+    unsigned account;
     unsigned tier;
     unsigned rank;
     unsigned gateway;
+    TimeUs first_arrived_at; /* of a caller that came back: the first time */
     TimeUs arrived_at;
     TimeUs deadline;
     double actual_output;
@@ -142,12 +144,28 @@
     return request->tier * POOL_PLAY_RANKS + request->rank;
 }
 
+static inline bool
+pool_play_is_counted(const Play *play, const Request *request)
+{
+    return play->spec->accounts &&
+           request->first_arrived_at >=
+               play->spec->account_burst_from_ms * US_PER_MS &&
+           request->first_arrived_at < play->spec->count_until_ms * US_PER_MS;
+}
+
 void PoolPlay_Push(Play *play, TimeUs at, Event event);
 bool PoolPlay_IsFrozen(const Play *play, unsigned engine);
 bool PoolPlay_IsLost(const Play *play, unsigned engine);
 bool PoolPlay_IsCut(const Play *play, unsigned gateway, unsigned engine);
 unsigned PoolPlay_Distance(unsigned gateway, unsigned engine);
 TimeUs PoolPlay_Delay(unsigned gateway, unsigned engine);
+uint64_t PoolPlay_AccountHash(const Play *play, const Request *request);
+
+/* Returns the demand of all accounts, as a fraction of their usual demand. */
+double PoolPlay_AccountsDemand(const Play *play);
+
+/* Draws the account of a request, which sets its tier. */
+void PoolPlay_SetAccount(const Play *play, Request *request);
 WorkSpec PoolPlay_Work(const Play *play, const Request *request,
                        unsigned index);
 
--- a/test/unit/test_outlook.c
+++ b/test/unit/test_outlook.c
@@ -103,6 +103,80 @@
     Queue_Free(queue);
 }
 
+/* A queue with one slot in use by an account that is beyond its share, and a
+ * waiting request of another one. */
+static WantQueue *
+new_shared_queue(uint64_t large, uint64_t small, TimeUs now)
+{
+    WantQueue *queue = Queue_New(&(QueueConfig){
+        .max_wants = 64,
+        .max_ended_ids = 4,
+        .slots = 1,
+        .grant_ttl = 60 * US_PER_S,
+        .prefill_tokens_s = 30000,
+        .decode_tokens_s = 100,
+        .seed = 100,
+        .refuse_early = true,
+        .fair_ranks = true,
+        .fair_accounts = true,
+    });
+    for (uint64_t i = 1; i <= 3; i++) {
+        WorkSpec work = {
+            .id.low = i,
+            .account = i == 2 ? small : large,
+            .tier = 1,
+            .deadline = 100 * US_PER_S,
+            .output_tokens = 400,
+        };
+        Queue_AddWant(queue, &work, 1, 0);
+    }
+    QueueAction action;
+    assert_int_equal(Queue_TakeActions(queue, &action, 1), 1);
+    Queue_OnDispatch(queue, action.id, action.grant_id, 0);
+    for (TimeUs t = 0; t <= now; t += 60 * US_PER_MS) {
+        Queue_Tick(queue, t);
+    }
+    return queue;
+}
+
+/* Guards against flags of a class index that are taken for each other: 16 is
+ * "beyond the share", 32 is "capacity may be kept", and only classes within
+ * the share have the latter. */
+static void
+class_indexes_tell_shares_and_bookings_apart(void **state)
+{
+    const uint64_t large = 0x1234567890abcdef;
+    const uint64_t small = 0xfedcba0987654321;
+    TimeUs now = US_PER_S;
+    WantQueue *queue = new_shared_queue(large, small, now);
+    OutlookMessage out;
+    Outlook_Fill(&out, queue, now);
+    assert_int_equal(out.message.n_waits, 2 * OUTLOOK_CLASS_NUMBERS);
+    assert_int_equal(out.waits[0], 1 * 4 + 32);
+    assert_int_equal(out.waits[OUTLOOK_CLASS_NUMBERS], 1 * 4 + 16);
+    Keeper keeper = {.endpoint_id = NULL};
+    Keeper_ReadOutlook(&keeper, &out.message);
+    const EngineOutlook *read = &keeper.view.outlook;
+    assert_int_equal(read->count, 2);
+    assert_int_equal(read->waits[0].class_index, outlook_class(1, 0));
+    assert_true(read->waits[0].bookable);
+    assert_int_equal(read->waits[1].class_index,
+                     outlook_class(1, 0) + OUTLOOK_CLASSES);
+    assert_false(read->waits[1].bookable);
+    TimeUs heard_at = keeper.view.heard_at;
+    PoolRequest request = {
+        .account = small,
+        .tier = 1,
+        .output_tokens = 400,
+        .deadline = heard_at + 100 * US_PER_S,
+    };
+    assert_true(PoolView_BookingMs(&keeper.view, &request, 0, heard_at) > 0);
+    request.account = large;
+    assert_int_equal(PoolView_BookingMs(&keeper.view, &request, 0, heard_at),
+                     0);
+    Queue_Free(queue);
+}
+
 /* An outlook counts for 1 s, and its waits shrink meanwhile. */
 static void
 outlooks_age(void **state)
@@ -143,6 +217,7 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(gateway_reads_what_the_queue_predicts),
+        cmocka_unit_test(class_indexes_tell_shares_and_bookings_apart),
         cmocka_unit_test(outlooks_age),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
