--- a/src/sched/queue_outlook.c
+++ b/src/sched/queue_outlook.c
@@ -206,6 +206,19 @@
     }
 }
 
+/* Sets the waits beyond the shares of accounts where the queue knows no
+ * accounts. */
+static void
+copy_tier(uint32_t tier, EngineOutlook *outlook)
+{
+    for (uint32_t i = 0; i < OUTLOOK_RANKS; i++) {
+        unsigned within = outlook_class(tier, i);
+        unsigned beyond = within + OUTLOOK_CLASSES;
+        outlook->waits[beyond] = outlook->waits[within];
+        outlook->waits[beyond].class_index = beyond;
+    }
+}
+
 /* Predicts the waits of all classes by the plan of this moment; the position
  * of a class in the result is its index. */
 static void
@@ -217,7 +230,12 @@
     for (uint32_t t = 0; t < WORK_TIERS; t++) {
         pass_booked(&walk, t);
         plan_tier(&walk, t, false, outlook);
-        plan_tier(&walk, t, true, outlook);
+        if (queue->fair_accounts.count > 0) {
+            plan_tier(&walk, t, true, outlook);
+        }
+        else {
+            copy_tier(t, outlook);
+        }
     }
 }
 
