A call that falls back to the old version books no return

The keeper of a call that all engines of a roll-out's target refused was asked to keep capacity for the caller's return, and a refusal was logged, before the call went on at the old version.

--- a/src/gateway/keepers.c
+++ b/src/gateway/keepers.c
@@ -230,20 +230,20 @@
     if (want->pending->len > 0) {
         return;
     }
+    Call *call = want->call;
+    if (Rollouts_FallBack(call, "all engines refused")) {
+        Keepers_EndWant(call, SLOT_NOT_SERVED);
+        ServiceQueue_Add(keeper->keepers->gateway, call);
+        return;
+    }
     uint32_t retry_after_ms = Want_ReturnMs(want);
     LOG_INFO(GATEWAY_PART,
              "No slot for the request. id=%s refused=%u last=%s reason=%s "
              "queued=%u busy=%u want=%llu by=%s retry_after_ms=%u",
-             want->call->id, want->refused->len, keeper->endpoint_id,
+             call->id, want->refused->len, keeper->endpoint_id,
              RefuseReason_Name((RefuseReason)refuse->reason), refuse->queued,
              refuse->busy, (unsigned long long)id,
              want->limited ? "view" : "search", retry_after_ms);
-    Call *call = want->call;
-    if (Rollouts_FallBack(call, "all engines refused")) {
-        Keepers_EndWant(call, SLOT_NOT_SERVED);
-        ServiceQueue_Add(keeper->keepers->gateway, call);
-        return;
-    }
     Keepers_EndWant(call, SLOT_NOT_SERVED);
     if (call->maybe_ran) {
         Call_Fail(call, &(CallError){
