Samples of a roll-out in one bounded table, reports in flight bounded

The table of answers by route, side and load class stood twice, in the gateway and at the leader, with different bounds; the gateway's had none, and its report left out what lay beyond 768 without a word. Reports that wait for a permit were kept until the leader replied: a leader without a majority never does. Those too old to bring a permit are forgotten.

--- a/src/fleet/rollout_runs.c
+++ b/src/fleet/rollout_runs.c
@@ -39,9 +39,7 @@
  * of failures with which it is accepted at the end: no more than twice the
  * failures of the worst services that are in order. */
 #define FEW_FAILURES_MAX 0.28
-/* Most routes of which a gateway reports samples, and the most versions that
- * are taken from a report. */
-#define SAMPLES_MAX 1536
+/* Most versions that are taken from a report. */
 #define VERSIONS_MAX 16
 
 /* The newest report of a gateway's process. */
@@ -54,7 +52,7 @@
     uint32_t running_old;
     uint32_t ready_target;
     uint32_t ready_old;
-    GHashTable *samples; /* "ROUTE SIDE CLASS" -> RolloutSample, cumulative */
+    RolloutSamples *samples; /* cumulative */
     GPtrArray *old_versions; /* char * */
 } GatewayReport;
 
@@ -62,7 +60,7 @@
 free_report(gpointer data)
 {
     GatewayReport *report = data;
-    g_hash_table_destroy(report->samples);
+    RolloutSamples_Free(report->samples);
     g_ptr_array_unref(report->old_versions);
     g_free(report->name);
     g_free(report);
@@ -168,18 +166,15 @@
 add_sample(const RolloutRun *run, const GatewayReport *report,
            const Wire__RolloutSample *sample, TimeUs now)
 {
-    char *key = g_strdup_printf("%s %d %u", sample->route, sample->candidate,
-                                sample->load_class);
-    RolloutSample *known = g_hash_table_lookup(report->samples, key);
-    if (known == NULL) {
-        if (g_hash_table_size(report->samples) >= SAMPLES_MAX) {
-            g_free(key);
-            return;
-        }
-        known = g_new0(RolloutSample, 1);
-        g_hash_table_insert(report->samples, g_strdup(key), known);
+    RolloutSide side = sample->candidate ? ROLLOUT_CANDIDATE : ROLLOUT_OLD;
+    RolloutSum *sum = RolloutSamples_Find(report->samples, sample->route, side,
+                                          sample->load_class);
+    if (sum == NULL) {
+        LOG_DEBUG(PART, "Report has too many samples. gateway=%s route=%s",
+                  report->name, sample->route);
+        return;
     }
-    g_free(key);
+    RolloutSample *known = &sum->sample;
     if (sample->answers < known->answers ||
         sample->failures < known->failures || sample->timed < known->timed)
     {
@@ -202,9 +197,8 @@
         .log_sum = sample->log_sum,
         .log_square_sum = sample->log_square_sum,
     };
-    RolloutTest_Add(run->test, sample->route,
-                    sample->candidate ? ROLLOUT_CANDIDATE : ROLLOUT_OLD,
-                    sample->load_class, &batch, now);
+    RolloutTest_Add(run->test, sample->route, side, sample->load_class, &batch,
+                    now);
 }
 
 static GatewayReport *
@@ -214,8 +208,7 @@
     if (report == NULL) {
         report = g_new0(GatewayReport, 1);
         report->name = g_strdup(name);
-        report->samples =
-            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+        report->samples = RolloutSamples_New();
         report->old_versions = g_ptr_array_new_with_free_func(g_free);
         g_hash_table_insert(run->gateways, g_strdup(id), report);
     }
--- a/src/fleet/rollouts.h
+++ b/src/fleet/rollouts.h
@@ -6,6 +6,7 @@
 
 #include "fleet/state.h"
 #include "sched/exposure.h"
+#include "sched/rollout_samples.h"
 #include "sched/rollout_test.h"
 
 /* What the leader knows of a roll-out in progress. */
--- a/src/gateway/rollout_reports.c
+++ b/src/gateway/rollout_reports.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "gateway/rollout_run.h"
+#include "kernel/log.h"
 #include "sched/exposure.h"
 
 /* Shorter run times count as this one: below it the errors of the round trip
@@ -13,8 +14,6 @@
 #define TIME_MIN_US (1 * US_PER_MS)
 /* Most versions that a report names. */
 #define VERSIONS_MAX 16
-/* Most samples that a report carries: routes, sides and load classes. */
-#define SAMPLES_MAX 768
 
 /* ---- Reports ---- */
 
@@ -51,30 +50,41 @@
     }
 }
 
-static size_t
-fill_samples(const RolloutRun *run, Wire__RolloutSample *items,
-             Wire__RolloutSample **pointers)
+static void
+fill_samples(const RolloutSum *const *sums, size_t count,
+             Wire__RolloutSample *items, Wire__RolloutSample **pointers)
 {
-    size_t count = 0;
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, run->samples);
-    while (count < SAMPLES_MAX && g_hash_table_iter_next(&iter, NULL, &value))
-    {
-        const RolloutCounts *sample = value;
-        Wire__RolloutSample *item = &items[count];
+    for (size_t i = 0; i < count; i++) {
+        const RolloutSample *sample = &sums[i]->sample;
+        Wire__RolloutSample *item = &items[i];
         wire__rollout_sample__init(item);
-        item->route = sample->route;
-        item->candidate = sample->candidate;
-        item->load_class = sample->load_class;
-        item->answers = sample->sum.answers;
-        item->failures = sample->sum.failures;
-        item->timed = sample->sum.timed;
-        item->log_sum = sample->sum.log_sum;
-        item->log_square_sum = sample->sum.log_square_sum;
-        pointers[count++] = item;
+        item->route = sums[i]->route;
+        item->candidate = sums[i]->side == ROLLOUT_CANDIDATE;
+        item->load_class = sums[i]->load_class;
+        item->answers = sample->answers;
+        item->failures = sample->failures;
+        item->timed = sample->timed;
+        item->log_sum = sample->log_sum;
+        item->log_square_sum = sample->log_square_sum;
+        pointers[i] = item;
     }
-    return count;
+}
+
+static gboolean
+is_sent_before(gpointer key, gpointer sent_at, gpointer time)
+{
+    return *(const TimeUs *)sent_at < *(const TimeUs *)time;
+}
+
+/* Records a report. Those that are too old to bring a permit are forgotten,
+ * as a leader that has no majority does not reply. */
+static void
+remember_report(const RolloutRun *run, uint64_t nonce, TimeUs now)
+{
+    TimeUs oldest = now - EXPOSURE_PERMIT_US;
+    g_hash_table_foreach_remove(run->sent_at, is_sent_before, &oldest);
+    g_hash_table_insert(run->sent_at, g_memdup2(&nonce, sizeof(nonce)),
+                        g_memdup2(&now, sizeof(now)));
 }
 
 static void
@@ -105,19 +115,21 @@
     report.lent = run->lent;
     report.old_versions = versions;
     count_endpoints(gateway, rollout, &report);
-    guint size = MIN(g_hash_table_size(run->samples), SAMPLES_MAX);
-    Wire__RolloutSample *items = g_new0(Wire__RolloutSample, size + 1);
-    Wire__RolloutSample **pointers = g_new0(Wire__RolloutSample *, size + 1);
-    report.n_samples = fill_samples(run, items, pointers);
+    size_t count = RolloutSamples_Count(run->samples);
+    const RolloutSum **sums = g_new0(const RolloutSum *, count + 1);
+    Wire__RolloutSample *items = g_new0(Wire__RolloutSample, count + 1);
+    Wire__RolloutSample **pointers = g_new0(Wire__RolloutSample *, count + 1);
+    RolloutSamples_List(run->samples, sums);
+    fill_samples(sums, count, items, pointers);
+    report.n_samples = count;
     report.samples = pointers;
     Wire__Frame frame = WIRE__FRAME__INIT;
     frame.body_case = WIRE__FRAME__BODY_ROLLOUT_REPORT;
     frame.rollout_report = &report;
     if (GatewayControl_SendLeader(gateway->control, &frame)) {
-        TimeUs now = Clock_Now();
-        g_hash_table_insert(run->sent_at, g_memdup2(&nonce, sizeof(nonce)),
-                            g_memdup2(&now, sizeof(now)));
+        remember_report(run, nonce, Clock_Now());
     }
+    g_free(sums);
     g_free(items);
     g_free(pointers);
 }
@@ -220,23 +232,27 @@
                   rollout->state == WIRE__ROLLOUT_STATE__ROLLOUT_SERVING;
 }
 
-static RolloutCounts *
-find_sample(const RolloutRun *run, const Call *call)
+/* Returns the sum to which the call's answer is added, or NULL if the
+ * configuration has more routes than are told apart. */
+static RolloutSample *
+find_sample(RolloutRun *run, const Call *call)
 {
     const CallRollout *own = &call->rollout;
-    char *key = g_strdup_printf("%s %d %u", call->route->name,
-                                own->to_candidate, own->load_class);
-    RolloutCounts *sample = g_hash_table_lookup(run->samples, key);
-    if (sample != NULL) {
-        g_free(key);
-        return sample;
+    RolloutSum *sum = RolloutSamples_Find(
+        run->samples, call->route->name,
+        own->to_candidate ? ROLLOUT_CANDIDATE : ROLLOUT_OLD, own->load_class);
+    if (sum != NULL) {
+        return &sum->sample;
     }
-    sample = g_new0(RolloutCounts, 1);
-    sample->route = g_strdup(call->route->name);
-    sample->candidate = own->to_candidate;
-    sample->load_class = own->load_class;
-    g_hash_table_insert(run->samples, key, sample);
-    return sample;
+    if (!run->samples_full_logged) {
+        LOG_WARN(GATEWAY_PART,
+                 "Answers of further routes are no evidence for the roll-out. "
+                 "order=%llu sums=%zu route=%s",
+                 (unsigned long long)run->order,
+                 RolloutSamples_Count(run->samples), call->route->name);
+        run->samples_full_logged = true;
+    }
+    return NULL;
 }
 
 void
@@ -251,7 +267,7 @@
     CallRollout *own = &call->rollout;
     bool counts = own->counts;
     own->counts = counts && end == ROLLOUT_ANSWERED && call->is_stream;
-    const RolloutRun *run =
+    RolloutRun *run =
         counts ? RolloutRun_FindOrder(call->gateway->rollouts, own->order)
                : NULL;
     Subject barred;
@@ -261,7 +277,10 @@
     {
         return;
     }
-    RolloutSample *sum = &find_sample(run, call)->sum;
+    RolloutSample *sum = find_sample(run, call);
+    if (sum == NULL) {
+        return;
+    }
     sum->answers++;
     if (end == ROLLOUT_FAILED) {
         sum->failures++;
--- a/src/gateway/rollout_run.h
+++ b/src/gateway/rollout_run.h
@@ -6,15 +6,7 @@
 
 #include "gateway/state.h"
 #include "routes/rollout.h"
-#include "sched/rollout_test.h"
-
-/* Answers of one route, side and load class since the order. */
-typedef struct RolloutCounts {
-    char *route;
-    bool candidate;
-    unsigned load_class;
-    RolloutSample sum;
-} RolloutCounts;
+#include "sched/rollout_samples.h"
 
 /* What the gateway keeps of a roll-out in progress. */
 typedef struct RolloutRun {
@@ -28,8 +20,10 @@
                              leader's newest */
     uint64_t first_nonce; /* of the reports to the present leader */
     char *leader;         /* to which the reports are sent */
-    GHashTable *sent_at;  /* nonce of a report -> when it was sent */
-    GHashTable *samples;  /* key -> RolloutCounts */
+    GHashTable *sent_at;  /* nonce of a report -> when it was sent; those that
+                             can still bring a permit */
+    RolloutSamples *samples; /* answers since the order */
+    bool samples_full_logged;
 } RolloutRun;
 
 struct Rollouts {
--- a/src/gateway/rollouts.c
+++ b/src/gateway/rollouts.c
@@ -18,13 +18,6 @@
  * bad version must get no more requests. Then the old versions serve, which
  * run until the roll-out has completed. */
 #define ACCEPTED_SILENT_US (2 * US_PER_S)
-static void
-free_sample(gpointer data)
-{
-    RolloutCounts *sample = data;
-    g_free(sample->route);
-    g_free(sample);
-}
 
 static void
 free_run(gpointer data)
@@ -32,7 +25,7 @@
     RolloutRun *run = data;
     g_free(run->leader);
     g_hash_table_destroy(run->sent_at);
-    g_hash_table_destroy(run->samples);
+    RolloutSamples_Free(run->samples);
     g_free(run);
 }
 
@@ -149,8 +142,7 @@
     run->order = rollout->order;
     run->sent_at =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
-    run->samples =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_sample);
+    run->samples = RolloutSamples_New();
     g_hash_table_replace(rollouts->runs, g_strdup(rollout->service), run);
     if (!event_pending(rollouts->timer, EV_TIMEOUT, NULL)) {
         struct timeval period = {.tv_usec = REPORT_MS * US_PER_MS};
@@ -164,14 +156,12 @@
     return now < run->permit_until && run->sent + run->reserved < run->lent;
 }
 
-/* Returns whether only the candidate may serve new calls. */
+/* Returns whether an accepted roll-out is known to be in force still, so that
+ * only the candidate serves new calls. */
 static bool
-is_moved(const Rollout *rollout, const RolloutRun *run, TimeUs now)
+is_moved(const RolloutRun *run, TimeUs now)
 {
-    if (rollout->state == WIRE__ROLLOUT_STATE__ROLLOUT_ACCEPTED) {
-        return run != NULL && now - run->heard_at <= ACCEPTED_SILENT_US;
-    }
-    return false;
+    return run != NULL && now - run->heard_at <= ACCEPTED_SILENT_US;
 }
 
 /* ---- Records ---- */
@@ -352,7 +342,7 @@
                             is_in_trial(rollout, endpoint)
                       : call->rollout.side != SIDE_CANDIDATE;
     case WIRE__ROLLOUT_STATE__ROLLOUT_ACCEPTED:
-        return target == is_moved(rollout, run, now);
+        return target == is_moved(run, now);
     case WIRE__ROLLOUT_STATE__ROLLOUT_REVERTED:
         return !target;
     default:
