Run times of routes that are gone do not keep new routes out

A gateway measures 256 routes. Once these had been measured, no later route was, without a word: a gateway that lives through many configurations refused runs in its planned stop by the default bound. Beyond the bound all are measured anew, and that is logged. unit/test_run_times failed before: the bound of the new route stayed the default one.

--- a/src/gateway/run_times.c
+++ b/src/gateway/run_times.c
@@ -4,11 +4,9 @@
 #include "gateway/run_times.h"
 
 #include "gateway/state.h"
+#include "kernel/log.h"
 #include "sched/run_bound.h"
 
-/* Routes with measurements. Those beyond it get the default bound. */
-#define ROUTES_MAX 256
-
 struct RunTimes {
     GHashTable *by_route; /* route name -> RunBound */
 };
@@ -22,6 +20,12 @@
     return times;
 }
 
+size_t
+RunTimes_Count(const RunTimes *times)
+{
+    return g_hash_table_size(times->by_route);
+}
+
 void
 RunTimes_Free(RunTimes *times)
 {
@@ -53,8 +57,12 @@
     }
     RunBound *bound = g_hash_table_lookup(times->by_route, call->route->name);
     if (bound == NULL) {
-        if (g_hash_table_size(times->by_route) >= ROUTES_MAX) {
-            return;
+        if (g_hash_table_size(times->by_route) >= RUN_TIMES_ROUTES_MAX) {
+            LOG_INFO(GATEWAY_PART,
+                     "Run times are measured anew, since there are too many "
+                     "routes. routes=%u",
+                     g_hash_table_size(times->by_route));
+            g_hash_table_remove_all(times->by_route);
         }
         bound = g_new0(RunBound, 1);
         g_hash_table_insert(times->by_route, g_strdup(call->route->name),
