What a gateway has told each keeper of streams is bounded for its memory

A gateway remembers which origins it told each keeper, to correct them there. The tables took 8,192 origins of 281 bytes for each keeper: before 44 engines 101 MB when full, of the 88 MB of its host, and a full one was not logged. They take 512 now, which is 17 times what 30 streams a second with 15 s of life need before 50 engines, and a full one is logged as other tables of origins are.

unit/test_origin_copies plays the bound: of 612 streams told, a keeper that lost its table is told the 512 that end last.

--- a/src/gateway/origin_copies.c
+++ b/src/gateway/origin_copies.c
@@ -148,7 +148,7 @@
             g_hash_table_iter_remove(&iter);
         }
     }
-    table = StreamOrigins_New(ORIGIN_NEWS_KEEPER_MAX);
+    table = StreamOrigins_New(ORIGIN_NEWS_COPIES_MAX);
     g_hash_table_insert(copies->told, g_strdup(address), table);
     return table;
 }
@@ -183,7 +183,7 @@
     while (g_hash_table_iter_next(&iter, &address, &table)) {
         if (StreamOrigins_Find(table, origin->request, now) != NULL) {
             known = true;
-            StreamOrigins_Add(table, origin, now);
+            OriginNews_AddCopy(table, origin, now);
             send_to_address(copies, address, origin, now);
         }
     }
@@ -202,8 +202,8 @@
     choose_keepers(call, origin, &choice);
     for (size_t i = 0; i < choice.count; i++) {
         const Keeper *keeper = choice.keepers[i];
-        StreamOrigins_Add(find_table(copies, keeper->address, now), origin,
-                          now);
+        OriginNews_AddCopy(find_table(copies, keeper->address, now), origin,
+                           now);
         OriginNews_Send(keeper->link, origin, now);
     }
 }
--- a/src/routes/origin_news.c
+++ b/src/routes/origin_news.c
@@ -41,7 +41,8 @@
 }
 
 bool
-OriginNews_Add(StreamOrigins *table, const StreamOrigin *origin, TimeUs now)
+OriginNews_AddCopy(StreamOrigins *table, const StreamOrigin *origin,
+                   TimeUs now)
 {
     uint64_t before = StreamOrigins_Displaced(table);
     bool added = StreamOrigins_Add(table, origin, now);
@@ -52,6 +53,13 @@
                  "first. known=%zu forgotten=%llu",
                  StreamOrigins_Count(table), (unsigned long long)displaced);
     }
+    return added;
+}
+
+bool
+OriginNews_Add(StreamOrigins *table, const StreamOrigin *origin, TimeUs now)
+{
+    bool added = OriginNews_AddCopy(table, origin, now);
     Counter_Set(Counter_Get("stream_origins",
                             "Streams whose origin this process knows."),
                 (int64_t)StreamOrigins_Count(table));
--- a/test/unit/test_origin_copies.c
+++ b/test/unit/test_origin_copies.c
@@ -330,6 +330,31 @@
     assert_string_equal(software_at(fixture, 0, "r"), "");
 }
 
+/* Guards against a gateway whose memory grows with the streams of callers that
+ * have much time: the bound holds for each keeper. */
+static void
+what_a_keeper_was_told_is_bounded(void **state)
+{
+    Fixture *fixture = *state;
+    TestKeeper *keeper = &fixture->all[0];
+    unsigned count = ORIGIN_NEWS_COPIES_MAX + 100;
+    for (unsigned i = 0; i < count; i++) {
+        char request[16];
+        g_snprintf(request, sizeof(request), "r%u", i);
+        tell(fixture, request, "v1", 0);
+        run_until_told(fixture, (i + 1) * COPIES);
+    }
+    assert_int_equal(StreamOrigins_Count(keeper->known), count);
+    StreamOrigins_Free(keeper->known);
+    keeper->known = StreamOrigins_New(ORIGIN_NEWS_KEEPER_MAX);
+    unsigned before = keeper->told;
+    OriginCopies_SendAll(fixture->copies, keeper->address,
+                         keeper->keeper.link);
+    run_until(fixture, &keeper->told, before + 2);
+    assert_int_equal(StreamOrigins_Count(keeper->known),
+                     ORIGIN_NEWS_COPIES_MAX);
+}
+
 /* Guards against a gateway that needs three keepers to remember a stream. */
 static void
 fewer_keepers_are_told_as_far_as_they_go(void **state)
@@ -353,6 +378,8 @@
             the_granting_keeper_and_two_others_are_told, set_up, tear_down),
         cmocka_unit_test_setup_teardown(
             keepers_of_engines_that_leave_come_last, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(what_a_keeper_was_told_is_bounded,
+                                        set_up, tear_down),
         cmocka_unit_test_setup_teardown(a_correction_goes_to_the_same_keepers,
                                         set_up, tear_down),
         cmocka_unit_test_setup_teardown(
