Roll-outs are completed and reverted on reports only, and counted once a request

Both need reports of all connected gateways now. One look without a ready old endpoint accepted a version without a comparison; it takes 3 s. Requests at endpoints that have left, and streams that look for an endpoint of an old version, count as running there. A push is no confirmation of its age. A request that is sent again counts once in the ledger; an attempt whose connection cannot be started is counted as one before it is taken back. A proof that a version is bad is heard while another change waits for its commit. The last look comes before the leader's own decision also with deadlines below 9 s. A 409 has a message.

--- a/src/fleet/commands.c
+++ b/src/fleet/commands.c
@@ -40,6 +40,9 @@
     FleetResult result = {
         .outcome = outcome,
         .version = fleet->document.version,
+        .text = outcome == FLEET_CONFLICT
+                    ? "Another change was applied at the same time."
+                    : NULL,
     };
     report(pending, &result);
     g_hash_table_remove(fleet->pending_commands, &id);
--- a/src/fleet/rollout_runs.c
+++ b/src/fleet/rollout_runs.c
@@ -35,6 +35,10 @@
 /* Time without a ready endpoint of the target after which an accepted roll-out
  * is reverted: longer than a restart of a gateway's link needs. */
 #define GONE_US (1 * US_PER_S)
+/* Time without a ready endpoint of another version after which the target is
+ * accepted without a comparison: longer than endpoints that crashed together
+ * need to start and announce themselves. */
+#define OLD_GONE_US (3 * US_PER_S)
 /* Of the answers at a target with too few for the test, the largest fraction
  * of failures with which it is accepted at the end: no more than twice the
  * failures of the worst services that are in order. */
@@ -293,8 +297,9 @@
     uint64_t sent;
     bool ready_target; /* some gateway knows a ready endpoint of the target */
     bool ready_old;
-    bool idle_old;   /* no request runs at an old version, at any gateway */
-    unsigned silent; /* connected gateways without a recent report */
+    bool idle_old;     /* no request runs at an old version, at any gateway */
+    unsigned silent;   /* connected gateways without a recent report */
+    unsigned reported; /* gateways with one */
 } Overview;
 
 /* Returns the newest report of the gateway's process, or NULL. */
@@ -325,6 +330,7 @@
         overview.requests += report->requests;
         overview.sent += report->sent;
         if (now - report->reported_at <= REPORT_MAX_AGE_US) {
+            overview.reported++;
             overview.ready_target |= report->ready_target > 0;
             overview.ready_old |= report->ready_old > 0;
         }
@@ -396,11 +402,11 @@
 decide_at_end(const RolloutReason *reason, const Overview *overview)
 {
     static const Step accepted = {WIRE__ROLLOUT_STATE__ROLLOUT_ACCEPTED,
-                                  "few answers"};
+                                  "undecided at the end"};
     static const Step unused = {WIRE__ROLLOUT_STATE__ROLLOUT_ACCEPTED,
                                 "the service has no requests"};
     static const Step failing = {WIRE__ROLLOUT_STATE__ROLLOUT_REVERTED,
-                                 "few answers, many failures"};
+                                 "undecided at the end, many failures"};
     static const Step silent = {WIRE__ROLLOUT_STATE__ROLLOUT_REVERTED,
                                 "no answers"};
     if (reason->answers == 0) {
@@ -421,10 +427,17 @@
     bool settled = now - run->started_at >= SETTLE_US;
     bool serving = rollout->state == WIRE__ROLLOUT_STATE__ROLLOUT_SERVING;
     RolloutVerdict verdict = RolloutTest_Judge(run->test, now, reason);
-    if (overview->ready_target) {
+    /* Only reports of all gateways show that endpoints have left. */
+    bool informed = overview->silent == 0 && overview->reported > 0;
+    if (overview->ready_target || !informed) {
         run->ready_at = now;
     }
+    if (overview->ready_old || !informed) {
+        run->old_ready_at = now;
+    }
     bool gone = now - MAX(run->ready_at, run->started_at) >= GONE_US;
+    bool old_gone =
+        now - MAX(run->old_ready_at, run->started_at) >= OLD_GONE_US;
     if (verdict == ROLLOUT_BAD) {
         return (Step){WIRE__ROLLOUT_STATE__ROLLOUT_REVERTED,
                       reason->cause == ROLLOUT_CAUSE_TIMES
@@ -432,12 +445,12 @@
                           : "more failures than the old versions"};
     }
     if (serving && !overview->ready_target) {
-        return settled && left_ms <= 0
+        return settled && informed && left_ms <= 0
                    ? (Step){WIRE__ROLLOUT_STATE__ROLLOUT_REVERTED,
                             "no endpoint announces the version"}
                    : stay;
     }
-    if (serving && settled && overview->silent == 0 && !overview->ready_old) {
+    if (serving && old_gone) {
         return (Step){WIRE__ROLLOUT_STATE__ROLLOUT_ACCEPTED,
                       "no endpoint of another version"};
     }
@@ -457,7 +470,7 @@
         return (Step){WIRE__ROLLOUT_STATE__ROLLOUT_REVERTED,
                       "the endpoints of the version left"};
     }
-    if (overview->idle_old) {
+    if (settled && informed && overview->idle_old) {
         return (Step){WIRE__ROLLOUT_STATE__ROLLOUT_COMPLETED,
                       "no request runs at an old version"};
     }
@@ -471,18 +484,17 @@
 decide(Fleet *fleet, const Rollout *rollout, TimeUs now)
 {
     RolloutRun *run = find_run(fleet, rollout);
-    if (run->proposed_at_revision == rollout->revision &&
-        now - run->proposed_at < PROPOSE_AGAIN_US)
-    {
-        return;
-    }
     Overview overview = overlook(fleet, rollout, run, now);
     RolloutReason reason = {.cause = ROLLOUT_CAUSE_NONE};
     Step step = next_step(rollout, run, &overview, &reason, now);
-    if (step.state == WIRE__ROLLOUT_STATE__ROLLOUT_NONE) {
+    bool is_pending = run->proposed_at_revision == rollout->revision &&
+                      run->proposed_state == step.state &&
+                      now - run->proposed_at < PROPOSE_AGAIN_US;
+    if (step.state == WIRE__ROLLOUT_STATE__ROLLOUT_NONE || is_pending) {
         return;
     }
     run->stopped = step.state == WIRE__ROLLOUT_STATE__ROLLOUT_REVERTED;
+    run->proposed_state = step.state;
     run->proposed_at = now;
     run->proposed_at_revision = rollout->revision;
     Rollout *changed = Rollout_Copy(rollout);
--- a/src/fleet/rollouts.h
+++ b/src/fleet/rollouts.h
@@ -20,7 +20,10 @@
                      the log takes the verdict */
     TimeUs proposed_at; /* when a change was last proposed; 0: never */
     uint64_t proposed_at_revision; /* revision that it replaces */
-    TimeUs ready_at; /* when the target last had a ready endpoint */
+    RolloutState proposed_state;
+    TimeUs ready_at; /* when the target last had a ready endpoint, or was not
+                        known to have none */
+    TimeUs old_ready_at; /* the same of the other versions */
 } RolloutRun;
 
 struct FleetRollouts {
--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -171,6 +171,7 @@
         .head_only = call->head_only,
         .resumed = call->events.last_id >= 0,
     };
+    call->attempts++;
     call->upstream = Upstream_Send(endpoint, &sent, &Call_UpstreamOps, call);
     evbuffer_free(request);
     if (call->upstream == NULL) {
@@ -192,7 +193,6 @@
     endpoint->running++;
     call->state =
         call->state == CALL_STREAMING ? CALL_STREAMING : CALL_DISPATCHED;
-    call->attempts++;
     call->sent_at = Clock_Now();
 }
 
--- a/src/gateway/hosts.c
+++ b/src/gateway/hosts.c
@@ -341,7 +341,8 @@
     Gateway *gateway = control->gateway;
     apply_document(gateway, state);
     if (state->nonce == 0) {
-        Rollouts_OnState(gateway->rollouts, state, Clock_Now());
+        /* A push may be old when it is read, and no majority confirmed it. */
+        Rollouts_OnState(gateway->rollouts, state, 0);
         on_push(control, host);
         return;
     }
--- a/src/gateway/rollout_reports.c
+++ b/src/gateway/rollout_reports.c
@@ -17,6 +17,36 @@
 
 /* ---- Reports ---- */
 
+/* Returns whether the call runs at a version other than the target, or is
+ * bound to one while it looks for an endpoint. */
+static bool
+is_at_old(const Call *call, const Rollout *rollout)
+{
+    if (call->endpoint != NULL) {
+        return strcmp(call->endpoint->service, rollout->service) == 0 &&
+               !RolloutRun_IsTarget(rollout, call->endpoint);
+    }
+    return call->origin.bound &&
+           strcmp(call->origin.service, rollout->service) == 0 &&
+           strcmp(call->origin.software, rollout->target) != 0;
+}
+
+/* Counts calls, not requests of known endpoints: an endpoint that has left may
+ * still run some. */
+static uint32_t
+count_at_old(const Gateway *gateway, const Rollout *rollout)
+{
+    uint32_t count = 0;
+    GHashTableIter iter;
+    gpointer conn;
+    g_hash_table_iter_init(&iter, gateway->conns);
+    while (g_hash_table_iter_next(&iter, &conn, NULL)) {
+        const Call *call = Conn_Call(conn);
+        count += call != NULL && is_at_old(call, rollout) ? 1 : 0;
+    }
+    return count;
+}
+
 static void
 count_endpoints(const Gateway *gateway, const Rollout *rollout,
                 Wire__RolloutReport *report)
@@ -34,7 +64,6 @@
             report->ready_target += ready ? 1 : 0;
             continue;
         }
-        report->running_old += endpoint->running;
         if (ready && !Rollout_IsBarred(rollout, endpoint->software)) {
             report->ready_old++;
         }
@@ -114,6 +143,7 @@
     report.sent = run->sent;
     report.lent = run->lent;
     report.old_versions = versions;
+    report.running_old = count_at_old(gateway, rollout);
     count_endpoints(gateway, rollout, &report);
     size_t count = RolloutSamples_Count(run->samples);
     const RolloutSum **sums = g_new0(const RolloutSum *, count + 1);
@@ -224,7 +254,8 @@
     own->order = run->order;
     own->to_candidate = target;
     own->load_class = load_class_of(endpoint);
-    run->requests += call->attempts == 0 ? 1 : 0;
+    run->requests += own->counted_in != run->order ? 1 : 0;
+    own->counted_in = run->order;
     run->sent += target ? 1 : 0;
     /* The evidence of both sides begins with the first request to the
      * candidate and ends when it is accepted. */
--- a/src/gateway/rollouts.c
+++ b/src/gateway/rollouts.c
@@ -282,7 +282,8 @@
     if (own->side == SIDE_CANDIDATE &&
         (!own->reserved || now >= run->permit_until))
     {
-        Rollouts_FallBack(call, "the permit expired");
+        Rollouts_FallBack(call, own->reserved ? "the permit expired"
+                                              : "an attempt failed");
     }
     if (own->side != SIDE_NONE) {
         return;
@@ -338,6 +339,7 @@
     switch (rollout->state) {
     case WIRE__ROLLOUT_STATE__ROLLOUT_SERVING:
         return target ? call->rollout.reserved && run != NULL &&
+                            call->rollout.order == run->order &&
                             now < run->permit_until &&
                             is_in_trial(rollout, endpoint)
                       : call->rollout.side != SIDE_CANDIDATE;
--- a/src/gateway/rollouts.h
+++ b/src/gateway/rollouts.h
@@ -30,6 +30,7 @@
     uint64_t order; /* of the roll-out that the members below are of */
     CallSide side;
     bool reserved;       /* a request of the permit is set aside for it */
+    uint64_t counted_in; /* order in whose requests the call was counted */
     bool counts;         /* the answer of the present attempt is evidence */
     bool to_candidate;   /* side of the present attempt */
     unsigned load_class; /* of its endpoint, before it was sent */
@@ -47,7 +48,7 @@
 void Rollouts_Free(Rollouts *rollouts);
 
 /* Applies the roll-outs that a control host sent.
- * @param asked_at  when the query that it answers was sent. */
+ * @param asked_at  when the query that it answers was sent; 0 for a push. */
 void Rollouts_OnState(Rollouts *rollouts, const Wire__ConfigState *state,
                       TimeUs asked_at);
 
--- a/src/sched/rollout_test.c
+++ b/src/sched/rollout_test.c
@@ -24,6 +24,9 @@
  * the traffic moves and the old versions finish their requests. */
 #define LAST_FRACTION (5.0 / 6)
 #define LAST_MAX_US (32 * US_PER_S)
+/* Least time from the last look to the deadline. The leader decides 1.5 s
+ * before the deadline what the test has not decided. */
+#define LAST_BEFORE_US (1750 * US_PER_MS)
 /* Bound of the probability of rejecting a good candidate by the sequential
  * test, at all looks together. */
 #define ERROR_SEQUENTIAL 0.005
@@ -101,6 +104,8 @@
                                      ACCEPT_MAX_US);
     test->last_at =
         begun_at + MIN((TimeUs)(LAST_FRACTION * (double)span), LAST_MAX_US);
+    test->last_at =
+        MAX(MIN(test->last_at, deadline - LAST_BEFORE_US), test->accept_at);
     test->slice_at = begun_at;
     test->spacing = MAX(WINDOW_SPACING_US, span / ROLLOUT_WINDOWS_MAX);
     test->windows =
