--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -345,10 +345,8 @@
     .retry_after_ms = STOPPING_RETRY_AFTER_MS,
 };
 
-/* Returns whether the call is likely to run still when the planned stop
- * ends. */
-static bool
-outlasts_stop(const Call *call)
+bool
+Call_OutlastsStop(const Call *call)
 {
     const Gateway *gateway = call->gateway;
     if (!gateway->stopping || call->route == NULL) {
@@ -357,7 +355,8 @@
     TimeUs end = gateway->stop_started_at +
                  gateway->options->bounds.stop_ms * US_PER_MS;
     TimeUs deadline =
-        call->deadline != 0 ? call->deadline : call->caller_deadline;
+        MIN(call->caller_deadline,
+            call->received_at + call->route->timeout_ms * US_PER_MS);
     TimeUs run = RunTimes_Bound(gateway->run_times, call);
     return MIN(Clock_Now() + run, deadline) > end;
 }
@@ -373,11 +372,20 @@
     }
 }
 
+void
+Call_EndStop(Call *call)
+{
+    if (call->state != CALL_STREAMING) {
+        call->maybe_ran = call->maybe_ran || call->state == CALL_DISPATCHED;
+        Call_Fail(call, &stopping);
+    }
+}
+
 bool
 Call_CheckStop(Call *call)
 {
-    if (call->state != CALL_WAITING || call->maybe_ran || !outlasts_stop(call))
-    {
+    if (call->state != CALL_WAITING || call->maybe_ran ||
+        !Call_OutlastsStop(call)) {
         return false;
     }
     const Gateway *gateway = call->gateway;
--- a/src/gateway/call_answer.c
+++ b/src/gateway/call_answer.c
@@ -226,6 +226,15 @@
         buffer_body(call, body);
         return;
     }
+    if (call->events.forwarded_count == call->forwarded_before &&
+        !Endpoint_MayContinue(call->endpoint, call))
+    {
+        Upstream_Cancel(call->upstream);
+        call->upstream = NULL;
+        Call_Retry(call, ATTEMPT_MAYBE_RAN,
+                   "the endpoint may run another version by now");
+        return;
+    }
     evbuffer_add_buffer(call->partial_event, body);
     if (!Events_Forward(&call->events, call->partial_event, call->answer)) {
         Upstream_Cancel(call->upstream);
--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -194,6 +194,7 @@
     call->state =
         call->state == CALL_STREAMING ? CALL_STREAMING : CALL_DISPATCHED;
     call->sent_at = Clock_Now();
+    call->forwarded_before = call->events.forwarded_count;
 }
 
 static void
@@ -227,7 +228,9 @@
 static bool
 may_retry(const Call *call, AttemptOutcome outcome)
 {
-    if (call->deadline - Clock_Now() < RETRY_MIN_LEFT_US) {
+    if (call->deadline - Clock_Now() < RETRY_MIN_LEFT_US ||
+        Call_OutlastsStop(call))
+    {
         return false;
     }
     switch (outcome) {
--- a/src/gateway/conn.c
+++ b/src/gateway/conn.c
@@ -375,6 +375,14 @@
     }
 }
 
+void
+Conn_EndStop(Conn *conn)
+{
+    if (conn->call != NULL) {
+        Call_EndStop(conn->call);
+    }
+}
+
 void
 Conn_CheckBarred(Conn *conn)
 {
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -18,6 +18,9 @@
  * that the load balancer can notice it. */
 #define STOP_ACCEPT_MS 3000
 #define STOP_POLL_MS 50
+/* Time before the end of a stop at which requests without an answer get one:
+ * their callers otherwise see a closed connection. */
+#define STOP_LAST_ANSWERS_US (150 * US_PER_MS)
 #define LISTEN_BACKLOG 512
 /* Assumed number of gateways before the leader reports it. At most a few dozen
  * share a limit, and a share that is too small for a second does less harm
@@ -107,20 +110,26 @@
     g_list_free(conns);
 }
 
+/* Calls a function for each connection; the end of a call may free the
+ * connections of others. */
 static void
-on_fail_barred(evutil_socket_t fd, short events, void *arg)
+for_each_conn(const Gateway *gateway, void (*visit)(Conn *conn))
 {
-    Gateway *gateway = arg;
     GList *conns = g_hash_table_get_keys(gateway->conns);
     for (GList *at = conns; at != NULL; at = at->next) {
-        /* The end of a call may free the connections of others. */
         if (g_hash_table_contains(gateway->conns, at->data)) {
-            Conn_CheckBarred(at->data);
+            visit(at->data);
         }
     }
     g_list_free(conns);
 }
 
+static void
+on_fail_barred(evutil_socket_t fd, short events, void *arg)
+{
+    for_each_conn(arg, Conn_CheckBarred);
+}
+
 void
 Gateway_FailBarred(Gateway *gateway)
 {
@@ -131,19 +140,6 @@
     event_active(gateway->fail_barred_event, EV_TIMEOUT, 0);
 }
 
-/* Refuses requests that wait for an endpoint and would outlast the stop. */
-static void
-refuse_waiting(Gateway *gateway)
-{
-    GList *conns = g_hash_table_get_keys(gateway->conns);
-    for (GList *at = conns; at != NULL; at = at->next) {
-        if (g_hash_table_contains(gateway->conns, at->data)) {
-            Conn_CheckStop(at->data);
-        }
-    }
-    g_list_free(conns);
-}
-
 /* Closes the listener once the load balancer has had time to notice the stop,
  * and reports the task as drained when all requests are answered. */
 static void
@@ -151,7 +147,13 @@
 {
     Gateway *gateway = arg;
     TimeUs now = Clock_Now();
-    refuse_waiting(gateway);
+    for_each_conn(gateway, Conn_CheckStop);
+    if (now >= gateway->stop_started_at +
+                   gateway->options->bounds.stop_ms * US_PER_MS -
+                   STOP_LAST_ANSWERS_US)
+    {
+        for_each_conn(gateway, Conn_EndStop);
+    }
     if (now < gateway->stop_started_at + STOP_ACCEPT_MS * US_PER_MS) {
         return;
     }
--- a/src/gateway/origins.c
+++ b/src/gateway/origins.c
@@ -364,10 +364,10 @@
 /* Applies what the replies agree on.
  * @return false when the call was refused and is freed. */
 static bool
-apply_replies(Call *call)
+apply_replies(Call *call, TimeUs now)
 {
     const OriginReplies *replies = call->origin.replies;
-    const StreamOrigin *origin = OriginReplies_Origin(replies, Clock_Now());
+    const StreamOrigin *origin = OriginReplies_Origin(replies, now);
     log_origin(call, origin);
     if (!apply_origin(call, origin,
                       OriginReplies_HasHost(replies) ? "control" : "keeper"))
@@ -415,10 +415,18 @@
         origin->ask_again_at = now;
         origin->ask_delay = ASK_AGAIN_US;
     }
-    if (OriginReplies_Judge(origin->replies, origin->hosts_asked, now) !=
-        ORIGIN_OPEN)
-    {
-        return apply_replies(call);
+    /* A control host that was not connected when a stream's version turned out
+     * to be uncertain does not know of it, so that others are awaited. */
+    unsigned hosts = hosts_know_all(call->gateway) ? origin->hosts_asked : 0;
+    switch (OriginReplies_Judge(origin->replies, hosts, now)) {
+    case ORIGIN_OPEN:
+        break;
+    case ORIGIN_EXPIRED:
+        end_question(call);
+        return refuse_unknown(call, 0);
+    case ORIGIN_SETTLED:
+    case ORIGIN_DISPUTED:
+        return apply_replies(call, now);
     }
     if (OriginReplies_Count(origin->replies) > 0) {
         Call_Hold(call, OriginReplies_SettlesAt(origin->replies));
@@ -486,6 +494,7 @@
     const GatewayFields *fields = call->gateway->options->fields;
     bool has_events = Call_Field(call, fields->last_event) != NULL;
     if (call->route->kind != ROUTE_STREAM || !has_events) {
+        end_question(call); /* of a route that was a stream's before */
         return true;
     }
     return (call->origin.lookup == ORIGIN_FOUND || find_origin(call)) &&
--- a/src/gateway/run_times.c
+++ b/src/gateway/run_times.c
@@ -55,6 +55,9 @@
     if (after != NULL || call->attempts != 1) {
         return; /* the newest attempt made only a part of the answer */
     }
+    if (call->is_stream && call->first_output_at == 0) {
+        return; /* a stream without an event */
+    }
     RunBound *bound = g_hash_table_lookup(times->by_route, call->route->name);
     if (bound == NULL) {
         if (g_hash_table_size(times->by_route) >= RUN_TIMES_ROUTES_MAX) {
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -120,6 +120,9 @@
  * outlast the planned stop. */
 void Conn_CheckStop(Conn *conn);
 
+/* Answers the connection's call, unless a part of the answer was sent. */
+void Conn_EndStop(Conn *conn);
+
 /* Fails the connection's call if it waits and its request is barred. */
 void Conn_CheckBarred(Conn *conn);
 
@@ -243,6 +246,7 @@
     size_t counted_bytes;    /* of answer, in Gateway.answer_bytes */
     struct evbuffer *partial_event; /* received bytes of an incomplete event */
     Events events;
+    uint64_t forwarded_before; /* events of earlier attempts */
     CallOrigin origin;
     CallRollout rollout;
     GList *queue_node;          /* position in queue, or NULL */
@@ -260,6 +264,14 @@
 void Call_Start(Conn *conn, Gateway *gateway, const H1Head *head,
                 struct evbuffer *body);
 
+/* Returns whether the call is likely to run still when the planned stop
+ * ends. */
+bool Call_OutlastsStop(const Call *call);
+
+/* Answers a call that has no part of its answer yet, as the planned stop
+ * ends. */
+void Call_EndStop(Call *call);
+
 /* Refuses the call if it waits for an endpoint and would outlast a planned
  * stop.
  * @return true when the call was refused and is freed. */
--- a/src/sched/origin_replies.c
+++ b/src/sched/origin_replies.c
@@ -58,7 +58,7 @@
 {
     const StreamOrigin *origin = OriginReplies_Origin(replies, now);
     if (origin == NULL) {
-        return ORIGIN_OPEN;
+        return replies->count > 0 ? ORIGIN_EXPIRED : ORIGIN_OPEN;
     }
     if (origin->software[0] == '\0') {
         return ORIGIN_DISPUTED;
--- a/src/sched/origin_replies.h
+++ b/src/sched/origin_replies.h
@@ -18,6 +18,7 @@
 
 typedef enum OriginVerdict {
     ORIGIN_OPEN,     /**< No reply yet, or more are awaited. */
+    ORIGIN_EXPIRED,  /**< What was replied holds no longer. */
     ORIGIN_SETTLED,  /**< All replies so far agree. */
     ORIGIN_DISPUTED, /**< Two replies differ, or one is not certain. */
 } OriginVerdict;
@@ -34,7 +35,8 @@
 
 /** Judges the replies so far. They suffice when all control hosts have
  * replied, or ORIGIN_REPLIES_SETTLE_US after the first one.
- * @param hosts  number of control hosts that were asked. */
+ * @param hosts  number of control hosts that were asked, if these together
+ *               know all origins; else 0. */
 OriginVerdict OriginReplies_Judge(const OriginReplies *replies, unsigned hosts,
                                   TimeUs now);
 
--- a/test/unit/test_origin_replies.c
+++ b/test/unit/test_origin_replies.c
@@ -67,6 +67,27 @@
     OriginReplies_Free(replies);
 }
 
+/* Guards against a call that is held for ever: what a keeper replied expires
+ * before other replies are awaited no longer. */
+static void
+an_origin_that_expires_meanwhile_is_told_apart(void **state)
+{
+    OriginReplies *replies = OriginReplies_New("r");
+    StreamOrigin origin = {
+        .request = "r",
+        .service = "engines",
+        .account = "sahil",
+        .software = "v1",
+        .expires_at = NOW + ORIGIN_REPLIES_SETTLE_US / 2,
+    };
+    OriginReplies_Add(replies, NULL, &origin, NOW);
+    assert_int_equal(OriginReplies_Judge(replies, 0, NOW), ORIGIN_OPEN);
+    assert_int_equal(
+        OriginReplies_Judge(replies, 0, NOW + ORIGIN_REPLIES_SETTLE_US),
+        ORIGIN_EXPIRED);
+    OriginReplies_Free(replies);
+}
+
 /* Guards against a joined stream: the first reply comes from a keeper that a
  * correction has not reached. */
 static void
@@ -106,6 +127,7 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(all_control_hosts_suffice),
         cmocka_unit_test(keepers_suffice_after_a_time),
+        cmocka_unit_test(an_origin_that_expires_meanwhile_is_told_apart),
         cmocka_unit_test(contradictions_are_disputed),
         cmocka_unit_test(foreign_and_expired_replies_are_ignored),
     };
