--- a/src/gateway/conn.c
+++ b/src/gateway/conn.c
@@ -85,7 +85,11 @@
 {
     conn->state = CONN_CLOSING;
     struct evbuffer *out = bufferevent_get_output(conn->stream);
-    if (evbuffer_get_length(out) > 0 || conn->write_closed) {
+    if (conn->write_closed) {
+        return;
+    }
+    if (evbuffer_get_length(out) > 0) {
+        set_timer(conn, request_limits(conn)->idle_timeout_ms);
         return;
     }
     conn->write_closed = true;
@@ -125,6 +129,11 @@
     conn->state = CONN_READING;
     conn->http10 = head->http10;
     conn->close_after = !head->keep_alive;
+    if (Held_RefusesNew(conn->gateway->held)) {
+        refuse_request(conn, 503, "out_of_memory",
+                       "The gateway holds too much for slow callers.");
+        return false;
+    }
     if (head->has_length &&
         head->length > request_limits(conn)->max_body_bytes) {
         refuse_request(conn, 413, "too_large",
@@ -357,6 +366,16 @@
     };
 }
 
+void
+Conn_ResumeReading(Conn *conn)
+{
+    if (conn->call != NULL &&
+        Conn_UnsentBytes(conn) <= Held_CallerPart(conn->gateway->held))
+    {
+        Call_OnBytesWritten(conn->call);
+    }
+}
+
 void
 Conn_CutOff(Conn *conn)
 {
--- a/src/gateway/held.c
+++ b/src/gateway/held.c
@@ -67,7 +67,8 @@
 size_t
 Held_KernelBytes(const Held *held)
 {
-    return held == NULL ? 0 : SOCKET_BYTES;
+    /* The kernel doubles the size that is set, for its own data. */
+    return held == NULL ? 0 : 2 * SOCKET_BYTES;
 }
 
 bool
@@ -113,6 +114,7 @@
     g_hash_table_iter_init(&iter, held->gateway->conns);
     while (g_hash_table_iter_next(&iter, &key, NULL)) {
         HeldFor caller = Conn_Held(key);
+        Conn_ResumeReading(key);
         if (caller.bytes > 0) {
             held->bytes += caller.bytes;
             g_array_append_val(callers, caller);
--- a/src/gateway/keepers.c
+++ b/src/gateway/keepers.c
@@ -201,6 +201,45 @@
     Call_SendTo(want->call, endpoint);
 }
 
+void
+Keepers_RefuseWant(Want *want, const Keeper *last, const char *reason)
+{
+    Call *call = want->call;
+    Gateway *gateway = call->gateway;
+    if (Rollouts_FallBack(call, "all engines refused")) {
+        Keepers_EndWant(call, SLOT_NOT_SERVED);
+        ServiceQueue_Add(gateway, call);
+        return;
+    }
+    uint32_t retry_after_ms = Want_ReturnMs(want);
+    LOG_INFO(GATEWAY_PART,
+             "No slot for the request. id=%s refused=%u unanswered=%u "
+             "last=%s reason=%s queued=%u busy=%u want=%llu by=%s "
+             "retry_after_ms=%u",
+             call->id, want->refused->len, want->pending->len,
+             last != NULL ? last->endpoint_id : "", reason,
+             last != NULL ? last->queued_wants : 0,
+             last != NULL ? last->busy_slots : 0, (unsigned long long)want->id,
+             want->limited ? "view" : "search", retry_after_ms);
+    Keepers_EndWant(call, SLOT_NOT_SERVED);
+    if (call->maybe_ran) {
+        Call_Fail(call, &(CallError){
+                            .status = 502,
+                            .code = "endpoint_failed",
+                            .message = "The endpoint failed and no other "
+                                       "can finish the request in time.",
+                        });
+        return;
+    }
+    Call_Fail(call, &(CallError){
+                        .status = 503,
+                        .code = "overloaded",
+                        .message = "No endpoint can finish the request "
+                                   "in time.",
+                        .retry_after_ms = retry_after_ms,
+                    });
+}
+
 static void
 on_refuse(Keeper *keeper, const Wire__SlotRefuse *refuse)
 {
@@ -230,37 +269,8 @@
     if (want->pending->len > 0) {
         return;
     }
-    Call *call = want->call;
-    if (Rollouts_FallBack(call, "all engines refused")) {
-        Keepers_EndWant(call, SLOT_NOT_SERVED);
-        ServiceQueue_Add(keeper->keepers->gateway, call);
-        return;
-    }
-    uint32_t retry_after_ms = Want_ReturnMs(want);
-    LOG_INFO(GATEWAY_PART,
-             "No slot for the request. id=%s refused=%u last=%s reason=%s "
-             "queued=%u busy=%u want=%llu by=%s retry_after_ms=%u",
-             call->id, want->refused->len, keeper->endpoint_id,
-             RefuseReason_Name((RefuseReason)refuse->reason), refuse->queued,
-             refuse->busy, (unsigned long long)id,
-             want->limited ? "view" : "search", retry_after_ms);
-    Keepers_EndWant(call, SLOT_NOT_SERVED);
-    if (call->maybe_ran) {
-        Call_Fail(call, &(CallError){
-                            .status = 502,
-                            .code = "endpoint_failed",
-                            .message = "The endpoint failed and no other "
-                                       "can finish the request in time.",
-                        });
-        return;
-    }
-    Call_Fail(call, &(CallError){
-                        .status = 503,
-                        .code = "overloaded",
-                        .message = "No endpoint can finish the request "
-                                   "in time.",
-                        .retry_after_ms = retry_after_ms,
-                    });
+    Keepers_RefuseWant(want, keeper,
+                       RefuseReason_Name((RefuseReason)refuse->reason));
 }
 
 static void
--- a/src/gateway/keepers.h
+++ b/src/gateway/keepers.h
@@ -50,6 +50,11 @@
 /* Notifies a keeper that a granted slot is free again, or withdraws a want. */
 void Want_SendEnd(Keeper *keeper, uint64_t id, SlotOutcome outcome);
 
+/* Refuses the want's call, which no engine can serve in time, and frees both;
+ * a call of a roll-out's trial goes on at the old versions instead.
+ * @param last  keeper that refused it last; NULL if the view did. */
+void Keepers_RefuseWant(Want *want, const Keeper *last, const char *reason);
+
 /* Withdraws the want from all keepers that have not replied. */
 void Want_Withdraw(Want *want);
 
--- a/src/gateway/paces.c
+++ b/src/gateway/paces.c
@@ -233,9 +233,11 @@
     }
     TimeUs now = Clock_Now();
     if (question->id == 0) {
-        if (now < question->pause_until ||
-            !send_question(question, service->health_path))
-        {
+        if (now < question->pause_until) {
+            return false;
+        }
+        if (!send_question(question, service->health_path)) {
+            question->pause_until = now + FAILED_PAUSE_US;
             return false;
         }
         question->id = ++gateway->last_question_id;
--- a/src/gateway/service_queue.c
+++ b/src/gateway/service_queue.c
@@ -36,9 +36,7 @@
  * endpoints rest. */
 #define REST_SPREAD_MS 500
 
-/* Longest wait for an endpoint that is full but quicker than a free one. It is
- * less than WAIT_FRACTION of the time of any request, so that none is refused
- * while an endpoint is free. */
+/* Longest wait for an endpoint that is full but quicker than a free one. */
 #define QUICKER_WAIT_MAX_MS 100
 
 /* Time constant of the moving mean of demand. */
@@ -254,14 +252,22 @@
     return sent;
 }
 
-/* Returns the index of the best candidate for a call, or -1 if none can take
- * it now. Sets @p asked if the call waits for an answer about the load. */
+/* Why no endpoint was chosen. */
+typedef enum NoChoice {
+    NO_CAPACITY, /* none can take the call now */
+    LOAD_ASKED,  /* the call waits for an answer about the load */
+    QUICKER_ONE, /* the call waits for a full endpoint that is quicker than the
+                    free ones */
+} NoChoice;
+
+/* Returns the index of the best candidate for a call, or -1 and why. */
 static int
 choose_candidate(const EndpointChoice *choice, Call *call, bool engine,
-                 bool *asked)
+                 NoChoice *why)
 {
+    *why = NO_CAPACITY;
     if (!engine && ask_for_load(choice, call)) {
-        *asked = true;
+        *why = LOAD_ASKED;
         return -1;
     }
     int best = Balancer_ChooseEndpoint(choice->candidates, choice->count,
@@ -279,6 +285,7 @@
                  "cost_ms=%.1f waited_ms=%.1f",
                  call->id, choice->endpoints[best]->id,
                  Balancer_CostMs(&choice->candidates[best]), waited_ms);
+        *why = QUICKER_ONE;
         return -1;
     }
     if (Pace_IsKnown(&choice->endpoints[best]->pace)) {
@@ -288,10 +295,9 @@
     return best;
 }
 
-/* Returns the best endpoint for a call, or NULL if none can take it now. Sets
- * @p asked if the call waits for an answer about the load. */
+/* Returns the best endpoint for a call, or NULL and why. */
 static Endpoint *
-choose_endpoint(Call *call, const ServiceQueue *queue, bool *asked)
+choose_endpoint(Call *call, const ServiceQueue *queue, NoChoice *why)
 {
     const RouteService *service =
         RouteTable_Service(call->table, queue->service);
@@ -306,7 +312,7 @@
     collect_candidates(&choice, call, queue);
     Zones_Choose(call, choice.endpoints, NULL, choice.candidates,
                  choice.count);
-    int best = choose_candidate(&choice, call, engine, asked);
+    int best = choose_candidate(&choice, call, engine, why);
     Endpoint *endpoint = best < 0 ? NULL : choice.endpoints[best];
     g_free(choice.candidates);
     g_free(choice.endpoints);
@@ -451,6 +457,13 @@
     ServiceQueue_Pump(gateway, service);
 }
 
+static void
+wait_for_endpoint(const ServiceQueue *queue)
+{
+    struct timeval span = {.tv_usec = RETRY_DELAY_MS * US_PER_MS};
+    event_add(queue->retry_timer, &span);
+}
+
 void
 ServiceQueue_Pump(Gateway *gateway, const char *service)
 {
@@ -466,11 +479,15 @@
             ServiceQueue_Remove(call);
             continue;
         }
-        bool asked = false;
-        Endpoint *endpoint = choose_endpoint(call, queue, &asked);
-        if (asked) {
+        NoChoice why;
+        Endpoint *endpoint = choose_endpoint(call, queue, &why);
+        if (endpoint == NULL && why == LOAD_ASKED) {
             continue;
         }
+        if (endpoint == NULL && why == QUICKER_ONE) {
+            wait_for_endpoint(queue);
+            break;
+        }
         if (endpoint == NULL && Rollouts_FallBack(call, "no capacity")) {
             continue;
         }
@@ -485,8 +502,7 @@
             continue;
         }
         if (endpoint == NULL) {
-            struct timeval span = {.tv_usec = RETRY_DELAY_MS * US_PER_MS};
-            event_add(queue->retry_timer, &span);
+            wait_for_endpoint(queue);
             break;
         }
         ServiceQueue_Remove(call);
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -8,6 +8,7 @@
 #include <event2/event.h>
 #include <event2/listener.h>
 
+#include "gateway/conn.h"
 #include "gateway/endpoints.h"
 #include "gateway/events.h"
 #include "gateway/gateway.h"
@@ -77,57 +78,6 @@
     struct event *fail_barred_event; /* NULL before the first use */
 };
 
-/* ---- conn.c: connections of callers ---- */
-
-/* Takes over an accepted socket. */
-Conn *Conn_New(Gateway *gateway, evutil_socket_t fd);
-
-/* Sets the call whose answer is written to this connection. */
-void Conn_SetCall(Conn *conn, Call *call);
-Call *Conn_Call(const Conn *conn);
-
-/* Writes the head of an answer, with its framing fields. */
-void Conn_SendHead(Conn *conn, struct evbuffer *head);
-
-/* Writes body bytes. The caller of this function adds the chunk framing. */
-void Conn_SendBody(Conn *conn, struct evbuffer *body);
-
-/* Ends a complete answer, then reads the next request or closes. */
-void Conn_Finish(Conn *conn);
-
-/* Closes the connection at once, so that the caller sees that its answer is
- * incomplete. */
-void Conn_Abort(Conn *conn);
-
-/* Returns whether the connection closes after the current answer. */
-bool Conn_WillClose(const Conn *conn);
-bool Conn_IsHttp10(const Conn *conn);
-
-/* Returns the number of answer bytes that are not yet written. */
-size_t Conn_UnsentBytes(const Conn *conn);
-
-/* Returns the bytes that are held for the connection's caller. */
-HeldFor Conn_Held(const Conn *conn);
-
-/* Closes the connection to free what is held for its caller. */
-void Conn_CutOff(Conn *conn);
-
-/* Closes the connection if it is idle and @p close_idle is set. Called
- * repeatedly during a planned stop. */
-void Conn_Drain(Conn *conn, bool close_idle);
-
-/* Refuses the connection's call if it still waits for an endpoint and would
- * outlast the planned stop. */
-void Conn_CheckStop(Conn *conn);
-
-/* Answers the connection's call, unless a part of the answer was sent. */
-void Conn_EndStop(Conn *conn);
-
-/* Fails the connection's call if it waits and its request is barred. */
-void Conn_CheckBarred(Conn *conn);
-
-void Conn_Free(Conn *conn);
-
 /* ---- upstream.c: connections to endpoints ---- */
 
 typedef enum UpstreamFailure {
--- a/src/gateway/wants.c
+++ b/src/gateway/wants.c
@@ -32,6 +32,10 @@
  * some keepers while all others are known to be late. Outlooks change within
  * about this time. */
 #define RECHECK_MS 250
+/* Part of the latency target after which a request without hope is refused,
+ * and the least time for keepers to reply: a round trip between regions. */
+#define HOPELESS_DIVISOR 8
+#define HOPELESS_MIN_MS 70
 /* Time over which the load in a keeper's report decays to 0. */
 #define LOAD_DECAY_US (300 * US_PER_MS)
 /* Assumed speeds of an engine before its keeper reports them, in tokens/s. */
@@ -214,6 +218,7 @@
     PoolCandidate *pool;
     Keeper **keepers;
     Endpoint **endpoints;
+    bool *open;     /* whether the want may be sent there, in any zone */
     double *queued; /* waiting requests, as the keepers last reported */
     uint32_t *slots;
     size_t count;
@@ -236,6 +241,7 @@
     choice->pool = g_new0(PoolCandidate, size);
     choice->keepers = g_new0(Keeper *, size);
     choice->endpoints = g_new0(Endpoint *, size);
+    choice->open = g_new0(bool, size);
     choice->queued = g_new0(double, size);
     choice->slots = g_new0(uint32_t, size);
     choice->count = 0;
@@ -257,9 +263,10 @@
         choice->keepers[choice->count] = keeper;
         choice->endpoints[choice->count] = endpoint;
         choice->queued[choice->count] = keeper_queued(keeper, now);
+        choice->open[choice->count] = !busy && !was_sent(want, keeper);
         choice->slots[choice->count] = endpoint->slots;
-        choice->candidates[choice->count++] = (BalancerCandidate){
-            .usable = !busy && !was_sent(want, keeper),
+        choice->candidates[choice->count] = (BalancerCandidate){
+            .usable = choice->open[choice->count],
             .tried = Endpoint_WasTried(endpoint, call),
             .distance = Endpoint_Distance(endpoint),
             .load = load,
@@ -268,6 +275,7 @@
                 expected_run_ms(keeper, call) * Paces_Factor(endpoint),
             .rate_wait_ms = Endpoint_RateWaitMs(endpoint),
         };
+        choice->count++;
     }
     if (want == NULL) {
         Zones_Choose(call, choice->endpoints, choice->queued,
@@ -287,6 +295,7 @@
     g_free(choice->keepers);
     g_free(choice->slots);
     g_free(choice->endpoints);
+    g_free(choice->open);
     g_free(choice->queued);
 }
 
@@ -358,23 +367,28 @@
     return found;
 }
 
-/* Describes the keepers for the view of the pool, without failing engines
- * while there are others. */
+/* Describes the keepers for the view of the pool, in all zones, without
+ * failing engines while there are others that are not late. */
 static void
 fill_pool(KeeperChoice *choice, Call *call)
 {
+    PoolRequest request = Pool_RequestOf(call);
+    TimeUs now = Clock_Now();
+    TimeUs lateness;
     bool others = false;
     for (size_t i = 0; i < choice->count; i++) {
-        const BalancerCandidate *candidate = &choice->candidates[i];
-        others = others || (candidate->usable &&
-                            candidate->error_rate <= ERROR_RATE_MAX);
+        others =
+            others || (choice->open[i] &&
+                       choice->candidates[i].error_rate <= ERROR_RATE_MAX &&
+                       EngineView_Judge(&choice->keepers[i]->view, &request,
+                                        now, &lateness) != ENGINE_LATE);
     }
     for (size_t i = 0; i < choice->count; i++) {
         const BalancerCandidate *candidate = &choice->candidates[i];
         bool excluded = others && candidate->error_rate > ERROR_RATE_MAX;
         choice->pool[i] = (PoolCandidate){
             .view = &choice->keepers[i]->view,
-            .usable = candidate->usable && !excluded,
+            .usable = choice->open[i] && !excluded,
             .cost_ms = Balancer_CostMs(candidate),
         };
     }
@@ -384,6 +398,18 @@
     }
 }
 
+/* Returns the time after which a request that the view knows to be late
+ * everywhere is refused, whether or not the asked keepers have replied: one of
+ * them may be frozen. */
+static uint32_t
+hopeless_ms(const Call *call)
+{
+    TimeUs until = call->received_at + call->route->latency_target_ms *
+                                           US_PER_MS / HOPELESS_DIVISOR;
+    TimeUs left_ms = (until - Clock_Now()) / US_PER_MS;
+    return (uint32_t)MAX(left_ms, HOPELESS_MIN_MS);
+}
+
 /* Sends the wants that the view of the pool chooses, if it shows that the pool
  * is short of capacity.
  * @return false if it decides nothing. */
@@ -418,7 +444,10 @@
         send_want(want, keeper, choice->slots[chosen.chosen[i]], 0);
     }
     *sent = (guint)chosen.count;
-    if (!want->hopeless) {
+    if (want->hopeless) {
+        schedule_next_round(want, hopeless_ms(want->call));
+    }
+    else {
         schedule_next_round(want,
                             chosen.count > 0 ? LATER_ROUND_MS : RECHECK_MS);
     }
@@ -509,6 +538,10 @@
         ServiceQueue_Add(call->gateway, call);
         return;
     }
+    if (want->hopeless) {
+        Keepers_RefuseWant(want, NULL, "late_everywhere");
+        return;
+    }
     Want_SendNextRound(want);
 }
 
--- a/src/sched/queue.c
+++ b/src/sched/queue.c
@@ -7,6 +7,7 @@
 
 #include <glib.h>
 
+#include "sched/queue_memory.h"
 #include "sched/queue_shares.h"
 #include "sched/queue_times.h"
 
@@ -120,26 +121,6 @@
     return prompts >= PREFILL_PROMPTS && tokens >= PREFILL_TOKENS;
 }
 
-/* Returns the tokens that a request may need in the engine's memory. */
-static uint64_t
-tokens_needed(const WorkSpec *work)
-{
-    return (uint64_t)work->prompt_tokens +
-           MAX(work->output_tokens, work->longest_output_tokens);
-}
-
-/* Returns true if the request fits into the engine's memory beside those that
- * the engine holds. */
-static bool
-fits_memory(const WantQueue *queue, const Item *item)
-{
-    uint64_t tokens = tokens_needed(&item->work);
-    for (uint32_t i = 0; i < queue->busy_count; i++) {
-        tokens += tokens_needed(&QueueItems_Busy(queue, i)->work);
-    }
-    return queue->memory_tokens == 0 || tokens <= queue->memory_tokens;
-}
-
 /* Returns true if one more request may be sent to the endpoint. */
 static bool
 has_room(const WantQueue *queue, const Item *item, TimeUs now)
@@ -172,12 +153,9 @@
                            finish - item->work.deadline, now);
             continue;
         }
-        if (!fits_memory(queue, item) && queue->busy_count == 0) {
-            refuse_waiting(queue, item, REFUSE_UNFIT, 0, now);
-            continue;
-        }
-        if (!fits_memory(queue, item) ||
-            (item->work.alone && queue->busy_count > 0)) {
+        if (!QueueMemory_Fits(queue, item) ||
+            (item->work.alone && queue->busy_count > 0))
+        {
             return;
         }
         if (prefill_is_full(queue, now) || !Rest_MaySend(&queue->rest, now) ||
@@ -212,7 +190,7 @@
         Item *item = QueueItems_Waiting(queue, position);
         TimeUs start = MAX(Plan_NextFree(&plan),
                            QueueTimes_NextByRate(queue, position, now));
-        if (!item->booked) {
+        if (!item->booked && start > now) {
             start += QueueTimes_BookedWait(queue, &item->work, start);
         }
         TimeUs run_time = QueueTimes_RunTime(queue, item);
@@ -307,6 +285,10 @@
         push_refusal(queue, work, owner, REFUSE_LEAVING, RETRY_AFTER_MIN_MS);
         return;
     }
+    if (QueueMemory_Exceeds(queue, work)) {
+        push_refusal(queue, work, owner, REFUSE_UNFIT, RETRY_AFTER_MAX_MS);
+        return;
+    }
     if (!make_room(queue, work)) {
         push_refusal(queue, work, owner, REFUSE_SHED,
                      to_retry_after_ms(queue->retry_after_ms * US_PER_MS));
@@ -462,6 +444,12 @@
 Queue_SetMemory(WantQueue *queue, uint64_t tokens, TimeUs now)
 {
     queue->memory_tokens = tokens;
+    for (uint32_t i = queue->waiting_count; i > 0; i--) {
+        Item *item = QueueItems_Waiting(queue, i - 1);
+        if (QueueMemory_Exceeds(queue, &item->work)) {
+            refuse_waiting(queue, item, REFUSE_UNFIT, 0, now);
+        }
+    }
     plan_and_grant(queue, now);
 }
 
--- a/src/sched/queue_outlook.c
+++ b/src/sched/queue_outlook.c
@@ -72,6 +72,9 @@
         MAX(Plan_NextFree(&walk->plan),
             QueueTimes_NextByRate(walk->queue, walk->position, walk->now));
     start = MAX(start, walk->now);
+    if (start <= walk->now) {
+        return 0; /* no slot stays idle for a booking */
+    }
     return start + QueueTimes_BookedWait(walk->queue, work, start) - walk->now;
 }
 
--- a/test/unit/test_queue_memory.c
+++ b/test/unit/test_queue_memory.c
@@ -64,6 +64,33 @@
     Queue_Free(queue);
 }
 
+/* Guards against one request that never fits and keeps the slots of a busy
+ * engine from others. */
+static void
+what_never_fits_holds_nobody_up(void **state)
+{
+    WantQueue *queue = Queue_New(&(QueueConfig){
+        .max_wants = 8,
+        .max_ended_ids = 4,
+        .slots = 4,
+        .grant_ttl = US_PER_S,
+        .decode_tokens_s = 10,
+        .prefill_tokens_s = 1000,
+    });
+    WorkSpec running = new_work(1, 300);
+    assert_true(run(queue, &running));
+    WorkSpec oversize = new_work(2, MEMORY_TOKENS);
+    Queue_SetMemory(queue, MEMORY_TOKENS, 0);
+    Queue_AddWant(queue, &oversize, 1, 0);
+    QueueAction action;
+    assert_int_equal(Queue_TakeActions(queue, &action, 1), 1);
+    assert_int_equal(action.kind, QUEUE_REFUSE);
+    assert_int_equal(action.reason, REFUSE_UNFIT);
+    WorkSpec fits = new_work(3, 300);
+    assert_true(run(queue, &fits));
+    Queue_Free(queue);
+}
+
 static void
 what_never_fits_is_refused(void **state)
 {
@@ -88,6 +115,7 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(only_what_fits_the_memory_is_granted),
+        cmocka_unit_test(what_never_fits_holds_nobody_up),
         cmocka_unit_test(what_never_fits_is_refused),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
