--- a/src/gateway/held.c
+++ b/src/gateway/held.c
@@ -23,7 +23,7 @@
 #define ANSWERS_MAX_BYTES (32u * 1024 * 1024)
 /* Kernel's buffer of what is written to one caller. A larger one would hold
  * bytes that the bound does not see. */
-#define SOCKET_BYTES (32 * 1024)
+#define SOCKET_BYTES (16 * 1024)
 /* Part of the bound that buffered answers may have. */
 #define ANSWERS_DIVISOR 2
 
