--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -84,9 +84,11 @@
     sleep 4
     check
     note "round $round: ran twice: $TWICE, refused and ran: $REFUSED_RAN, gateways ended: $ENDED"
-    [ $((TWICE + REFUSED_RAN + ENDED)) = 0 ] || break
+    [ $((TWICE + ENDED)) = 0 ] || break
 done
 uniq -d "$WORK/runs" | sed "s/^/$(now_ms) ran twice: /" >>"$RECORD"
+uniq "$WORK/runs" | comm -12 - "$WORK/refused" |
+    sed "s/^/$(now_ms) refused and ran: /" >>"$RECORD"
 result="ran twice: $TWICE, refused and ran: $REFUSED_RAN, gateways ended by themselves: $ENDED, after $round rounds"
 [ $((TWICE + REFUSED_RAN + ENDED)) = 0 ] && finish 0 "held: $result"
 finish 1 "broken: $result"
