--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -2,6 +2,7 @@
 # A tenant's limit is lifted, and the machine that acknowledged the change
 # freezes for a moment. No request of a non_idempotent route may run twice, none
 # that was refused may have run, and no gateway may end.
+# What was sent, answered and run goes to record.txt beside this file.
 . "$(dirname "$0")/../standin/lib.sh"
 GATEWAYS="1 2"
 ROUNDS=4
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,6 +3,7 @@
 # prefer HTTP/2 do with each request, and sends its body with a length. Each
 # request may run only with the body that its client sent, and no text inside a
 # body may run as a request.
+# What was sent, answered and run goes to record.txt beside this file.
 . "$(dirname "$0")/../standin/lib.sh"
 
 configuration() {
--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -2,6 +2,7 @@
 # A configuration takes all keys away: its list of tenants is empty. A request
 # with a key that was taken away, sent later than revokeMs after the
 # acknowledgement, may not run, and no key may reach a server.
+# What was sent, answered and run goes to record.txt beside this file.
 . "$(dirname "$0")/../standin/lib.sh"
 REVOKE_S=5
 
