An offered upgrade does not change where a request ends

Cause: the parser took http-parser's flag `upgrade` as the end of the message. The library sets it for every offer and for CONNECT, but ends the message after the head only if there is no body.

Change: the flag is cleared when the head is parsed, before the library decides on the body, so framing follows from the framing fields alone. CONNECT is refused with 400.

--- a/src/http1/parser.c
+++ b/src/http1/parser.c
@@ -122,6 +122,9 @@
     head->chunked = (core->flags & F_CHUNKED) != 0;
     head->has_length = (core->flags & F_CONTENTLENGTH) != 0;
     head->length = head->has_length ? core->content_length : 0;
+    /* Upgrades of the protocol are not supported, so an offer must not change
+     * where the message ends (RFC 9110, section 7.8). */
+    core->upgrade = 0;
     return parser->no_body ? 1 : 0;
 }
 
@@ -256,15 +259,10 @@
         http_parser_execute(&parser->core, &callbacks, raw, length);
     g_free(raw);
     enum http_errno failure = HTTP_PARSER_ERRNO(&parser->core);
-    if ((failure != HPE_OK && failure != HPE_PAUSED) ||
-        (parsed != length && !parser->core.upgrade))
-    {
+    if ((failure != HPE_OK && failure != HPE_PAUSED) || parsed != length) {
         Error_Set(err, ERR_INVALID, "%s.", http_errno_description(failure));
         return set_invalid(parser);
     }
-    /* Requests to upgrade the protocol are ignored. http-parser treats such a
-     * message as complete after its head. */
-    parser->complete = parser->complete || parser->core.upgrade;
     parser->state = STATE_BODY;
     return H1_HEAD;
 }
--- a/src/http1/strict.c
+++ b/src/http1/strict.c
@@ -106,6 +106,9 @@
     {
         return Error_Set(err, ERR_INVALID, "The request line is malformed.");
     }
+    if (equals_name(line, (size_t)(first_space - line), "CONNECT")) {
+        return Error_Set(err, ERR_INVALID, "Tunnels are not supported.");
+    }
     if (first_space[1] != '/') {
         return Error_Set(err, ERR_INVALID,
                          "The request target does not start with a slash.");
--- a/test/functional/platform-framing.sh
+++ b/test/functional/platform-framing.sh
@@ -33,6 +33,7 @@
 send_raw "GET /look/a HTTP/1.1\nHost: h.example\nAttempt-Id: a7\n\n$NEXT"
 send_raw "GET /look/a HTTP/1.1\r\nAttempt-Id: a8\r\n\r\n$NEXT"
 send_raw "GET /look/a HTTP/1.1\r\n${H}X: a\\000b\r\nAttempt-Id: a9\r\n\r\n$NEXT"
+send_raw "CONNECT /once/a HTTP/1.1\r\n${H}Attempt-Id: a10\r\nContent-Length: 4\r\n\r\nabcd$NEXT"
 echo "-- none of them ran"
 cat app-a.record
 
@@ -43,3 +44,12 @@
 echo "-- valid: chunk extensions and trailers, two pipelined requests"
 send_raw "POST /once/a HTTP/1.1\r\n${H}Attempt-Id: c1\r\nTransfer-Encoding: chunked\r\n\r\n4;x=y\r\nabcd\r\n0\r\nT: u\r\n\r\nGET /look/x HTTP/1.1\r\n${H}Attempt-Id: c2\r\nConnection: close\r\n\r\n"
 cut -d" " -f1-3,8 app-a.record
+
+# An offer to upgrade the protocol does not change where the body ends.
+: >app-a.record
+OFFER='Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\nHTTP2-Settings: AAEAAEAA\r\n'
+LENGTH=$(printf "$NEXT" | wc -c)
+echo "-- valid: a request with a body that offers an upgrade"
+send_raw "POST /once/a HTTP/1.1\r\n${H}Attempt-Id: d1\r\n${OFFER}Content-Length: $LENGTH\r\n\r\n${NEXT}GET /look/x HTTP/1.1\r\n${H}Attempt-Id: d2\r\nConnection: close\r\n\r\n"
+[ "$(cut -d" " -f1-3,8 app-a.record)" = "ran d1 POST body=$LENGTH
+ran d2 GET body=0" ] && echo "ran with its whole body" || cat app-a.record
--- a/test/unit/test_http1.c
+++ b/test/unit/test_http1.c
@@ -258,6 +258,79 @@
         "Host=a\nTransfer-Encoding=chunked\n");
 }
 
+/* Parses the bytes in pieces of @p piece bytes up to the end of the message
+ * and compares its body and what follows it. */
+static void
+assert_body(const char *text, size_t piece, const char *body, const char *rest)
+{
+    H1Parser *parser = H1Parser_New(H1_REQUEST, HEAD_MAX);
+    struct evbuffer *in = evbuffer_new();
+    H1Step step = H1_NEED_MORE;
+    size_t length = strlen(text);
+    for (size_t at = 0; at < length; at += piece) {
+        evbuffer_add(in, text + at, MIN(piece, length - at));
+        if (step == H1_NEED_MORE) {
+            step = run_parser(parser, in);
+        }
+    }
+    assert_int_equal(step, H1_DONE);
+    struct evbuffer *parsed = H1Parser_Body(parser);
+    evbuffer_add(parsed, "", 1);
+    assert_string_equal(evbuffer_pullup(parsed, -1), body);
+    evbuffer_add(in, "", 1);
+    assert_string_equal(evbuffer_pullup(in, -1), rest);
+    evbuffer_free(in);
+    H1Parser_Free(parser);
+}
+
+/* An offer to upgrade the protocol does not change where a request ends. A
+ * body that is taken for the next request would run without its sender's
+ * intent. */
+static void
+offered_upgrade_does_not_change_the_framing(void **state)
+{
+    static const char offer[] =
+        "Host: a\r\nConnection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\n"
+        "HTTP2-Settings: AAEAAEAA\r\n";
+    static const char next[] = "GET /b HTTP/1.1\r\nHost: h\r\n\r\n";
+    static const struct {
+        const char *method;
+        const char *framing;
+        const char *body;
+    } cases[] = {
+        {"POST",
+         "Content-Length: 28\r\n\r\nGET /x HTTP/1.1\r\nHost: h\r\n\r\n",
+         "GET /x HTTP/1.1\r\nHost: h\r\n\r\n"},
+        {"POST",
+         "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n",
+         "abc"},
+        {"GET", "Content-Length: 4\r\n\r\nabcd", "abcd"},
+        {"DELETE", "Content-Length: 4\r\n\r\nabcd", "abcd"},
+        {"POST", "Content-Length: 0\r\n\r\n", ""},
+        {"GET", "\r\n", ""},
+    };
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        char *text =
+            g_strdup_printf("%s /a HTTP/1.1\r\n%s%s%s", cases[i].method, offer,
+                            cases[i].framing, next);
+        for (size_t piece = 1; piece <= strlen(text); piece++) {
+            assert_body(text, piece, cases[i].body, next);
+        }
+        g_free(text);
+    }
+}
+
+/* What follows a CONNECT request is not HTTP to a server that grants it. */
+static void
+requests_to_connect_are_refused(void **state)
+{
+    ASSERT_REQUEST("CONNECT /a HTTP/1.1\r\nHost: a\r\n\r\n", H1_INVALID);
+    ASSERT_REQUEST("CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\n", H1_INVALID);
+    ASSERT_REQUEST("CONNECT /a HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n"
+                   "\r\nabcd",
+                   H1_INVALID);
+}
+
 /* Appends a random field to a message, and to the expected fields unless that
  * is NULL. */
 static void
@@ -306,6 +379,8 @@
         cmocka_unit_test(ambiguous_requests_are_refused),
         cmocka_unit_test(malformed_heads_are_refused),
         cmocka_unit_test(valid_requests_are_accepted),
+        cmocka_unit_test(offered_upgrade_does_not_change_the_framing),
+        cmocka_unit_test(requests_to_connect_are_refused),
         cmocka_unit_test(body_is_decoded_and_the_next_message_kept),
         cmocka_unit_test(large_heads_are_refused),
         cmocka_unit_test(responses_end_as_declared),
