The entry refuses requests whose framing evhttp misjudges

Callers of laurelliftd: a request with two lengths, a length with a sign or a space before the colon of Content-Length ran with another body, and the rest of its bytes ran as a request. A GET with a body ran without it.

Cause: evhttp accepts these forms, and nothing checked what it had read; the agent sends bodies through evhttp, which states their length for POST, PUT and PATCH only.

Change: handlers are set through Http_SetHandler(), which applies the checks of http1/strict to the fields as read and compares the body with its declared length, and refuses with 400 and a closed connection. The agent states the length of each body.

Evidence: functional/caller-framing failed before (a request inside another was answered in three of seven cases, three GET requests had lost their body) and passes now; caller-*, endpoint-*, entry-*, rules-*, agent-dispatch and path pass.

--- a/src/agent/endpoint.c
+++ b/src/agent/endpoint.c
@@ -245,8 +245,8 @@
     evhttp_set_max_body_size(agent->http, BODY_MAX_BYTES);
     evhttp_set_max_headers_size(agent->http, HEADERS_MAX_BYTES);
     evhttp_set_timeout(agent->http, HTTP_TIMEOUT_S);
-    evhttp_set_cb(agent->http, "/v1/announce", on_announce, agent);
-    evhttp_set_cb(agent->http, "/v1/leaving", on_leaving, agent);
+    Http_SetHandler(agent->http, "/v1/announce", on_announce, agent);
+    Http_SetHandler(agent->http, "/v1/leaving", on_leaving, agent);
     AgentReport_Listen(agent);
     return ERR_OK;
 }
--- a/src/agent/report.c
+++ b/src/agent/report.c
@@ -233,6 +233,6 @@
 void
 AgentReport_Listen(Agent *agent)
 {
-    evhttp_set_cb(agent->http, "/v1/load", on_load, agent);
-    evhttp_set_cb(agent->http, "/v1/cache", on_cache, agent);
+    Http_SetHandler(agent->http, "/v1/load", on_load, agent);
+    Http_SetHandler(agent->http, "/v1/cache", on_cache, agent);
 }
--- a/src/agent/run.c
+++ b/src/agent/run.c
@@ -384,6 +384,10 @@
     }
     add_prefix_header(run, headers);
     if (dispatch->body.len > 0) {
+        /* evhttp adds the length for some methods only. */
+        char length[24];
+        g_snprintf(length, sizeof(length), "%zu", dispatch->body.len);
+        evhttp_add_header(headers, "Content-Length", length);
         evbuffer_add(evhttp_request_get_output_buffer(run->request),
                      dispatch->body.data, dispatch->body.len);
     }
--- a/src/control/admin.c
+++ b/src/control/admin.c
@@ -338,7 +338,7 @@
     }
     evhttp_set_max_body_size(control->http, BODY_MAX_BYTES);
     evhttp_set_max_headers_size(control->http, HEADERS_MAX_BYTES);
-    evhttp_set_gencb(control->http, on_request, control);
+    Http_SetHandler(control->http, NULL, on_request, control);
     return ERR_OK;
 }
 
--- a/src/entry/caller.c
+++ b/src/entry/caller.c
@@ -229,7 +229,7 @@
                          EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE |
                          EVHTTP_REQ_OPTIONS | EVHTTP_REQ_TRACE |
                          EVHTTP_REQ_CONNECT | EVHTTP_REQ_PATCH);
-    evhttp_set_gencb(entry->http, on_request, entry);
+    Http_SetHandler(entry->http, NULL, on_request, entry);
     return ERR_OK;
 }
 
--- a/src/wire/http.c
+++ b/src/wire/http.c
@@ -5,13 +5,20 @@
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
 #include <glib.h>
 
+#include "http1/strict.h"
 #include "kernel/counter.h"
 #include "kernel/histogram.h"
 #include "kernel/task.h"
 
+typedef struct Registration {
+    HttpHandler *handle;
+    void *arg;
+} Registration;
+
 typedef struct ReadinessCheck {
     bool (*ready)(void *owner);
     void *owner;
@@ -105,6 +112,100 @@
     return body;
 }
 
+/* ---- Framing ---- */
+
+/* Prints the fields as evhttp has read them, with a start line in which only
+ * the method CONNECT and the version matter. */
+static GString *
+print_raw_head(const struct evhttp_request *request)
+{
+    GString *raw = g_string_new(NULL);
+    g_string_printf(raw, "%s / HTTP/%d.%d\r\n",
+                    request->type == EVHTTP_REQ_CONNECT ? "CONNECT" : "GET",
+                    request->major, request->minor);
+    for (const struct evkeyval *field = request->input_headers->tqh_first;
+         field != NULL; field = field->next.tqe_next)
+    {
+        g_string_append_printf(raw, "%s: %s\r\n", field->key, field->value);
+    }
+    g_string_append(raw, "\r\n");
+    return raw;
+}
+
+/* Checks that evhttp cannot have misjudged where the request ends: its framing
+ * fields are unambiguous, and its body is as long as declared. */
+static int
+check_framing(struct evhttp_request *request, Error *err)
+{
+    GString *raw = print_raw_head(request);
+    int result = H1Head_CheckRaw(raw->str, raw->len, true, err);
+    g_string_free(raw, TRUE);
+    if (result != ERR_OK) {
+        return result;
+    }
+    const char *length = evhttp_find_header(
+        evhttp_request_get_input_headers(request), "Content-Length");
+    guint64 declared = 0;
+    if (length == NULL) {
+        return ERR_OK;
+    }
+    if (!g_ascii_string_to_unsigned(length, 10, 0, G_MAXINT64, &declared,
+                                    NULL) ||
+        declared !=
+            evbuffer_get_length(evhttp_request_get_input_buffer(request)))
+    {
+        return Error_Set(err, ERR_INVALID,
+                         "The body is not as long as declared.");
+    }
+    return ERR_OK;
+}
+
+static void
+refuse_framing(struct evhttp_request *request, const Error *err)
+{
+    HttpError error = {
+        .status = 400,
+        .code = "bad_framing",
+        .message = err->text,
+        .outcome = "not_run",
+    };
+    evhttp_add_header(evhttp_request_get_output_headers(request), "Connection",
+                      "close");
+    Http_ReplyError(request, &error);
+}
+
+static void
+on_request(struct evhttp_request *request, void *arg)
+{
+    const Registration *registration = arg;
+    Error err = ERROR_INIT;
+    /* evhttp also reports a request whose connection has failed. */
+    bool received = evhttp_request_get_connection(request) != NULL &&
+                    evhttp_request_get_uri(request) != NULL;
+    if (received && check_framing(request, &err) != ERR_OK) {
+        refuse_framing(request, &err);
+        return;
+    }
+    registration->handle(request, registration->arg);
+}
+
+void
+Http_SetHandler(struct evhttp *server, const char *path, HttpHandler *handle,
+                void *arg)
+{
+    /* Never freed: a server runs until the process exits. */
+    Registration *registration = g_new0(Registration, 1);
+    registration->handle = handle;
+    registration->arg = arg;
+    if (path == NULL) {
+        evhttp_set_gencb(server, on_request, registration);
+        return;
+    }
+    evhttp_set_cb(server, path, on_request, registration);
+}
+
+/* ---- Common pages ---- */
+
 static void
 on_healthz(struct evhttp_request *request, void *arg)
 {
@@ -167,9 +268,9 @@
     ReadinessCheck *check = g_new0(ReadinessCheck, 1);
     check->ready = ready;
     check->owner = owner;
-    evhttp_set_cb(server, "/healthz", on_healthz, NULL);
-    evhttp_set_cb(server, "/readyz", on_readyz, check);
-    evhttp_set_cb(server, "/metrics", on_metrics, NULL);
-    evhttp_set_cb(server, "/debug/state", on_state, NULL);
+    Http_SetHandler(server, "/healthz", on_healthz, NULL);
+    Http_SetHandler(server, "/readyz", on_readyz, check);
+    Http_SetHandler(server, "/metrics", on_metrics, NULL);
+    Http_SetHandler(server, "/debug/state", on_state, NULL);
     return server;
 }
--- a/src/wire/http.h
+++ b/src/wire/http.h
@@ -38,6 +38,15 @@
  * @param length  set to the length without the NUL, unless NULL. */
 char *Http_Body(struct evhttp_request *request, size_t *length);
 
+typedef void HttpHandler(struct evhttp_request *request, void *arg);
+
+/** Sets the handler of the requests to @p path, or of all that no other handler
+ * takes if @p path is NULL. A request whose framing is ambiguous or whose body
+ * evhttp has not read as declared does not reach the handler: it gets a 400 and
+ * its connection is closed, because what follows could be a part of it. */
+void Http_SetHandler(struct evhttp *server, const char *path,
+                     HttpHandler *handle, void *arg);
+
 /** Bounds the memory that the answers on a connection take: their heads, and
  * the bytes that evhttp has not consumed. Reading stops at the latter bound,
  * and with it evhttp's time-outs, so the caller must end the request after a
