A request's questions end when it is admitted

Cause: a question to the leader outlived the wait of its request. Where the account had no limit any more, nothing ended the question, so the late answer admitted the dispatched request again or refused it.

Change: questions about limits and origins end at the one place where a request is admitted, and where it is held for a lease. The leader is set at one place, which ends the questions to its predecessor. A request whose key has passed to another account asks anew.

--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -408,6 +408,16 @@
     set_timer(call, until);
 }
 
+/* Ends the questions that the call was held for. A question is open only while
+ * the call is held for its answer: a late one would refuse a request that
+ * runs, or send it again. */
+static void
+end_questions(Call *call)
+{
+    Quotas_Forget(call);
+    Origins_EndQuestion(call);
+}
+
 /* Holds a request that arrived before the configuration or the lease, because
  * the next answer of a control host decides and callers retry only a few
  * times.
@@ -424,6 +434,7 @@
         return false;
     }
     call->held_until = now + max_hold_us;
+    end_questions(call);
     Call_Hold(call, call->held_until);
     return true;
 }
@@ -517,6 +528,7 @@
     if (Call_CheckStop(call)) {
         return;
     }
+    end_questions(call);
     call->deadline =
         MIN(call->caller_deadline,
             call->received_at + call->route->timeout_ms * US_PER_MS);
--- a/src/gateway/hosts.c
+++ b/src/gateway/hosts.c
@@ -183,13 +183,28 @@
     set_timer(control, ANSWER_TIMEOUT_MS);
 }
 
+/* Sets the address of the leader, NULL if it is unknown. Questions to another
+ * leader end, since its late answers decide nothing any more.
+ * @return whether it is another one than before. */
+static bool
+set_leader(GatewayControl *control, const char *address)
+{
+    if (g_strcmp0(control->leader, address) == 0) {
+        return false;
+    }
+    g_free(control->leader);
+    control->leader = g_strdup(address);
+    Quotas_OnLeaderLost(control->gateway->quotas);
+    return true;
+}
+
 static void
 on_timer(evutil_socket_t fd, short events, void *arg)
 {
     GatewayControl *control = arg;
     if (control->query_nonce != 0) {
         /* The host did not answer; it is unreachable or hangs. */
-        g_clear_pointer(&control->leader, g_free);
+        set_leader(control, NULL);
         control->query_nonce = 0;
     }
     query_leader(control);
@@ -325,9 +340,7 @@
 static void
 on_push(GatewayControl *control, Host *host)
 {
-    if (g_strcmp0(control->leader, host->address) != 0) {
-        g_free(control->leader);
-        control->leader = g_strdup(host->address);
+    if (set_leader(control, host->address)) {
         Rollouts_OnLeader(control->gateway->rollouts);
     }
     if (!Gateway_HasLease(control->gateway)) {
@@ -354,17 +367,13 @@
         update_hosts(control, state);
     }
     if (!state->confirmed) {
-        g_free(control->leader);
-        control->leader = state->leader[0] != '\0' &&
-                                  strcmp(state->leader, host->address) != 0
-                              ? g_strdup(state->leader)
-                              : NULL;
+        bool named = state->leader[0] != '\0' &&
+                     strcmp(state->leader, host->address) != 0;
+        set_leader(control, named ? state->leader : NULL);
         set_timer(control, RETRY_DELAY_MS);
         return;
     }
-    if (g_strcmp0(control->leader, host->address) != 0) {
-        g_free(control->leader);
-        control->leader = g_strdup(host->address);
+    if (set_leader(control, host->address)) {
         LOG_INFO(GATEWAY_PART, "Leading control host. address=%s",
                  host->address);
         Rollouts_OnLeader(gateway->rollouts);
@@ -416,10 +425,9 @@
     GatewayControl *control = host->control;
     LOG_INFO(GATEWAY_PART, "Control host lost. address=%s", host->address);
     if (g_strcmp0(control->leader, host->address) == 0) {
-        g_clear_pointer(&control->leader, g_free);
+        set_leader(control, NULL);
         control->query_nonce = 0;
         set_timer(control, RETRY_DELAY_MS);
-        Quotas_OnLeaderLost(control->gateway->quotas);
     }
 }
 
--- a/src/gateway/origins.c
+++ b/src/gateway/origins.c
@@ -268,8 +268,8 @@
     return true;
 }
 
-static void
-end_question(Call *call)
+void
+Origins_EndQuestion(Call *call)
 {
     if (call->origin.nonce != 0) {
         g_hash_table_remove(call->gateway->origins->questions,
@@ -277,6 +277,9 @@
         call->origin.nonce = 0;
     }
     g_clear_pointer(&call->origin.replies, OriginReplies_Free);
+    if (call->origin.lookup == ORIGIN_ASKED) {
+        call->origin.lookup = ORIGIN_NOT_ASKED;
+    }
 }
 
 static void
@@ -374,7 +377,7 @@
     {
         return false;
     }
-    end_question(call);
+    Origins_EndQuestion(call);
     return true;
 }
 
@@ -422,7 +425,7 @@
     case ORIGIN_OPEN:
         break;
     case ORIGIN_EXPIRED:
-        end_question(call);
+        Origins_EndQuestion(call);
         return refuse_unknown(call, 0);
     case ORIGIN_SETTLED:
     case ORIGIN_DISPUTED:
@@ -433,7 +436,7 @@
         return false;
     }
     if (now >= origin->ask_until) {
-        end_question(call);
+        Origins_EndQuestion(call);
         return assume_sole(call, UNKNOWN_RETRY_AFTER_MS);
     }
     if (now >= origin->ask_again_at) {
@@ -481,7 +484,7 @@
                         : StreamOrigins_Find(call->gateway->origins->begun,
                                              request, Clock_Now());
     if (origin != NULL) {
-        end_question(call);
+        Origins_EndQuestion(call);
         return apply_origin(call, origin, "gateway");
     }
     return request == NULL ? assume_sole(call, 0)
@@ -494,7 +497,6 @@
     const GatewayFields *fields = call->gateway->options->fields;
     bool has_events = Call_Field(call, fields->last_event) != NULL;
     if (call->route->kind != ROUTE_STREAM || !has_events) {
-        end_question(call); /* of a route that was a stream's before */
         return true;
     }
     return (call->origin.lookup == ORIGIN_FOUND || find_origin(call)) &&
@@ -519,7 +521,7 @@
 void
 Origins_Forget(Call *call)
 {
-    end_question(call);
+    Origins_EndQuestion(call);
     g_clear_pointer(&call->origin.software, g_free);
     g_clear_pointer(&call->origin.service, g_free);
     call->origin.bound = false;
--- a/src/gateway/origins.h
+++ b/src/gateway/origins.h
@@ -49,6 +49,9 @@
  * freed. */
 bool Origins_Resolve(Call *call);
 
+/* Ends the call's question, if any: no reply reaches the call any more. */
+void Origins_EndQuestion(Call *call);
+
 /* Applies a reply.
  * @param host  identifies the control host that sent it; NULL for a keeper. */
 void Origins_OnReply(Origins *origins, const void *host,
--- a/src/gateway/quotas.c
+++ b/src/gateway/quotas.c
@@ -4,6 +4,8 @@
  * before it refuses a request. While no leader answers, the gateway uses its
  * part of each limit.
  */
+#include <string.h>
+
 #include "gateway/state.h"
 #include "kernel/counter.h"
 #include "sched/quota_purse.h"
@@ -65,6 +67,13 @@
     g_free(question);
 }
 
+static GHashTable *
+new_questions(void)
+{
+    return g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+                                 free_question);
+}
+
 Quotas *
 Quotas_New(Gateway *gateway)
 {
@@ -72,8 +81,7 @@
     quotas->gateway = gateway;
     quotas->by_account =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_quota);
-    quotas->questions = g_hash_table_new_full(g_int64_hash, g_int64_equal,
-                                              NULL, free_question);
+    quotas->questions = new_questions();
     return quotas;
 }
 
@@ -223,6 +231,11 @@
     Quota *quota = find_quota(quotas, call->account->name);
     QuotaPart part = part_of(quotas, call->account);
     QuotaQuestion *question = call->quota_question;
+    if (question != NULL && strcmp(question->account, quota->account) != 0) {
+        /* The key belongs to another account by now. */
+        abandon_question(quotas, question);
+        question = NULL;
+    }
     if (question != NULL && Clock_Now() < question->until) {
         decision.verdict = QUOTA_ASKED;
         decision.ask_until = question->until;
@@ -328,10 +341,12 @@
 void
 Quotas_OnLeaderLost(Quotas *quotas)
 {
+    GHashTable *lost = quotas->questions;
+    quotas->questions = new_questions();
     GPtrArray *calls = g_ptr_array_new();
     GHashTableIter iter;
     gpointer value;
-    g_hash_table_iter_init(&iter, quotas->questions);
+    g_hash_table_iter_init(&iter, lost);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         QuotaQuestion *question = value;
         if (question->call != NULL) {
@@ -343,7 +358,7 @@
         Call_Readmit(calls->pdata[i]);
     }
     g_ptr_array_unref(calls);
-    g_hash_table_remove_all(quotas->questions);
+    g_hash_table_destroy(lost);
 }
 
 void
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -536,8 +536,8 @@
 /* Records that the leader has answered a query. */
 void Quotas_OnLeaderHeard(Quotas *quotas);
 
-/* Ends all questions, since the leader's link was lost, and decides the calls
- * that wait for them by the gateway's part. */
+/* Ends all questions, since the host that was asked leads no more or cannot be
+ * reached, and decides the calls that wait for them by the gateway's part. */
 void Quotas_OnLeaderLost(Quotas *quotas);
 
 /* Visits each account that has more units than it may store, and removes
