An empty list of accounts takes all keys away

Cause: a route table without accounts was taken for one of a deployment that has none; nothing told a missing list from an empty one.

Change: a table requires keys unless it is opened, which the adapter does only for a document without the field.

--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -251,7 +251,7 @@
         .retry_after_ms = DEFAULT_RETRY_AFTER_MS,
     };
     call->account = NULL;
-    if (call->route->is_public || !RouteTable_HasAccounts(call->table)) {
+    if (call->route->is_public || !RouteTable_RequiresKeys(call->table)) {
         return NULL;
     }
     if (!Gateway_HasLease(call->gateway)) {
--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -80,7 +80,7 @@
         return false; /* print_request() adds this field */
     }
     if (strcasecmp(name, "Authorization") == 0) {
-        return !RouteTable_HasAccounts(call->table);
+        return !RouteTable_RequiresKeys(call->table);
     }
     return strcasecmp(name, "Host") == 0 || !is_connection_option(call, name);
 }
--- a/src/routes/table.c
+++ b/src/routes/table.c
@@ -16,6 +16,7 @@
     GArray *services; /* RouteService */
     GArray *accounts; /* RouteAccount */
     RouteLimits limits;
+    bool is_open;        /* requests need no key */
     GHashTable *by_host; /* lower-case host -> GPtrArray of Route */
     GHashTable *by_key;  /* key -> RouteAccount */
     GHashTable *by_name; /* service name -> RouteService */
@@ -107,6 +108,12 @@
     table->limits = *limits;
 }
 
+void
+RouteTable_SetOpen(RouteTable *table)
+{
+    table->is_open = true;
+}
+
 static int
 index_services(RouteTable *table, Error *err)
 {
@@ -257,9 +264,9 @@
 }
 
 bool
-RouteTable_HasAccounts(const RouteTable *table)
+RouteTable_RequiresKeys(const RouteTable *table)
 {
-    return table->accounts->len > 0;
+    return !table->is_open;
 }
 
 const Route *
--- a/src/routes/table.h
+++ b/src/routes/table.h
@@ -93,6 +93,11 @@
 void RouteTable_AddAccount(RouteTable *table, const RouteAccount *account);
 void RouteTable_SetLimits(RouteTable *table, const RouteLimits *limits);
 
+/** Lets requests through without an API key, for a document that does not name
+ * accounts at all. Without this call each request to a route that is not
+ * public needs the key of an account, also when the table has no account. */
+void RouteTable_SetOpen(RouteTable *table);
+
 /** Checks the table and builds its indexes.
  * @return ERR_OK, or ERR_INVALID with the first error in @p err: a duplicate
  *         or unknown service, a key of two accounts, a prefix without '/' at
@@ -102,7 +107,9 @@
 
 uint64_t RouteTable_Version(const RouteTable *table);
 const RouteLimits *RouteTable_Limits(const RouteTable *table);
-bool RouteTable_HasAccounts(const RouteTable *table);
+
+/** Returns whether a request to a route that is not public needs a key. */
+bool RouteTable_RequiresKeys(const RouteTable *table);
 
 /** Returns the route for a host and path, or NULL. The case of the host and
  * its port are ignored. */
--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -92,6 +92,34 @@
     RouteTable_Unref(table);
 }
 
+/* Guards against a document with an empty list of accounts that opens all
+ * routes, as one without the list does. */
+static void
+only_a_document_without_accounts_needs_no_keys(void **state)
+{
+    static const struct {
+        const char *text;
+        bool requires_keys;
+    } cases[] = {
+        {DOCUMENT("7", ROUTE("\"service\":\"s\""), ""), false},
+        {DOCUMENT("7", ROUTE("\"service\":\"s\""), ",\"tenants\":[]"), true},
+        {DOCUMENT("7", ROUTE("\"service\":\"s\""),
+                  ",\"tenants\":[{\"name\":\"a\",\"apiKeys\":[]}]"),
+         true},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        Error err;
+        RouteTable *table = decode(cases[i].text, &err);
+        assert_non_null(table);
+        assert_int_equal(RouteTable_RequiresKeys(table),
+                         cases[i].requires_keys);
+        RouteTable_Unref(table);
+    }
+    Error err;
+    assert_null(decode(
+        DOCUMENT("7", ROUTE("\"service\":\"s\""), ",\"tenants\":null"), &err));
+}
+
 static void
 invalid_documents_are_refused(void **state)
 {
@@ -306,6 +334,7 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(documents_are_decoded_to_route_tables),
         cmocka_unit_test(health_paths_are_read),
+        cmocka_unit_test(only_a_document_without_accounts_needs_no_keys),
         cmocka_unit_test(invalid_documents_are_refused),
         cmocka_unit_test(heartbeats_are_decoded_to_records),
         cmocka_unit_test(software_that_is_not_named_is_unknown),
