--- a/src/wire/http.h
+++ b/src/wire/http.h
@@ -40,10 +40,11 @@
 
 typedef void HttpHandler(struct evhttp_request *request, void *arg);
 
-/** Sets the handler of the requests to @p path, or of all that no other handler
- * takes if @p path is NULL. A request whose framing is ambiguous or whose body
- * evhttp has not read as declared does not reach the handler: it gets a 400 and
- * its connection is closed, because what follows could be a part of it. */
+/** Sets the handler of the requests to @p path, or of all that no other
+ * handler takes if @p path is NULL. A request whose framing is ambiguous or
+ * whose body evhttp has not read as declared does not reach the handler: it
+ * gets a 400 and its connection is closed, because what follows could be a
+ * part of it. */
 void Http_SetHandler(struct evhttp *server, const char *path,
                      HttpHandler *handle, void *arg);
 
