A further attempt never uses a connection that carried the request

Callers: where a server wrote an earlier refusal once more on a kept connection, a request that ran was answered 503 as not run, or was sent again and ran twice.

Cause: answers are matched by the request id, and the next attempt of a refused request has the same id. Over the connection of the first attempt, the repeated refusal counted as its answer.

Change: connections to endpoints are numbered, a request keeps the numbers of those that have carried it, and none of them is used for a further attempt.

--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -36,6 +36,7 @@
     event_free(call->timer);
     g_array_unref(call->fields);
     g_ptr_array_unref(call->failed_endpoints);
+    g_array_unref(call->carried_by);
     evbuffer_free(call->body);
     evbuffer_free(call->answer_head);
     evbuffer_free(call->answer);
@@ -580,6 +581,7 @@
     call->caller_deadline = call->received_at;
     call->timer = event_new(gateway->base, -1, 0, on_timer, call);
     call->failed_endpoints = g_ptr_array_new_with_free_func(g_free);
+    call->carried_by = g_array_new(FALSE, FALSE, sizeof(uint64_t));
     call->body = evbuffer_new();
     evbuffer_add_buffer(call->body, body);
     call->answer_head = evbuffer_new();
--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -170,6 +170,7 @@
         .require_live = !Call_IsRepeatable(call),
         .head_only = call->head_only,
         .resumed = call->events.last_id >= 0,
+        .carried_by = call->carried_by,
     };
     call->attempts++;
     call->upstream = Upstream_Send(endpoint, &sent, &Call_UpstreamOps, call);
@@ -179,6 +180,8 @@
         Call_Retry(call, ATTEMPT_NOT_SENT, "connection could not be started");
         return;
     }
+    uint64_t number = Upstream_Number(call->upstream);
+    g_array_append_val(call->carried_by, number);
     Rest_OnSent(&endpoint->rest, Clock_Now());
     if (endpoint->consecutive_failures > 0) {
         endpoint->probing = true;
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -69,6 +69,7 @@
     Rollouts *rollouts;
     uint64_t last_want_id;
     uint64_t last_question_id;
+    uint64_t last_connection; /* number of the newest one to an endpoint */
     GQueue held_calls;   /* Calls that wait for a configuration or lease */
     unsigned call_count; /* number of unfinished calls */
     size_t answer_bytes; /* of answers that are buffered until complete */
@@ -106,6 +107,10 @@
     bool require_live;
     bool head_only; /* the answer has no body */
     bool resumed;   /* asks for the rest of a stream */
+    /* Numbers (uint64_t) of the connections that have carried the id, which
+     * are not used again: a late answer to an earlier attempt would be taken
+     * for the answer to this one. */
+    const GArray *carried_by;
 } UpstreamRequest;
 
 /* Sends a request on an idle or new connection.
@@ -113,6 +118,10 @@
 Upstream *Upstream_Send(Endpoint *endpoint, const UpstreamRequest *request,
                         const UpstreamOps *ops, void *owner);
 
+/* Returns the number of the connection, which no other one of the gateway
+ * has. */
+uint64_t Upstream_Number(const Upstream *upstream);
+
 /* Returns the time from which the run time of the request counts: when it was
  * sent over an established connection, and the round trip of its endpoint
  * later, so that it does not depend on the distance. */
@@ -184,6 +193,7 @@
     char last_endpoint_id[64];   /* endpoint id of the newest attempt */
     char *last_software;         /* version of that endpoint's software */
     Upstream *upstream;
+    GArray *carried_by;     /* numbers of the connections of all attempts */
     TimeUs sent_at;         /* start of the newest attempt */
     TimeUs first_output_at; /* time of the first event or complete answer */
     TimeUs last_event_at;   /* time of the newest event */
--- a/src/gateway/upstream.c
+++ b/src/gateway/upstream.c
@@ -38,6 +38,7 @@
 struct Upstream {
     Gateway *gateway;
     Endpoint *endpoint;
+    uint64_t number; /* unique in the gateway */
     struct bufferevent *stream;
     H1Parser *parser;
     struct event *timer;  /* end of the connection attempt or of discarding */
@@ -459,6 +460,7 @@
     upstream->gateway = gateway;
     upstream->endpoint = endpoint;
     Endpoint_Ref(endpoint);
+    upstream->number = ++gateway->last_connection;
     upstream->busy = true;
     upstream->idle_limit_ms = DEFAULT_IDLE_MS;
     upstream->parser = H1Parser_New(H1_RESPONSE, HEAD_MAX_BYTES);
@@ -482,16 +484,34 @@
     return upstream;
 }
 
-/* Takes the most recently used idle connection if it is likely still open.
+static bool
+has_carried(const Upstream *upstream, const UpstreamRequest *request)
+{
+    for (guint i = 0; i < request->carried_by->len; i++) {
+        if (g_array_index(request->carried_by, uint64_t, i) ==
+            upstream->number) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Takes the most recently used idle connection that has not carried the
+ * request before, if it is likely still open.
  * @return NULL when there is none. */
 static Upstream *
-take_idle(Endpoint *endpoint, bool require_live)
+take_idle(Endpoint *endpoint, const UpstreamRequest *request)
 {
     TimeUs now = Clock_Now();
-    Upstream *upstream = g_queue_peek_head(&endpoint->idle_upstreams);
-    if (upstream == NULL) {
+    GList *node = endpoint->idle_upstreams.head;
+    while (node != NULL && has_carried(node->data, request)) {
+        node = node->next;
+    }
+    if (node == NULL) {
         return NULL;
     }
+    Upstream *upstream = node->data;
+    bool require_live = request->require_live;
     double fraction = require_live ? LIVE_FRACTION : REUSE_FRACTION;
     TimeUs limit =
         (TimeUs)(upstream->idle_limit_ms * fraction * (double)US_PER_MS);
@@ -501,7 +521,7 @@
         }
         return NULL;
     }
-    g_queue_pop_head(&endpoint->idle_upstreams);
+    g_queue_delete_link(&endpoint->idle_upstreams, node);
     upstream->busy = true;
     H1Parser_Reset(upstream->parser);
     return upstream;
@@ -511,7 +531,7 @@
 Upstream_Send(Endpoint *endpoint, const UpstreamRequest *request,
               const UpstreamOps *ops, void *owner)
 {
-    Upstream *upstream = take_idle(endpoint, request->require_live);
+    Upstream *upstream = take_idle(endpoint, request);
     if (upstream == NULL) {
         upstream = open_connection(endpoint);
     }
@@ -538,6 +558,12 @@
     return upstream;
 }
 
+uint64_t
+Upstream_Number(const Upstream *upstream)
+{
+    return upstream->number;
+}
+
 TimeUs
 Upstream_BegunAt(const Upstream *upstream)
 {
--- a/test/fakes/fake_server.c
+++ b/test/fakes/fake_server.c
@@ -38,6 +38,7 @@
     char *id; /* Attempt-Id of the request */
     char *target;
     char *deadly_target; /* names how the request ends the server */
+    char *shed_id; /* of a refusal to repeat at the next request; else NULL */
     DeadlyWhen deadly;
     bool streamed;
     bool running;   /* counts in the server's running requests */
@@ -72,6 +73,7 @@
     g_free(connection->id);
     g_free(connection->target);
     g_free(connection->deadly_target);
+    g_free(connection->shed_id);
     g_free(connection);
 }
 
@@ -340,6 +342,21 @@
     return fails;
 }
 
+/* Writes the refusal of an earlier request once more, as the first bytes after
+ * another request has arrived. */
+static void
+repeat_refusal(Connection *connection)
+{
+    if (connection->shed_id == NULL) {
+        return;
+    }
+    evbuffer_add_printf(output_of(connection),
+                        "HTTP/1.1 503 Status\r\nAttempt-Id: %s\r\n"
+                        "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+                        connection->shed_id);
+    g_clear_pointer(&connection->shed_id, g_free);
+}
+
 static void
 run_request(Connection *connection, const H1Head *head)
 {
@@ -355,13 +372,17 @@
     connection->deadly_target = NULL;
     connection->deadly = DEADLY_NEVER;
     connection->fault[0] = '\0';
+    repeat_refusal(connection);
     record_arrival(server, id);
     if (answers_health(connection) || refuses(connection, head)) {
         return;
     }
     bool fails = select_fault(connection, head);
-    if (strcmp(connection->fault, "shed") == 0) {
+    bool sheds_again = strcmp(connection->fault, "shed-again") == 0;
+    if (strcmp(connection->fault, "shed") == 0 || sheds_again) {
         refuse(connection, 503, "Not-Executed: 1\r\n");
+        g_free(connection->shed_id);
+        connection->shed_id = sheds_again ? g_strdup(connection->id) : NULL;
         return;
     }
     struct evbuffer *body = H1Parser_Body(connection->parser);
--- a/test/fakes/fake_server_options.c
+++ b/test/fakes/fake_server_options.c
@@ -43,8 +43,9 @@
         {"record", 0, 0, G_OPTION_ARG_STRING, &server->record,
          "File to append one line for each request to", "FILE"},
         {"fault", 0, 0, G_OPTION_ARG_STRING, &server->fault,
-         "Fault: cut, extra, unframed, error, shed, mute, no-seal, wrong-id "
-         "or one of fake_endless.h",
+         "Fault: cut, extra, unframed, error, shed, shed-again, mute, "
+         "no-seal, "
+         "wrong-id or one of fake_endless.h",
          "KIND"},
         {"fault-count", 0, 0, G_OPTION_ARG_INT, &server->fault_count,
          "Number of requests with the fault", "N"},
