--- a/test/fakes/fake_service.c
+++ b/test/fakes/fake_service.c
@@ -13,6 +13,7 @@
     gchar *name;
     gint delay_ms;
     gboolean echo;   /* answers contain the request's path and body */
+    gboolean ports;  /* it records the caller's port with each request */
     gint rest_s;     /* rest that it asks for */
     gint rest_every; /* it refuses each of so many requests; 0: none */
     unsigned arrived_count;
@@ -83,6 +84,13 @@
         g_strdup_printf("%s %.*s", evhttp_request_get_uri(request),
                         (int)length, body == NULL ? "" : body);
     Fake_Record(&service->fake, "ran %s", call->path_and_body);
+    if (service->ports) {
+        char *host = NULL;
+        ev_uint16_t port = 0;
+        evhttp_connection_get_peer(evhttp_request_get_connection(request),
+                                   &host, &port);
+        Fake_Record(&service->fake, "from %u", port);
+    }
     struct timeval delay = {
         .tv_sec = service->delay_ms / 1000,
         .tv_usec = (service->delay_ms % 1000) * 1000,
@@ -102,6 +110,8 @@
          "Delay of each answer", "MS"},
         {"echo", 0, 0, G_OPTION_ARG_NONE, &service.echo,
          "Include the request's path and body in answers", NULL},
+        {"ports", 0, 0, G_OPTION_ARG_NONE, &service.ports,
+         "Record the port of the caller with each request", NULL},
         {"rest-s", 0, 0, G_OPTION_ARG_INT, &service.rest_s,
          "Seconds of rest to ask for", "S"},
         {"rest-every", 0, 0, G_OPTION_ARG_INT, &service.rest_every,
