Odd announcements do not take sound servers out of use

Callers: 503 for a service whose server was sound, after another writer had announced or deregistered it with a start far in the future, or had announced its address for a service that no configuration names.

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -32,6 +32,15 @@
 
 /* ---- The replicated state ---- */
 
+static void
+send_superseded(Fleet *fleet, const GPtrArray *superseded)
+{
+    for (guint i = 0; i < superseded->len; i++) {
+        FleetGateways_SendRecord(
+            fleet, Directory_Find(fleet->directory, superseded->pdata[i]));
+    }
+}
+
 static void
 decode_table(Fleet *fleet)
 {
@@ -55,6 +64,10 @@
     }
     RouteTable_Unref(fleet->table);
     fleet->table = table;
+    GPtrArray *superseded = g_ptr_array_new();
+    Directory_SetTable(fleet->directory, table, superseded);
+    send_superseded(fleet, superseded);
+    g_ptr_array_unref(superseded);
 }
 
 static void
@@ -309,10 +322,7 @@
         FleetGateways_SendRecord(fleet, known);
         schedule_save(fleet);
     }
-    for (guint i = 0; i < superseded->len; i++) {
-        FleetGateways_SendRecord(
-            fleet, Directory_Find(fleet->directory, superseded->pdata[i]));
-    }
+    send_superseded(fleet, superseded);
     g_ptr_array_unref(superseded);
 }
 
--- a/src/gateway/endpoints.c
+++ b/src/gateway/endpoints.c
@@ -146,6 +146,26 @@
     remove_endpoint(gateway, endpoint);
 }
 
+static void
+remove_all_superseded(Gateway *gateway, const GPtrArray *ids)
+{
+    for (guint i = 0; i < ids->len; i++) {
+        Endpoint *endpoint = Endpoints_Find(gateway, ids->pdata[i]);
+        if (endpoint != NULL) {
+            remove_superseded(gateway, endpoint);
+        }
+    }
+}
+
+void
+Endpoints_OnTable(Gateway *gateway)
+{
+    GPtrArray *superseded = g_ptr_array_new();
+    Directory_SetTable(gateway->directory, gateway->table, superseded);
+    remove_all_superseded(gateway, superseded);
+    g_ptr_array_unref(superseded);
+}
+
 void
 Endpoints_Update(Gateway *gateway, const EndpointRecord *record)
 {
@@ -175,12 +195,7 @@
                  (unsigned long long)known->born,
                  (unsigned long long)known->sequence);
     }
-    for (guint i = 0; i < superseded->len; i++) {
-        Endpoint *endpoint = Endpoints_Find(gateway, superseded->pdata[i]);
-        if (endpoint != NULL) {
-            remove_superseded(gateway, endpoint);
-        }
-    }
+    remove_all_superseded(gateway, superseded);
     g_ptr_array_unref(superseded);
     known = Directory_Find(gateway->directory, record->id);
     if (known != NULL && known->service != NULL) {
--- a/src/gateway/endpoints.h
+++ b/src/gateway/endpoints.h
@@ -66,6 +66,10 @@
 /* Applies an endpoint record if it is newer than the known one. */
 void Endpoints_Update(Gateway *gateway, const EndpointRecord *record);
 
+/* Applies the table in force to the addresses of endpoints, after it was
+ * replaced. */
+void Endpoints_OnTable(Gateway *gateway);
+
 /* Tells a control host which endpoints say in their answers that they leave.
  */
 void Endpoints_SendLeaving(const Gateway *gateway, Link *link);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -87,6 +87,7 @@
     RouteTable_Unref(gateway->table);
     gateway->table = table;
     Origins_OnTable(gateway->origins, table);
+    Endpoints_OnTable(gateway);
     Counter_Set(Counter_Get("gateway_config_version",
                             "Version of the configuration in force."),
                 (int64_t)RouteTable_Version(table));
--- a/src/routes/endpoint.c
+++ b/src/routes/endpoint.c
@@ -5,12 +5,17 @@
 
 #include <string.h>
 
+#include "kernel/log.h"
+
+#define PART "directory"
+
 /* Maximum number of endpoints in the directory, including gone ones. */
 #define DIRECTORY_MAX 20000
 
 struct Directory {
     GHashTable *by_id;      /* id -> Entry */
     GHashTable *by_address; /* address -> Entry of the last started endpoint */
+    RouteTable *table;      /* configuration in force, or NULL */
 };
 
 typedef struct Entry {
@@ -50,6 +55,7 @@
 {
     g_hash_table_destroy(directory->by_address);
     g_hash_table_destroy(directory->by_id);
+    RouteTable_Unref(directory->table);
     g_free(directory);
 }
 
@@ -128,6 +134,18 @@
             g_strcmp0(entry->software, record->software) == 0);
 }
 
+/* Returns whether the configuration names @p service but not @p other, so that
+ * an endpoint of the latter replaces none of the former. */
+static bool
+is_named_alone(const Directory *directory, const char *service,
+               const char *other)
+{
+    const RouteTable *table = directory->table;
+    return table != NULL && service != NULL &&
+           RouteTable_Service(table, service) != NULL &&
+           (other == NULL || RouteTable_Service(table, other) == NULL);
+}
+
 /* Assigns the address of @p entry to the endpoint that started last. If it
  * belonged to another endpoint, the older of the two becomes ENDPOINT_GONE. */
 static void
@@ -144,6 +162,9 @@
     if (previous != NULL && previous->record.state != ENDPOINT_GONE &&
         g_strcmp0(previous->address, entry->address) == 0)
     {
+        if (is_named_alone(directory, previous->service, entry->service)) {
+            return;
+        }
         Entry *older =
             previous->record.born < entry->record.born ? previous : entry;
         older->record.state = ENDPOINT_GONE;
@@ -158,6 +179,20 @@
                          entry);
 }
 
+void
+Directory_SetTable(Directory *directory, RouteTable *table,
+                   GPtrArray *superseded)
+{
+    RouteTable_Unref(directory->table);
+    directory->table = table == NULL ? NULL : RouteTable_Ref(table);
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, directory->by_id);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        assign_address(directory, value, superseded);
+    }
+}
+
 bool
 Directory_Update(Directory *directory, const EndpointRecord *record,
                  GPtrArray *superseded)
@@ -180,6 +215,15 @@
     if (update.born == 0) {
         update.born = entry->record.born;
     }
+    if (entry->record.state != ENDPOINT_GONE && update.service != NULL &&
+        is_named_alone(directory, entry->service, update.service))
+    {
+        LOG_WARN(PART,
+                 "Announcement for an unknown service is ignored, as its id "
+                 "is in use. id=%s service=%s",
+                 entry->id, update.service);
+        return false;
+    }
     if (is_outdated(entry, &update)) {
         return update.leaving && update.born == entry->record.born &&
                mark_leaving(entry);
--- a/src/routes/endpoint.h
+++ b/src/routes/endpoint.h
@@ -11,6 +11,8 @@
 
 #include <glib.h>
 
+#include "routes/table.h"
+
 typedef enum EndpointState {
     ENDPOINT_UNKNOWN,
     ENDPOINT_READY,
@@ -20,6 +22,8 @@
 
 /** Longest version of an endpoint's software, in bytes. */
 #define ENDPOINT_SOFTWARE_MAX 128
+/** Longest id, service, address or zone of an endpoint, in bytes. */
+#define ENDPOINT_TEXT_MAX 256
 
 /** Record of one endpoint. In an update, strings other than `id` may be NULL;
  * the directory then keeps the stored strings, but for the software of another
@@ -48,6 +52,15 @@
 Directory *Directory_New(void);
 void Directory_Free(Directory *directory);
 
+/** Sets the configuration in force. While it does not name the service of an
+ * endpoint, that endpoint takes neither the id nor the address of one whose
+ * service it names.
+ * @param table  NULL if there is none: all endpoints are treated alike.
+ * @param superseded  as for Directory_Update, for addresses that pass to
+ *                    endpoints whose service is named now. May be NULL. */
+void Directory_SetTable(Directory *directory, RouteTable *table,
+                        GPtrArray *superseded);
+
 /** Adds or updates the record of an endpoint. An outdated record is ignored.
  * @param superseded  receives the ids (char *) of endpoints whose address now
  *                    belongs to an endpoint that started later; their state
--- a/test/functional/endpoint-reports.sh
+++ b/test/functional/endpoint-reports.sh
@@ -22,6 +22,11 @@
 send_report announce '{"kind":"engine","slots":4,"models":[7]}'
 send_report announce '{"kind":"engine","slots":4,"leaving":"no"}'
 send_report announce '{"kind":"service","slots":4}'
+head -c 200000 /dev/zero | tr '\0' '[' >nested
+send_report announce @nested
+send_report announce '{"kind":"engine","slots":1e400}'
+send_report announce '{"kind":"engine","slots":123456789012345678901234567890}'
+send_report announce "{\"kind\":\"service\",\"slots\":4,\"service\":\"$(printf 'x%.0s' $(seq 5000))\"}"
 curl -s -o /dev/null -w '%{http_code}\n' "http://127.0.0.1:$AGENT_HTTP_PORT/v1/announce"
 agent_value_is .leaving true && echo "takes no work"
 send_report announce '{"kind":"engine","slots":4,"models":["draft-large"],"boot":"a","extra":{}}'
--- a/test/unit/test_routes.c
+++ b/test/unit/test_routes.c
@@ -204,6 +204,43 @@
     Directory_Free(directory);
 }
 
+/* Guards against an announcement for a service that the configuration does not
+ * name, which must not replace an endpoint of one that it names; once it is
+ * named, the address passes to the endpoint that started last. */
+static void
+unnamed_service_replaces_no_endpoint(void **state)
+{
+    Directory *directory = Directory_New();
+    GPtrArray *superseded = g_ptr_array_new();
+    RouteTable *table = new_table();
+    Error err;
+    assert_int_equal(RouteTable_Finish(table, &err), ERR_OK);
+    Directory_SetTable(directory, table, superseded);
+    EndpointRecord sound = make_record("sound", ENDPOINT_READY, 100, 1);
+    EndpointRecord other = make_record("other", ENDPOINT_READY, 200, 1);
+    EndpointRecord same_id = make_record("sound", ENDPOINT_READY, 200, 1);
+    sound.service = "one";
+    other.service = "three";
+    same_id.service = "three";
+    assert_true(Directory_Update(directory, &sound, superseded));
+    Directory_Update(directory, &other, superseded);
+    assert_false(Directory_Update(directory, &same_id, superseded));
+    assert_int_equal(superseded->len, 0);
+    assert_int_equal(Directory_Find(directory, "sound")->state,
+                     ENDPOINT_READY);
+    RouteTable_Unref(table);
+    table = new_table();
+    RouteTable_AddService(table, &(RouteService){.name = "three"});
+    assert_int_equal(RouteTable_Finish(table, &err), ERR_OK);
+    Directory_SetTable(directory, table, superseded);
+    assert_int_equal(superseded->len, 1);
+    assert_string_equal(superseded->pdata[0], "sound");
+    assert_int_equal(Directory_Find(directory, "sound")->state, ENDPOINT_GONE);
+    RouteTable_Unref(table);
+    g_ptr_array_unref(superseded);
+    Directory_Free(directory);
+}
+
 /* Guards against a late record of a replaced endpoint, which must not take the
  * address back from the endpoint that started later. */
 static void
@@ -319,6 +356,7 @@
         cmocka_unit_test(requests_are_split_by_weight),
         cmocka_unit_test(outdated_record_changes_nothing),
         cmocka_unit_test(new_start_resets_sequence),
+        cmocka_unit_test(unnamed_service_replaces_no_endpoint),
         cmocka_unit_test(last_started_endpoint_keeps_address),
         cmocka_unit_test(software_of_another_start_is_not_kept),
         cmocka_unit_test(stored_record_is_confirmed_by_an_announcement),
