The only version is assumed only when all control hosts have replied

Callers: a stream that was taken up at a gateway which was cut off for a moment could go on at another version of the software than the one that began it.

Cause: silence of the control hosts for 1 s was taken for the reply that nobody knows the stream, though a link counts as connected for 1.5 s. The only version that the gateway knew was assumed, and one that had joined meanwhile was not known to it. Callers that do not name their stream were not asked about at all.

Change: control hosts reply also if they do not know a stream. The only version is assumed only when all of them have replied to this question; their replies follow the endpoint records on the same connection.

--- a/src/fleet/origins.c
+++ b/src/fleet/origins.c
@@ -17,5 +17,13 @@
 FleetOrigins_OnQuery(const Fleet *fleet, Link *link,
                      const Wire__StreamOriginQuery *query)
 {
-    OriginNews_Answer(fleet->origins, link, query);
+    if (OriginNews_Answer(fleet->origins, link, query)) {
+        return;
+    }
+    Wire__StreamOriginReply reply = WIRE__STREAM_ORIGIN_REPLY__INIT;
+    reply.nonce = query->nonce;
+    Wire__Frame frame = WIRE__FRAME__INIT;
+    frame.body_case = WIRE__FRAME__BODY_STREAM_ORIGIN_REPLY;
+    frame.stream_origin_reply = &reply;
+    Link_Send(link, &frame);
 }
--- a/src/fleet/state.h
+++ b/src/fleet/state.h
@@ -196,7 +196,8 @@
 /* Applies the origins of streams that a gateway reports. */
 void FleetOrigins_OnNews(Fleet *fleet, const Wire__StreamOriginNews *news);
 
-/* Answers a gateway's question if the origin is known. */
+/* Answers a gateway's question, also if the origin is not known: the gateway
+ * then has every endpoint record that this host had sent before. */
 void FleetOrigins_OnQuery(const Fleet *fleet, Link *link,
                           const Wire__StreamOriginQuery *query);
 
--- a/src/gateway/origins.c
+++ b/src/gateway/origins.c
@@ -3,7 +3,7 @@
  * control host and some keepers which version sent the first event of a
  * stream; a gateway at which a caller takes up another's stream asks them.
  * What nobody knows is not guessed, unless only one version can have begun the
- * stream; what is uncertain is refused.
+ * stream and all control hosts have replied; what is uncertain is refused.
  */
 #include <string.h>
 #include <strings.h>
@@ -317,7 +317,7 @@
     Wire__Frame frame;
     fill_question(&frame, &query, call, request);
     origin->hosts_asked = GatewayControl_SendAll(gateway->control, &frame);
-    if (!hosts_know_all(gateway)) {
+    if (request[0] != '\0' && !hosts_know_all(gateway)) {
         Keepers_SendRoute(gateway->keepers, call->route, &frame);
     }
 }
@@ -402,7 +402,24 @@
     return true;
 }
 
+/* Decides a call about whose origin nobody has told anything. A gateway that
+ * is cut off does not know which versions have joined, so that the replies of
+ * all control hosts are needed, which follow the endpoint records that they
+ * had.
+ * @return false when the call was refused and is freed. */
+static bool
+decide_unknown(Call *call, uint32_t retry_after_ms)
+{
+    bool asked = OriginReplies_AllReplied(call->origin.replies,
+                                          call->origin.hosts_asked);
+    Origins_EndQuestion(call);
+    return asked ? assume_sole(call, retry_after_ms)
+                 : refuse_unknown(call, UNKNOWN_RETRY_AFTER_MS);
+}
+
 /* Asks how the stream began, again if need be, and holds the call meanwhile.
+ * @param request  id of the request that began it; "" if the caller does not
+ *                 name one: only the control hosts' replies are awaited then.
  * @return false when the call is held, or was refused and is freed. */
 static bool
 ask_and_hold(Call *call, const char *request)
@@ -435,9 +452,12 @@
         Call_Hold(call, OriginReplies_SettlesAt(origin->replies));
         return false;
     }
-    if (now >= origin->ask_until) {
-        Origins_EndQuestion(call);
-        return assume_sole(call, UNKNOWN_RETRY_AFTER_MS);
+    bool unnamed = request[0] == '\0';
+    if (now >= origin->ask_until ||
+        (unnamed &&
+         OriginReplies_AllReplied(origin->replies, origin->hosts_asked)))
+    {
+        return decide_unknown(call, unnamed ? 0 : UNKNOWN_RETRY_AFTER_MS);
     }
     if (now >= origin->ask_again_at) {
         ask(call, request);
@@ -487,8 +507,12 @@
         Origins_EndQuestion(call);
         return apply_origin(call, origin, "gateway");
     }
-    return request == NULL ? assume_sole(call, 0)
-                           : ask_and_hold(call, request);
+    if (request == NULL &&
+        SoleVersions_Find(call->gateway->origins->sole, call, true) == NULL)
+    {
+        return refuse_unknown(call, 0);
+    }
+    return ask_and_hold(call, request == NULL ? "" : request);
 }
 
 bool
@@ -509,12 +533,17 @@
 {
     uint64_t nonce = reply->nonce;
     Call *call = g_hash_table_lookup(origins->questions, &nonce);
-    if (call == NULL || reply->origin == NULL) {
+    if (call == NULL || (reply->origin == NULL && host == NULL)) {
         return;
     }
-    TimeUs now = Clock_Now();
-    StreamOrigin origin = OriginNews_Read(reply->origin, now);
-    OriginReplies_Add(call->origin.replies, host, &origin, now);
+    if (reply->origin == NULL) {
+        OriginReplies_AddUnknown(call->origin.replies, host);
+    }
+    else {
+        TimeUs now = Clock_Now();
+        StreamOrigin origin = OriginNews_Read(reply->origin, now);
+        OriginReplies_Add(call->origin.replies, host, &origin, now);
+    }
     Call_Readmit(call);
 }
 
--- a/src/sched/origin_replies.c
+++ b/src/sched/origin_replies.c
@@ -11,7 +11,8 @@
 struct OriginReplies {
     char *request;
     StreamOrigins *merged;
-    GPtrArray *hosts; /* control hosts that have replied; only compared */
+    GPtrArray *hosts; /* control hosts that know the origin; only compared */
+    GPtrArray *unknowing; /* those that replied that they do not */
     unsigned count;
     TimeUs first_at;
 };
@@ -23,6 +24,7 @@
     replies->request = g_strdup(request);
     replies->merged = StreamOrigins_New(1);
     replies->hosts = g_ptr_array_new();
+    replies->unknowing = g_ptr_array_new();
     return replies;
 }
 
@@ -32,9 +34,18 @@
     g_free(replies->request);
     StreamOrigins_Free(replies->merged);
     g_ptr_array_unref(replies->hosts);
+    g_ptr_array_unref(replies->unknowing);
     g_free(replies);
 }
 
+static void
+add_host(GPtrArray *hosts, const void *host)
+{
+    if (!g_ptr_array_find(hosts, host, NULL)) {
+        g_ptr_array_add(hosts, (void *)host);
+    }
+}
+
 void
 OriginReplies_Add(OriginReplies *replies, const void *host,
                   const StreamOrigin *origin, TimeUs now)
@@ -48,11 +59,26 @@
     if (replies->count++ == 0) {
         replies->first_at = now;
     }
-    if (host != NULL && !g_ptr_array_find(replies->hosts, host, NULL)) {
-        g_ptr_array_add(replies->hosts, (void *)host);
+    if (host != NULL) {
+        g_ptr_array_remove_fast(replies->unknowing, (void *)host);
+        add_host(replies->hosts, host);
     }
 }
 
+void
+OriginReplies_AddUnknown(OriginReplies *replies, const void *host)
+{
+    if (!g_ptr_array_find(replies->hosts, host, NULL)) {
+        add_host(replies->unknowing, host);
+    }
+}
+
+bool
+OriginReplies_AllReplied(const OriginReplies *replies, unsigned hosts)
+{
+    return hosts > 0 && replies->hosts->len + replies->unknowing->len >= hosts;
+}
+
 OriginVerdict
 OriginReplies_Judge(const OriginReplies *replies, unsigned hosts, TimeUs now)
 {
--- a/src/sched/origin_replies.h
+++ b/src/sched/origin_replies.h
@@ -33,6 +33,14 @@
 void OriginReplies_Add(OriginReplies *replies, const void *host,
                        const StreamOrigin *origin, TimeUs now);
 
+/** Adds a control host's reply that it does not know the origin. */
+void OriginReplies_AddUnknown(OriginReplies *replies, const void *host);
+
+/** Returns whether all control hosts that were asked have replied, whatever
+ * they know. What the gateway knows is then as new as the question.
+ * @param hosts  number of control hosts that were asked. */
+bool OriginReplies_AllReplied(const OriginReplies *replies, unsigned hosts);
+
 /** Judges the replies so far. They suffice when all control hosts have
  * replied, or ORIGIN_REPLIES_SETTLE_US after the first one.
  * @param hosts  number of control hosts that were asked, if these together
--- a/test/unit/test_origin_replies.c
+++ b/test/unit/test_origin_replies.c
@@ -45,6 +45,28 @@
     OriginReplies_Free(replies);
 }
 
+/* Guards against a guess while some control hosts have not replied, since they
+ * may know of servers that the gateway has not heard of. */
+static void
+silence_is_no_reply(void **state)
+{
+    OriginReplies *replies = OriginReplies_New("r");
+    assert_false(OriginReplies_AllReplied(replies, 0));
+    for (int i = 0; i < HOSTS; i++) {
+        assert_false(OriginReplies_AllReplied(replies, HOSTS));
+        OriginReplies_AddUnknown(replies, &hosts[i]);
+        OriginReplies_AddUnknown(replies, &hosts[i]);
+    }
+    assert_true(OriginReplies_AllReplied(replies, HOSTS));
+    assert_false(OriginReplies_AllReplied(replies, HOSTS + 1));
+    assert_int_equal(OriginReplies_Judge(replies, HOSTS, NOW), ORIGIN_OPEN);
+    add(replies, &hosts[0], "v1", NOW);
+    assert_true(OriginReplies_AllReplied(replies, HOSTS));
+    assert_false(OriginReplies_AllReplied(replies, HOSTS + 1));
+    assert_int_equal(OriginReplies_Judge(replies, HOSTS, NOW), ORIGIN_OPEN);
+    OriginReplies_Free(replies);
+}
+
 /* Guards against take-ups that are refused because control hosts which have
  * started again do not know the stream. */
 static void
@@ -126,6 +148,7 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(all_control_hosts_suffice),
+        cmocka_unit_test(silence_is_no_reply),
         cmocka_unit_test(keepers_suffice_after_a_time),
         cmocka_unit_test(an_origin_that_expires_meanwhile_is_told_apart),
         cmocka_unit_test(contradictions_are_disputed),
