The newest document is decoded once, not each one in the log

Cause: a control host that starts decoded the whole table of each document in its log, though only the last is used, and sent no heartbeats meanwhile.

Change: Fleet_Table() owns the table and decodes the newest document on the first use after a change.

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -41,9 +41,14 @@
     }
 }
 
-static void
-decode_table(Fleet *fleet)
+RouteTable *
+Fleet_Table(Fleet *fleet)
 {
+    if (!fleet->table_is_stale) {
+        return fleet->newest_table;
+    }
+    fleet->table_is_stale = false;
+    fleet->tables_decoded++;
     RouteTable *table = NULL;
     Error err = ERROR_INIT;
     GBytes *plain =
@@ -62,12 +67,13 @@
         }
         g_bytes_unref(plain);
     }
-    RouteTable_Unref(fleet->table);
-    fleet->table = table;
+    RouteTable_Unref(fleet->newest_table);
+    fleet->newest_table = table;
     GPtrArray *superseded = g_ptr_array_new();
     Directory_SetTable(fleet->directory, table, superseded);
     send_superseded(fleet, superseded);
     g_ptr_array_unref(superseded);
+    return table;
 }
 
 static void
@@ -83,7 +89,7 @@
         Counter_Set(Counter_Get("fleet_config_version",
                                 "Version of the newest configuration."),
                     (int64_t)fleet->document.version);
-        decode_table(fleet);
+        fleet->table_is_stale = true;
         FleetGateways_SchedulePush(fleet);
     }
     FleetOutcome outcome =
@@ -116,7 +122,7 @@
     Fleet *fleet = owner;
     int result = Document_Load(&fleet->document, bytes, length, err);
     if (result == ERR_OK) {
-        decode_table(fleet);
+        fleet->table_is_stale = true;
         result = FleetRollouts_OnRestore(fleet, bytes, length, err);
     }
     return result;
@@ -308,6 +314,7 @@
 void
 Fleet_UpdateEndpoint(Fleet *fleet, const EndpointRecord *record)
 {
+    Fleet_Table(fleet); /* the directory needs the newest one */
     GPtrArray *superseded = g_ptr_array_new();
     if (Directory_Update(fleet->directory, record, superseded)) {
         const EndpointRecord *known =
@@ -441,7 +448,7 @@
     event_free(fleet->save_event);
     event_free(fleet->crash_save_event);
     event_free(fleet->tick_event);
-    RouteTable_Unref(fleet->table);
+    RouteTable_Unref(fleet->newest_table);
     Document_Clear(&fleet->document);
     Directory_Free(fleet->directory);
     CrashTable_Free(fleet->crashes);
@@ -469,6 +476,8 @@
         json_integer((json_int_t)CrashTable_Count(fleet->crashes, true)));
     json_object_set_new(out, "silent_gateways",
                         json_real(FleetQuotas_SilentFraction(fleet)));
+    json_object_set_new(out, "tables_decoded",
+                        json_integer(fleet->tables_decoded));
     json_t *replica = json_object();
     Replica_Dump(fleet->replica, replica);
     json_object_set_new(out, "replica", replica);
--- a/src/fleet/gateways.c
+++ b/src/fleet/gateways.c
@@ -296,6 +296,7 @@
 {
     Fleet *fleet = arg;
     fleet->push_scheduled = false;
+    Fleet_Table(fleet);
     if (!fleet->is_leader || fleet->document.version == 0) {
         return;
     }
--- a/src/fleet/quotas.c
+++ b/src/fleet/quotas.c
@@ -81,15 +81,15 @@
 
 /* Returns the account if this host keeps its ledger, or NULL. */
 static const RouteAccount *
-find_kept(const Fleet *fleet, const char *name, TimeUs now)
+find_kept(Fleet *fleet, const char *name, TimeUs now)
 {
-    if (!fleet->is_leader || fleet->table == NULL ||
+    if (!fleet->is_leader || Fleet_Table(fleet) == NULL ||
         fleet->confirmed_at < fleet->leader_since ||
         now - fleet->confirmed_at > CONFIRMED_MAX_US)
     {
         return NULL;
     }
-    return RouteTable_FindAccount(fleet->table, name);
+    return RouteTable_FindAccount(Fleet_Table(fleet), name);
 }
 
 static void
--- a/src/fleet/rollouts.c
+++ b/src/fleet/rollouts.c
@@ -270,9 +270,9 @@
 decide_order(const Question *question, const Rollout *present)
 {
     const Fleet *fleet = question->fleet;
-    if (fleet->table == NULL ||
-        RouteTable_Service(fleet->table, question->service) == NULL)
-    {
+    const RouteTable *table = Fleet_Table(question->fleet);
+    if (table == NULL ||
+        RouteTable_Service(table, question->service) == NULL) {
         return ORDER_UNKNOWN_SERVICE;
     }
     if (present == NULL) {
--- a/src/fleet/state.h
+++ b/src/fleet/state.h
@@ -36,7 +36,9 @@
     LinkServer *link_server;
     Replica *replica;
     Document document;
-    RouteTable *table; /* decoded from the document; NULL: none */
+    RouteTable *newest_table; /* see Fleet_Table(); may be of an older document */
+    bool table_is_stale;      /* the document has changed since */
+    unsigned tables_decoded;  /* number of them since the start */
     Directory *directory;
     GHashTable *peers;            /* Link -> FleetPeer */
     GHashTable *pending_commands; /* command id -> PendingCommand */
@@ -64,6 +66,11 @@
 
 /* ---- fleet.c ---- */
 
+/* Returns the table of the newest document, or NULL if there is none. Decodes
+ * it if the document has changed, so that the documents which are applied in a
+ * row, as after a start, cost no more than the last of them. */
+RouteTable *Fleet_Table(Fleet *fleet);
+
 /* Applies the report of a gateway that an endpoint leaves, and passes it on.
  */
 void Fleet_OnEndpointLeaving(Fleet *fleet,
