Control hosts use a disk again that was full

Cause: after a failed write or sync a host wrote nothing and cast no vote until its process started again; nothing started it.

Change: every 0.5 s the store drops what was not synced and starts a new segment; then the log writes again all that it has not reported as durable, and the host takes part as a follower.

New tests: unit/test_store (accepts_writes_again_after_a_failure), unit/test_log_core (hosts_take_part_again_after_full_disks); neither can be built on the code before, which has no such call. fuzz/log passes with recoveries.

--- a/src/control/log_core.c
+++ b/src/control/log_core.c
@@ -332,6 +332,19 @@
     core->failed = true;
 }
 
+void
+LogCore_OnDiskRecovered(LogCore *core, TimeUs now)
+{
+    if (!core->failed) {
+        return;
+    }
+    core->failed = false;
+    core->now = now;
+    core->leader = 0;
+    LogEntries_MarkUnsaved(core);
+    LogElection_ResetTimer(core, now);
+}
+
 LogApply
 LogCore_NextApply(LogCore *core, const StoreEntry **entry,
                   const StoreSnapshot **snapshot)
--- a/src/control/log_core.h
+++ b/src/control/log_core.h
@@ -102,6 +102,11 @@
  * first. */
 void LogCore_OnDiskFailed(LogCore *core);
 
+/** Reports that the disk accepts writes again, after LogCore_OnDiskFailed. All
+ * that was not reported as durable is in the next batch. The core is a
+ * follower that votes and acknowledges entries again. */
+void LogCore_OnDiskRecovered(LogCore *core, TimeUs now);
+
 /** Queues the appends for new entries and starts a requested read index round.
  * Call it once after a group of proposals. */
 void LogCore_Flush(LogCore *core, TimeUs now);
--- a/src/control/log_entries.c
+++ b/src/control/log_entries.c
@@ -159,6 +159,21 @@
     core->state_dirty = true;
 }
 
+void
+LogEntries_MarkUnsaved(LogCore *core)
+{
+    g_array_set_size(core->pending_batches, 0);
+    core->saved_sequence = core->batch_sequence;
+    core->state_dirty = true;
+    if (core->snapshot.index != 0) {
+        /* It may have been in a batch that failed. */
+        core->snapshot_dirty = true;
+        core->reset_dirty = core->durable_index < core->snapshot.index;
+    }
+    uint64_t first = MAX(core->durable_index, core->base_index) + 1;
+    core->dirty_from = first <= LogEntries_LastIndex(core) ? first : 0;
+}
+
 static bool
 is_dirty(const LogCore *core)
 {
--- a/src/control/log_state.h
+++ b/src/control/log_state.h
@@ -132,6 +132,10 @@
 /* Adds the term and vote to the next batch. */
 void LogEntries_MarkStateDirty(LogCore *core);
 
+/* Adds all that is not durable to the next batch, after the batches that were
+ * handed out have failed. */
+void LogEntries_MarkUnsaved(LogCore *core);
+
 /* Returns the sequence of the batch that makes all changes so far durable. */
 uint64_t LogEntries_RequiredSequence(const LogCore *core);
 
--- a/src/control/replica.c
+++ b/src/control/replica.c
@@ -39,6 +39,9 @@
 #define CONFIRM_TIMEOUT_US (2 * US_PER_S)
 /* A leader transfers leadership when a disk write takes longer. */
 #define DISK_WRITE_TIMEOUT_US (2 * US_PER_S)
+/* Interval between attempts to use a disk again that failed or was full. */
+#define DISK_RECOVERY_INTERVAL_US (500 * US_PER_MS)
+#define READ_ONLY_HELP "1 while the disk fails or is full."
 /* Interval of the log record of a host that is not a member yet. */
 #define JOIN_LOG_INTERVAL_US (10 * US_PER_S)
 
@@ -284,10 +287,31 @@
     process_outputs(arg);
 }
 
+/* Handles the result of an attempt to use the disk again after a failure. */
+static void
+on_recovered(Replica *replica, int result, const char *why)
+{
+    TimeUs now = Clock_Now();
+    if (result != ERR_OK) {
+        LOG_DEBUG(REPLICA_PART, "Disk does not accept writes yet. why=\"%s\"",
+                  why);
+        replica->recover_at = now + DISK_RECOVERY_INTERVAL_US;
+        return;
+    }
+    LOG_INFO(REPLICA_PART, "Disk accepts writes again; host takes part.");
+    Counter_Set(Counter_Get("replica_read_only", READ_ONLY_HELP), 0);
+    LogCore_OnDiskRecovered(replica->core, now);
+    Replica_Schedule(replica);
+}
+
 static void
 on_saved(void *owner, uint64_t sequence, int result, const char *why)
 {
     Replica *replica = owner;
+    if (sequence == STORE_WRITER_RECOVERY) {
+        on_recovered(replica, result, why);
+        return;
+    }
     while (replica->pending_batches->len > 0 &&
            g_array_index(replica->pending_batches, PendingBatch, 0).sequence <=
                sequence)
@@ -302,10 +326,9 @@
     else if (!status.failed) {
         LOG_ERROR(REPLICA_PART,
                   "Disk write failed; host is now read-only. why=\"%s\"", why);
-        Counter_Set(Counter_Get("replica_read_only",
-                                "1 when the disk failed or is full."),
-                    1);
+        Counter_Set(Counter_Get("replica_read_only", READ_ONLY_HELP), 1);
         LogCore_OnDiskFailed(replica->core);
+        replica->recover_at = Clock_Now() + DISK_RECOVERY_INTERVAL_US;
     }
     Replica_Schedule(replica);
 }
@@ -374,6 +397,10 @@
 static void
 check_disk(Replica *replica, TimeUs now)
 {
+    if (replica->recover_at != 0 && now >= replica->recover_at) {
+        replica->recover_at = 0;
+        StoreWriter_Recover(replica->writer);
+    }
     if (replica->pending_batches->len == 0) {
         return;
     }
--- a/src/store/state.h
+++ b/src/store/state.h
@@ -32,6 +32,7 @@
     uint64_t synced_bytes;  /* bytes of the last segment known to be durable */
     bool sync_recorded;     /* the newest record is a RECORD_SYNCED */
     bool failed; /* a write or sync failed; all further ones are refused */
+    bool tail_dropped;  /* since then, the last segment was made durable */
     GByteArray *buffer; /* records to be written to the last segment */
 };
 
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -169,6 +169,7 @@
     }
     Segment segment = {.number = number};
     g_array_append_val(store->segments, segment);
+    store->tail_dropped = false;
     store->segment_bytes = 0;
     store->synced_bytes = 0;
     add_identity(store);
@@ -258,8 +259,9 @@
     return result;
 }
 
-/* Removes a file and syncs the folder. Without a sync after each removal, a
- * crash could leave a gap in the sequence of segments. */
+/* Removes a file, unless an earlier attempt did, and syncs the folder. Without
+ * a sync after each removal, a crash could leave a gap in the sequence of
+ * segments. */
 static int
 remove_and_sync(Store *store, const char *prefix, uint64_t number)
 {
@@ -267,7 +269,9 @@
     char name[STORE_NAME_BYTES];
     StoreLoad_Name(name, prefix, number);
     int result = files->remove(files->context, name);
-    return result != 0 ? result : files->sync_folder(files->context);
+    return result != 0 && result != -ENOENT
+               ? result
+               : files->sync_folder(files->context);
 }
 
 /* Removes the previous snapshot and the segments whose entries the current
@@ -286,7 +290,9 @@
             break;
         }
         result = remove_and_sync(store, STORE_SEGMENT_PREFIX, oldest.number);
-        g_array_remove_index(store->segments, 0);
+        if (result == 0) {
+            g_array_remove_index(store->segments, 0);
+        }
     }
     return result == 0 ? ERR_OK
                        : set_failed(store, result, "compact the log", err);
@@ -360,6 +366,61 @@
     return result == ERR_OK ? flush_buffer(store, err) : result;
 }
 
+/* Truncates the last segment to what is known to be durable, or removes it if
+ * that is nothing. */
+static int
+drop_unsynced(Store *store)
+{
+    const StoreFiles *files = &store->files;
+    if (store->tail_dropped) {
+        return 0;
+    }
+    uint64_t number = last_segment(store)->number;
+    if (store->segment_file >= 0) {
+        files->close(files->context, store->segment_file);
+        store->segment_file = -1;
+    }
+    if (store->synced_bytes == 0) {
+        int result = remove_and_sync(store, STORE_SEGMENT_PREFIX, number);
+        if (result == 0) {
+            g_array_set_size(store->segments, store->segments->len - 1);
+            store->tail_dropped = true;
+        }
+        return result;
+    }
+    char name[STORE_NAME_BYTES];
+    StoreLoad_Name(name, STORE_SEGMENT_PREFIX, number);
+    int file = files->open(files->context, name, false);
+    int result = file < 0 ? file : 0;
+    if (result == 0) {
+        result = files->truncate(files->context, file, store->synced_bytes);
+    }
+    if (result == 0) {
+        result = files->sync(files->context, file);
+    }
+    if (file >= 0) {
+        files->close(files->context, file);
+    }
+    store->tail_dropped = result == 0;
+    return result;
+}
+
+int
+Store_Recover(Store *store, Error *err)
+{
+    if (!store->failed) {
+        return ERR_OK;
+    }
+    g_byte_array_set_size(store->buffer, 0);
+    int result = drop_unsynced(store);
+    if (result != 0) {
+        return set_failed(store, result, "drop unsynced records", err);
+    }
+    store->failed = false;
+    store->sync_recorded = false;
+    return start_segment(store, err);
+}
+
 static Store *
 fail_open(Store *store, StoreImage *image)
 {
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -71,12 +71,20 @@
                   uint64_t new_disk_id, StoreImage *image, Error *err);
 
 /** Writes a batch. It is sure to be durable only after Store_Sync.
- * After a failed write or sync, all further writes fail with ERR_IO. */
+ * After a failed write or sync, all further writes fail with ERR_IO until
+ * Store_Recover succeeds. */
 int Store_Write(Store *store, const StoreBatch *batch, Error *err);
 
 /** Makes all written batches durable. */
 int Store_Sync(Store *store, Error *err);
 
+/** Accepts writes again after a failed write or sync, if the disk does:
+ * removes what was written after the last successful sync, whose state on disk
+ * is unknown, and starts a new segment. The caller then writes again all that
+ * was not reported as durable.
+ * @return ERR_OK, also if nothing had failed, or ERR_IO. */
+int Store_Recover(Store *store, Error *err);
+
 /** Appends a record which states that the whole segment is durable, so that
  * later damage to it is not taken for a torn tail. Does not sync the record.
  */
--- a/src/store/writer.c
+++ b/src/store/writer.c
@@ -15,7 +15,8 @@
 
 typedef struct Job {
     StoreBatch batch;
-    bool stop; /* stops the thread; has no batch */
+    bool stop;    /* stops the thread; has no batch */
+    bool recover; /* recovers the store; has no batch */
     int result;
     char *why;
 } Job;
@@ -63,7 +64,7 @@
     Job *job = g_async_queue_pop(writer->jobs);
     while (job != NULL && !job->stop) {
         g_ptr_array_add(group, job);
-        if (group->len == WRITER_GROUP_MAX) {
+        if (group->len == WRITER_GROUP_MAX || job->recover) {
             return true;
         }
         job = g_async_queue_try_pop(writer->jobs);
@@ -90,7 +91,9 @@
         int result = ERR_OK;
         for (guint i = 0; result == ERR_OK && i < group->len; i++) {
             Job *job = group->pdata[i];
-            result = Store_Write(writer->store, &job->batch, &err);
+            result = job->recover
+                         ? Store_Recover(writer->store, &err)
+                         : Store_Write(writer->store, &job->batch, &err);
         }
         if (result == ERR_OK) {
             result = Store_Sync(writer->store, &err);
@@ -151,6 +154,15 @@
     g_async_queue_push(writer->jobs, job);
 }
 
+void
+StoreWriter_Recover(StoreWriter *writer)
+{
+    Job *job = g_new0(Job, 1);
+    job->batch.sequence = STORE_WRITER_RECOVERY;
+    job->recover = true;
+    g_async_queue_push(writer->jobs, job);
+}
+
 void
 StoreWriter_Close(StoreWriter *writer)
 {
--- a/test/fuzz/fuzz_log.c
+++ b/test/fuzz/fuzz_log.c
@@ -89,16 +89,22 @@
     }
 }
 
+static bool
+has_failed_disk(const Net *net, unsigned index)
+{
+    LogStatus status = {.failed = false};
+    if (net->hosts[index].core != NULL) {
+        LogCore_GetStatus(net->hosts[index].core, &status);
+    }
+    return status.failed;
+}
+
 static void
 heal(Net *net)
 {
     partition(net, 0);
     for (unsigned i = 0; i < NET_HOSTS; i++) {
-        LogStatus status = {.failed = false};
-        if (net->hosts[i].core != NULL) {
-            LogCore_GetStatus(net->hosts[i].core, &status);
-        }
-        if (status.failed) {
+        if (has_failed_disk(net, i)) {
             Net_Crash(net, i);
         }
         Net_Start(net, i);
@@ -158,7 +164,12 @@
         Net_LoseDisk(net, host);
         break;
     case EVENT_FAIL_DISK:
-        Net_FailDisk(net, host);
+        if (has_failed_disk(net, host)) {
+            Net_RecoverDisk(net, host);
+        }
+        else {
+            Net_FailDisk(net, host);
+        }
         break;
     default:
         heal(net);
--- a/test/fuzz/log_net.c
+++ b/test/fuzz/log_net.c
@@ -411,6 +411,16 @@
     }
 }
 
+void
+Net_RecoverDisk(Net *net, unsigned index)
+{
+    NetHost *host = &net->hosts[index];
+    if (host->core != NULL) {
+        LogCore_OnDiskRecovered(host->core, net->now);
+        Net_ProcessOutput(net, host);
+    }
+}
+
 /* ---- Events ---- */
 
 void
--- a/test/fuzz/log_net.h
+++ b/test/fuzz/log_net.h
@@ -120,6 +120,9 @@
  * lost. */
 void Net_FailDisk(Net *net, unsigned index);
 
+/* The failed disk accepts writes again. */
+void Net_RecoverDisk(Net *net, unsigned index);
+
 /** Simulates rounds of 50 ms in which timers run, messages are delivered and
  * batches are saved. */
 void Net_Run(Net *net, unsigned rounds);
--- a/test/unit/test_log_core.c
+++ b/test/unit/test_log_core.c
@@ -274,6 +274,33 @@
     Net_Free(net);
 }
 
+/* Guards against a host that stays without a vote after a disk that was full
+ * for a moment: after the second such disk of three there was no majority. */
+static void
+hosts_take_part_again_after_full_disks(void **state)
+{
+    Net *net = Net_New(3);
+    Net_Run(net, ROUNDS);
+    for (unsigned round = 0; round < 4; round++) {
+        unsigned leader = leader_of(net);
+        Net_Propose(net, leader);
+        Net_FailDisk(net, leader);
+        Net_Run(net, ROUNDS);
+        guint committed = net->committed_entries->len;
+        Net_Propose(net, leader_of(net));
+        Net_Run(net, ROUNDS);
+        assert_true(net->committed_entries->len > committed);
+        Net_RecoverDisk(net, leader);
+        Net_Run(net, ROUNDS);
+        assert_true(status_of(net, leader).is_voter);
+        LogStatus status = status_of(net, leader);
+        assert_int_equal(status.durable_index, status.last_index);
+        assert_int_equal(status.applied_index,
+                         status_of(net, leader_of(net)).applied_index);
+    }
+    Net_Free(net);
+}
+
 static void
 members_change_one_at_a_time(void **state)
 {
@@ -374,6 +401,7 @@
         cmocka_unit_test(snapshot_reaches_a_slow_follower),
         cmocka_unit_test(commits_after_two_consecutive_losses),
         cmocka_unit_test(failed_disk_transfers_leadership),
+        cmocka_unit_test(hosts_take_part_again_after_full_disks),
         cmocka_unit_test(members_change_one_at_a_time),
         cmocka_unit_test(new_host_replaces_the_lost_one_of_its_zone),
         cmocka_unit_test(silent_voter_stays_while_its_zone_has_no_other),
--- a/test/unit/test_store.c
+++ b/test/unit/test_store.c
@@ -138,6 +138,50 @@
     MemFolder_Free(folder);
 }
 
+static bool
+survives_never(void *arg)
+{
+    return false;
+}
+
+/* Guards against a store that refuses writes for good after a disk that was
+ * full for a moment. At each operation in turn that can fail, it accepts
+ * writes again, and a crash afterwards loses nothing that was durable. */
+static void
+accepts_writes_again_after_a_failure(void **state)
+{
+    for (unsigned at = 1; at <= 6; at++) {
+        MemFolder *folder = new_folder_with_entries();
+        StoreImage image;
+        Error err = ERROR_INIT;
+        Store *store = open_folder(folder, &image, &err);
+        StoreImage_Clear(&image);
+        assert_int_equal(write_entries(store, 4, 2, &err), ERR_OK);
+        MemFolder_FailAfter(folder, at);
+        uint64_t next = 6;
+        while (write_entries(store, next, 1, &err) == ERR_OK) {
+            next++;
+        }
+        assert_int_equal(write_entries(store, next, 1, &err), ERR_IO);
+        /* The first attempts fail, each at a later operation. */
+        for (unsigned fails = 1; fails <= 3; fails++) {
+            MemFolder_FailAfter(folder, fails);
+            assert_int_equal(Store_Recover(store, &err), ERR_IO);
+        }
+        MemFolder_FailAfter(folder, 0);
+        assert_int_equal(Store_Recover(store, &err), ERR_OK);
+        assert_int_equal(write_entries(store, next, 2, &err), ERR_OK);
+        MemFolder_Crash(folder, survives_never, NULL);
+        Store_Close(store);
+        store = open_folder(folder, &image, &err);
+        assert_non_null(store);
+        assert_int_equal(image.entries->len, next + 1);
+        StoreImage_Clear(&image);
+        Store_Close(store);
+        MemFolder_Free(folder);
+    }
+}
+
 static int done_result = 1;
 
 static void
@@ -179,6 +223,7 @@
         cmocka_unit_test(refuses_damage_in_an_older_segment),
         cmocka_unit_test(refuses_the_folder_of_another_host),
         cmocka_unit_test(reports_a_full_disk_and_stays_failed),
+        cmocka_unit_test(accepts_writes_again_after_a_failure),
         cmocka_unit_test(writer_reports_the_failure),
     };
     return cmocka_run_group_tests_name("store", tests, NULL, NULL);
