Responses without a body end with their head

Callers: after an answer with status 204 or 304 that states a length, bytes of the next answer on the connection counted as its body.

Cause: http-parser reads the stated length for every status; RFC 9112, section 6.3, gives 1xx, 204 and 304 no body.

Change: the parser skips the body of these statuses.

--- a/src/http1/parser.c
+++ b/src/http1/parser.c
@@ -104,6 +104,16 @@
     return 0;
 }
 
+/* Returns whether a response has no body because of its status, whatever length
+ * it states (RFC 9112, section 6.3). */
+static bool
+has_no_body(const H1Parser *parser)
+{
+    unsigned status = parser->core.status_code;
+    return parser->kind == H1_RESPONSE &&
+           (status < 200 || status == 204 || status == 304);
+}
+
 static int
 on_head(http_parser *core)
 {
@@ -125,7 +135,7 @@
     /* Upgrades of the protocol are not supported, so an offer must not change
      * where the message ends (RFC 9110, section 7.8). */
     core->upgrade = 0;
-    return parser->no_body ? 1 : 0;
+    return parser->no_body || has_no_body(parser) ? 1 : 0;
 }
 
 static int
--- a/test/unit/test_http1.c
+++ b/test/unit/test_http1.c
@@ -181,6 +181,34 @@
                     H1_INVALID);
 }
 
+/* Guards against bytes of the next response that are read as a body: these
+ * statuses have none, whatever length they state (RFC 9112, section 6.3). */
+static void
+responses_without_a_body_end_with_their_head(void **state)
+{
+    static const char *const heads[] = {
+        "HTTP/1.1 204 No Content\r\nContent-Length: 2\r\n\r\n",
+        "HTTP/1.1 304 Not Modified\r\nContent-Length: 2\r\n\r\n",
+        "HTTP/1.1 304 Not Modified\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "HTTP/1.1 100 Continue\r\nContent-Length: 2\r\n\r\n",
+        "HTTP/1.1 103 Early Hints\r\n\r\n",
+    };
+    static const char next[] = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    for (size_t i = 0; i < sizeof(heads) / sizeof(heads[0]); i++) {
+        H1Parser *parser = H1Parser_New(H1_RESPONSE, HEAD_MAX);
+        struct evbuffer *in = evbuffer_new();
+        evbuffer_add_printf(in, "%s%s", heads[i], next);
+        assert_int_equal(run_parser(parser, in), H1_DONE);
+        assert_int_equal(evbuffer_get_length(H1Parser_Body(parser)), 0);
+        assert_int_equal(evbuffer_get_length(in), strlen(next));
+        H1Parser_Reset(parser);
+        assert_int_equal(run_parser(parser, in), H1_DONE);
+        assert_int_equal(H1Parser_Head(parser)->status, 200);
+        evbuffer_free(in);
+        H1Parser_Free(parser);
+    }
+}
+
 /* A response without a length ends with its connection. A truncated response
  * with a length or chunks must not be accepted as complete. */
 static void
@@ -384,6 +412,7 @@
         cmocka_unit_test(body_is_decoded_and_the_next_message_kept),
         cmocka_unit_test(large_heads_are_refused),
         cmocka_unit_test(responses_end_as_declared),
+        cmocka_unit_test(responses_without_a_body_end_with_their_head),
         cmocka_unit_test(empty_value_does_not_merge_fields),
         cmocka_unit_test(trailers_are_not_added_to_the_head),
         cmocka_unit_test(any_sequence_of_fields_is_read_as_sent),
