--- a/src/control/replica.c
+++ b/src/control/replica.c
@@ -37,11 +37,6 @@
 #define SNAPSHOT_INTERVAL_BYTES (16u * 1024 * 1024)
 /* A leadership confirmation fails after this time. */
 #define CONFIRM_TIMEOUT_US (2 * US_PER_S)
-/* A leader transfers leadership when a disk write takes longer. */
-#define DISK_WRITE_TIMEOUT_US (2 * US_PER_S)
-/* Interval between attempts to use a disk again that failed or was full. */
-#define DISK_RECOVERY_INTERVAL_US (500 * US_PER_MS)
-#define READ_ONLY_HELP "1 while the disk fails or is full."
 /* Interval of the log record of a host that is not a member yet. */
 #define JOIN_LOG_INTERVAL_US (10 * US_PER_S)
 
@@ -54,12 +49,6 @@
     void *arg;
 } LeadershipConfirmation;
 
-/* A batch submitted to the writer thread and not saved yet. */
-typedef struct PendingBatch {
-    uint64_t sequence;
-    TimeUs submitted_at;
-} PendingBatch;
-
 void
 Replica_Schedule(Replica *replica)
 {
@@ -287,52 +276,6 @@
     process_outputs(arg);
 }
 
-/* Handles the result of an attempt to use the disk again after a failure. */
-static void
-on_recovered(Replica *replica, int result, const char *why)
-{
-    TimeUs now = Clock_Now();
-    if (result != ERR_OK) {
-        LOG_DEBUG(REPLICA_PART, "Disk does not accept writes yet. why=\"%s\"",
-                  why);
-        replica->recover_at = now + DISK_RECOVERY_INTERVAL_US;
-        return;
-    }
-    LOG_INFO(REPLICA_PART, "Disk accepts writes again; host takes part.");
-    Counter_Set(Counter_Get("replica_read_only", READ_ONLY_HELP), 0);
-    LogCore_OnDiskRecovered(replica->core, now);
-    Replica_Schedule(replica);
-}
-
-static void
-on_saved(void *owner, uint64_t sequence, int result, const char *why)
-{
-    Replica *replica = owner;
-    if (sequence == STORE_WRITER_RECOVERY) {
-        on_recovered(replica, result, why);
-        return;
-    }
-    while (replica->pending_batches->len > 0 &&
-           g_array_index(replica->pending_batches, PendingBatch, 0).sequence <=
-               sequence)
-    {
-        g_array_remove_index(replica->pending_batches, 0);
-    }
-    LogStatus status;
-    LogCore_GetStatus(replica->core, &status);
-    if (result == ERR_OK) {
-        LogCore_OnSaved(replica->core, sequence, Clock_Now());
-    }
-    else if (!status.failed) {
-        LOG_ERROR(REPLICA_PART,
-                  "Disk write failed; host is now read-only. why=\"%s\"", why);
-        Counter_Set(Counter_Get("replica_read_only", READ_ONLY_HELP), 1);
-        LogCore_OnDiskFailed(replica->core);
-        replica->recover_at = Clock_Now() + DISK_RECOVERY_INTERVAL_US;
-    }
-    Replica_Schedule(replica);
-}
-
 /* Fills the initial membership from the settings. Returns true when this host
  * has the lowest id and all others are connected, have an empty log and allow
  * bootstrapping. */
@@ -394,23 +337,6 @@
     }
 }
 
-static void
-check_disk(Replica *replica, TimeUs now)
-{
-    if (replica->recover_at != 0 && now >= replica->recover_at) {
-        replica->recover_at = 0;
-        StoreWriter_Recover(replica->writer);
-    }
-    if (replica->pending_batches->len == 0) {
-        return;
-    }
-    TimeUs submitted_at =
-        g_array_index(replica->pending_batches, PendingBatch, 0).submitted_at;
-    if (now - submitted_at > DISK_WRITE_TIMEOUT_US) {
-        LogCore_TransferLeadership(replica->core, now);
-    }
-}
-
 static void
 on_tick(evutil_socket_t fd, short events, void *arg)
 {
@@ -418,7 +344,7 @@
     TimeUs now = Clock_Now();
     try_bootstrap(replica, now);
     ReplicaLinks_ReportIdentities(replica, now);
-    check_disk(replica, now);
+    ReplicaDisk_Check(replica, now);
     LogCore_Tick(replica->core, now);
     process_outputs(replica);
 }
@@ -548,8 +474,8 @@
     replica->core = LogCore_New(&spec, err);
     StoreImage_Clear(&image);
     if (replica->core != NULL) {
-        replica->writer =
-            StoreWriter_Start(replica->base, store, on_saved, replica, err);
+        replica->writer = StoreWriter_Start(replica->base, store,
+                                            ReplicaDisk_OnSaved, replica, err);
     }
     if (replica->writer == NULL) {
         Store_Close(store);
--- a/src/control/replica_state.h
+++ b/src/control/replica_state.h
@@ -28,6 +28,12 @@
     Link *incoming; /* latest link that the peer dialled, or NULL */
 } ReplicaPeer;
 
+/* A batch submitted to the writer thread and not saved yet. */
+typedef struct PendingBatch {
+    uint64_t sequence;
+    TimeUs submitted_at;
+} PendingBatch;
+
 struct Replica {
     struct event_base *base;
     const Settings *settings;
@@ -61,6 +67,16 @@
  * because the same index may become durable again later. */
 void Replica_ReportTruncated(Replica *replica);
 
+/* ---- replica_disk.c ---- */
+
+/* Passes the result of a write to the core; see StoreWriterDone. */
+void ReplicaDisk_OnSaved(void *owner, uint64_t sequence, int result,
+                         const char *why);
+
+/* Makes a leader with a slow disk step aside, and tries to use a failed one
+ * again. */
+void ReplicaDisk_Check(Replica *replica, TimeUs now);
+
 /* ---- replica_links.c: links to the other control hosts ---- */
 
 /* Dials the control hosts of the settings and of the membership, and closes
--- a/src/fleet/rollouts.c
+++ b/src/fleet/rollouts.c
@@ -271,8 +271,8 @@
 {
     const Fleet *fleet = question->fleet;
     const RouteTable *table = Fleet_Table(question->fleet);
-    if (table == NULL ||
-        RouteTable_Service(table, question->service) == NULL) {
+    if (table == NULL || RouteTable_Service(table, question->service) == NULL)
+    {
         return ORDER_UNKNOWN_SERVICE;
     }
     if (present == NULL) {
--- a/src/fleet/state.h
+++ b/src/fleet/state.h
@@ -36,9 +36,10 @@
     LinkServer *link_server;
     Replica *replica;
     Document document;
-    RouteTable *newest_table; /* see Fleet_Table(); may be of an older document */
-    bool table_is_stale;      /* the document has changed since */
-    unsigned tables_decoded;  /* number of them since the start */
+    RouteTable
+        *newest_table;   /* see Fleet_Table(); may be of an older document */
+    bool table_is_stale; /* the document has changed since */
+    unsigned tables_decoded; /* number of them since the start */
     Directory *directory;
     GHashTable *peers;            /* Link -> FleetPeer */
     GHashTable *pending_commands; /* command id -> PendingCommand */
--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -4,8 +4,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include <xxhash.h>
-
 #include "gateway/state.h"
 #include "kernel/counter.h"
 #include "kernel/log.h"
@@ -538,25 +536,6 @@
     ServiceQueue_Add(call->gateway, call);
 }
 
-uint64_t
-Call_Fingerprint(Call *call)
-{
-    if (call->subjects.request != 0) {
-        return call->subjects.request;
-    }
-    /* An account may send the request again with another of its keys. */
-    const char *caller = call->account != NULL ? call->account->name
-                         : call->key != NULL   ? call->key
-                                               : "";
-    size_t length = evbuffer_get_length(call->body);
-    const char *body =
-        length > 0 ? (const char *)evbuffer_pullup(call->body, -1) : "";
-    uint64_t hash = XXH3_64bits(call->target, strlen(call->target));
-    hash = XXH3_64bits_withSeed(caller, strlen(caller), hash);
-    call->subjects.request = XXH3_64bits_withSeed(body, length, hash);
-    return call->subjects.request;
-}
-
 void
 Call_Start(Conn *conn, Gateway *gateway, const H1Head *head,
            struct evbuffer *body)
--- a/src/gateway/call_fields.c
+++ b/src/gateway/call_fields.c
@@ -1,10 +1,12 @@
 /** @file
- * Gateway: header fields of callers' requests.
+ * Gateway: header fields and fingerprints of callers' requests.
  */
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
 
+#include <xxhash.h>
+
 #include "gateway/state.h"
 
 /* Deadline of a request that states none, and the longest deadline. */
@@ -105,3 +107,22 @@
     }
     return NULL;
 }
+
+uint64_t
+Call_Fingerprint(Call *call)
+{
+    if (call->subjects.request != 0) {
+        return call->subjects.request;
+    }
+    /* An account may send the request again with another of its keys. */
+    const char *caller = call->account != NULL ? call->account->name
+                         : call->key != NULL   ? call->key
+                                               : "";
+    size_t length = evbuffer_get_length(call->body);
+    const char *body =
+        length > 0 ? (const char *)evbuffer_pullup(call->body, -1) : "";
+    uint64_t hash = XXH3_64bits(call->target, strlen(call->target));
+    hash = XXH3_64bits_withSeed(caller, strlen(caller), hash);
+    call->subjects.request = XXH3_64bits_withSeed(body, length, hash);
+    return call->subjects.request;
+}
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -79,6 +79,13 @@
     struct event *fail_barred_event; /* NULL before the first use */
 };
 
+/* ---- endpoint_socket.c ---- */
+
+/* Creates a socket for a connection to the endpoint.
+ * @param address  set to the endpoint's address.
+ * @return a file descriptor, or -1; why is logged. */
+evutil_socket_t EndpointSocket_New(const Endpoint *endpoint, Address *address);
+
 /* ---- upstream.c: connections to endpoints ---- */
 
 typedef enum UpstreamFailure {
--- a/src/gateway/upstream.c
+++ b/src/gateway/upstream.c
@@ -15,12 +15,6 @@
 
 /* Time limit of a connection attempt; several round trips between regions. */
 #define CONNECT_TIMEOUT_MS 400
-/* Time without acknowledgement of bytes or keepalive probes after which a
- * connection is closed, because the peer is gone without a reset. */
-#define UNACKED_TIMEOUT_MS 2500
-#define KEEPALIVE_IDLE_S 1
-#define KEEPALIVE_INTERVAL_S 1
-#define KEEPALIVE_PROBES 2
 /* Assumed idle limit of an endpoint that sends no Keep-Alive timeout. */
 #define DEFAULT_IDLE_MS 4000
 /* Fractions of the endpoint's idle limit up to which a connection is reused,
@@ -417,44 +411,16 @@
     fail_upstream(upstream, UPSTREAM_NOT_SENT, "connection timed out");
 }
 
-static void
-set_socket_options(evutil_socket_t fd)
-{
-    int on = 1;
-    unsigned unacked_ms = UNACKED_TIMEOUT_MS;
-    int idle = KEEPALIVE_IDLE_S;
-    int interval = KEEPALIVE_INTERVAL_S;
-    int count = KEEPALIVE_PROBES;
-    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked_ms,
-               sizeof(unacked_ms));
-    setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
-    setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof(idle));
-    setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof(interval));
-    setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &count, sizeof(count));
-}
-
 /* Starts a new connection.
  * @return NULL when that fails at once. */
 static Upstream *
 open_connection(Endpoint *endpoint)
 {
     Address address;
-    Error err = ERROR_INIT;
-    if (Address_Parse(endpoint->address, &address, &err) != ERR_OK) {
-        LOG_WARN(GATEWAY_PART,
-                 "Invalid address of an endpoint. endpoint=%s why=\"%s\"",
-                 endpoint->id, err.text);
-        return NULL;
-    }
-    evutil_socket_t fd = socket(address.storage.ss_family,
-                                SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    evutil_socket_t fd = EndpointSocket_New(endpoint, &address);
     if (fd < 0) {
-        LOG_WARN(GATEWAY_PART, "Failed to create a socket. endpoint=%s",
-                 endpoint->id);
         return NULL;
     }
-    set_socket_options(fd);
     Gateway *gateway = endpoint->gateway;
     Upstream *upstream = g_new0(Upstream, 1);
     upstream->gateway = gateway;
--- a/src/http1/parser.c
+++ b/src/http1/parser.c
@@ -104,8 +104,8 @@
     return 0;
 }
 
-/* Returns whether a response has no body because of its status, whatever length
- * it states (RFC 9112, section 6.3). */
+/* Returns whether a response has no body because of its status, whatever
+ * length it states (RFC 9112, section 6.3). */
 static bool
 has_no_body(const H1Parser *parser)
 {
--- a/test/fuzz/log_net.c
+++ b/test/fuzz/log_net.c
@@ -400,27 +400,6 @@
     Net_Start(net, index);
 }
 
-void
-Net_FailDisk(Net *net, unsigned index)
-{
-    NetHost *host = &net->hosts[index];
-    if (host->core != NULL) {
-        LogCore_OnDiskFailed(host->core);
-        g_ptr_array_set_size(host->disk.batches, 0);
-        Net_ProcessOutput(net, host);
-    }
-}
-
-void
-Net_RecoverDisk(Net *net, unsigned index)
-{
-    NetHost *host = &net->hosts[index];
-    if (host->core != NULL) {
-        LogCore_OnDiskRecovered(host->core, net->now);
-        Net_ProcessOutput(net, host);
-    }
-}
-
 /* ---- Events ---- */
 
 void
--- a/test/fuzz/log_net_members.c
+++ b/test/fuzz/log_net_members.c
@@ -1,5 +1,6 @@
 /** @file
- * Simulated cluster of log cores: changes of membership.
+ * Simulated cluster of log cores: changes of membership, and disks that fail
+ * and recover.
  */
 #include "log_net.h"
 
@@ -39,3 +40,24 @@
         }
     }
 }
+
+void
+Net_FailDisk(Net *net, unsigned index)
+{
+    NetHost *host = &net->hosts[index];
+    if (host->core != NULL) {
+        LogCore_OnDiskFailed(host->core);
+        g_ptr_array_set_size(host->disk.batches, 0);
+        Net_ProcessOutput(net, host);
+    }
+}
+
+void
+Net_RecoverDisk(Net *net, unsigned index)
+{
+    NetHost *host = &net->hosts[index];
+    if (host->core != NULL) {
+        LogCore_OnDiskRecovered(host->core, net->now);
+        Net_ProcessOutput(net, host);
+    }
+}
