Idle connections are closed only if the newest of them is too old

Since a connection that has carried the request is passed over, an older one may be looked at, whose age says nothing of the newer ones. platform-stale-refusal, -answers and -many* pass.

--- a/src/gateway/upstream.c
+++ b/src/gateway/upstream.c
@@ -482,8 +482,8 @@
     TimeUs limit =
         (TimeUs)(upstream->idle_limit_ms * fraction * (double)US_PER_MS);
     if (now - upstream->idle_since > limit) {
-        if (!require_live) {
-            Upstream_CloseIdle(endpoint);
+        if (!require_live && node == endpoint->idle_upstreams.head) {
+            Upstream_CloseIdle(endpoint); /* the others are older still */
         }
         return NULL;
     }
