--- a/src/control/replica_state.h
+++ b/src/control/replica_state.h
@@ -51,11 +51,10 @@
     uint64_t reported_index;    /* last index passed to ops->command_durable */
     uint64_t applied_bytes;     /* command bytes since the last snapshot */
     GArray *pending_batches;    /* PendingBatch elements by sequence */
-    TimeUs
-        recover_at; /* next attempt to use the failed disk; 0: none is due */
-    TimeUs join_logged_at; /* when the wait to join was last logged */
-    bool was_leader;       /* value last passed to ops->leadership_changed */
-    bool leaving;          /* a planned stop has begun */
+    TimeUs recover_at;          /* next use of a failed disk; 0: none is due */
+    TimeUs join_logged_at;      /* when the wait to join was last logged */
+    bool was_leader; /* value last passed to ops->leadership_changed */
+    bool leaving;    /* a planned stop has begun */
     LogConfig learned_config; /* membership received from a peer */
 };
 
