--- a/test/functional/platform-version-unasked.sh
+++ b/test/functional/platform-version-unasked.sh
@@ -12,17 +12,22 @@
 wait_until gateway_streams 1
 sleep $SOLE_S
 
+# Time that the callers have. The gateway asks for a third of it, so that the others
+# stand still for less than the 1.5 s after which their links are lost, also if they
+# were last heard 0.5 s before.
+DEADLINE_MS=1500
+
 # take_up ID [CURL_OPTIONS...]: takes a stream up whose origin nobody knows; prints
 # status and versions.
 take_up() {
-    gateway_request 1 POST /stream/x "$1" -d x -H 'Model: m' -H 'Last-Event-Id: 2' --max-time 4 \
-        -w '\n%{http_code}\n' "${@:2}" |
+    curl -s -X POST -H 'Host: h.example' -H 'Authorization: Bearer key-1' -H "Attempt-Id: $1" \
+        -H "Deadline-Ms: $DEADLINE_MS" -H 'Model: m' -H 'Last-Event-Id: 2' -d x --max-time 4 \
+        -w '\n%{http_code}\n' "${@:2}" "http://127.0.0.1:$FRONTEND_PORT/stream/x" |
         awk '$1 == "data:" { print $3 } NF == 1 && $1 ~ /^[0-9]+$/ { print }' | sort -u | tr '\n' ' '
     echo
 }
 stand_still() { for host in 1 2 3; do kill "-$1" "$(pid control$host)"; done; }
-# cut ID [CURL_OPTIONS...]: take_up() while the control hosts stand
-# still for less than the time after which links to them are lost.
+# cut ID [CURL_OPTIONS...]: take_up() while the control hosts stand still.
 cut() {
     stand_still STOP
     take_up "$@"
