Log: the format decides the type of a field, not the value

Operators: `laurellift trace ID` and searches for the string missed the records of requests whose id has digits only, as the id was written as a number; accounts, routes, endpoints and versions of software likewise.

Cause: the logger wrote each value of digits alone as a number.

Change: a field is a number if the record's format prints it with %d, %i, %u or %f, otherwise a string.

--- a/src/cli/cmd_trace.c
+++ b/src/cli/cmd_trace.c
@@ -3,6 +3,7 @@
  * processes, in order of time.
  */
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "cli/cli.h"
@@ -59,8 +60,9 @@
                                    json_string_value(value));
         }
         else {
-            g_string_append_printf(text, " %s=%" JSON_INTEGER_FORMAT, key,
-                                   json_integer_value(value));
+            char *number = json_dumps(value, JSON_ENCODE_ANY);
+            g_string_append_printf(text, " %s=%s", key, number);
+            free(number);
         }
     }
     return g_string_free(text, FALSE);
--- a/src/kernel/log.c
+++ b/src/kernel/log.c
@@ -82,7 +82,7 @@
         vsnprintf(line + prefix, sizeof(line) - 1 - prefix, format, args);
     va_end(args);
     if (json) {
-        LogJson_Write(level, level_names[level], part, line);
+        LogJson_Write(level, level_names[level], part, format, line);
         return;
     }
     size_t available = sizeof(line) - 2 - prefix;
--- a/src/kernel/log_json.c
+++ b/src/kernel/log_json.c
@@ -5,6 +5,7 @@
 #include "kernel/log_json.h"
 
 #include <ctype.h>
+#include <errno.h>
 #include <poll.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -22,6 +23,7 @@
 #define PIPE_WRITE_BYTES 4096
 /* Prefix of a key that names a field which the record already has. */
 #define REPEATED_PREFIX "field_"
+#define DROPPED_FORMAT "Records were left out. count=%llu"
 
 static GMutex lock;
 static LogBudget log_budget = {
@@ -69,16 +71,54 @@
     return NULL;
 }
 
+/* Returns whether a printf conversion prints a number. Hexadecimal ones print
+ * identifiers.
+ * @param conversion  the text after the `%`. */
+static bool
+prints_number(const char *conversion)
+{
+    conversion += strspn(conversion, "-+ #0123456789.*");
+    conversion += strspn(conversion, "hlzjt");
+    return *conversion != '\0' && strchr("diuf", *conversion) != NULL &&
+           (conversion[1] == '\0' || conversion[1] == ' ');
+}
+
+/* Returns whether the value of a key is a number. The conversion in the format
+ * decides this, not the value: an identifier may consist of digits. */
+static bool
+is_number_key(const char *format, const char *key)
+{
+    size_t length = strlen(key);
+    for (const char *at = strstr(format, key); at != NULL;
+         at = strstr(at + 1, key))
+    {
+        if (at > format && at[-1] == ' ' && at[length] == '=') {
+            return at[length + 1] == '%' && prints_number(at + length + 2);
+        }
+    }
+    return false;
+}
+
 static json_t *
-make_value(const char *text, size_t length)
+make_value(const char *text, size_t length, bool is_number)
 {
     char *copy = g_strndup(text, length);
     char *end = copy;
-    long long number = strtoll(copy, &end, 10);
-    /* A value with a leading zero is an identifier, so it stays a string. */
-    bool numeric = end != copy && *end == '\0' && length < 18 &&
-                   (copy[0] != '0' || length == 1);
-    json_t *value = numeric ? json_integer(number) : json_string(copy);
+    json_t *value = NULL;
+    if (is_number) {
+        errno = 0;
+        long long number = strtoll(copy, &end, 10);
+        if (end != copy && *end == '\0' && errno == 0) {
+            value = json_integer(number);
+        }
+        else {
+            double real = g_ascii_strtod(copy, &end);
+            value = end != copy && *end == '\0' ? json_real(real) : NULL;
+        }
+    }
+    if (value == NULL) {
+        value = json_string(copy);
+    }
     g_free(copy);
     return value == NULL ? json_string("(not text)") : value;
 }
@@ -97,9 +137,10 @@
     return name;
 }
 
-/* Adds the `key=value` pairs of the text to the object. */
+/* Adds the `key=value` pairs of the text, which was printed with the format,
+ * to the object. */
 static void
-add_fields(json_t *record, const char *text)
+add_fields(json_t *record, const char *format, const char *text)
 {
     while (text != NULL && *text != '\0') {
         text += strspn(text, " ");
@@ -121,7 +162,9 @@
             text = value + length;
         }
         char *name = field_name(record, key);
-        json_object_set_new(record, name, make_value(value, length));
+        json_object_set_new(
+            record, name,
+            make_value(value, length, is_number_key(format, key)));
         g_free(name);
         g_free(key);
     }
@@ -139,7 +182,7 @@
 
 char *
 LogJson_Format(int64_t wall_ms, const char *level, const char *part,
-               const char *text)
+               const char *format, const char *text)
 {
     char when[40];
     format_time(wall_ms, when, sizeof(when));
@@ -152,7 +195,7 @@
     json_t *event = json_stringn(text, length);
     json_object_set_new(record, "event",
                         event == NULL ? json_string("(not text)") : event);
-    add_fields(record, keys);
+    add_fields(record, format, keys);
     char *line = json_dumps(record, JSON_COMPACT);
     json_decref(record);
     return line;
@@ -185,9 +228,9 @@
         return;
     }
     char text[96];
-    snprintf(text, sizeof(text), "Records were left out. count=%llu",
-             (unsigned long long)count);
-    char *line = LogJson_Format(Clock_WallMs(), "warn", "log", text);
+    snprintf(text, sizeof(text), DROPPED_FORMAT, (unsigned long long)count);
+    char *line =
+        LogJson_Format(Clock_WallMs(), "warn", "log", DROPPED_FORMAT, text);
     if (LogBudget_Take(&log_budget, LOG_LEVEL_WARN, strlen(line), now) &&
         write_line(line, strlen(line)))
     {
@@ -201,9 +244,9 @@
 
 void
 LogJson_Write(LogLevel level, const char *name, const char *part,
-              const char *text)
+              const char *format, const char *text)
 {
-    char *line = LogJson_Format(Clock_WallMs(), name, part, text);
+    char *line = LogJson_Format(Clock_WallMs(), name, part, format, text);
     TimeUs now = Clock_Now();
     g_mutex_lock(&lock);
     if (LogBudget_Take(&log_budget, level, strlen(line), now)) {
--- a/src/kernel/log_json.h
+++ b/src/kernel/log_json.h
@@ -34,14 +34,16 @@
 
 /** Formats a record as one line of JSON, which the caller frees with free(). A
  * key that names a field of the logger, or one that the text names twice, gets
- * the prefix "field_".
+ * the prefix "field_". A value is a number if the format prints it with %d,
+ * %i, %u or %f, otherwise a string, also if it has digits only.
+ * @param format  the format that the text was printed with.
  * @param text  "Sentence. key=value key=\"a value\"". */
 char *LogJson_Format(int64_t wall_ms, const char *level, const char *part,
-                     const char *text);
+                     const char *format, const char *text);
 
 /** Writes a record on standard output, or counts it as dropped.
  * @param name  name of the level. */
 void LogJson_Write(LogLevel level, const char *name, const char *part,
-                   const char *text);
+                   const char *format, const char *text);
 
 #endif
--- a/test/functional/platform-trace.sh
+++ b/test/functional/platform-trace.sh
@@ -40,6 +40,10 @@
 gateway_metric gateway_failed_total | sed 's/ [0-9]*$//' | sort
 gateway_metric 'gateway_request_seconds_count{kind="once",served="no"}' | wc -l
 
+echo "-- a request whose id has digits only"
+gateway_status 1 GET /nowhere 4436629169351234
+trace 4436629169351234 | print_fields 'id|outcome|status|attempts'
+
 echo "-- a request id that is in no log"
 trace nobody
 echo "exit $?"
