Only the rest of a stream continues it

Here the gateway joined a 404, 302 or 206 of the type of an event stream, ended the stream after a 204 or a head alone, and took an event without an id, or one after a gap, for the next one.

Cause: whether an answer is the rest of the stream was decided by its type alone.

Change: gateway/events knows which events may follow; the answer must have the status that the stream began with; a stream with an event without an id is not continued; a closed connection ends the rest only after an event of it.

--- a/src/gateway/call_answer.c
+++ b/src/gateway/call_answer.c
@@ -86,21 +86,35 @@
     }
 }
 
+static bool
+is_success(const H1Head *head)
+{
+    return head->status >= 200 && head->status < 300;
+}
+
 /* Returns why an endpoint's head cannot be forwarded, or NULL if it can. */
 static const char *
 find_fault(const Call *call, const H1Head *head)
 {
     const GatewayFields *fields = call->gateway->options->fields;
-    bool success = head->status >= 200 && head->status < 300;
     if (H1Head_Get(head, "Content-Encoding") != NULL) {
         return "the answer's body is encoded";
     }
-    if (success && H1Head_Get(head, fields->signature) == NULL) {
+    if (is_success(head) && H1Head_Get(head, fields->signature) == NULL) {
         return "the endpoint's signature is missing";
     }
     return NULL;
 }
 
+/* Ends the attempt after an answer that cannot be used. */
+static void
+cancel_and_retry(Call *call, const char *why)
+{
+    Upstream_Cancel(call->upstream);
+    call->upstream = NULL;
+    Call_Retry(call, ATTEMPT_MAYBE_RAN, why);
+}
+
 /* Detaches the call from its attempt. The rest of the endpoint's answer is
  * read and discarded, so that the connection can be reused. */
 static void
@@ -159,9 +173,7 @@
     }
     const char *fault = find_fault(call, head);
     if (fault != NULL) {
-        Upstream_Cancel(call->upstream);
-        call->upstream = NULL;
-        Call_Retry(call, ATTEMPT_MAYBE_RAN, fault);
+        cancel_and_retry(call, fault);
         return;
     }
     bool retry = failure && Call_IsRepeatable(call) &&
@@ -173,18 +185,18 @@
         Call_Retry(call, ATTEMPT_MAYBE_RAN, "the endpoint failed");
         return;
     }
-    call->status = head->status;
-    call->is_stream =
-        call->route->kind == ROUTE_STREAM && !failure && is_event_stream(head);
     if (call->state != CALL_STREAMING) {
+        call->status = head->status;
+        call->is_stream = call->route->kind == ROUTE_STREAM &&
+                          is_success(head) && is_event_stream(head);
         print_head(call, head);
+        return;
     }
-    else if (!call->is_stream) {
-        Upstream_Cancel(call->upstream);
-        call->upstream = NULL;
-        Call_Retry(call, ATTEMPT_MAYBE_RAN,
-                   "the answer does not resume the stream");
+    if (head->status != call->status || !is_event_stream(head)) {
+        cancel_and_retry(call, "the answer does not resume the stream");
+        return;
     }
+    Events_ExpectRest(&call->events);
 }
 
 void
@@ -211,11 +223,9 @@
     {
         return;
     }
-    Upstream_Cancel(call->upstream);
-    call->upstream = NULL;
-    Call_Retry(call, ATTEMPT_MAYBE_RAN,
-               too_long ? "the answer exceeds the size limit"
-                        : "the answers together exceed the size limit");
+    cancel_and_retry(call, too_long
+                               ? "the answer exceeds the size limit"
+                               : "the answers together exceed the size limit");
 }
 
 static void
@@ -229,20 +239,21 @@
     if (call->events.forwarded_count == call->forwarded_before &&
         !Endpoint_MayContinue(call->endpoint, call))
     {
-        Upstream_Cancel(call->upstream);
-        call->upstream = NULL;
-        Call_Retry(call, ATTEMPT_MAYBE_RAN,
-                   "the endpoint may run another version by now");
+        cancel_and_retry(call, "the endpoint may run another version by now");
         return;
     }
     evbuffer_add_buffer(call->partial_event, body);
-    if (!Events_Forward(&call->events, call->partial_event, call->answer)) {
-        Upstream_Cancel(call->upstream);
-        call->upstream = NULL;
-        Call_Retry(call, ATTEMPT_MAYBE_RAN, "an event exceeds the size limit");
-        return;
+    switch (Events_Forward(&call->events, call->partial_event, call->answer)) {
+    case EVENTS_FORWARDED:
+        forward_events(call);
+        break;
+    case EVENTS_TOO_LONG:
+        cancel_and_retry(call, "an event exceeds the size limit");
+        break;
+    case EVENTS_NOT_THE_REST:
+        cancel_and_retry(call, "the events do not resume the stream");
+        break;
     }
-    forward_events(call);
 }
 
 static void
@@ -261,11 +272,20 @@
     }
 }
 
+static bool
+ends_inside_event(const Call *call)
+{
+    return call->is_stream && evbuffer_get_length(call->partial_event) > 0;
+}
+
+/* A closed connection ends the rest of a stream only after an event of it: the
+ * endpoint may have stopped before. */
 static bool
 may_end(const void *owner)
 {
     const Call *call = owner;
-    return !call->is_stream || evbuffer_get_length(call->partial_event) == 0;
+    bool lacks_rest = call->is_stream && call->events.expect_rest;
+    return !lacks_rest && !ends_inside_event(call);
 }
 
 static void
@@ -274,7 +294,7 @@
     Call *call = owner;
     call->upstream = NULL;
     Conn *conn = call->conn;
-    if (!may_end(call)) {
+    if (ends_inside_event(call)) {
         Call_Retry(call, ATTEMPT_MAYBE_RAN,
                    "the stream ended inside an event");
         return;
--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -277,7 +277,8 @@
     Call_ReleaseEndpoint(call, outcome == ATTEMPT_OTHER_INSTANCE
                                    ? SLOT_OTHER_INSTANCE
                                    : SLOT_NOT_SERVED);
-    bool retry = Origins_CanGoOn(call) && may_retry(call, outcome);
+    bool retry = Events_CanGoOn(&call->events) && Origins_CanGoOn(call) &&
+                 may_retry(call, outcome);
     char parts[SUBJECTS_TEXT_BYTES];
     LOG_INFO(GATEWAY_PART,
              "Endpoint did not serve. id=%s endpoint=%s outcome=%s "
--- a/test/fakes/fake_server.c
+++ b/test/fakes/fake_server.c
@@ -21,6 +21,7 @@
 #include "fake_deadly.h"
 #include "fake_endless.h"
 #include "fake_limit.h"
+#include "fake_raw.h"
 #include "fake_server.h"
 #include "fake_speed.h"
 #include "http1/parser.h"
@@ -392,6 +393,15 @@
            tenant != NULL ? tenant : "-",
            last_event != NULL ? last_event : "-", has_key ? "yes" : "no",
            evbuffer_get_length(body));
+    if (FakeRaw_Write(connection->bev,
+                      last_event != NULL && server->raw_rest != NULL
+                          ? server->raw_rest
+                          : server->raw_answer,
+                      connection->id, server->raw_reset))
+    {
+        close_after_flush(connection);
+        return;
+    }
     connection->streamed = H1Head_Get(head, "Model") != NULL && !fails;
     connection->deadly_target = Deadly_Target(
         server->deadly_parts, H1Head_Get(head, "Prefix-Hash"), head->target);
--- a/test/fakes/fake_server.h
+++ b/test/fakes/fake_server.h
@@ -19,6 +19,9 @@
     gchar *zone;
     gchar *record;       /* path of the record file; NULL for none */
     gchar *fault;        /* kind of fault; NULL for none */
+    gchar *raw_answer;   /* file with the bytes that answer each request */
+    gchar *raw_rest;     /* as raw_answer, for the rest of a stream */
+    gboolean raw_reset;  /* the connection is reset after these bytes */
     gint fault_count;    /* number of further requests that get the fault */
     gint fault_every;    /* if above 1, each of so many streams gets it */
     gint error_every;    /* each of so many requests fails; 0: none */
--- a/test/fakes/fake_server_options.c
+++ b/test/fakes/fake_server_options.c
@@ -47,6 +47,13 @@
          "no-seal, "
          "wrong-id or one of fake_endless.h",
          "KIND"},
+        {"raw-answer", 0, 0, G_OPTION_ARG_STRING, &server->raw_answer,
+         "File with the bytes that answer each request, before it closes",
+         "FILE"},
+        {"raw-rest", 0, 0, G_OPTION_ARG_STRING, &server->raw_rest,
+         "The same for each request for the rest of a stream", "FILE"},
+        {"raw-reset", 0, 0, G_OPTION_ARG_NONE, &server->raw_reset,
+         "Reset the connection after these bytes", NULL},
         {"fault-count", 0, 0, G_OPTION_ARG_INT, &server->fault_count,
          "Number of requests with the fault", "N"},
         {"fault-every", 0, 0, G_OPTION_ARG_INT, &server->fault_every,
--- a/test/unit/test_gateway.c
+++ b/test/unit/test_gateway.c
@@ -32,7 +32,7 @@
         struct evbuffer *out)
 {
     evbuffer_add(in, bytes, strlen(bytes));
-    assert_true(Events_Forward(events, in, out));
+    assert_int_equal(Events_Forward(events, in, out), EVENTS_FORWARDED);
     return evbuffer_get_length(out);
 }
 
@@ -69,6 +69,76 @@
     evbuffer_free(out);
 }
 
+/* Forwards `begun`, announces a rest and forwards it. */
+static EventsResult
+forward_rest(Events *events, const char *begun, const char *rest)
+{
+    *events = EVENTS_INIT;
+    struct evbuffer *in = evbuffer_new();
+    struct evbuffer *out = evbuffer_new();
+    forward(events, begun, in, out);
+    Events_ExpectRest(events);
+    evbuffer_add(in, rest, strlen(rest));
+    EventsResult result = Events_Forward(events, in, out);
+    evbuffer_free(in);
+    evbuffer_free(out);
+    return result;
+}
+
+/* Guards against a stream whose rest lacks events, or is another text. */
+static void
+the_rest_follows_the_forwarded_events(void **state)
+{
+    static const char three[] =
+        "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n";
+    Events events;
+    assert_int_equal(forward_rest(&events, three, "id: 4\ndata: d\n\n"),
+                     EVENTS_FORWARDED);
+    assert_int_equal(events.forwarded_count, 4);
+    assert_int_equal(
+        forward_rest(&events, three, "id: 3\ndata: c\n\nid: 4\ndata: d\n\n"),
+        EVENTS_FORWARDED);
+    assert_int_equal(events.forwarded_count, 4);
+    assert_int_equal(forward_rest(&events, three, ": alive\n\n"),
+                     EVENTS_FORWARDED);
+    assert_true(events.expect_rest);
+    assert_int_equal(forward_rest(&events, three, "id: 5\ndata: e\n\n"),
+                     EVENTS_NOT_THE_REST);
+    assert_int_equal(forward_rest(&events, three, "data: failed\n\n"),
+                     EVENTS_NOT_THE_REST);
+    assert_int_equal(events.forwarded_count, 3);
+}
+
+/* Ids may have any distance, as those that count tokens. */
+static void
+a_rest_after_ids_of_varying_distance_may_begin_anywhere(void **state)
+{
+    Events events;
+    assert_int_equal(forward_rest(&events,
+                                  "id: 1\ndata: a\n\nid: 5\ndata: b\n\n"
+                                  "id: 7\ndata: c\n\n",
+                                  "id: 20\ndata: d\n\n"),
+                     EVENTS_FORWARDED);
+    assert_int_equal(forward_rest(&events,
+                                  "id: 4\ndata: a\n\nid: 8\ndata: b\n\n",
+                                  "id: 20\ndata: d\n\n"),
+                     EVENTS_FORWARDED);
+}
+
+static void
+streams_with_events_without_an_id_do_not_go_on(void **state)
+{
+    Events events;
+    forward_rest(&events, "id: 1\ndata: a\n\n: alive\n\n", "");
+    assert_true(Events_CanGoOn(&events));
+    forward_rest(&events, "id: 1\ndata: a\n\ndata: b\n\n", "");
+    assert_false(Events_CanGoOn(&events));
+    forward_rest(&events, "data: a\n\n", "");
+    assert_false(Events_CanGoOn(&events));
+    forward_rest(&events, "", "");
+    assert_true(Events_CanGoOn(&events));
+}
+
 /* Guards against an invalid figure of the speed that hides the load, and
  * against a figure read from a report of three. */
 static void
@@ -280,6 +350,10 @@
         cmocka_unit_test(only_complete_events_are_forwarded),
         cmocka_unit_test(load_reports_are_read),
         cmocka_unit_test(resumed_stream_skips_forwarded_events),
+        cmocka_unit_test(the_rest_follows_the_forwarded_events),
+        cmocka_unit_test(
+            a_rest_after_ids_of_varying_distance_may_begin_anywhere),
+        cmocka_unit_test(streams_with_events_without_an_id_do_not_go_on),
         cmocka_unit_test(short_bursts_are_delayed),
         cmocka_unit_test(part_starts_empty_and_retries_are_spread),
         cmocka_unit_test(requests_on_credit_need_no_answer),
