An interim answer does not give a HEAD request's answer a body

Callers would have got 502 or 504 to HEAD requests whose server sends an interim answer first.

Cause: the parser forgot at the second answer that the request was a HEAD.

Change: the connection tells the parser before each answer.

--- a/src/gateway/upstream.c
+++ b/src/gateway/upstream.c
@@ -47,6 +47,7 @@
     TimeUs written_at; /* as sent_at, or when the connection was established */
     bool success;      /* the head of the answer has a status of success */
     bool not_run; /* the endpoint states that it did not run the request */
+    bool head_only;   /* the answer to the request has no body */
     bool connected;
     bool busy;        /* carries a request */
     bool skip_answer; /* the parsed answer is interim or to another request */
@@ -272,6 +273,15 @@
     return alive;
 }
 
+static void
+expect_answer(const Upstream *upstream)
+{
+    H1Parser_Reset(upstream->parser);
+    if (upstream->head_only) {
+        H1Parser_ExpectNoBody(upstream->parser);
+    }
+}
+
 static void
 parse_input(Upstream *upstream)
 {
@@ -297,7 +307,7 @@
                 return;
             }
             upstream->skip_answer = false;
-            H1Parser_Reset(upstream->parser);
+            expect_answer(upstream);
             break;
         case H1_INVALID:
             fail_upstream(upstream, UPSTREAM_INVALID, err.text);
@@ -489,7 +499,6 @@
     }
     g_queue_delete_link(&endpoint->idle_upstreams, node);
     upstream->busy = true;
-    H1Parser_Reset(upstream->parser);
     return upstream;
 }
 
@@ -515,9 +524,8 @@
     upstream->sent_at = Clock_Now();
     upstream->written_at = upstream->sent_at;
     upstream->not_run = false;
-    if (request->head_only) {
-        H1Parser_ExpectNoBody(upstream->parser);
-    }
+    upstream->head_only = request->head_only;
+    expect_answer(upstream);
     g_free(upstream->request_id);
     upstream->request_id = g_strdup(request->id);
     bufferevent_write_buffer(upstream->stream, request->bytes);
