--- a/test/functional/platform-broken-heads.sh
+++ b/test/functional/platform-broken-heads.sh
@@ -9,7 +9,7 @@
 send_one() {
     local method=GET
     [ "$1" != once ] || method=POST
-    gateway_request 1 $method "/$1/x" "$2" -H 'Deadline-Ms: 700' --max-time 5 -o "$2.body" \
+    gateway_request 1 $method "/$1/$2" "$2" -H 'Deadline-Ms: 700' --max-time 5 -o "$2.body" \
         -w '%{http_code}\n' >"$2.status"
     if grep -q '^2' "$2.status" || grep -q 'oops' "$2.body" 2>/dev/null; then
         echo "$2: $(cat "$2.status")" >>complete
@@ -29,11 +29,11 @@
             sent+=($!)
         done
         wait "${sent[@]}"
-        [ "$(cat $SERVERS.record | grep -oE "^ran $1-(look|once|open)" | sort -u | wc -l)" -lt 3 ] || break
+        [ "$(grep -ohE "^ran $1-(look|once|open)" $SERVERS.record | sort -u | wc -l)" -lt 3 ] || break
     done
     cat complete >&2
-    cat $SERVERS.record | grep -qE "^ran $1-once" || echo "$1: no request arrived"
-    twice=$(cat $SERVERS.record | grep -oE "^ran $1-once-[0-9]+" | sort | uniq -d | wc -l)
+    grep -qsE "^ran $1-once" $SERVERS.record || echo "$1: no request arrived"
+    twice=$(grep -ohE "^ran $1-once-[0-9]+" $SERVERS.record | sort | uniq -d | wc -l)
     echo "$1: look complete $(wc -l <complete), ran twice $twice"
 }
 
