An entry that stops answers all requests before it ends

Cause: the task freed its requests at the end of the time.

Change: 0.3 s before it, waiting requests are refused as not run, those that may have run get an unknown outcome, and answers whose claim is not recorded are sent.

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -15,6 +15,9 @@
 #define DUMP_REQUESTS_MAX 100
 /* Number of ticks between two runs of EntryAnswer_SendAcks. */
 #define TICKS_PER_ACK 2
+/* Time before the end of a stop at which requests without an answer get one:
+ * their callers otherwise see a closed connection. */
+#define STOP_LAST_ANSWERS_MS 300
 
 static void
 on_tick(evutil_socket_t fd, short events, void *arg)
@@ -26,6 +29,9 @@
     if (++entry->tick_count % TICKS_PER_ACK == 0) {
         EntryAnswer_SendAcks(entry);
     }
+    if (entry->draining && now >= entry->answer_all_at) {
+        Request_AnswerAll(entry);
+    }
     if (entry->draining && g_hash_table_size(entry->requests) == 0 &&
         EntryClaims_PendingCount(entry->claims) == 0)
     {
@@ -62,6 +68,9 @@
 {
     Entry *entry = state;
     entry->draining = true;
+    TimeUs span_ms = entry->settings->stop_timeout_ms;
+    entry->answer_all_at =
+        Clock_Now() + MAX(span_ms - STOP_LAST_ANSWERS_MS, 0) * US_PER_MS;
     EntryControl_SendPresence(entry);
 }
 
--- a/src/entry/life.c
+++ b/src/entry/life.c
@@ -91,6 +91,31 @@
     LifeStep_End(step);
 }
 
+/* Gives the caller an answer before the entry ends. A run with a claim is not
+ * cancelled: its agent keeps the answer, and the control hosts keep the claim.
+ */
+static void
+on_stop(LifeStep *step)
+{
+    Life *life = step->life;
+    if (life->state == LIFE_RECORDING) {
+        LifeAnswer_Finish(step, false);
+        return;
+    }
+    if (!LifeStep_IsRunning(life)) {
+        LifeStep_FailNotRun(step, LIFE_FAIL_REFUSED, REFUSE_LEAVING,
+                            step->event->retry_after_ms);
+        return;
+    }
+    if (!life->claim_held) {
+        LifeStep_Cancel(step);
+        LifeStep_FailUnknown(step, LIFE_FAIL_LOST);
+        return;
+    }
+    LifeStep_ReportFailure(step, LIFE_FAIL_LOST, false, REFUSE_NONE, 0);
+    life->caller_gone = true;
+}
+
 static void
 on_request_event(LifeStep *step)
 {
@@ -155,6 +180,9 @@
     case LIFE_ON_CALLER_DISCONNECTED:
         on_caller_disconnected(step);
         break;
+    case LIFE_ON_STOP:
+        on_stop(step);
+        break;
     case LIFE_ON_SHED:
         if (step->life->state == LIFE_WANTING) {
             LifeStep_FailNotRun(step, LIFE_FAIL_REFUSED, REFUSE_SHED,
--- a/src/entry/life.h
+++ b/src/entry/life.h
@@ -70,6 +70,7 @@
     LIFE_ON_RECORDED,           /**< The outcome of the claim is recorded. */
     LIFE_ON_TIMER,              /**< Life.timer_at has passed. */
     LIFE_ON_CALLER_DISCONNECTED,
+    LIFE_ON_STOP, /**< The entry ends soon. Sets retry_after_ms. */
     LIFE_ON_SHED, /**< The entry is full and admits a request of a higher tier
                      instead. Sets retry_after_ms. */
 } LifeEventKind;
--- a/src/entry/request.c
+++ b/src/entry/request.c
@@ -300,6 +300,19 @@
     return false;
 }
 
+void
+Request_AnswerAll(Entry *entry)
+{
+    GList *requests = g_hash_table_get_values(entry->requests);
+    for (GList *node = requests; node != NULL; node = node->next) {
+        handle_event(node->data,
+                     &(LifeEvent){.kind = LIFE_ON_STOP,
+                                  .retry_after_ms = RETRY_AFTER_MS},
+                     &no_message);
+    }
+    g_list_free(requests);
+}
+
 static void
 read_answer_end(Request *request, const Wire__AnswerEnd *end, LifeEvent *event)
 {
--- a/src/entry/state.h
+++ b/src/entry/state.h
@@ -132,6 +132,7 @@
     struct event *tick;
     uint32_t tick_count; /**< Number of timer ticks since the start. */
     bool draining;
+    TimeUs answer_all_at; /**< Last moment to answer callers of a stop. */
 };
 
 /* ---- control.c: links to control hosts ---- */
@@ -241,6 +242,10 @@
 /** Sheds the newest waiting request of the lowest tier below @p tier.
  * @return false if no such request is waiting. */
 bool Request_ShedBelow(Entry *entry, uint32_t tier);
+
+/** Answers all requests that have no complete answer, since the entry ends
+ * soon: as not run, or with an unknown outcome. */
+void Request_AnswerAll(Entry *entry);
 void Request_Free(Request *request);
 json_t *Request_Dump(const Entry *entry, uint32_t max_count);
 
