--- a/test/fakes/fake_service.c
+++ b/test/fakes/fake_service.c
@@ -7,15 +7,23 @@
 #include <stdlib.h>
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
+
+#include "fake_raw.h"
+
+/* Time in which the bytes of a raw answer are written to the socket. */
+#define RAW_FLUSH_US 20000
 
 typedef struct Service {
     Fake fake;
     gchar *name;
     gint delay_ms;
-    gboolean echo;   /* answers contain the request's path and body */
-    gboolean ports;  /* it records the caller's port with each request */
-    gint rest_s;     /* rest that it asks for */
-    gint rest_every; /* it refuses each of so many requests; 0: none */
+    gboolean echo;      /* answers contain the request's path and body */
+    gboolean ports;     /* it records the caller's port with each request */
+    gint rest_s;        /* rest that it asks for */
+    gint rest_every;    /* it refuses each of so many requests; 0: none */
+    gchar *raw_answer;  /* file with the bytes that answer each request */
+    gboolean raw_reset; /* the connection is reset after these bytes */
     unsigned arrived_count;
     unsigned request_count;
 } Service;
@@ -59,6 +67,12 @@
     evhttp_send_reply(request, 503, "Service Unavailable", NULL);
 }
 
+static void
+close_connection(evutil_socket_t fd, short events, void *connection)
+{
+    evhttp_connection_free(connection);
+}
+
 static void
 on_request(struct evhttp_request *request, void *arg)
 {
@@ -91,6 +105,18 @@
                                    &host, &port);
         Fake_Record(&service->fake, "from %u", port);
     }
+    struct evhttp_connection *connection =
+        evhttp_request_get_connection(request);
+    if (FakeRaw_Write(evhttp_connection_get_bufferevent(connection),
+                      service->raw_answer, "", service->raw_reset))
+    {
+        struct timeval flush = {.tv_usec = RAW_FLUSH_US};
+        event_base_once(service->fake.base, -1, EV_TIMEOUT, close_connection,
+                        connection, &flush);
+        g_free(call->path_and_body);
+        g_free(call);
+        return;
+    }
     struct timeval delay = {
         .tv_sec = service->delay_ms / 1000,
         .tv_usec = (service->delay_ms % 1000) * 1000,
@@ -112,6 +138,11 @@
          "Include the request's path and body in answers", NULL},
         {"ports", 0, 0, G_OPTION_ARG_NONE, &service.ports,
          "Record the port of the caller with each request", NULL},
+        {"raw-answer", 0, 0, G_OPTION_ARG_STRING, &service.raw_answer,
+         "File with the bytes that answer each request, before it closes",
+         "FILE"},
+        {"raw-reset", 0, 0, G_OPTION_ARG_NONE, &service.raw_reset,
+         "Reset the connection after these bytes", NULL},
         {"rest-s", 0, 0, G_OPTION_ARG_INT, &service.rest_s,
          "Seconds of rest to ask for", "S"},
         {"rest-every", 0, 0, G_OPTION_ARG_INT, &service.rest_every,
