Control hosts record why they take no part

Operators could not tell a control host that waits for a majority from one that replays its log or whose disk is full: its log said nothing for as long as it took.

Committed entries are applied for 20 ms at a time, so that heartbeats go on meanwhile.

--- a/src/control/replica.c
+++ b/src/control/replica.c
@@ -35,6 +35,8 @@
 /* A snapshot is taken after this many applied entries or bytes of commands. */
 #define SNAPSHOT_INTERVAL_ENTRIES 10000
 #define SNAPSHOT_INTERVAL_BYTES (16u * 1024 * 1024)
+/* Longest time for which committed entries are applied without a pause. */
+#define APPLY_MAX_US (20 * US_PER_MS)
 /* A leadership confirmation fails after this time. */
 #define CONFIRM_TIMEOUT_US (2 * US_PER_S)
 /* Interval of the log record of a host that is not a member yet. */
@@ -126,11 +128,14 @@
     return result;
 }
 
+/* Applies what is committed. After APPLY_MAX_US the rest is left for the next
+ * iteration of the event loop, so that heartbeats go on. */
 static int
-apply_all(Replica *replica, Error *err)
+apply_committed(Replica *replica, Error *err)
 {
     const StoreEntry *entry;
     const StoreSnapshot *snapshot;
+    TimeUs end = Clock_Now() + APPLY_MAX_US;
     for (;;) {
         switch (LogCore_NextApply(replica->core, &entry, &snapshot)) {
         case LOG_APPLY_NONE:
@@ -142,6 +147,10 @@
             report_durable(replica);
             apply_entry(replica, &copy);
             g_bytes_unref(copy.data);
+            if (Clock_Now() >= end) {
+                Replica_Schedule(replica);
+                return ERR_OK;
+            }
             break;
         }
         case LOG_APPLY_SNAPSHOT: {
@@ -249,7 +258,7 @@
     submit_batches(replica);
     send_messages(replica);
     Error err = ERROR_INIT;
-    int result = apply_all(replica, &err);
+    int result = apply_committed(replica, &err);
     if (result != ERR_OK) {
         LOG_ERROR(REPLICA_PART,
                   "Restoring the state from a snapshot failed. why=\"%s\"",
@@ -347,6 +356,7 @@
     ReplicaDisk_Check(replica, now);
     LogCore_Tick(replica->core, now);
     process_outputs(replica);
+    ReplicaHealth_Check(replica, now);
 }
 
 int
@@ -481,7 +491,7 @@
         Store_Close(store);
         return err->code;
     }
-    return apply_all(replica, err);
+    return apply_committed(replica, err);
 }
 
 Replica *
@@ -495,7 +505,9 @@
                   REPLICA_VOTERS_MAX);
         return NULL;
     }
+    TimeUs started_at = Clock_Now();
     Replica *replica = new_replica(base, settings, self, ops, owner);
+    replica->cause_since = started_at;
     if (open_core(replica, err) != ERR_OK) {
         Replica_Close(replica);
         return NULL;
@@ -503,10 +515,13 @@
     LogStatus status;
     LogCore_GetStatus(replica->core, &status);
     LOG_INFO(REPLICA_PART,
-             "Replicated log opened. id=%u disk=%016llx term=%llu last=%llu",
+             "Replicated log opened. id=%u disk=%016llx term=%llu "
+             "snapshot=%llu last=%llu open_ms=%lld",
              status.id, (unsigned long long)status.disk_id,
              (unsigned long long)status.term,
-             (unsigned long long)status.last_index);
+             (unsigned long long)status.snapshot_index,
+             (unsigned long long)status.last_index,
+             (long long)(Clock_Now() - started_at) / US_PER_MS);
     ReplicaLinks_Update(replica);
     replica->join_logged_at = Clock_Now();
     struct timeval period = {.tv_usec = TICK_INTERVAL_US};
--- a/src/control/replica_disk.c
+++ b/src/control/replica_disk.c
@@ -10,6 +10,8 @@
 #define DISK_WRITE_TIMEOUT_US (2 * US_PER_S)
 /* Interval between attempts to use a disk again that failed or was full. */
 #define DISK_RECOVERY_INTERVAL_US (500 * US_PER_MS)
+/* Least time between two error records of failed writes. */
+#define FAILURE_RECORD_INTERVAL_US (5 * US_PER_S)
 #define READ_ONLY_HELP "1 while the disk fails or is full."
 
 /* Handles the result of an attempt to use the disk again after a failure. */
@@ -29,6 +31,26 @@
     Replica_Schedule(replica);
 }
 
+/* Records a failure, but not each one of a disk that fails again and again. */
+static void
+record_failure(Replica *replica, const char *why)
+{
+    TimeUs now = Clock_Now();
+    Counter_Add(Counter_Get("replica_disk_failures_total",
+                            "Failed writes after which the host was "
+                            "read-only."),
+                1);
+    if (replica->failure_recorded_at != 0 &&
+        now - replica->failure_recorded_at < FAILURE_RECORD_INTERVAL_US)
+    {
+        LOG_DEBUG(REPLICA_PART, "Disk write failed again. why=\"%s\"", why);
+        return;
+    }
+    replica->failure_recorded_at = now;
+    LOG_ERROR(REPLICA_PART,
+              "Disk write failed; host is now read-only. why=\"%s\"", why);
+}
+
 void
 ReplicaDisk_OnSaved(void *owner, uint64_t sequence, int result,
                     const char *why)
@@ -50,8 +72,7 @@
         LogCore_OnSaved(replica->core, sequence, Clock_Now());
     }
     else if (!status.failed) {
-        LOG_ERROR(REPLICA_PART,
-                  "Disk write failed; host is now read-only. why=\"%s\"", why);
+        record_failure(replica, why);
         Counter_Set(Counter_Get("replica_read_only", READ_ONLY_HELP), 1);
         LogCore_OnDiskFailed(replica->core);
         replica->recover_at = Clock_Now() + DISK_RECOVERY_INTERVAL_US;
--- a/src/control/replica_state.h
+++ b/src/control/replica_state.h
@@ -34,6 +34,16 @@
     TimeUs submitted_at;
 } PendingBatch;
 
+/* Why this host takes no part in the replicated log. */
+typedef enum ReplicaCause {
+    REPLICA_TAKES_PART,
+    REPLICA_DISK_FAILED,
+    REPLICA_NOT_A_MEMBER, /* the log is empty, or the host was removed */
+    REPLICA_NO_MAJORITY,  /* no leader is known */
+    REPLICA_CATCHING_UP,  /* a learner */
+    REPLICA_APPLYING,     /* committed entries are not applied yet */
+} ReplicaCause;
+
 struct Replica {
     struct event_base *base;
     const Settings *settings;
@@ -51,6 +61,10 @@
     uint64_t reported_index;    /* last index passed to ops->command_durable */
     uint64_t applied_bytes;     /* command bytes since the last snapshot */
     GArray *pending_batches;    /* PendingBatch elements by sequence */
+    ReplicaCause cause;         /* why the host takes no part */
+    TimeUs cause_since;         /* when that cause began */
+    TimeUs cause_recorded_at;   /* newest record of it; 0: none yet */
+    TimeUs failure_recorded_at; /* newest record of a failed disk */
     TimeUs recover_at;          /* next use of a failed disk; 0: none is due */
     TimeUs join_logged_at;      /* when the wait to join was last logged */
     bool was_leader; /* value last passed to ops->leadership_changed */
@@ -76,6 +90,12 @@
  * again. */
 void ReplicaDisk_Check(Replica *replica, TimeUs now);
 
+/* ---- replica_health.c ---- */
+
+/* Records from time to time why this host takes no part, and when it does
+ * again. */
+void ReplicaHealth_Check(Replica *replica, TimeUs now);
+
 /* ---- replica_links.c: links to the other control hosts ---- */
 
 /* Dials the control hosts of the settings and of the membership, and closes
