--- a/src/gateway/upstream.c
+++ b/src/gateway/upstream.c
@@ -46,8 +46,8 @@
     TimeUs sent_at;
     TimeUs written_at; /* as sent_at, or when the connection was established */
     bool success;      /* the head of the answer has a status of success */
-    bool not_run; /* the endpoint states that it did not run the request */
-    bool head_only;   /* the answer to the request has no body */
+    bool not_run;   /* the endpoint states that it did not run the request */
+    bool head_only; /* the answer to the request has no body */
     bool connected;
     bool busy;        /* carries a request */
     bool skip_answer; /* the parsed answer is interim or to another request */
--- a/test/fakes/fake_server_options.c
+++ b/test/fakes/fake_server_options.c
@@ -8,10 +8,21 @@
 
 /* Ends the process if an option is wrong or a required one is missing. */
 static void
-parse(const Server *server, const GOptionEntry *entries, int argc, char **argv)
+parse(Server *server, const GOptionEntry *entries, int argc, char **argv)
 {
+    const GOptionEntry raw_entries[] = {
+        {"raw-answer", 0, 0, G_OPTION_ARG_STRING, &server->raw_answer,
+         "File with the bytes that answer each request, before it closes",
+         "FILE"},
+        {"raw-rest", 0, 0, G_OPTION_ARG_STRING, &server->raw_rest,
+         "The same for each request for the rest of a stream", "FILE"},
+        {"raw-reset", 0, 0, G_OPTION_ARG_NONE, &server->raw_reset,
+         "Reset the connection after these bytes", NULL},
+        {NULL},
+    };
     GOptionContext *context = g_option_context_new(NULL);
     g_option_context_add_main_entries(context, entries, NULL);
+    g_option_context_add_main_entries(context, raw_entries, NULL);
     GError *error = NULL;
     if (!g_option_context_parse(context, &argc, &argv, &error) ||
         server->listen == NULL || server->control == NULL ||
@@ -47,13 +58,6 @@
          "no-seal, "
          "wrong-id or one of fake_endless.h",
          "KIND"},
-        {"raw-answer", 0, 0, G_OPTION_ARG_STRING, &server->raw_answer,
-         "File with the bytes that answer each request, before it closes",
-         "FILE"},
-        {"raw-rest", 0, 0, G_OPTION_ARG_STRING, &server->raw_rest,
-         "The same for each request for the rest of a stream", "FILE"},
-        {"raw-reset", 0, 0, G_OPTION_ARG_NONE, &server->raw_reset,
-         "Reset the connection after these bytes", NULL},
         {"fault-count", 0, 0, G_OPTION_ARG_INT, &server->fault_count,
          "Number of requests with the fault", "N"},
         {"fault-every", 0, 0, G_OPTION_ARG_INT, &server->fault_every,
