A stream of which only comments were forwarded begins anew

Since only the rest continues a stream, one that had sent a keep-alive comment and no event before its server failed was broken off; nothing was forwarded that could be repeated. unit/test_gateway has the case, and fails on the commit before.

--- a/src/gateway/events.c
+++ b/src/gateway/events.c
@@ -53,8 +53,7 @@
 bool
 Events_CanGoOn(const Events *events)
 {
-    return events->forwarded_count == 0 ||
-           (events->last_id >= 0 && !events->unnumbered);
+    return !events->unnumbered;
 }
 
 void
@@ -67,6 +66,9 @@
 static bool
 follows(const Events *events, int64_t id)
 {
+    if (events->last_id < 0) {
+        return true; /* no event with data was forwarded */
+    }
     bool equidistant =
         events->step_count >= STEPS_MIN && events->step != STEP_VARIES;
     return id >= 0 && (!equidistant || id - events->last_id <= events->step);
--- a/test/unit/test_gateway.c
+++ b/test/unit/test_gateway.c
@@ -137,6 +137,10 @@
     assert_false(Events_CanGoOn(&events));
     forward_rest(&events, "", "");
     assert_true(Events_CanGoOn(&events));
+    assert_int_equal(forward_rest(&events, ": alive\n\n", "data: a\n\n"),
+                     EVENTS_FORWARDED);
+    forward_rest(&events, ": alive\n\n", "");
+    assert_true(Events_CanGoOn(&events));
 }
 
 /* Guards against an invalid figure of the speed that hides the load, and
