Waiting requests of an entry that ends are refused as stopping

Their code was that of endpoints that leave; callers should try another entry. functional/entry-stop expects the code of requests that come during the stop.

--- a/src/entry/errors.c
+++ b/src/entry/errors.c
@@ -22,6 +22,12 @@
             .code = "no_rule_lease",
             .message = "This entry cannot confirm that its rules are current.",
         },
+    [LIFE_FAIL_STOPPING] =
+        {
+            .status = 503,
+            .code = "stopping",
+            .message = "This entry is shutting down.",
+        },
     [LIFE_FAIL_LOST] =
         {
             .status = 502,
--- a/src/entry/life.c
+++ b/src/entry/life.c
@@ -103,7 +103,7 @@
         return;
     }
     if (!LifeStep_IsRunning(life)) {
-        LifeStep_FailNotRun(step, LIFE_FAIL_REFUSED, REFUSE_LEAVING,
+        LifeStep_FailNotRun(step, LIFE_FAIL_STOPPING, REFUSE_NONE,
                             step->event->retry_after_ms);
         return;
     }
