--- a/src/entry/life.h
+++ b/src/entry/life.h
@@ -142,9 +142,9 @@
     LIFE_FAIL_DEADLINE,
     LIFE_FAIL_NO_LEASE,
     LIFE_FAIL_STOPPING, /**< The entry ends before the request was sent. */
-    LIFE_FAIL_LOST,    /**< No complete answer in time after the dispatch. */
-    LIFE_FAIL_BROKEN,  /**< The answer is incomplete or has a wrong hash. */
-    LIFE_FAIL_CONTROL, /**< The claim could not be recorded. */
+    LIFE_FAIL_LOST,     /**< No complete answer in time after the dispatch. */
+    LIFE_FAIL_BROKEN,   /**< The answer is incomplete or has a wrong hash. */
+    LIFE_FAIL_CONTROL,  /**< The claim could not be recorded. */
     LIFE_FAIL_CLAIM_RUNNING,
     LIFE_FAIL_CLAIM_LOST,
     LIFE_FAIL_CLAIM_MISMATCH,
