fleet: departures are committed before they are acknowledged

Cause: the host that was told kept the departure in its own directory and sent it to the gateways connected at that moment. The other control hosts never heard of it, and its own file was written 250 ms later, without endpoints that have gone. A gateway that started afterwards was told "ready" by the others.

Change: a deregistration, or the first heartbeat that says draining, is a command of the replicated log. The host that was told submits it to the leader, wherever that is, and acknowledges when its own copy of the log applies it. Without a majority it takes effect here and is answered 503 in time for the server to ask the next host.

--- a/src/control/replica.c
+++ b/src/control/replica.c
@@ -369,6 +369,16 @@
     return result;
 }
 
+int
+Replica_Submit(Replica *replica, const uint8_t *command, size_t length)
+{
+    LogStatus status;
+    LogCore_GetStatus(replica->core, &status);
+    return status.is_leader
+               ? Replica_Propose(replica, command, length)
+               : ReplicaLinks_Forward(replica, status.leader, command, length);
+}
+
 void
 Replica_ConfirmLeadership(Replica *replica,
                           void (*done)(void *arg, bool is_leader), void *arg)
--- a/src/control/replica.h
+++ b/src/control/replica.h
@@ -80,6 +80,13 @@
  *         LogCore_Propose. */
 int Replica_Propose(Replica *replica, const uint8_t *command, size_t length);
 
+/** Proposes a command if this host is the leader, else sends it to the leader.
+ * The command may be lost on the way: the caller calls again until `apply`
+ * receives it, so it must do no harm if it is applied more than once.
+ * @return as Replica_Propose; ERR_UNAVAILABLE also when no link to a leader is
+ *         connected. */
+int Replica_Submit(Replica *replica, const uint8_t *command, size_t length);
+
 /** Calls @p done once, with true when a majority confirms after this call that
  * this host is the leader, and with false when that fails or times out. */
 void Replica_ConfirmLeadership(Replica *replica,
--- a/src/control/replica_links.c
+++ b/src/control/replica_links.c
@@ -110,13 +110,33 @@
              (unsigned long long)hello->disk_id);
 }
 
+/* Proposes a command that another host forwarded. It is not passed on: a host
+ * that has lost the leadership leaves it to the sender to find the next. */
+static void
+on_forwarded(Replica *replica, const Wire__ForwardedCommand *forwarded)
+{
+    int result = Replica_Propose(replica, forwarded->command.data,
+                                 forwarded->command.len);
+    if (result != ERR_OK) {
+        LOG_INFO(REPLICA_PART, "Forwarded command is not proposed. code=%d",
+                 result);
+    }
+}
+
 static void
 on_message(Replica *replica, Link *link, const Wire__Frame *frame)
 {
     const ReplicaIdentity *identity =
         g_hash_table_lookup(replica->identities, link);
+    if (identity == NULL) {
+        return;
+    }
+    if (frame->body_case == WIRE__FRAME__BODY_FORWARDED_COMMAND) {
+        on_forwarded(replica, frame->forwarded_command);
+        return;
+    }
     LogMessage message;
-    if (identity == NULL || !ReplicaWire_Read(frame, &message)) {
+    if (!ReplicaWire_Read(frame, &message)) {
         return;
     }
     message.from = identity->id;
@@ -279,22 +299,48 @@
     replica->peers_config_index = status.config_index;
 }
 
-void
-ReplicaLinks_Send(Replica *replica, const LogMessage *message)
+/* Returns a connected link to a host, or NULL. */
+static Link *
+find_link(const Replica *replica, uint32_t id)
 {
-    const ReplicaPeer *peer = find_peer(replica, message->to);
+    const ReplicaPeer *peer = find_peer(replica, id);
     if (peer == NULL) {
-        return;
+        return NULL;
     }
     if (peer->outgoing != NULL && Link_IsConnected(peer->outgoing)) {
-        ReplicaWire_Send(peer->outgoing, message);
-        return;
+        return peer->outgoing;
     }
-    if (peer->incoming != NULL && Link_IsConnected(peer->incoming)) {
-        ReplicaWire_Send(peer->incoming, message);
+    return peer->incoming != NULL && Link_IsConnected(peer->incoming)
+               ? peer->incoming
+               : NULL;
+}
+
+void
+ReplicaLinks_Send(Replica *replica, const LogMessage *message)
+{
+    Link *link = find_link(replica, message->to);
+    if (link != NULL) {
+        ReplicaWire_Send(link, message);
     }
 }
 
+int
+ReplicaLinks_Forward(Replica *replica, uint32_t leader, const uint8_t *command,
+                     size_t length)
+{
+    Link *link = leader == 0 ? NULL : find_link(replica, leader);
+    if (link == NULL) {
+        return ERR_UNAVAILABLE;
+    }
+    Wire__ForwardedCommand forwarded = WIRE__FORWARDED_COMMAND__INIT;
+    forwarded.command.data = (uint8_t *)command;
+    forwarded.command.len = length;
+    Wire__Frame frame = WIRE__FRAME__INIT;
+    frame.body_case = WIRE__FRAME__BODY_FORWARDED_COMMAND;
+    frame.forwarded_command = &forwarded;
+    return Link_Send(link, &frame);
+}
+
 /* With automatic membership, passes a connected host to the core as a
  * candidate to join. */
 static void
--- a/src/control/replica_state.h
+++ b/src/control/replica_state.h
@@ -106,6 +106,11 @@
  * is connected. */
 void ReplicaLinks_Send(Replica *replica, const LogMessage *message);
 
+/* Sends a command to the host @p leader (0: unknown), which proposes it.
+ * @return ERR_UNAVAILABLE when no link to the host is connected. */
+int ReplicaLinks_Forward(Replica *replica, uint32_t leader,
+                         const uint8_t *command, size_t length);
+
 /* Sends this host's identity over all connected links that it dialled. */
 void ReplicaLinks_SendHello(Replica *replica);
 
--- a/src/fleet/commands.c
+++ b/src/fleet/commands.c
@@ -1,20 +1,38 @@
 /** @file
- * Fleet task: commands that this host proposed and that are not yet applied.
+ * Fleet task: commands that this host proposed or submitted to the leader and
+ * that are not yet applied.
  */
 #include <string.h>
 
 #include "fleet/state.h"
+#include "kernel/log.h"
 
 /* Time after which a command that was not applied is reported as
  * FLEET_UNAVAILABLE. It may still be applied later. */
 #define COMMAND_TIMEOUT_US (4 * US_PER_S)
+/* Time after which a submitted command that was not applied is sent again: it
+ * may have been lost on its way, or with a leader. Longer than a commit takes
+ * over the links between two regions. */
+#define RESUBMIT_US (200 * US_PER_MS)
 
 typedef struct PendingCommand {
     FleetDone done;
     void *arg;
     TimeUs expires_at;
+    GBytes *submitted; /* command that is submitted again; NULL: it is not */
+    TimeUs submit_at;
 } PendingCommand;
 
+void
+FleetCommands_FreePending(gpointer data)
+{
+    PendingCommand *pending = data;
+    if (pending->submitted != NULL) {
+        g_bytes_unref(pending->submitted);
+    }
+    g_free(pending);
+}
+
 static void
 report(const PendingCommand *pending, const FleetResult *result)
 {
@@ -48,31 +66,76 @@
     g_hash_table_remove(fleet->pending_commands, &id);
 }
 
-void
-FleetCommands_FailAll(Fleet *fleet)
+/* Reports FLEET_UNAVAILABLE for the pending commands that @p applies names. */
+static void
+fail_if(Fleet *fleet, bool (*applies)(const PendingCommand *, TimeUs),
+        TimeUs now)
 {
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, fleet->pending_commands);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        FleetResult result = {.outcome = FLEET_UNAVAILABLE};
-        report(value, &result);
-        g_hash_table_iter_remove(&iter);
+        if (applies(value, now)) {
+            FleetResult result = {.outcome = FLEET_UNAVAILABLE};
+            report(value, &result);
+            g_hash_table_iter_remove(&iter);
+        }
+    }
+}
+
+static bool
+is_any(const PendingCommand *pending, TimeUs now)
+{
+    return true;
+}
+
+static bool
+is_proposed_only(const PendingCommand *pending, TimeUs now)
+{
+    return pending->submitted == NULL;
+}
+
+static bool
+has_expired(const PendingCommand *pending, TimeUs now)
+{
+    return now >= pending->expires_at;
+}
+
+void
+FleetCommands_FailAll(Fleet *fleet)
+{
+    fail_if(fleet, is_any, 0);
+}
+
+void
+FleetCommands_OnLeadershipLost(Fleet *fleet)
+{
+    fail_if(fleet, is_proposed_only, 0);
+}
+
+static void
+submit(const Fleet *fleet, PendingCommand *pending, TimeUs now)
+{
+    gsize length;
+    const uint8_t *bytes = g_bytes_get_data(pending->submitted, &length);
+    int result = Replica_Submit(fleet->replica, bytes, length);
+    if (result != ERR_OK) {
+        LOG_DEBUG(FLEET_PART, "Command is not submitted yet. code=%d", result);
     }
+    pending->submit_at = now + RESUBMIT_US;
 }
 
 void
-FleetCommands_Expire(Fleet *fleet, TimeUs now)
+FleetCommands_OnTick(Fleet *fleet, TimeUs now)
 {
+    fail_if(fleet, has_expired, now);
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, fleet->pending_commands);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const PendingCommand *pending = value;
-        if (now >= pending->expires_at) {
-            FleetResult result = {.outcome = FLEET_UNAVAILABLE};
-            report(pending, &result);
-            g_hash_table_iter_remove(&iter);
+        PendingCommand *pending = value;
+        if (pending->submitted != NULL && now >= pending->submit_at) {
+            submit(fleet, pending, now);
         }
     }
 }
@@ -96,6 +159,30 @@
     g_free(host);
 }
 
+static PendingCommand *
+add_pending(Fleet *fleet, uint64_t id, TimeUs timeout, FleetDone done,
+            void *arg)
+{
+    PendingCommand *pending = g_new0(PendingCommand, 1);
+    *pending = (PendingCommand){
+        .done = done,
+        .arg = arg,
+        .expires_at = Clock_Now() + timeout,
+    };
+    g_hash_table_insert(fleet->pending_commands, g_memdup2(&id, sizeof(id)),
+                        pending);
+    return pending;
+}
+
+void
+FleetCommands_Submit(Fleet *fleet, uint64_t id, GBytes *command,
+                     TimeUs timeout, FleetDone done, void *arg)
+{
+    PendingCommand *pending = add_pending(fleet, id, timeout, done, arg);
+    pending->submitted = command;
+    submit(fleet, pending, Clock_Now());
+}
+
 bool
 FleetCommands_Propose(Fleet *fleet, uint64_t id, GBytes *command,
                       FleetDone done, void *arg)
@@ -110,13 +197,6 @@
         }
         return false;
     }
-    PendingCommand *pending = g_new0(PendingCommand, 1);
-    *pending = (PendingCommand){
-        .done = done,
-        .arg = arg,
-        .expires_at = Clock_Now() + COMMAND_TIMEOUT_US,
-    };
-    g_hash_table_insert(fleet->pending_commands, g_memdup2(&id, sizeof(id)),
-                        pending);
+    add_pending(fleet, id, COMMAND_TIMEOUT_US, done, arg);
     return true;
 }
--- a/src/fleet/document.c
+++ b/src/fleet/document.c
@@ -3,7 +3,7 @@
  */
 #include "fleet/document.h"
 
-#include "wire/generated/wire.pb-c.h"
+#include <string.h>
 
 GBytes *
 Document_PackCommand(uint64_t id, const Document *document)
@@ -59,6 +59,19 @@
     return Document_PackCommand(0, document);
 }
 
+GBytes *
+Document_Append(GBytes *snapshot, const Wire__ConfigCommand *part)
+{
+    gsize length;
+    const void *bytes = g_bytes_get_data(snapshot, &length);
+    size_t size = wire__config_command__get_packed_size(part);
+    uint8_t *all = g_malloc(length + size);
+    memcpy(all, bytes, length);
+    wire__config_command__pack(part, all + length);
+    g_bytes_unref(snapshot);
+    return g_bytes_new_take(all, length + size);
+}
+
 int
 Document_Load(Document *document, const uint8_t *bytes, size_t length,
               Error *err)
--- a/src/fleet/document.h
+++ b/src/fleet/document.h
@@ -11,6 +11,7 @@
 #include <glib.h>
 
 #include "kernel/error.h"
+#include "wire/generated/wire.pb-c.h"
 
 typedef struct Document {
     uint64_t version; /**< 0 before the first document. */
@@ -32,6 +33,12 @@
 /** Serializes the document as a snapshot. */
 GBytes *Document_Save(const Document *document);
 
+/** Appends another part of the state to a snapshot. A serialized message may
+ * be continued by another one of its type, so that a snapshot without that
+ * part is the document's alone.
+ * @param snapshot  the function takes ownership. */
+GBytes *Document_Append(GBytes *snapshot, const Wire__ConfigCommand *part);
+
 /** Replaces the document by that of a snapshot.
  * @return ERR_OK, or ERR_CORRUPT, which leaves the document unchanged. */
 int Document_Load(Document *document, const uint8_t *bytes, size_t length,
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -23,6 +23,10 @@
 #define TICK_MS 100
 /* Delay that combines several changes of the directory into one save. */
 #define SAVE_DELAY_MS 250
+/* Time after which a departure that is not committed is not acknowledged. With
+ * the period of the check and the way of the reply it stays below the second
+ * after which an endpoint turns to another control host. */
+#define DEPARTURE_TIMEOUT_US (700 * US_PER_MS)
 /* A read that waits for the confirmation that this host is the leader. */
 typedef struct PendingRead {
     Fleet *fleet;
@@ -76,6 +80,36 @@
     return table;
 }
 
+static void schedule_save(Fleet *fleet);
+
+/* Updates the directory and sends changed records to every gateway. */
+static void
+update_directory(Fleet *fleet, const EndpointRecord *record)
+{
+    GPtrArray *superseded = g_ptr_array_new();
+    if (Directory_Update(fleet->directory, record, superseded)) {
+        const EndpointRecord *known =
+            Directory_Find(fleet->directory, record->id);
+        LOG_INFO(PART,
+                 "Endpoint changed. id=%s state=%d address=%s born=%llu "
+                 "sequence=%llu",
+                 known->id, (int)known->state,
+                 known->address != NULL ? known->address : "",
+                 (unsigned long long)known->born,
+                 (unsigned long long)known->sequence);
+        FleetGateways_SendRecord(fleet, known);
+        schedule_save(fleet);
+    }
+    send_superseded(fleet, superseded);
+    g_ptr_array_unref(superseded);
+}
+
+static void
+update_from_departure(void *arg, const EndpointRecord *record)
+{
+    update_directory(arg, record);
+}
+
 static void
 on_apply(void *owner, uint64_t index, const uint8_t *command, size_t length)
 {
@@ -92,6 +126,10 @@
         fleet->table_is_stale = true;
         FleetGateways_SchedulePush(fleet);
     }
+    EndpointRecord departure;
+    if (Departures_Apply(fleet->departures, command, length, &departure)) {
+        update_directory(fleet, &departure);
+    }
     FleetOutcome outcome =
         FleetRollouts_OnApply(fleet, index, id, command, length);
     FleetCommands_Finish(fleet, id, outcome);
@@ -112,8 +150,9 @@
 on_snapshot(void *owner)
 {
     const Fleet *fleet = owner;
-    return RolloutLog_AppendTo(Document_Save(&fleet->document),
-                               FleetRollouts_Table(fleet));
+    GBytes *state = RolloutLog_AppendTo(Document_Save(&fleet->document),
+                                        FleetRollouts_Table(fleet));
+    return Departures_AppendTo(state, fleet->departures);
 }
 
 static int
@@ -125,6 +164,12 @@
         fleet->table_is_stale = true;
         result = FleetRollouts_OnRestore(fleet, bytes, length, err);
     }
+    if (result == ERR_OK) {
+        result = Departures_Load(fleet->departures, bytes, length, err);
+    }
+    if (result == ERR_OK) {
+        Departures_ForEach(fleet->departures, update_from_departure, fleet);
+    }
     return result;
 }
 
@@ -136,7 +181,7 @@
     fleet->leader_since = Clock_Now();
     FleetRollouts_OnLeadership(fleet);
     if (!is_leader) {
-        FleetCommands_FailAll(fleet);
+        FleetCommands_OnLeadershipLost(fleet);
     }
     else {
         FleetQuotas_OnLeader(fleet);
@@ -311,26 +356,51 @@
     }
 }
 
+/* Returns whether an announcement, after it has updated the directory, must be
+ * committed before it is acknowledged. One that the directory ignored ends no
+ * use of the endpoint.
+ * @param before  state of the endpoint before the update. */
+static bool
+must_commit(const Fleet *fleet, const EndpointRecord *record,
+            EndpointState before)
+{
+    const EndpointRecord *known = Directory_Find(fleet->directory, record->id);
+    if (record->state == ENDPOINT_READY || known == NULL ||
+        known->state == ENDPOINT_READY)
+    {
+        return false;
+    }
+    return before == ENDPOINT_READY ||
+           !Departures_Has(fleet->departures, known);
+}
+
+/* Submits the departure of an endpoint as the directory has it. */
+static void
+commit_departure(Fleet *fleet, const char *endpoint_id, FleetDone done,
+                 void *arg)
+{
+    uint64_t id;
+    randombytes_buf(&id, sizeof(id));
+    EndpointRecord departure = *Directory_Find(fleet->directory, endpoint_id);
+    departure.stored = false;
+    FleetCommands_Submit(fleet, id, Departures_PackCommand(id, &departure),
+                         DEPARTURE_TIMEOUT_US, done, arg);
+}
+
 void
-Fleet_UpdateEndpoint(Fleet *fleet, const EndpointRecord *record)
+Fleet_UpdateEndpoint(Fleet *fleet, const EndpointRecord *record,
+                     FleetDone done, void *arg)
 {
     Fleet_Table(fleet); /* the directory needs the newest one */
-    GPtrArray *superseded = g_ptr_array_new();
-    if (Directory_Update(fleet->directory, record, superseded)) {
-        const EndpointRecord *known =
-            Directory_Find(fleet->directory, record->id);
-        LOG_INFO(PART,
-                 "Endpoint changed. id=%s state=%d address=%s born=%llu "
-                 "sequence=%llu",
-                 known->id, (int)known->state,
-                 known->address != NULL ? known->address : "",
-                 (unsigned long long)known->born,
-                 (unsigned long long)known->sequence);
-        FleetGateways_SendRecord(fleet, known);
-        schedule_save(fleet);
+    const EndpointRecord *known = Directory_Find(fleet->directory, record->id);
+    EndpointState before = known == NULL ? ENDPOINT_UNKNOWN : known->state;
+    update_directory(fleet, record);
+    if (must_commit(fleet, record, before)) {
+        commit_departure(fleet, record->id, done, arg);
+        return;
     }
-    send_superseded(fleet, superseded);
-    g_ptr_array_unref(superseded);
+    FleetResult result = {.outcome = FLEET_DONE};
+    done(arg, &result);
 }
 
 void
@@ -354,7 +424,7 @@
 {
     Fleet *fleet = arg;
     TimeUs now = Clock_Now();
-    FleetCommands_Expire(fleet, now);
+    FleetCommands_OnTick(fleet, now);
     FleetRollouts_OnTick(fleet, now);
     if (fleet->draining && !fleet->is_leader) {
         Task_ReportDrained(fleet->task);
@@ -451,6 +521,7 @@
     RouteTable_Unref(fleet->newest_table);
     Document_Clear(&fleet->document);
     Directory_Free(fleet->directory);
+    Departures_Free(fleet->departures);
     CrashTable_Free(fleet->crashes);
     StreamOrigins_Free(fleet->origins);
     QuotaLedger_Free(fleet->quotas);
@@ -476,6 +547,9 @@
         json_integer((json_int_t)CrashTable_Count(fleet->crashes, true)));
     json_object_set_new(out, "silent_gateways",
                         json_real(FleetQuotas_SilentFraction(fleet)));
+    json_object_set_new(
+        out, "departures",
+        json_integer((json_int_t)Departures_Count(fleet->departures)));
     json_object_set_new(out, "tables_decoded",
                         json_integer(fleet->tables_decoded));
     json_t *replica = json_object();
@@ -500,6 +574,7 @@
     fleet->self = LinkIdentity_Make(
         options->settings, WIRE__ROLE__ROLE_CONTROL, options->settings->name);
     fleet->directory = Directory_New();
+    fleet->departures = Departures_New();
     fleet->crashes = CrashTable_New();
     fleet->origins = StreamOrigins_New(ORIGIN_NEWS_TABLE_MAX);
     fleet->quotas = QuotaLedger_New();
@@ -510,8 +585,8 @@
     fleet->directory_file = StateFile_New(folder, DIRECTORY_FILE_NAME);
     fleet->crash_file = StateFile_New(folder, CRASH_FILE_NAME);
     fleet->peers = g_hash_table_new_full(NULL, NULL, NULL, free_peer);
-    fleet->pending_commands =
-        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+    fleet->pending_commands = g_hash_table_new_full(
+        g_int64_hash, g_int64_equal, g_free, FleetCommands_FreePending);
     TaskSpec spec = {
         .name = TASK_NAME,
         .ops = &task_ops,
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -78,7 +78,12 @@
 void Fleet_ReadRollout(Fleet *fleet, const char *service, FleetDone done,
                        void *arg);
 
-/** Updates the directory and sends changed records to every gateway. */
-void Fleet_UpdateEndpoint(Fleet *fleet, const EndpointRecord *record);
+/** Updates the directory and sends changed records to every gateway. What ends
+ * the use of an endpoint (it drains, or has gone) takes effect at this host at
+ * once, but is FLEET_DONE only when it is in the replicated log, so that it is
+ * known to whichever control hosts remain; FLEET_UNAVAILABLE within a second
+ * otherwise. Other announcements are FLEET_DONE at once. */
+void Fleet_UpdateEndpoint(Fleet *fleet, const EndpointRecord *record,
+                          FleetDone done, void *arg);
 
 #endif
--- a/src/fleet/rollout_log.c
+++ b/src/fleet/rollout_log.c
@@ -5,6 +5,8 @@
 
 #include <string.h>
 
+#include "fleet/document.h"
+
 static GBytes *
 pack(const Wire__ConfigCommand *command)
 {
@@ -72,17 +74,9 @@
     Wire__ConfigCommand command = WIRE__CONFIG_COMMAND__INIT;
     command.n_rollouts = messages.count;
     command.rollouts = messages.pointers;
-    GBytes *packed = pack(&command);
+    GBytes *all = Document_Append(document, &command);
     RolloutMessages_Clear(&messages);
-    GByteArray *all = g_byte_array_new();
-    gsize length;
-    const guint8 *part = g_bytes_get_data(document, &length);
-    g_byte_array_append(all, part, (guint)length);
-    part = g_bytes_get_data(packed, &length);
-    g_byte_array_append(all, part, (guint)length);
-    g_bytes_unref(document);
-    g_bytes_unref(packed);
-    return g_byte_array_free_to_bytes(all);
+    return all;
 }
 
 int
--- a/src/fleet/rollout_log.h
+++ b/src/fleet/rollout_log.h
@@ -36,9 +36,8 @@
                                 const uint8_t *command, size_t length,
                                 Rollout **rollout);
 
-/** Appends the roll-outs to the snapshot of the configuration document. A
- * serialized message may be continued by another one of its type, so that a
- * snapshot without roll-outs is the document's alone, as it was before.
+/** Appends the roll-outs to the snapshot of the configuration document, as
+ * Document_Append.
  * @param document  serialized; the function takes ownership. */
 GBytes *RolloutLog_AppendTo(GBytes *document, const RolloutTable *table);
 
--- a/src/fleet/state.h
+++ b/src/fleet/state.h
@@ -5,6 +5,7 @@
 #define LAURELLIFT_FLEET_STATE_H
 
 #include "control/replica.h"
+#include "fleet/departures.h"
 #include "fleet/document.h"
 #include "fleet/fleet.h"
 #include "fleet/state_file.h"
@@ -41,6 +42,7 @@
     bool table_is_stale; /* the document has changed since */
     unsigned tables_decoded; /* number of them since the start */
     Directory *directory;
+    Departures *departures;       /* replicated; also in the directory */
     GHashTable *peers;            /* Link -> FleetPeer */
     GHashTable *pending_commands; /* command id -> PendingCommand */
     uint64_t last_serial;         /* serial of the link that connected last */
@@ -79,12 +81,22 @@
 
 /* ---- commands.c ---- */
 
+/* Frees a value of `pending_commands`. */
+void FleetCommands_FreePending(gpointer data);
+
 /* Proposes a command and takes ownership of it. @p done, which may be NULL, is
  * called when it is applied or its outcome is unknown.
  * @return false if this host cannot propose; the call has been reported. */
 bool FleetCommands_Propose(Fleet *fleet, uint64_t id, GBytes *command,
                            FleetDone done, void *arg);
 
+/* Submits a command to the leader, wherever that is, again and again until it
+ * is applied here or @p timeout has passed, which is reported as
+ * FLEET_UNAVAILABLE. Takes ownership of the command, which must do no harm if
+ * it is applied more than once. */
+void FleetCommands_Submit(Fleet *fleet, uint64_t id, GBytes *command,
+                          TimeUs timeout, FleetDone done, void *arg);
+
 /* Returns whether this host proposed the command, still leads, and waits for
  * it. */
 bool FleetCommands_IsPending(const Fleet *fleet, uint64_t id);
@@ -96,8 +108,12 @@
  * applied later. */
 void FleetCommands_FailAll(Fleet *fleet);
 
-/* Reports FLEET_UNAVAILABLE for commands that were not applied in time. */
-void FleetCommands_Expire(Fleet *fleet, TimeUs now);
+/* The same for commands that only this host, as the leader, has proposed. */
+void FleetCommands_OnLeadershipLost(Fleet *fleet);
+
+/* Reports FLEET_UNAVAILABLE for commands that were not applied in time, and
+ * submits the others that are due again. */
+void FleetCommands_OnTick(Fleet *fleet, TimeUs now);
 
 /* Reports the leader, or FLEET_UNAVAILABLE when no other host is known to be
  * the leader. */
