fleet: a call that may still take effect is not answered as not run

Callers: an operator's configuration that a leader had proposed and could not commit in time, or lost with its leadership, was answered 503 with the outcome "not_run", and came into force later.

Cause: one outcome, FLEET_UNAVAILABLE, stood for "nothing was proposed" and for "proposed, result unknown".

--- a/src/fleet/commands.c
+++ b/src/fleet/commands.c
@@ -8,7 +8,7 @@
 #include "kernel/log.h"
 
 /* Time after which a command that was not applied is reported as
- * FLEET_UNAVAILABLE. It may still be applied later. */
+ * FLEET_UNKNOWN. */
 #define COMMAND_TIMEOUT_US (4 * US_PER_S)
 /* Time after which a submitted command that was not applied is sent again: it
  * may have been lost on its way, or with a leader. Longer than a commit takes
@@ -66,7 +66,7 @@
     g_hash_table_remove(fleet->pending_commands, &id);
 }
 
-/* Reports FLEET_UNAVAILABLE for the pending commands that @p applies names. */
+/* Reports FLEET_UNKNOWN for the pending commands that @p applies names. */
 static void
 fail_if(Fleet *fleet, bool (*applies)(const PendingCommand *, TimeUs),
         TimeUs now)
@@ -76,7 +76,7 @@
     g_hash_table_iter_init(&iter, fleet->pending_commands);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         if (applies(value, now)) {
-            FleetResult result = {.outcome = FLEET_UNAVAILABLE};
+            FleetResult result = {.outcome = FLEET_UNKNOWN};
             report(value, &result);
             g_hash_table_iter_remove(&iter);
         }
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -34,8 +34,10 @@
     FLEET_DONE,
     FLEET_INVALID,     /**< The document is invalid. */
     FLEET_NOT_LEADER,  /**< Another host is the leader. */
-    FLEET_UNAVAILABLE, /**< No known leader, leadership was lost, or the
-                          command timed out. The caller may retry. */
+    FLEET_UNAVAILABLE, /**< No known leader. Nothing was changed; the caller
+                          may retry. */
+    FLEET_UNKNOWN,     /**< Leadership was lost, or the command timed out: it
+                          may still take effect. The caller may retry. */
     FLEET_CONFLICT,    /**< Another roll-out of the service is in progress. */
 } FleetOutcome;
 
@@ -81,7 +83,7 @@
 /** Updates the directory and sends changed records to every gateway. What ends
  * the use of an endpoint (it drains, or has gone) takes effect at this host at
  * once, but is FLEET_DONE only when it is in the replicated log, so that it is
- * known to whichever control hosts remain; FLEET_UNAVAILABLE within a second
+ * known to whichever control hosts remain; FLEET_UNKNOWN within a second
  * otherwise. Other announcements are FLEET_DONE at once. */
 void Fleet_UpdateEndpoint(Fleet *fleet, const EndpointRecord *record,
                           FleetDone done, void *arg);
--- a/src/fleet/state.h
+++ b/src/fleet/state.h
@@ -92,7 +92,7 @@
 
 /* Submits a command to the leader, wherever that is, again and again until it
  * is applied here or @p timeout has passed, which is reported as
- * FLEET_UNAVAILABLE. Takes ownership of the command, which must do no harm if
+ * FLEET_UNKNOWN. Takes ownership of the command, which must do no harm if
  * it is applied more than once. */
 void FleetCommands_Submit(Fleet *fleet, uint64_t id, GBytes *command,
                           TimeUs timeout, FleetDone done, void *arg);
@@ -104,14 +104,13 @@
 /* Reports the outcome of a command if this host proposed it. */
 void FleetCommands_Finish(Fleet *fleet, uint64_t id, FleetOutcome outcome);
 
-/* Reports FLEET_UNAVAILABLE for all pending commands. They may still be
- * applied later. */
+/* Reports FLEET_UNKNOWN for all pending commands. */
 void FleetCommands_FailAll(Fleet *fleet);
 
 /* The same for commands that only this host, as the leader, has proposed. */
 void FleetCommands_OnLeadershipLost(Fleet *fleet);
 
-/* Reports FLEET_UNAVAILABLE for commands that were not applied in time, and
+/* Reports FLEET_UNKNOWN for commands that were not applied in time, and
  * submits the others that are due again. */
 void FleetCommands_OnTick(Fleet *fleet, TimeUs now);
 
--- a/test/functional/platform-departures.sh
+++ b/test/functional/platform-departures.sh
@@ -15,7 +15,7 @@
     jq -cn --arg a "127.0.0.$3:$SERVER_PORT" --arg state "$5" --argjson born "$BORN" \
         --argjson sequence "${SEQUENCE[$1]}" '{service: "app", address: $a, zone: "west-1",
             version: "v1", slots: 4, state: $state, coldRemainingMs: 0, sequence: $sequence, born: $born}' |
-        curl -s -o /dev/null -w '%{http_code}\n' --max-time 1 -X POST --data-binary @- \
+        curl -s -o announced.out -w '%{http_code}\n' --max-time 1 -X POST --data-binary @- \
             "http://127.0.0.$2:$API_PORT/api/instances/$1/$4"
 }
 # leads N, votes N: true when control host N leads, or is a voter.
@@ -125,8 +125,21 @@
     [ $n = "$HOST" ] || kill_all control$n
 done
 announce alone "$HOST" 60 deregister gone
+jq -r .error.outcome announced.out
 for n in 1 2 3; do
     [ $n = "$HOST" ] || start_control_host $n '{"bootstrap": false}'
 done
 wait_until all_vote
 announce alone "$HOST" 60 deregister gone
+
+echo "-- a configuration that a leader cannot commit may still come into force"
+pick_host leader
+print_configuration 5 >second.conf
+for n in 1 2 3; do
+    [ $n = "$HOST" ] || kill -STOP "$(pid control$n)"
+done
+replace_configuration "$HOST" <second.conf
+jq -r .error.outcome replace.out
+for n in 1 2 3; do
+    [ $n = "$HOST" ] || kill -CONT "$(pid control$n)"
+done
