functional/platform-endless-manners: nineteen manners of endless output

Report: a faulty server sent bytes without end until the caller closed; the machine that had called it ran out of memory, and the requests of its other clients ended with it.

On the managed path this does not happen: five callers of each manner at once, at an engine (requests, and probes of its keeper) and at a plain service (requests, and questions for the load), and 60 callers that hardly read events without end.

--- a/test/fakes/fake_server.c
+++ b/test/fakes/fake_server.c
@@ -286,6 +286,11 @@
         return false;
     }
     record(server, "asked %lld\n", (long long)Clock_WallMs());
+    if (g_strcmp0(server->fault, "endless-each") == 0) {
+        FakeEndless_TakeOver(connection->bev, server->fault,
+                             connection->target, connection->id);
+        return true;
+    }
     write_head(connection, 200, "Content-Length: 0\r\n\r\n");
     H1Parser_Reset(connection->parser);
     return true;
@@ -412,7 +417,7 @@
     }
     if (strcmp(connection->fault, "mute") == 0 ||
         FakeEndless_TakeOver(connection->bev, connection->fault,
-                             connection->id))
+                             connection->target, connection->id))
     {
         return;
     }
