agent: what endpoints send is bounded by the machine's memory

Callers: an endpoint that sends without end took the process of agents, entry and control host over the memory of its machine.

Cause: 4 MB of input a run whose chunk or line is not complete, and 32 MB of unacknowledged answers an agent, whatever the machine has; and an answer in chunks of one byte is a frame for each byte in the link's queue, which the bound on payload does not count.

Change: both bounds are parts of memory_mb, divided by the agents of the process. Pieces below 1 KB that arrive together are sent as one.

--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -5,6 +5,7 @@
 
 #include "agent/state.h"
 #include "kernel/log.h"
+#include "wire/client_memory.h"
 
 #define TICK_INTERVAL_MS 20
 #define REPORT_INTERVAL_MS 250
@@ -14,6 +15,14 @@
 /* If the last tick is at least this long ago, the handler of a frame first
  * expires grants and wants. */
 #define LATE_TICK_MS 100
+/* Parts of the machine's memory, one of so many, that all agents of a process
+ * may take for unacknowledged answers, of which an entry in the same process
+ * has a copy, and for large chunks that are not complete. */
+#define ANSWERS_DIVISOR 8
+#define INPUTS_DIVISOR 16
+/* No agent needs more than that. */
+#define ANSWERS_MAX_BYTES ((size_t)32 * 1024 * 1024)
+#define INPUTS_MAX_BYTES ((size_t)64 * 1024 * 1024)
 /* Maximum time that a planned stop waits for acknowledgements of answers after
  * the last run has ended. */
 #define STOP_ACK_TIMEOUT_MS 2000
@@ -111,12 +120,19 @@
     return timer;
 }
 
+static void
+on_send_due(evutil_socket_t fd, short events, void *arg)
+{
+    AgentAnswer_SendDue(arg);
+}
+
 static int
 start(TaskHandle self, void *state, Error *err)
 {
     Agent *agent = state;
     agent->task = self;
     agent->base = Task_Base(self);
+    agent->send_due = event_new(agent->base, -1, 0, on_send_due, agent);
     agent->crashes = AgentCrash_New(agent);
     agent->leaving = true;
     Queue_SetLeaving(agent->queue, true, Clock_Now());
@@ -172,6 +188,10 @@
         event_free(agent->report);
     }
     g_hash_table_destroy(agent->answers);
+    g_ptr_array_free(agent->answers_due, TRUE);
+    if (agent->send_due != NULL) {
+        event_free(agent->send_due);
+    }
     g_hash_table_destroy(agent->runs);
     g_hash_table_destroy(agent->suspects);
     Queue_Free(agent->queue);
@@ -195,10 +215,22 @@
     .dump = dump,
 };
 
+/* Sets the bounds of what the agent holds of answers. */
+static void
+set_memory(Agent *agent, const Settings *settings)
+{
+    size_t part = ClientMemory_MachineBytes(settings->memory_mb) /
+                  MAX(settings->agents_count, 1);
+    agent->unacked_max = MIN(part / ANSWERS_DIVISOR, ANSWERS_MAX_BYTES);
+    agent->inputs.max_bytes = MIN(part / INPUTS_DIVISOR, INPUTS_MAX_BYTES);
+    g_queue_init(&agent->inputs.waiting);
+}
+
 static Agent *
 new_agent(const Settings *settings, const SettingsAgent *own)
 {
     Agent *agent = g_new0(Agent, 1);
+    set_memory(agent, settings);
     agent->settings = settings;
     agent->own = own;
     agent->self =
@@ -208,6 +240,7 @@
     agent->runs = g_hash_table_new(RequestId_HashKey, RequestId_EqualKeys);
     agent->answers = g_hash_table_new_full(
         RequestId_HashKey, RequestId_EqualKeys, NULL, AgentAnswer_Free);
+    agent->answers_due = g_ptr_array_new();
     agent->suspects = g_hash_table_new(NULL, NULL);
     agent->entry_links = g_hash_table_new(NULL, NULL);
     agent->control_links = g_ptr_array_new();
--- a/src/agent/answer.c
+++ b/src/agent/answer.c
@@ -14,13 +14,14 @@
 /* Number of unacknowledged bytes of one answer at which its run stops reading
  * from the endpoint. */
 #define ANSWER_UNACKED_MAX_BYTES (4u * 1024 * 1024)
-/* Limit of the unacknowledged bytes of all answers. When it is reached, each
- * answer is limited to ANSWER_REDUCED_MAX_BYTES; above it, the oldest ended
- * answers are deleted. */
-#define ANSWERS_UNACKED_MAX_BYTES (32u * 1024 * 1024)
+/* Limit of the unacknowledged bytes of one answer when all together reach
+ * Agent.unacked_max; above that, the oldest ended answers are deleted. */
 #define ANSWER_REDUCED_MAX_BYTES (64u * 1024)
 #define ENDED_ANSWERS_MAX 4096
 #define PIECE_MAX_BYTES (64u * 1024)
+/* Shorter pieces that arrive together are sent as one, since each is a frame
+ * to the entry and a chunk to the caller. */
+#define PIECE_MIN_BYTES 1024
 
 struct Answer {
     Agent *agent;
@@ -40,6 +41,7 @@
     uint64_t sent;            /* offset of the next body byte to send */
     uint64_t length;          /* bytes of the body received so far */
     XXH3_state_t *hash;
+    bool send_due; /* is in Agent.answers_due */
     bool ended;
     bool end_sent;
     bool acknowledged; /* acknowledged completely, or cancelled by the entry */
@@ -74,6 +76,9 @@
 {
     Answer *answer = data;
     Agent *agent = answer->agent;
+    if (answer->send_due) {
+        g_ptr_array_remove_fast(agent->answers_due, answer);
+    }
     agent->unacked_bytes -= evbuffer_get_length(answer->unacked);
     if (answer->ended) {
         g_queue_remove(&agent->ended_answers, answer);
@@ -214,6 +219,14 @@
     answer->agent->unacked_bytes += length;
     XXH3_64bits_update(answer->hash, data, length);
     answer->length += length;
+    if (length < PIECE_MIN_BYTES) {
+        if (!answer->send_due) {
+            answer->send_due = true;
+            g_ptr_array_add(answer->agent->answers_due, answer);
+            event_active(answer->agent->send_due, EV_TIMEOUT, 0);
+        }
+        return;
+    }
     if (up_to_date && length <= PIECE_MAX_BYTES) {
         send_piece(answer, data, length);
         return;
@@ -221,13 +234,24 @@
     send_unsent(answer);
 }
 
+void
+AgentAnswer_SendDue(Agent *agent)
+{
+    for (guint i = 0; i < agent->answers_due->len; i++) {
+        Answer *answer = g_ptr_array_index(agent->answers_due, i);
+        answer->send_due = false;
+        send_unsent(answer);
+    }
+    g_ptr_array_set_size(agent->answers_due, 0);
+}
+
 /* Deletes the oldest ended answers while their number or the unacknowledged
  * bytes of all answers exceed the limit. The newest one is always kept. */
 static void
 delete_excess_answers(Agent *agent)
 {
     while (agent->ended_answers.length > ENDED_ANSWERS_MAX ||
-           (agent->unacked_bytes > ANSWERS_UNACKED_MAX_BYTES &&
+           (agent->unacked_bytes > agent->unacked_max &&
             agent->ended_answers.length > 1))
     {
         delete_answer(g_queue_peek_head(&agent->ended_answers));
@@ -255,7 +279,7 @@
 {
     size_t unacked = evbuffer_get_length(answer->unacked);
     bool over_limit =
-        answer->agent->unacked_bytes >= ANSWERS_UNACKED_MAX_BYTES;
+        answer->agent->unacked_bytes >= answer->agent->unacked_max;
     return unacked >=
            (over_limit ? ANSWER_REDUCED_MAX_BYTES : ANSWER_UNACKED_MAX_BYTES);
 }
--- a/src/agent/run.c
+++ b/src/agent/run.c
@@ -14,6 +14,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
+#include "agent/run_input.h"
 #include "agent/usage.h"
 #include "kernel/counter.h"
 #include "kernel/log.h"
@@ -26,9 +27,6 @@
 #define KEEPALIVE_INTERVAL_S 2
 #define KEEPALIVE_PROBES 3
 #define UNACKED_TIMEOUT_MS 10000
-#define ANSWER_HEADERS_MAX_BYTES (64 * 1024)
-/* Largest chunk of an answer; the deadline ends a run that exceeds it. */
-#define ANSWER_CHUNK_MAX_BYTES (4 * 1024 * 1024)
 #define DETAIL_BYTES 96
 #define FINAL_STATUS_MIN 200
 #define FINAL_STATUS_MAX 599
@@ -47,6 +45,7 @@
     /* Number of leading blocks that the cache model held at the start. */
     uint32_t expected_blocks;
     struct evhttp_connection *connection;
+    RunInput input;
     struct evhttp_request *request;
     struct event *deadline_timer;
     struct event *pause; /* stops reading after evhttp's callback returns */
@@ -82,6 +81,7 @@
 free_run(Run *run)
 {
     g_hash_table_remove(run->agent->runs, &run->id);
+    RunInput_Close(&run->input);
     if (run->deadline_timer != NULL) {
         event_free(run->deadline_timer);
     }
@@ -488,8 +488,7 @@
     run->connection = evhttp_connection_base_new(agent->base, NULL,
                                                  address->host, address->port);
     struct timeval idle = timeval_from_ms(agent->own->idle_ms);
-    Http_LimitInput(run->connection, ANSWER_HEADERS_MAX_BYTES,
-                    ANSWER_CHUNK_MAX_BYTES);
+    RunInput_Open(&run->input, &agent->inputs, agent->base, run->connection);
     evhttp_connection_set_timeout_tv(run->connection, &idle);
     run->request = evhttp_request_new(on_done, run);
     evhttp_request_set_chunked_cb(run->request, on_chunk);
@@ -519,6 +518,7 @@
 void
 AgentRun_Cancel(Run *run, const char *why)
 {
+    RunInput_Close(&run->input);
     evhttp_connection_free(run->connection);
     finish_run(run, &(Ending){
                         .outcome = WIRE__END_OUTCOME__END_CANCELLED,
@@ -550,8 +550,9 @@
     g_hash_table_iter_init(&iter, agent->runs);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         Run *run = value;
-        evhttp_connection_free(run->connection);
+        struct evhttp_connection *connection = run->connection;
         free_run(run);
+        evhttp_connection_free(connection);
         g_hash_table_iter_init(&iter, agent->runs);
     }
 }
--- a/src/agent/state.h
+++ b/src/agent/state.h
@@ -8,6 +8,7 @@
 #include <glib.h>
 
 #include "agent/cache.h"
+#include "agent/run_input.h"
 #include "agent/wants.h"
 #include "kernel/settings.h"
 #include "kernel/task.h"
@@ -72,7 +73,12 @@
     GHashTable *answers;  /**< RequestId -> Answer */
     GQueue ended_answers; /**< of Answer, oldest first */
     size_t unacked_bytes; /**< Unacknowledged bytes of all answers. */
-    bool answers_blocked; /**< The send queue of a link was full. */
+    size_t unacked_max;   /**< Bound of these. */
+    RunInputs inputs;
+    GPtrArray
+        *answers_due; /**< of Answer, whose short pieces are to be sent */
+    struct event *send_due; /**< sends them after the current event */
+    bool answers_blocked;   /**< The send queue of a link was full. */
     bool bad_rate_logged; /**< An answer named a limit that cannot be read. */
     Orders *orders;
     CrashWatch *crashes;
@@ -168,6 +174,8 @@
 Answer *AgentAnswer_New(Agent *agent, Link *link, Run *run,
                         const Wire__Dispatch *dispatch);
 void AgentAnswer_SetHead(Answer *answer, uint32_t status, const char *type);
+/** Sends the short pieces that arrived during the last event. */
+void AgentAnswer_SendDue(Agent *agent);
 void AgentAnswer_AddPiece(Answer *answer, const uint8_t *data, size_t length);
 void AgentAnswer_End(Answer *answer, Wire__EndOutcome outcome,
                      const char *detail, uint32_t cached_tokens);
--- a/src/wire/client_memory.c
+++ b/src/wire/client_memory.c
@@ -47,8 +47,8 @@
     bool trim_pending;
 } memory;
 
-static size_t
-machine_bytes(size_t memory_mb)
+size_t
+ClientMemory_MachineBytes(size_t memory_mb)
 {
     return memory_mb > 0 ? memory_mb * BYTES_PER_MB
                          : (size_t)sysconf(_SC_PHYS_PAGES) *
@@ -92,8 +92,9 @@
     if (memory.budget != NULL) {
         ClientBudget_Free(memory.budget);
     }
-    memory.budget = ClientBudget_New(machine_bytes(memory_mb) / divisor,
-                                     connections_bound(max_descriptors));
+    memory.budget =
+        ClientBudget_New(ClientMemory_MachineBytes(memory_mb) / divisor,
+                         connections_bound(max_descriptors));
 }
 
 ClientBudget *
--- a/src/wire/client_memory.h
+++ b/src/wire/client_memory.h
@@ -22,6 +22,10 @@
 void ClientMemory_Init(size_t memory_mb, unsigned divisor,
                        size_t max_descriptors);
 
+/** Returns the memory of the machine in bytes.
+ * @param memory_mb  as for ClientMemory_Init. */
+size_t ClientMemory_MachineBytes(size_t memory_mb);
+
 /** Returns the budget of the process. */
 ClientBudget *ClientMemory_Budget(void);
 
