fleet: a state file that a full disk refused is saved later

Callers: a control host whose disk was full for a moment knew less after its next restart than before: servers, and requests that end servers.

Cause: a failed write of a state file was logged and forgotten until the next change of its content.

Change: the writing thread repeats it every 0.5 s, until it succeeds or newer content waits. It logs the first failure and the end.

--- a/src/fleet/state_file.c
+++ b/src/fleet/state_file.c
@@ -16,6 +16,9 @@
 #include "fleet/state.h"
 #include "kernel/log.h"
 
+/* Time after a failed write before the next attempt. */
+#define RETRY_US (500 * US_PER_MS)
+
 struct StateFile {
     char *folder;
     char *name;
@@ -23,6 +26,7 @@
     GMutex lock;
     GBytes *waiting; /* content to be written; NULL: none */
     bool writing;    /* a thread writes the file */
+    bool failed;     /* its last write failed; used by that thread */
 };
 
 StateFile *
@@ -103,8 +107,24 @@
     return synced;
 }
 
+/* Records that writing fails, or succeeds again, but not each attempt. */
 static void
-write_file(const StateFile *file, GBytes *content)
+record_result(StateFile *file, bool written, int error)
+{
+    if (written && file->failed) {
+        LOG_INFO(FLEET_PART, "State file is saved again. file=%s", file->name);
+    }
+    if (!written && !file->failed) {
+        LOG_WARN(FLEET_PART,
+                 "Saving a state file failed; trying again. file=%s "
+                 "why=\"%s\"",
+                 file->name, strerror(error));
+    }
+    file->failed = !written;
+}
+
+static bool
+write_file(StateFile *file, GBytes *content)
 {
     gsize length;
     const void *data = g_bytes_get_data(content, &length);
@@ -123,12 +143,23 @@
         written = false;
         error = errno;
     }
-    if (!written) {
-        LOG_WARN(FLEET_PART, "Saving a state file failed. file=%s why=\"%s\"",
-                 file->name, strerror(error));
-    }
+    record_result(file, written, error);
     g_free(new_path);
     g_free(path);
+    return written;
+}
+
+/* Waits after a failed write, and makes its content wait again unless newer
+ * content does. Without an owner the content is dropped. */
+static void
+retry_later(StateFile *file, GBytes *content)
+{
+    g_usleep(RETRY_US);
+    g_mutex_lock(&file->lock);
+    if (file->waiting == NULL && g_atomic_int_get(&file->references) > 1) {
+        file->waiting = g_bytes_ref(content);
+    }
+    g_mutex_unlock(&file->lock);
 }
 
 static gpointer
@@ -143,7 +174,9 @@
         if (content == NULL) {
             break;
         }
-        write_file(file, content);
+        if (!write_file(file, content)) {
+            retry_later(file, content);
+        }
         g_bytes_unref(content);
     }
     StateFile_Free(file);
--- a/src/fleet/state_file.h
+++ b/src/fleet/state_file.h
@@ -19,8 +19,8 @@
  * which is logged. */
 GBytes *StateFile_Load(const StateFile *file);
 
-/** Replaces the content and takes ownership of @p content. A failure is only
- * logged. */
+/** Replaces the content and takes ownership of @p content. A write that fails,
+ * as on a full disk, is repeated until it succeeds or newer content waits. */
 void StateFile_Save(StateFile *file, GBytes *content);
 
 #endif
--- a/test/unit/test_state_file.c
+++ b/test/unit/test_state_file.c
@@ -134,6 +134,28 @@
     remove_folder(&folder);
 }
 
+/* Guards against content that is never saved because the disk was full at that
+ * moment, and against an older one that is saved late. */
+static void
+what_a_full_disk_refused_is_saved_later(void **state)
+{
+    Folder folder = make_folder();
+    save(folder.file, "before");
+    assert_true(becomes(folder.file, "before"));
+    char *away = g_strconcat(folder.path, "-away", NULL);
+    assert_int_equal(g_rename(folder.path, away), 0);
+    save(folder.file, "refused");
+    g_usleep(50 * 1000);
+    save(folder.file, "newest");
+    g_usleep(50 * 1000);
+    assert_int_equal(g_rename(away, folder.path), 0);
+    assert_true(becomes(folder.file, "newest"));
+    g_usleep(700 * 1000);
+    assert_true(becomes(folder.file, "newest"));
+    g_free(away);
+    remove_folder(&folder);
+}
+
 int
 main(void)
 {
@@ -141,6 +163,7 @@
         cmocka_unit_test(content_is_read_back),
         cmocka_unit_test(damaged_file_is_ignored),
         cmocka_unit_test(saves_in_quick_succession_keep_their_order),
+        cmocka_unit_test(what_a_full_disk_refused_is_saved_later),
     };
     return cmocka_run_group_tests_name("state_file", tests, NULL, NULL);
 }
