--- a/test/functional/agent-endless.sh
+++ b/test/functional/agent-endless.sh
@@ -98,6 +98,8 @@
 wait "${sent[@]}"
 wait $others
 cat order-*.out >orders.out
+# Slow, interim and one-byte answers hold their agents for longer.
+echo "orders that ended: $(cat agents?.log | grep -c 'Order ended') of ${#MANNERS[@]}"
 echo "orders with a whole answer: $(grep -c '^done' orders.out)"
 sort orders.out | uniq -c >&2
 report_others $OTHERS
