agent: a withdrawal is recorded before it is acknowledged

Callers: an endpoint whose /v1/leaving was answered 200, or that an operator drained, got requests again after its agent was killed and started again.

Cause: only the agent's memory had it, as a control host of a managed fleet had departures.

Change: the agent records the withdrawal (boot id of the start that left, drained or not) in the replicated state, and answers 200, or reports the order as carried out, when a majority has it; 503 `unconfirmed` or an unknown outcome after 2 s. It takes effect at once. An agent that starts asks for it with the fencing floor, at each connection, and takes no requests before a leading control host has answered, for 3 s at most.

--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -93,6 +93,7 @@
     AgentAnswer_Tick(agent, now);
     AgentCrash_Tick(agent->crashes, now);
     AgentOrders_Tick(agent->orders);
+    AgentWithdrawal_Tick(agent->withdrawal, Clock_Now());
     AgentControl_Tick(agent);
     if (agent->draining) {
         advance_stop(agent, now);
@@ -173,6 +174,7 @@
 stop(TaskHandle self, void *state)
 {
     Agent *agent = state;
+    AgentWithdrawal_Free(agent->withdrawal);
     AgentRun_FreeAll(agent);
     AgentOrders_Free(agent->orders);
     if (agent->crashes != NULL) {
@@ -247,6 +249,7 @@
     agent->wants = Wants_New(AGENT_WANTS_MAX);
     agent->cache = Cache_New(CACHE_BLOCKS_MAX);
     agent->orders = AgentOrders_New(agent);
+    agent->withdrawal = AgentWithdrawal_New(agent);
     agent->queue = Queue_New(&(QueueConfig){
         .max_wants = AGENT_WANTS_MAX,
         .max_ended_ids = AGENT_ENDED_IDS_MAX,
--- a/src/agent/control.c
+++ b/src/agent/control.c
@@ -151,7 +151,11 @@
 static void
 on_connected(Link *link, void *owner)
 {
-    AgentControl_SendPresence(owner);
+    Agent *agent = owner;
+    AgentControl_SendPresence(agent);
+    if (!AgentWithdrawal_MayServe(agent->withdrawal)) {
+        AgentOrders_RequestFloor(agent->orders);
+    }
 }
 
 static void
@@ -169,6 +173,7 @@
         break;
     case WIRE__FRAME__BODY_COMMAND_REPLY:
         AgentCrash_OnReply(agent->crashes, frame->command_reply);
+        AgentWithdrawal_OnReply(agent->withdrawal, frame->command_reply);
         break;
     case WIRE__FRAME__BODY_FENCE_REPLY:
         AgentOrders_OnFloor(agent->orders, frame->fence_reply);
--- a/src/agent/endpoint.c
+++ b/src/agent/endpoint.c
@@ -175,6 +175,7 @@
         endpoint->usable_slots = endpoint->slots;
         Queue_SetSlots(agent->queue, endpoint->slots, endpoint->last_seen_at);
     }
+    AgentWithdrawal_OnAnnounced(agent->withdrawal);
     AgentCrash_OnAnnounced(agent->crashes, restarted);
     Agent_Refresh(agent, endpoint->last_seen_at);
     AgentLinks_FlushQueue(agent);
@@ -202,6 +203,22 @@
     json_decref(json);
 }
 
+static void
+reply_left(void *arg, bool recorded)
+{
+    if (recorded) {
+        HttpRequest_ReplyJson(arg, 200, json_pack("{s:s}", "status", "ok"));
+        return;
+    }
+    HttpRequest_ReplyError(arg, &(HttpError){
+                                    .status = 503,
+                                    .code = "unconfirmed",
+                                    .message = "In effect at this agent, but "
+                                               "not recorded; repeat it.",
+                                    .outcome = "unknown",
+                                });
+}
+
 static void
 on_leaving(HttpRequest *request, void *arg)
 {
@@ -221,7 +238,12 @@
     json_decref(json);
     agent->endpoint.leaving_reported = leaving;
     Agent_Refresh(agent, Clock_Now());
-    HttpRequest_ReplyJson(request, 200, json_pack("{s:s}", "status", "ok"));
+    if (agent->endpoint.boot[0] == '\0') {
+        /* Another start could not be told from this one. */
+        reply_left(request, true);
+        return;
+    }
+    AgentWithdrawal_Record(agent->withdrawal, reply_left, request);
 }
 
 bool
@@ -233,7 +255,8 @@
         MIN(agent->own->announce_ms, ANNOUNCE_TIMEOUT_MAX_MS) * US_PER_MS;
     return endpoint->announced && !endpoint->leaving &&
            !endpoint->leaving_reported && !agent->draining &&
-           !agent->drained_by_order && silent < timeout;
+           !agent->drained_by_order &&
+           AgentWithdrawal_MayServe(agent->withdrawal) && silent < timeout;
 }
 
 static const ReaderLimits limits = {
--- a/src/agent/orders.c
+++ b/src/agent/orders.c
@@ -39,9 +39,10 @@
     bool floor_known; /* the floor has been received */
     uint64_t floor;
     TimeUs floor_requested_at;
-    Order *running; /* sent to the endpoint, or NULL */
-    Order *pending; /* waits until the running one ends, or NULL */
-    GQueue results; /* ended Orders, oldest first, for resends */
+    Order *running;   /* sent to the endpoint, or NULL */
+    Order *pending;   /* waits until the running one ends, or NULL */
+    GQueue recording; /* Orders whose withdrawal is being recorded */
+    GQueue results;   /* ended Orders, oldest first, for resends */
     struct evhttp_connection *connection;
     TimeUs sent_at; /* when the running order was sent */
 };
@@ -215,6 +216,13 @@
             return true;
         }
     }
+    for (GList *at = orders->recording.head; at != NULL; at = at->next) {
+        Order *order = at->data;
+        if (has_id(order, message)) {
+            order->link = link;
+            return true;
+        }
+    }
     for (GList *at = orders->results.head; at != NULL; at = at->next) {
         Order *order = at->data;
         if (has_id(order, message)) {
@@ -252,6 +260,20 @@
     return order;
 }
 
+static void
+on_withdrawal(void *arg, bool recorded)
+{
+    Order *order = arg;
+    g_queue_remove(&order->orders->recording, order);
+    if (recorded) {
+        finish_order(order, ERR_OK, "The order was carried out.");
+        return;
+    }
+    finish_order(order, ERR_IO,
+                 "The order was carried out, but is not recorded: a restart "
+                 "of the agent may undo it.");
+}
+
 static void
 start_order(Orders *orders, Order *order)
 {
@@ -259,7 +281,8 @@
     if (is_for_agent(order->kind)) {
         agent->drained_by_order = strcmp(order->kind, "drain") == 0;
         Agent_Refresh(agent, Clock_Now());
-        finish_order(order, ERR_OK, "The order was carried out.");
+        g_queue_push_tail(&orders->recording, order);
+        AgentWithdrawal_Record(agent->withdrawal, on_withdrawal, order);
         return;
     }
     if (orders->pending != NULL) {
@@ -320,6 +343,7 @@
         orders->floor_known = true;
         orders->floor = message->floor;
     }
+    AgentWithdrawal_OnKnown(orders->agent->withdrawal, message->withdrawal);
 }
 
 /* Ends an order whose answer does not end. */
@@ -349,7 +373,13 @@
     {
         return;
     }
-    orders->floor_requested_at = now;
+    AgentOrders_RequestFloor(orders);
+}
+
+void
+AgentOrders_RequestFloor(Orders *orders)
+{
+    orders->floor_requested_at = Clock_Now();
     Wire__FenceRequest request = WIRE__FENCE_REQUEST__INIT;
     request.subject = orders->agent->own->name;
     Wire__Frame frame = WIRE__FRAME__INIT;
@@ -373,6 +403,7 @@
 {
     Orders *orders = g_new0(Orders, 1);
     orders->agent = agent;
+    g_queue_init(&orders->recording);
     g_queue_init(&orders->results);
     return orders;
 }
--- a/src/agent/state.h
+++ b/src/agent/state.h
@@ -27,6 +27,7 @@
 typedef struct Answer Answer;
 typedef struct Orders Orders;
 typedef struct CrashWatch CrashWatch;
+typedef struct AgentWithdrawal AgentWithdrawal;
 
 /** State of the endpoint, from its announcements and reports. */
 typedef struct Endpoint {
@@ -82,6 +83,7 @@
     bool bad_rate_logged; /**< An answer named a limit that cannot be read. */
     Orders *orders;
     CrashWatch *crashes;
+    AgentWithdrawal *withdrawal;
     GHashTable *suspects; /**< Fingerprint -> SuspectFlag bits. */
     uint64_t quarantine_version;
     TimeUs quarantine_requested_at;
@@ -199,6 +201,32 @@
 
 /** Opens the HTTP server for the endpoint's announcements and reports. */
 int AgentEndpoint_Listen(Agent *agent, Error *err);
+/** Called when a withdrawal is recorded, or was not in time; it may be
+ * recorded later in that case. */
+typedef void (*WithdrawalDone)(void *arg, bool recorded);
+
+AgentWithdrawal *AgentWithdrawal_New(Agent *agent);
+/** Tells all waiters that their withdrawal is not recorded. */
+void AgentWithdrawal_Free(AgentWithdrawal *withdrawal);
+/** Records that the endpoint has left or is drained, or no longer, at the
+ * control hosts.
+ * @param done  may be NULL. */
+void AgentWithdrawal_Record(AgentWithdrawal *withdrawal, WithdrawalDone done,
+                            void *arg);
+void AgentWithdrawal_OnReply(AgentWithdrawal *withdrawal,
+                             const Wire__CommandReply *reply);
+/** Applies the record after an announcement of the endpoint, or ends it if
+ * that is of another start. */
+void AgentWithdrawal_OnAnnounced(AgentWithdrawal *withdrawal);
+/** Applies what a leading control host knows.
+ * @param message  NULL if it knows of no withdrawal. */
+void AgentWithdrawal_OnKnown(AgentWithdrawal *withdrawal,
+                             const Wire__Withdrawal *message);
+/** Returns false until it is known whether the endpoint is withdrawn, for a
+ * bounded time after the agent's start. */
+bool AgentWithdrawal_MayServe(const AgentWithdrawal *withdrawal);
+void AgentWithdrawal_Tick(AgentWithdrawal *withdrawal, TimeUs now);
+
 /** Returns true if the endpoint may be sent new requests now. */
 bool AgentEndpoint_IsUsable(const Agent *agent, TimeUs now);
 
@@ -225,6 +253,8 @@
 /** Processes control's reply that states the fencing floor. */
 void AgentOrders_OnFloor(Orders *orders, const Wire__FenceReply *reply);
 /** Requests the fencing floor from control until it is known. */
+/** Asks the control hosts for the fencing floor and the withdrawal. */
+void AgentOrders_RequestFloor(Orders *orders);
 void AgentOrders_Tick(Orders *orders);
 void AgentOrders_Dump(const Orders *orders, json_t *out);
 
--- a/src/control/commands.c
+++ b/src/control/commands.c
@@ -239,6 +239,8 @@
     case WIRE__COMMAND_KIND__COMMAND_SUSPECT_CLEAR:
         return role == WIRE__ROLE__ROLE_ENTRY ||
                role == WIRE__ROLE__ROLE_AGENT;
+    case WIRE__COMMAND_KIND__COMMAND_WITHDRAWAL:
+        return role == WIRE__ROLE__ROLE_AGENT;
     default:
         return false;
     }
--- a/src/control/queries.c
+++ b/src/control/queries.c
@@ -82,6 +82,10 @@
     reply.subject = query->subject;
     reply.known = known;
     reply.floor = State_GetFenceNumber(control->state, query->subject);
+    Wire__Withdrawal withdrawal;
+    if (State_GetWithdrawal(control->state, query->subject, &withdrawal)) {
+        reply.withdrawal = &withdrawal;
+    }
     Wire__Frame frame = WIRE__FRAME__INIT;
     frame.body_case = WIRE__FRAME__BODY_FENCE_REPLY;
     frame.fence_reply = &reply;
--- a/src/control/state.c
+++ b/src/control/state.c
@@ -9,6 +9,7 @@
 #include "control/part_suspects.h"
 #include "control/quarantine.h"
 #include "control/replies.h"
+#include "control/withdrawals.h"
 
 #define CLAIMS_LOST_OWNERS_MAX 4096
 
@@ -27,6 +28,7 @@
     PartSuspects *part_suspects;
     uint64_t quarantine_version;
     GHashTable *fences; /* subject -> latest number (uint64_t) */
+    Withdrawals *withdrawals;
     Replies *operator_replies;
     Replies *claim_replies;
 };
@@ -42,6 +44,7 @@
     state->part_suspects = PartSuspects_New();
     state->fences =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    state->withdrawals = Withdrawals_New();
     state->operator_replies = Replies_New(limits->operator_replies);
     state->claim_replies = Replies_New(limits->claim_replies);
     return state;
@@ -58,6 +61,7 @@
     Quarantine_Free(state->quarantine);
     PartSuspects_Free(state->part_suspects);
     g_hash_table_destroy(state->fences);
+    Withdrawals_Free(state->withdrawals);
     Replies_Free(state->operator_replies);
     Replies_Free(state->claim_replies);
     g_free(state);
@@ -116,6 +120,13 @@
     return number == NULL ? 0 : *number;
 }
 
+bool
+State_GetWithdrawal(const State *state, const char *subject,
+                    Wire__Withdrawal *withdrawal)
+{
+    return Withdrawals_Find(state->withdrawals, subject, withdrawal);
+}
+
 /* ---- Handlers by kind of command ---- */
 
 static void
@@ -168,6 +179,13 @@
     reply->fence = ++*number;
 }
 
+static void
+apply_withdrawal(State *state, uint64_t index, const Wire__Command *command,
+                 Wire__CommandReply *reply)
+{
+    Withdrawals_Apply(state->withdrawals, command, reply);
+}
+
 static void
 apply_crash(State *state, uint64_t index, const Wire__Command *command,
             Wire__CommandReply *reply)
@@ -243,6 +261,7 @@
     [WIRE__COMMAND_KIND__COMMAND_CLAIM_UNKNOWN] = apply_claim,
     [WIRE__COMMAND_KIND__COMMAND_FENCE] = apply_fence,
     [WIRE__COMMAND_KIND__COMMAND_CRASH] = apply_crash,
+    [WIRE__COMMAND_KIND__COMMAND_WITHDRAWAL] = apply_withdrawal,
     [WIRE__COMMAND_KIND__COMMAND_QUARANTINE_LIFT] = apply_quarantine_lift,
     [WIRE__COMMAND_KIND__COMMAND_MEMBER_ADD] = apply_member,
     [WIRE__COMMAND_KIND__COMMAND_MEMBER_REMOVE] = apply_member,
@@ -378,6 +397,7 @@
     Quarantine_Save(state->quarantine, &snapshot);
     PartSuspects_Save(state->part_suspects, state->clock_ms, &snapshot);
     save_fences(state, &snapshot);
+    Withdrawals_Save(state->withdrawals, &snapshot);
     snapshot.operator_replies =
         Replies_Save(state->operator_replies, &snapshot.n_operator_replies);
     snapshot.claim_replies =
@@ -392,6 +412,7 @@
     free_records(snapshot.part_acquittals, snapshot.n_part_acquittals);
     free_records(snapshot.endpoint_ends, snapshot.n_endpoint_ends);
     free_records(snapshot.fences, snapshot.n_fences);
+    free_records(snapshot.withdrawals, snapshot.n_withdrawals);
     free_records(snapshot.operator_replies, snapshot.n_operator_replies);
     free_records(snapshot.claim_replies, snapshot.n_claim_replies);
     return bytes;
@@ -415,6 +436,7 @@
     Quarantine_Load(state->quarantine, snapshot);
     PartSuspects_Load(state->part_suspects, snapshot);
     load_fences(state, snapshot);
+    Withdrawals_Load(state->withdrawals, snapshot);
     for (size_t i = 0; i < snapshot->n_operator_replies; i++) {
         Replies_Load(state->operator_replies, snapshot->operator_replies[i]);
     }
--- a/src/control/state.h
+++ b/src/control/state.h
@@ -9,6 +9,7 @@
 #ifndef LAURELLIFT_CONTROL_STATE_H
 #define LAURELLIFT_CONTROL_STATE_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #include <glib.h>
@@ -69,6 +70,12 @@
 /** Latest fencing number of @p subject; 0 when it has none. */
 uint64_t State_GetFenceNumber(const State *state, const char *subject);
 
+/** Fills @p withdrawal with why an endpoint takes no requests, until the next
+ * command.
+ * @return false if it may take some. */
+bool State_GetWithdrawal(const State *state, const char *subject,
+                         Wire__Withdrawal *withdrawal);
+
 /** Serializes the whole state as the Snapshot message of state.proto. */
 GBytes *State_Save(const State *state);
 
--- a/test/functional/endpoint-reports.sh
+++ b/test/functional/endpoint-reports.sh
@@ -2,6 +2,11 @@
 # they are refused or ignored and leave the agent's state valid.
 . "$(dirname "${BASH_SOURCE[0]}")/agent.inc"
 start_agent 'announce_ms: 2900'
+# The agent takes work only once it knows that the endpoint is not withdrawn.
+start_fake_control
+wait_output control "up agent"
+send_command control floor agent 1 0
+wait_until agent_value_is .fence_known true
 
 # send_report PATH BODY: sends a report; prints the status and the error
 # message.
--- a/test/unit/test_state.c
+++ b/test/unit/test_state.c
@@ -338,6 +338,51 @@
     return crashes;
 }
 
+static Wire__CommandReply *
+record_withdrawal(Fixture *fixture, const char *subject, const char *left_boot,
+                  bool drained, uint64_t incarnation)
+{
+    Wire__Withdrawal withdrawal = WIRE__WITHDRAWAL__INIT;
+    withdrawal.left_boot = (char *)left_boot;
+    withdrawal.drained = drained;
+    Wire__Command command = WIRE__COMMAND__INIT;
+    command.kind = WIRE__COMMAND_KIND__COMMAND_WITHDRAWAL;
+    command.subject = (char *)subject;
+    command.incarnation = incarnation;
+    command.withdrawal = &withdrawal;
+    return apply(fixture, command);
+}
+
+/* Guards against an endpoint that left, of which an agent that starts later
+ * hears nothing, and against a late word of an agent that was replaced. */
+static void
+withdrawals_are_kept(void **state)
+{
+    Fixture *fixture = *state;
+    Wire__Withdrawal known;
+    assert_false(State_GetWithdrawal(fixture->state, "a", &known));
+    assert_int_equal(record_withdrawal(fixture, "a", "boot", true, 5)->code,
+                     ERR_OK);
+    assert_int_equal(record_withdrawal(fixture, "a", "", false, 4)->code,
+                     ERR_CONFLICT);
+    GBytes *bytes = State_Save(fixture->state);
+    gsize length;
+    const uint8_t *data = g_bytes_get_data(bytes, &length);
+    State *copy = State_Load(&small_limits, data, length, NULL);
+    assert_true(State_GetWithdrawal(copy, "a", &known));
+    assert_string_equal(known.left_boot, "boot");
+    assert_true(known.drained);
+    State_Free(copy);
+    g_bytes_unref(bytes);
+    assert_int_equal(record_withdrawal(fixture, "a", "", false, 6)->code,
+                     ERR_OK);
+    assert_true(State_GetWithdrawal(fixture->state, "a", &known));
+    assert_string_equal(known.left_boot, "");
+    assert_false(known.drained);
+    assert_int_equal(record_withdrawal(fixture, "", "", true, 1)->code,
+                     ERR_INVALID);
+}
+
 static void
 second_crash_quarantines_and_suspects_are_cleared(void **state)
 {
@@ -476,6 +521,7 @@
         TEST(second_crash_quarantines_and_suspects_are_cleared),
         TEST(third_crash_quarantines_a_part_and_an_answer_clears_it),
         TEST(suspects_and_quarantine_expire),
+        TEST(withdrawals_are_kept),
         TEST(snapshot_gives_the_same_state),
         TEST(broken_snapshot_is_refused),
     };
