wire/http: a head without end is noticed wherever its reads stop

Callers: an order to an endpoint whose answer is a line without end held its agent for 120 s, depending on the sizes of the reads; a probe or a question for the load waited for its time limit.

Cause: reading stops at 64 KB of input, and evhttp calls a head too large when it exceeds 64 KB. With reads that add up to exactly that, neither happened.

--- a/src/wire/http.h
+++ b/src/wire/http.h
@@ -12,7 +12,8 @@
  * the bytes that evhttp has not consumed. Reading stops at the latter bound,
  * and with it evhttp's time-outs, so the caller must end the request after a
  * time.
- * @param max_input_bytes  must exceed the largest chunk of a body. */
+ * @param max_input_bytes  must exceed the largest chunk of a body. Raised
+ * where it leaves no room beyond the largest head. */
 void Http_LimitInput(struct evhttp_connection *connection,
                      size_t max_head_bytes, size_t max_input_bytes);
 
--- a/test/functional/agent-endless.sh
+++ b/test/functional/agent-endless.sh
@@ -99,6 +99,8 @@
 wait $others
 cat order-*.out >orders.out
 # Slow, interim and one-byte answers hold their agents for longer.
+most_ended() { [ "$(cat agents?.log | grep -c 'Order ended')" -ge 16 ]; }
+wait_until most_ended
 echo "orders that ended: $(cat agents?.log | grep -c 'Order ended') of ${#MANNERS[@]}"
 echo "orders with a whole answer: $(grep -c '^done' orders.out)"
 sort orders.out | uniq -c >&2
