--- a/review/lib-3.sh
+++ b/review/lib-3.sh
@@ -9,7 +9,6 @@
 STANDIN=$ROOT/target/review-3
 TROUBLE=${TROUBLE:-1}
 RECORD=$CASE/record.txt
-CASE_SECONDS=${CASE_SECONDS:-110}
 WORK=$(mktemp -d)
 
 cannot_run() {
@@ -35,7 +34,6 @@
 for program in "$PLATFORM" "$STANDIN/server" "$STANDIN/callers" "$STANDIN/call"; do
     [ -x "$program" ] || cannot_run "$program is not built"
 done
-started=$(date +%s)
 cd "$WORK" || exit 2
 
 note() { echo "$(date +%s%3N) platform $*" >>"$RECORD"; }
