--- a/review/lib-3.sh
+++ b/review/lib-3.sh
@@ -1,4 +1,4 @@
-# Helpers of the cases 11 to 15. A case sources this file from its run.sh. It
+# Helpers of the cases 11 to 14. A case sources this file from its run.sh. It
 # starts the programs of the deploy file at loopback addresses, in a temporary
 # folder, and ends all that it started. Exit codes: 0 the rule held, 1 it was
 # broken, 2 the case could not run.
@@ -168,15 +168,13 @@
 }
 
 # enforce_memory NAME ROLE MB: the platform's part: ends the process by its id
-# when its memory exceeds the machine's, and starts it again. With a fourth
-# argument, bytes that have arrived and were not read count, too.
+# when its memory exceeds the machine's, and starts it again.
 enforce_memory() {
-    local name=$1 role=$2 limit_kb=$(($3 * 1024)) unread=${4:-no} pid kb peak=0 restarts=0
+    local name=$1 role=$2 limit_kb=$(($3 * 1024)) pid kb peak=0 restarts=0
     while [ ! -e "$WORK/ended" ]; do
         pid=$(pid_of "$name")
         kb=$(awk '/^VmRSS/ { print $2 }' "/proc/$pid/status" 2>/dev/null)
         kb=${kb:-0}
-        [ "$unread" = no ] || kb=$((kb + $(unread_kb "$pid")))
         if [ "$kb" -gt "$peak" ]; then
             peak=$kb
             echo "$peak" >"$name.peak"
@@ -194,20 +192,6 @@
     done
 }
 
-# unread_kb PID: kilobytes in the receive queues of the process's sockets.
-unread_kb() {
-    find "/proc/$1/fd" -lname 'socket:*' -printf '%l\n' 2>/dev/null | tr -dc '0-9\n' |
-        awk 'function hex(text, i, sum) {
-                 sum = 0
-                 for (i = 1; i <= length(text); i++)
-                     sum = 16 * sum + index("0123456789ABCDEF", substr(text, i, 1)) - 1
-                 return sum
-             }
-             FILENAME == "-" { own[$1] = 1; next }
-             ($10 in own) { split($5, queue, ":"); if (queue[2] != "00000000") sum += hex(queue[2]) }
-             END { print int(sum / 1024) }' - /proc/net/tcp
-}
-
 # verdict BROKEN TEXT: ends the case.
 verdict() {
     note "verdict: $2"
