--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -3,6 +3,7 @@
 # first, and it gets SIGTERM once the successor has had its time. A second after
 # it has ended, one other machine of the core loses its disk. The two machines
 # that hold all that was acknowledged never lead again.
+RECORD=$(cd "$(dirname "${BASH_SOURCE[0]}")" && pwd)/record.txt
 # shellcheck source=review/lib-3.sh
 . "$(dirname "${BASH_SOURCE[0]}")/../lib-3.sh"
 CATCH_UP_S=4
--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # A gateway whose clients read their event streams slowly exceeds the memory of
 # its machine and is killed; what it was doing for others is lost.
+RECORD=$(cd "$(dirname "${BASH_SOURCE[0]}")" && pwd)/record.txt
 # shellcheck source=review/lib-3.sh
 . "$(dirname "${BASH_SOURCE[0]}")/../lib-3.sh"
 SLOW=150   # clients that read an event stream
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the cases 11 to 15 into target/review-3. They need a
+# Builds the stand-ins of the cases 11 to 14 into target/review-3. They need a
 # C compiler and the C library only.
 set -euo pipefail
 cd "$(dirname "$0")/.."
--- a/review/lib-3.sh
+++ b/review/lib-3.sh
@@ -1,6 +1,7 @@
 # Helpers of the cases 11 to 14. A case sources this file from its run.sh. It
 # starts the programs of the deploy file at loopback addresses, in a temporary
-# folder, and ends all that it started. Exit codes: 0 the rule held, 1 it was
+# folder, and ends all that it started. RECORD, set by the case, is the file
+# to which it writes what was sent, answered and run. Exit codes: 0 the rule held, 1 it was
 # broken, 2 the case could not run.
 set -uo pipefail
 CASE=$(cd "$(dirname "${BASH_SOURCE[1]}")" && pwd)
@@ -8,7 +9,6 @@
 PLATFORM=$ROOT/target/platform/laurellift-platform
 STANDIN=$ROOT/target/review-3
 TROUBLE=${TROUBLE:-1}
-RECORD=$CASE/record.txt
 WORK=$(mktemp -d)
 
 cannot_run() {
