Server: parts of answers share blocks and are charged to the budget

Callers of entry, administration, agent, keeper and control host could take a process over its memory: each part of an answer kept a block of 1 KB for itself, and unsent answers were bounded for each request only. Parts are now copied together (kernel/buffer, http1/chunk), the memory of an unsent answer is charged to its connection, and beyond the budget the largest are cut off.

--- a/src/sched/client_budget.c
+++ b/src/sched/client_budget.c
@@ -154,6 +154,37 @@
     account->bytes = bytes;
 }
 
+void
+ClientBudget_SetAnswer(ClientBudget *budget, ClientAccount *account,
+                       size_t bytes)
+{
+    size_t charge = account->bytes - account->answer + bytes;
+    account->answer = bytes;
+    ClientBudget_Force(budget, account, charge);
+}
+
+ClientAccount *
+ClientBudget_TakeCut(ClientBudget *budget)
+{
+    ClientAccount *largest = NULL;
+    if (ClientBudget_Used(budget) <= budget->bound) {
+        return NULL;
+    }
+    for (int i = 0; i < CLIENT_PHASES; i++) {
+        const GList *node = budget->phases[i].head;
+        for (; node != NULL; node = node->next) {
+            ClientAccount *account = node->data;
+            if (account->answer > (largest == NULL ? 0 : largest->answer)) {
+                largest = account;
+            }
+        }
+    }
+    if (largest != NULL) {
+        ClientBudget_SetAnswer(budget, largest, 0);
+    }
+    return largest;
+}
+
 void
 ClientBudget_SetPhase(ClientBudget *budget, ClientAccount *account,
                       ClientPhase phase, TimeUs now)
--- a/src/sched/client_budget.h
+++ b/src/sched/client_budget.h
@@ -46,9 +46,12 @@
 typedef struct ClientAccount {
     GList node; /**< In the queue of its phase. */
     ClientYield *yield;
+    ClientYield *cut; /**< Closes the connection, whatever it does; NULL if it
+                         has no unsent answers that are charged. */
     void *owner;
     ClientPhase phase;
     size_t bytes;    /**< Charged. */
+    size_t answer;   /**< Part of these for an unsent answer. */
     size_t received; /**< Bytes of the incomplete request. */
     TimeUs since;    /**< Start of the phase. */
 } ClientAccount;
@@ -68,10 +71,11 @@
 /** Returns what is charged to accounts. */
 size_t ClientBudget_Charged(const ClientBudget *budget);
 
-/** Returns all that is held, answers included. */
+/** Returns all that is held: what is charged, and the answers of
+ * ClientBudget_SetAnswers. */
 size_t ClientBudget_Used(const ClientBudget *budget);
 
-/** Sets the bytes of answers, which the owner counts itself. */
+/** Sets the bytes of answers that are charged to no account. */
 void ClientBudget_SetAnswers(ClientBudget *budget, size_t bytes);
 
 /** Opens the account of a new connection with CLIENT_IDLE_BYTES.
@@ -90,6 +94,15 @@
 void ClientBudget_Force(ClientBudget *budget, ClientAccount *account,
                         size_t bytes);
 
+/** Sets the part of a charge for an unsent answer, which is held already. */
+void ClientBudget_SetAnswer(ClientBudget *budget, ClientAccount *account,
+                            size_t bytes);
+
+/** Selects the account with the largest unsent answer if the bound is
+ * exceeded. It must be cut: it is charged for the answer no more.
+ * @return NULL within the bound, or if there is no unsent answer. */
+ClientAccount *ClientBudget_TakeCut(ClientBudget *budget);
+
 /** Raises a charge beyond the bound if little else is held, for what must
  * always be received at last.
  * @return false, and the charge stays, if more is held. */
--- a/src/server/http.c
+++ b/src/server/http.c
@@ -10,6 +10,8 @@
 #include <event2/listener.h>
 #include <glib.h>
 
+#include "http1/chunk.h"
+#include "kernel/buffer.h"
 #include "kernel/log.h"
 #include "server/pages.h"
 #include "server/status.h"
@@ -218,6 +220,7 @@
     if (length > 0 && !request->no_body && !has_no_body(status)) {
         evbuffer_add_buffer(out, body);
     }
+    Reader_ChargeAnswer(request->conn->reader);
     finish_request(request);
 }
 
@@ -238,18 +241,17 @@
 void
 HttpRequest_SendPart(HttpRequest *request, struct evbuffer *part)
 {
-    size_t length = evbuffer_get_length(part);
-    if (request->conn == NULL || request->no_body || length == 0) {
+    if (request->conn == NULL || request->no_body) {
         return;
     }
     struct evbuffer *out = output_of(request);
     if (request->is_chunked) {
-        evbuffer_add_printf(out, "%zx\r\n", length);
+        H1Chunk_Append(out, part);
     }
-    evbuffer_add_buffer(out, part);
-    if (request->is_chunked) {
-        evbuffer_add(out, "\r\n", 2);
+    else {
+        Buffer_AppendPacked(out, part);
     }
+    Reader_ChargeAnswer(request->conn->reader);
 }
 
 void
@@ -260,7 +262,7 @@
         return;
     }
     if (request->is_chunked && !request->no_body) {
-        evbuffer_add_printf(output_of(request), "0\r\n\r\n");
+        H1Chunk_AppendLast(output_of(request));
     }
     finish_request(request);
 }
--- a/src/server/reader.c
+++ b/src/server/reader.c
@@ -10,6 +10,7 @@
 
 #include <event2/buffer.h>
 
+#include "kernel/buffer.h"
 #include "kernel/log.h"
 #include "wire/client_memory.h"
 
@@ -52,6 +53,7 @@
     bool large_window;    /* the kernel receives as for a body */
     bool discards_input;  /* further requests are dropped */
     bool write_closed;    /* the sending side is shut down */
+    bool cut;             /* to be closed, since it holds too much */
     size_t unsent_before; /* unsent bytes when the idle timer last ran */
 };
 
@@ -111,6 +113,14 @@
                           Clock_Now());
 }
 
+/* Returns the charge of the connection with its unsent answer, without a
+ * request. */
+static size_t
+least_charge(const Reader *reader)
+{
+    return CLIENT_IDLE_BYTES + reader->account.answer;
+}
+
 /* Lowers the charge to what a connection without a request takes. */
 static void
 release_request(Reader *reader)
@@ -122,8 +132,8 @@
         set_window(bufferevent_getfd(reader->stream),
                    CLIENT_IDLE_KERNEL_BYTES);
     }
-    if (reader->account.bytes > CLIENT_IDLE_BYTES) {
-        ClientMemory_Charge(&reader->account, CLIENT_IDLE_BYTES);
+    if (reader->account.bytes > least_charge(reader)) {
+        ClientMemory_Charge(&reader->account, least_charge(reader));
         ClientMemory_OnReleased(reader->base);
     }
 }
@@ -155,6 +165,16 @@
     reader->input_left = 0;
 }
 
+/* Closes the connection, whose owner may be writing to it, from the event
+ * loop. */
+static void
+cut(void *owner)
+{
+    Reader *reader = owner;
+    reader->cut = true;
+    event_active(reader->timer, EV_TIMEOUT, 0);
+}
+
 /* Answers a request that is not read to its end, and closes. */
 static void
 refuse(Reader *reader, const ReaderRefusal *refusal)
@@ -198,7 +218,7 @@
     size_t kernel = reader->large_window
                         ? CLIENT_BODY_KERNEL_BYTES - CLIENT_IDLE_KERNEL_BYTES
                         : 0;
-    return CLIENT_IDLE_BYTES + kernel + body_bytes +
+    return least_charge(reader) + kernel + body_bytes +
            BUFFER_FACTOR * H1Parser_Head(reader->parser)->raw_bytes;
 }
 
@@ -289,7 +309,7 @@
         set_phase(reader, CLIENT_RECEIVING);
         set_timer(reader, get_limits(reader).head_timeout_ms);
     }
-    size_t wanted = CLIENT_IDLE_BYTES + BUFFER_FACTOR * length;
+    size_t wanted = least_charge(reader) + BUFFER_FACTOR * length;
     if (!ClientMemory_Charge(&reader->account, wanted)) {
         refuse(reader, &out_of_memory);
     }
@@ -392,6 +412,10 @@
         close_gracefully(reader);
         return;
     }
+    if (reader->account.answer > 0) {
+        Reader_ChargeAnswer(reader);
+        ClientMemory_OnReleased(reader->base);
+    }
     mark_idle(reader);
     if (reader->ops->written != NULL) {
         reader->ops->written(reader->owner);
@@ -411,6 +435,10 @@
 on_timer(evutil_socket_t fd, short events, void *arg)
 {
     Reader *reader = arg;
+    if (reader->cut) {
+        reader->ops->closed(reader->owner);
+        return;
+    }
     if (is_receiving(reader)) {
         refuse(reader, &timed_out);
         return;
@@ -447,6 +475,7 @@
         g_free(reader);
         return NULL;
     }
+    reader->account.cut = cut;
     reader->base = base;
     reader->ops = ops;
     reader->owner = owner;
@@ -527,6 +556,23 @@
     return evbuffer_get_length(bufferevent_get_output(reader->stream));
 }
 
+size_t
+Reader_HeldBytes(const Reader *reader)
+{
+    return Buffer_AllocatedBytes(bufferevent_get_output(reader->stream));
+}
+
+void
+Reader_ChargeAnswer(Reader *reader)
+{
+    if (reader->cut) {
+        return;
+    }
+    bool small = Reader_UnsentBytes(reader) < BUFFER_BLOCK_BYTES;
+    ClientMemory_ChargeAnswer(&reader->account,
+                              small ? 0 : Reader_HeldBytes(reader));
+}
+
 size_t
 Reader_ChargedBytes(const Reader *reader)
 {
--- a/src/server/reader.h
+++ b/src/server/reader.h
@@ -90,6 +90,15 @@
 /** Returns the number of answer bytes that are not yet written. */
 size_t Reader_UnsentBytes(const Reader *reader);
 
+/** Returns the memory that these bytes take. */
+size_t Reader_HeldBytes(const Reader *reader);
+
+/** Charges the memory of the unsent answer, which the owner has added to.
+ * Above the bound of the process the connections with the largest unsent
+ * answers are closed, once control returns to the event loop. For owners that
+ * do not bound their answers themselves. */
+void Reader_ChargeAnswer(Reader *reader);
+
 /** Returns the bytes that are charged for the current request. */
 size_t Reader_ChargedBytes(const Reader *reader);
 
--- a/src/wire/client_memory.c
+++ b/src/wire/client_memory.c
@@ -169,6 +169,24 @@
     return false;
 }
 
+void
+ClientMemory_ChargeAnswer(ClientAccount *account, size_t bytes)
+{
+    static Report cuts = {
+        .name = "clients_cut_off_total",
+        .help = "Connections that were closed because their unsent answers "
+                "exceeded the memory for clients.",
+        .event = "Clients that read slowly are cut off.",
+    };
+    ClientBudget *budget = ClientMemory_Budget();
+    ClientBudget_SetAnswer(budget, account, bytes);
+    ClientAccount *other;
+    while ((other = ClientBudget_TakeCut(budget)) != NULL) {
+        report(&cuts);
+        other->cut(other->owner);
+    }
+}
+
 bool
 ClientMemory_Open(ClientAccount *account, ClientYield *yield, void *owner)
 {
--- a/src/wire/client_memory.h
+++ b/src/wire/client_memory.h
@@ -34,6 +34,10 @@
  * @return false if there is no room then either; the charge stays. */
 bool ClientMemory_Charge(ClientAccount *account, size_t bytes);
 
+/** Sets the charge of an unsent answer. Beyond the bound, the accounts with
+ * the largest answers are cut. */
+void ClientMemory_ChargeAnswer(ClientAccount *account, size_t bytes);
+
 /** Opens an account for a new connection; an idle one may be closed for it.
  * @return false if there is no room. */
 bool ClientMemory_Open(ClientAccount *account, ClientYield *yield,
--- a/test/unit/test_client_budget.c
+++ b/test/unit/test_client_budget.c
@@ -262,6 +262,26 @@
     assert_true(charge(&client, 2 * SMALL, 0));
 }
 
+/* The bound holds for answers too, and only their slow readers pay. */
+static void
+the_largest_unsent_answers_are_cut(void **state)
+{
+    Client *clients = crowd.clients;
+    for (unsigned i = 0; i < 100; i++) {
+        assert_true(open_client(&clients[i], 0));
+        ClientBudget_SetAnswer(crowd.budget, &clients[i].account,
+                               i < 98 ? SMALL : 12 * MIB);
+    }
+    assert_ptr_equal(ClientBudget_TakeCut(crowd.budget)->owner, &clients[98]);
+    assert_null(ClientBudget_TakeCut(crowd.budget));
+    assert_int_equal(clients[98].account.bytes, CLIENT_IDLE_BYTES);
+    assert_int_equal(clients[97].account.answer, SMALL);
+    ClientBudget_SetAnswers(crowd.budget, BOUND);
+    assert_ptr_equal(ClientBudget_TakeCut(crowd.budget)->owner, &clients[99]);
+    ClientBudget_SetAnswers(crowd.budget, 0);
+    assert_null(ClientBudget_TakeCut(crowd.budget));
+}
+
 static void
 large_releases_are_reported_once(void **state)
 {
@@ -292,6 +312,7 @@
         BUDGET_TEST(a_single_largest_body_always_fits),
         BUDGET_TEST(a_frame_beyond_the_bound_is_held_alone),
         BUDGET_TEST(answers_count),
+        BUDGET_TEST(the_largest_unsent_answers_are_cut),
         BUDGET_TEST(large_releases_are_reported_once),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
