Link: small queued frames share blocks

A peer that does not read cost a block of 1 KB for each control frame. 20,000 frames of 8 bytes (160 KB) took 20.8 MB, and 162 KB now (unit/test_link, packs_queued_frames, which failed before).

--- a/src/wire/link.c
+++ b/src/wire/link.c
@@ -11,6 +11,7 @@
 #include <event2/listener.h>
 #include <glib.h>
 
+#include "kernel/buffer.h"
 #include "kernel/log.h"
 #include "wire/client_memory.h"
 
@@ -140,7 +141,7 @@
 {
     struct evbuffer *output = bufferevent_get_output(link->connection);
     link->bytes_out += evbuffer_get_length(link->control_queue);
-    evbuffer_add_buffer(output, link->control_queue);
+    Buffer_AppendPacked(output, link->control_queue);
     while (evbuffer_get_length(link->bulk_queue) > 0 &&
            evbuffer_get_length(output) < LINK_OUTPUT_BACKLOG_BYTES)
     {
--- a/test/unit/test_link.c
+++ b/test/unit/test_link.c
@@ -4,6 +4,7 @@
  */
 #include "unit.h"
 
+#include <malloc.h>
 #include <string.h>
 
 #include <arpa/inet.h>
@@ -12,6 +13,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "kernel/buffer.h"
 #include "kernel/clock.h"
 #include "wire/link.h"
 
@@ -188,6 +190,37 @@
     Link_Close(link);
 }
 
+/* Guards against a peer that does not read, for which each small frame is kept
+ * in a block of its own. */
+static void
+packs_queued_frames(void **state)
+{
+    const unsigned frames = 20000;
+    Fixture *fixture = *state;
+    start_server(fixture);
+    Link *link = Link_Dial(fixture->base, &self, &fixture->address, &ops,
+                           &fixture->dialling);
+    run_until(fixture, &fixture->dialling.connect_count, 1);
+    json_t *dump = json_object();
+    Link_Dump(link, dump);
+    json_int_t sent_before =
+        json_integer_value(json_object_get(dump, "bytes_out"));
+    size_t before = mallinfo2().uordblks;
+    for (unsigned i = 0; i < frames; i++) {
+        assert_int_equal(send_cancel(link), ERR_OK);
+    }
+    size_t allocated = mallinfo2().uordblks - before;
+    Link_Dump(link, dump);
+    size_t length =
+        (size_t)(json_integer_value(json_object_get(dump, "bytes_out")) -
+                 sent_before);
+    json_decref(dump);
+    print_message("length %zu allocated %zu\n", length, allocated);
+    assert_true(length >= frames);
+    assert_true(allocated <= length + length / 10 + BUFFER_BLOCK_BYTES);
+    Link_Close(link);
+}
+
 static void
 limits_the_queue(void **state)
 {
@@ -387,6 +420,7 @@
 {
     const struct CMUnitTest tests[] = {
         LINK_TEST(sends_control_before_bulk),
+        LINK_TEST(packs_queued_frames),
         LINK_TEST(limits_the_queue),
         LINK_TEST(refuses_another_version),
         LINK_TEST(refuses_bytes_that_are_not_a_frame),
