Gateway: events share blocks, and blocks are counted in place of bytes

What was held was counted by length, so that no bound was reached. Events, heads, short bodies and partial events are copied together, and the bound counts what blocks take.

--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "gateway/state.h"
+#include "kernel/buffer.h"
 #include "kernel/log.h"
 
 /* Default Retry-After of a refusal. */
@@ -158,8 +159,8 @@
 size_t
 Call_AnswerBytes(const Call *call)
 {
-    return evbuffer_get_length(call->answer) +
-           evbuffer_get_length(call->partial_event);
+    return Buffer_AllocatedBytes(call->answer) +
+           Buffer_AllocatedBytes(call->partial_event);
 }
 
 static const CallError out_of_memory = {
--- a/src/gateway/call_answer.c
+++ b/src/gateway/call_answer.c
@@ -5,6 +5,7 @@
 #include <strings.h>
 
 #include "gateway/state.h"
+#include "kernel/buffer.h"
 #include "kernel/counter.h"
 #include "kernel/log.h"
 
@@ -54,8 +55,7 @@
 static void
 forward_events(Call *call)
 {
-    size_t length = evbuffer_get_length(call->answer);
-    if (length == 0) {
+    if (evbuffer_get_length(call->answer) == 0) {
         return;
     }
     if (call->state != CALL_STREAMING) {
@@ -73,14 +73,7 @@
             MAX(call->longest_event_gap, now - call->last_event_at);
     }
     call->last_event_at = now;
-    if (!Conn_IsHttp10(call->conn)) {
-        struct evbuffer *size = evbuffer_new();
-        evbuffer_add_printf(size, "%zx\r\n", length);
-        evbuffer_prepend_buffer(call->answer, size);
-        evbuffer_free(size);
-        evbuffer_add(call->answer, "\r\n", 2);
-    }
-    Conn_SendBody(call->conn, call->answer);
+    Conn_SendPart(call->conn, call->answer);
     if (Conn_UnsentBytes(call->conn) > Held_CallerPart(call->gateway->held)) {
         Upstream_Pause(call->upstream, true);
     }
@@ -209,18 +202,6 @@
                    evbuffer_get_length(call->partial_event));
 }
 
-/* Appends bytes to a buffer without the blocks that they are in, which may be
- * half empty. */
-static void
-append_compactly(struct evbuffer *out, struct evbuffer *in)
-{
-    size_t length;
-    while ((length = evbuffer_get_contiguous_space(in)) > 0) {
-        evbuffer_add(out, evbuffer_pullup(in, (ev_ssize_t)length), length);
-        evbuffer_drain(in, length);
-    }
-}
-
 /* Buffers a part of an answer that is sent when it is complete. */
 static void
 buffer_body(Call *call, struct evbuffer *body)
@@ -228,7 +209,7 @@
     size_t length = evbuffer_get_length(body);
     call->counted_bytes += length;
     call->gateway->answer_bytes += length;
-    append_compactly(call->answer, body);
+    Buffer_AppendPacked(call->answer, body);
     Held_OnUnsent(call->gateway->held, call->gateway->answer_bytes);
     bool too_long = call->counted_bytes > ANSWER_MAX_BYTES;
     if (!too_long &&
@@ -255,7 +236,12 @@
         cancel_and_retry(call, "the endpoint may run another version by now");
         return;
     }
-    evbuffer_add_buffer(call->partial_event, body);
+    if (evbuffer_get_length(call->partial_event) == 0) {
+        evbuffer_add_buffer(call->partial_event, body);
+    }
+    else {
+        Buffer_AppendPacked(call->partial_event, body);
+    }
     switch (Events_Forward(&call->events, call->partial_event, call->answer)) {
     case EVENTS_FORWARDED:
         forward_events(call);
@@ -277,11 +263,8 @@
         print_framing(call, true);
         Conn_SendHead(conn, call->answer_head);
     }
-    else if (!Conn_IsHttp10(conn)) {
-        struct evbuffer *end = evbuffer_new();
-        evbuffer_add(end, "0\r\n\r\n", 5);
-        Conn_SendBody(conn, end);
-        evbuffer_free(end);
+    else {
+        Conn_EndParts(conn);
     }
 }
 
--- a/src/gateway/conn.c
+++ b/src/gateway/conn.c
@@ -5,6 +5,8 @@
 #include <string.h>
 
 #include "gateway/state.h"
+#include "http1/chunk.h"
+#include "kernel/buffer.h"
 #include "kernel/log.h"
 #include "server/reader.h"
 #include "wire/client_memory.h"
@@ -166,19 +168,50 @@
     return conn->call;
 }
 
+static struct evbuffer *
+output_of(const Conn *conn)
+{
+    return bufferevent_get_output(Reader_Stream(conn->reader));
+}
+
 void
 Conn_SendHead(Conn *conn, struct evbuffer *head)
 {
-    bufferevent_write_buffer(Reader_Stream(conn->reader), head);
+    Buffer_AppendPacked(output_of(conn), head);
 }
 
 void
 Conn_SendBody(Conn *conn, struct evbuffer *body)
 {
-    bufferevent_write_buffer(Reader_Stream(conn->reader), body);
+    if (evbuffer_get_length(body) < BUFFER_BLOCK_BYTES) {
+        Buffer_AppendPacked(output_of(conn), body);
+    }
+    else {
+        evbuffer_add_buffer(output_of(conn), body);
+    }
+    Held_OnUnsent(conn->gateway->held, Conn_UnsentBytes(conn));
+}
+
+void
+Conn_SendPart(Conn *conn, struct evbuffer *part)
+{
+    if (conn->http10) {
+        Buffer_AppendPacked(output_of(conn), part);
+    }
+    else {
+        H1Chunk_Append(output_of(conn), part);
+    }
     Held_OnUnsent(conn->gateway->held, Conn_UnsentBytes(conn));
 }
 
+void
+Conn_EndParts(Conn *conn)
+{
+    if (!conn->http10) {
+        H1Chunk_AppendLast(output_of(conn));
+    }
+}
+
 void
 Conn_Finish(Conn *conn)
 {
@@ -215,7 +248,7 @@
 size_t
 Conn_AnswerBytes(const Conn *conn)
 {
-    size_t unsent = Conn_UnsentBytes(conn);
+    size_t unsent = Reader_HeldBytes(conn->reader);
     size_t in_kernel = unsent > 0 ? Held_KernelBytes(conn->gateway->held) : 0;
     size_t of_call = conn->call == NULL ? 0 : Call_AnswerBytes(conn->call);
     return unsent + in_kernel + of_call;
--- a/src/gateway/conn.h
+++ b/src/gateway/conn.h
@@ -27,9 +27,16 @@
 /* Writes the head of an answer, with its framing fields. */
 void Conn_SendHead(Conn *conn, struct evbuffer *head);
 
-/* Writes body bytes. The caller of this function adds the chunk framing. */
+/* Writes a whole body. */
 void Conn_SendBody(Conn *conn, struct evbuffer *body);
 
+/* Writes a part of a body whose length is not known, as a chunk if the caller
+ * understands chunks. */
+void Conn_SendPart(Conn *conn, struct evbuffer *part);
+
+/* Ends a body that was written in parts. */
+void Conn_EndParts(Conn *conn);
+
 /* Ends a complete answer, then reads the next request or closes. */
 void Conn_Finish(Conn *conn);
 
@@ -44,12 +51,12 @@
 /* Returns the number of answer bytes that are not yet written. */
 size_t Conn_UnsentBytes(const Conn *conn);
 
-/* Returns the bytes of the answer that are held for the connection's caller.
- */
+/* Returns the memory that the answer takes which is held for the connection's
+ * caller. */
 size_t Conn_AnswerBytes(const Conn *conn);
 
-/* Returns the bytes of request and answer that are held for the connection's
- * caller. */
+/* Returns the memory that request and answer take which are held for the
+ * connection's caller. */
 HeldFor Conn_Held(const Conn *conn);
 
 /* Reads the endpoint's answer on if the caller has read enough of it. */
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -272,7 +272,7 @@
 /* Ends the call after its caller disconnected. */
 void Call_OnCallerDisconnect(Call *call);
 
-/* Returns the bytes of the answer that are held for the call. */
+/* Returns the memory that the answer takes which is held for the call. */
 size_t Call_AnswerBytes(const Call *call);
 
 /* Ends the call to free what is held for it. */
--- a/test/fakes/crowd.c
+++ b/test/fakes/crowd.c
@@ -40,6 +40,7 @@
     StreamRequest request;
     int clients;
     int pid;
+    int window;
     double seconds;
     gboolean pieces;
     gboolean deaf;
@@ -224,6 +225,12 @@
     client->readable = event_new(crowd->base, client->fd, EV_READ | EV_PERSIST,
                                  on_readable, client);
     crowd->open++;
+    const int *window = &crowd->options.window;
+    if (*window > 0 && setsockopt(client->fd, SOL_SOCKET, SO_RCVBUF, window,
+                                  sizeof(*window)) != 0)
+    {
+        perror("SO_RCVBUF");
+    }
     if (connect(client->fd, (const struct sockaddr *)&crowd->address.storage,
                 (socklen_t)crowd->address.length) != 0 &&
         errno != EINPROGRESS)
@@ -268,6 +275,8 @@
          "Largest allowed body", "BYTES"},
         {"pid", 0, 0, G_OPTION_ARG_INT, &options->pid, "Process to sample",
          "PID"},
+        {"window", 0, 0, G_OPTION_ARG_INT, &options->window,
+         "Receive buffer of each client", "BYTES"},
         {"seconds", 0, 0, G_OPTION_ARG_DOUBLE, &options->seconds,
          "Time until all clients leave", "S"},
         {"pieces", 0, 0, G_OPTION_ARG_NONE, &options->pieces,
--- a/test/fakes/crowd_stream.c
+++ b/test/fakes/crowd_stream.c
@@ -211,12 +211,20 @@
     stream->repeat = PIPELINED;
 }
 
-/* Requests without a body behind one another. */
+/* One request without a body. */
 static void
-make_requests(Stream *stream, const StreamRequest *request)
+make_request(Stream *stream, const StreamRequest *request)
 {
     print_head(request, stream->unit);
     g_string_append(stream->unit, "\r\n");
+    stream->repeat = 1;
+}
+
+/* Requests without a body behind one another. */
+static void
+make_requests(Stream *stream, const StreamRequest *request)
+{
+    make_request(stream, request);
     stream->repeat = PIPELINED;
 }
 
@@ -286,6 +294,7 @@
     {"head", make_head},
     {"idle", make_idle},
     {"pipelined", make_pipelined},
+    {"request", make_request},
     {"requests", make_requests},
     {"json", make_json},
     {"hello", make_hello},
--- a/test/fakes/fake_endless.c
+++ b/test/fakes/fake_endless.c
@@ -69,7 +69,14 @@
     {.fault = "endless-after",
      .start = STATUS_OK SEAL "Content-Length: 2\r\n\r\nok",
      .filler = "more and more "},
+    {.fault = "endless-event",
+     .start = STATUS_OK SEAL "Content-Type: text/event-stream\r\n"
+                             "Connection: close\r\n\r\n",
+     .filler = "x",
+     .slow = true},
 };
+/* The kinds that `endless-each` goes through. */
+#define EACH_COUNT (G_N_ELEMENTS(kinds) - 1)
 
 static const EndlessKind *
 find_kind(const char *fault)
@@ -91,7 +98,7 @@
     }
     const char *name = strrchr(target, '/');
     const EndlessKind *kind = name == NULL ? NULL : find_kind(name + 1);
-    return kind != NULL ? kind : &kinds[next++ % G_N_ELEMENTS(kinds)];
+    return kind != NULL ? kind : &kinds[next++ % EACH_COUNT];
 }
 
 typedef struct Writer {
