Replicated log: a successor takes over the vote of a host of its zone

A successor was promoted beside its predecessor, so that three of four had to agree until a leader knew that the predecessor had ended; nobody might hear of it, and each election forgot it.

A successor that has caught up now takes the vote over at once; the replaced host stays as a learner without a vote, and leads on if it does. Hosts keep their place in their zone when they return. A voter that is not live gives its vote up before another gets one. When others were last heard is kept across elections.

--- a/src/control/log_config.c
+++ b/src/control/log_config.c
@@ -50,21 +50,39 @@
         wire->items[i].id = member->id;
         wire->items[i].disk_id = member->disk_id;
         wire->items[i].learner = member->learner;
+        wire->items[i].standby = member->standby;
+        wire->items[i].joined = member->joined;
         wire->items[i].address = (char *)member->address;
         wire->items[i].zone = (char *)member->zone;
         wire->pointers[i] = &wire->items[i];
     }
     wire->list.n_members = config->count;
     wire->list.members = wire->pointers;
+    for (unsigned i = 0; i < config->former_count; i++) {
+        wire__log_former_member__init(&wire->former[i]);
+        wire->former[i].id = config->former[i].id;
+        wire->former[i].joined = config->former[i].joined;
+        wire->former_pointers[i] = &wire->former[i];
+    }
+    wire->list.n_former = config->former_count;
+    wire->list.former = wire->former_pointers;
 }
 
 int
 LogConfig_FromWire(const Wire__LogMembers *list, LogConfig *config)
 {
     *config = (LogConfig){.count = 0};
-    if (list == NULL || list->n_members > LOG_MEMBERS_MAX) {
+    if (list == NULL || list->n_members > LOG_MEMBERS_MAX ||
+        list->n_former > LOG_FORMER_MAX)
+    {
         return ERR_CORRUPT;
     }
+    for (size_t i = 0; i < list->n_former; i++) {
+        config->former[config->former_count++] = (LogFormerMember){
+            .id = list->former[i]->id,
+            .joined = list->former[i]->joined,
+        };
+    }
     for (size_t i = 0; i < list->n_members; i++) {
         const Wire__LogMember *item = list->members[i];
         if (LogConfig_Find(config, item->id) != NULL) {
@@ -74,6 +92,8 @@
         member->id = item->id;
         member->disk_id = item->disk_id;
         member->learner = item->learner;
+        member->standby = item->standby;
+        member->joined = item->joined;
         g_strlcpy(member->address, item->address, LOG_ADDRESS_BYTES);
         g_strlcpy(member->zone, item->zone, LOG_ZONE_BYTES);
     }
--- a/src/control/log_config_wire.h
+++ b/src/control/log_config_wire.h
@@ -12,6 +12,8 @@
     Wire__LogMembers list;
     Wire__LogMember items[LOG_MEMBERS_MAX];
     Wire__LogMember *pointers[LOG_MEMBERS_MAX];
+    Wire__LogFormerMember former[LOG_FORMER_MAX];
+    Wire__LogFormerMember *former_pointers[LOG_FORMER_MAX];
 } LogConfigWire;
 
 /** Fills @p wire. Its strings point into @p config. */
--- a/src/control/log_core.c
+++ b/src/control/log_core.c
@@ -221,6 +221,7 @@
 LogCore_Receive(LogCore *core, const LogMessage *message, TimeUs now)
 {
     core->now = now;
+    LogContacts_OnMessage(core, message->from, message->from_disk_id, now);
     if (core->failed) {
         if (message->type == LOG_APPEND && message->term >= core->term) {
             core->leader = message->from;
--- a/src/control/log_core.h
+++ b/src/control/log_core.h
@@ -62,12 +62,14 @@
 void LogCore_OnLinkConnected(LogCore *core, uint32_t id);
 
 /** Handles a non-member's request to join. A leader adds the host as a learner
- * and promotes it to voter when its log has caught up. */
+ * and promotes it to voter when its log has caught up. With automatic
+ * membership it takes over the vote of a host of its zone. */
 void LogCore_OnJoinRequest(LogCore *core, const LogMember *candidate,
                            TimeUs now);
 
-/** Reports that a member has begun a planned stop. */
-void LogCore_OnLeaving(LogCore *core, uint32_t id);
+/** Reports whether a host has begun a planned stop. */
+void LogCore_OnLeaving(LogCore *core, uint32_t id, uint64_t disk_id,
+                       bool leaving);
 
 /** Appends a command entry to the leader's log.
  * @return ERR_OK; ERR_UNAVAILABLE when this host is not the leader or is
--- a/src/control/log_leader.c
+++ b/src/control/log_leader.c
@@ -34,6 +34,22 @@
     };
 }
 
+/* Returns when a member last answered. A new leader gives each an election
+ * timeout. */
+static TimeUs
+answered_at(const LogCore *core, const LogProgress *progress)
+{
+    return MAX(progress->last_seen_at, core->elected_at);
+}
+
+bool
+LogLeader_IsSilent(const LogCore *core, const LogProgress *progress,
+                   TimeUs timeout, TimeUs now)
+{
+    return now - progress->last_seen_at > timeout &&
+           now - core->elected_at > core->timing.election_timeout;
+}
+
 LogProgress *
 LogLeader_FindProgress(LogCore *core, uint32_t id, uint64_t disk_id)
 {
@@ -78,11 +94,17 @@
     core->leader = core->id;
     core->transferee = 0;
     core->round_requested = false;
+    core->elected_at = now;
     for (unsigned i = 0; i < LOG_MEMBERS_MAX; i++) {
         clear_progress_snapshot(&core->progress[i]);
         core->progress[i] = (LogProgress){.id = 0};
     }
     LogLeader_RebuildProgress(core);
+    for (unsigned i = 0; i < core->config.count; i++) {
+        LogProgress *progress = &core->progress[i];
+        progress->last_seen_at =
+            LogContacts_HeardAt(core, progress->id, progress->disk_id);
+    }
     GBytes *empty = g_bytes_new(NULL, 0);
     StoreEntry entry = {
         .index = LogEntries_LastIndex(core) + 1,
@@ -415,8 +437,8 @@
     for (unsigned i = 0; i < core->config.count; i++) {
         const LogProgress *progress = &core->progress[i];
         if (!core->config.members[i].learner &&
-            (progress->id == core->id ||
-             now - progress->last_seen_at <= core->timing.election_timeout))
+            (progress->id == core->id || now - answered_at(core, progress) <=
+                                             core->timing.election_timeout))
         {
             active++;
         }
@@ -457,7 +479,7 @@
     for (unsigned i = 0; i < core->config.count; i++) {
         const LogProgress *progress = &core->progress[i];
         if (core->config.members[i].learner || progress->id == core->id ||
-            now - progress->last_seen_at > core->timing.election_timeout)
+            now - answered_at(core, progress) > core->timing.election_timeout)
         {
             continue;
         }
--- a/src/control/log_membership.c
+++ b/src/control/log_membership.c
@@ -34,6 +34,23 @@
     g_bytes_unref(data);
 }
 
+/* Appends a member. One that was a member before keeps its place among the
+ * hosts of its zone. */
+static void
+append_member(const LogCore *core, LogConfig *config, const LogMember *member)
+{
+    LogMember *added = &config->members[config->count++];
+    *added = *member;
+    added->learner = true;
+    added->joined = LogEntries_LastIndex(core) + 1;
+    for (unsigned i = 0; i < config->former_count; i++) {
+        if (config->former[i].id == member->id) {
+            added->joined = config->former[i].joined;
+            added->standby = true;
+        }
+    }
+}
+
 static int
 add_member(LogCore *core, uint32_t id, uint64_t disk_id, const char *address,
            Error *err)
@@ -48,13 +65,31 @@
                          "The cluster already has %u members, the maximum.",
                          config.count);
     }
-    LogMember *member = &config.members[config.count++];
-    *member = (LogMember){.id = id, .disk_id = disk_id, .learner = true};
-    g_strlcpy(member->address, address, LOG_ADDRESS_BYTES);
+    LogMember member = {.id = id, .disk_id = disk_id};
+    g_strlcpy(member.address, address, LOG_ADDRESS_BYTES);
+    append_member(core, &config, &member);
     propose_config(core, &config);
     return ERR_OK;
 }
 
+/* Remembers a removed member in place of the one removed first. */
+static void
+remember_former(LogConfig *config, const LogMember *member)
+{
+    unsigned kept = 0;
+    unsigned excess = config->former_count == LOG_FORMER_MAX ? 1 : 0;
+    for (unsigned i = 0; i < config->former_count; i++) {
+        if (config->former[i].id != member->id && i >= excess) {
+            config->former[kept++] = config->former[i];
+        }
+    }
+    config->former[kept++] = (LogFormerMember){
+        .id = member->id,
+        .joined = member->joined,
+    };
+    config->former_count = kept;
+}
+
 static int
 remove_member(LogCore *core, uint32_t id, Error *err)
 {
@@ -64,6 +99,7 @@
         return Error_Set(err, ERR_NOT_FOUND,
                          "Control host %u is not a member.", id);
     }
+    remember_former(&config, member);
     size_t position = (size_t)(member - config.members);
     size_t following = config.count - position - 1;
     memmove(&config.members[position], &config.members[position + 1],
@@ -103,15 +139,16 @@
                      id);
 }
 
-/* Returns true when the leader has received no reply from the member's known
- * disk for longer than the replace timeout. */
+/* Returns true when the leader has heard nothing from the member's known disk
+ * for longer than the replace timeout. */
 static bool
 is_disk_lost(LogCore *core, const LogMember *member, TimeUs now)
 {
     const LogProgress *progress =
         LogLeader_FindProgress(core, member->id, member->disk_id);
     return progress != NULL &&
-           now - progress->last_seen_at > core->timing.replace_timeout;
+           LogLeader_IsSilent(core, progress, core->timing.replace_timeout,
+                              now);
 }
 
 void
@@ -134,114 +171,289 @@
     propose_config(core, &config);
 }
 
+/* Returns true when the member at this position of the membership is this
+ * host, or is not leaving and was heard within the surplus timeout. */
+static bool
+is_live(const LogCore *core, unsigned position, TimeUs now)
+{
+    const LogMember *member = &core->config.members[position];
+    return member->id == core->id ||
+           (!LogContacts_IsLeaving(core, member->id, member->disk_id) &&
+            !LogLeader_IsSilent(core, &core->progress[position],
+                                core->timing.surplus_timeout, now));
+}
+
+/* Number of a zone's voters. */
+typedef struct ZoneVoters {
+    unsigned count;
+    unsigned live;
+} ZoneVoters;
+
+static ZoneVoters
+count_voters(const LogCore *core, const char *zone, TimeUs now)
+{
+    ZoneVoters voters = {.count = 0};
+    for (unsigned i = 0; i < core->config.count; i++) {
+        const LogMember *member = &core->config.members[i];
+        if (!member->learner && strcmp(member->zone, zone) == 0) {
+            voters.count++;
+            voters.live += is_live(core, i, now) ? 1 : 0;
+        }
+    }
+    return voters;
+}
+
+static bool
+is_automatic(const LogCore *core)
+{
+    return core->timing.zone_voters > 0;
+}
+
+static bool
+has_even_voters(const LogCore *core)
+{
+    return LogConfig_VoterCount(&core->config) % 2 == 0;
+}
+
+/* Returns a learner that is not live and whose zone has enough live voters, or
+ * NULL. Voters are never removed: a silent one may come back. */
+static const LogMember *
+find_surplus(const LogCore *core, TimeUs now)
+{
+    for (unsigned i = 0; i < core->config.count; i++) {
+        const LogMember *member = &core->config.members[i];
+        if (member->learner && member->zone[0] != '\0' &&
+            !is_live(core, i, now) &&
+            count_voters(core, member->zone, now).live >=
+                core->timing.zone_voters)
+        {
+            return member;
+        }
+    }
+    return NULL;
+}
+
+/* Returns a standby host that can be removed to make room for a new member, or
+ * NULL. */
+static const LogMember *
+find_standby(const LogCore *core)
+{
+    for (unsigned i = 0; i < core->config.count; i++) {
+        if (core->config.members[i].standby) {
+            return &core->config.members[i];
+        }
+    }
+    return NULL;
+}
+
+/* Removes a member that can be spared, so that a new one can be added. */
+static void
+make_room(LogCore *core, TimeUs now)
+{
+    const LogMember *member = find_surplus(core, now);
+    if (member == NULL) {
+        member = find_standby(core);
+    }
+    if (member != NULL && member->id != core->id) {
+        remove_member(core, member->id, NULL);
+    }
+}
+
 void
 LogCore_OnJoinRequest(LogCore *core, const LogMember *candidate, TimeUs now)
 {
     core->now = now;
-    if (!can_change_membership(core) || core->config.count >= VOTERS_MAX ||
+    if (!can_change_membership(core) ||
         LogConfig_Find(&core->config, candidate->id) != NULL)
     {
         return;
     }
+    if (core->config.count >= VOTERS_MAX) {
+        if (is_automatic(core)) {
+            make_room(core, now); /* the host asks again */
+        }
+        return;
+    }
     LogConfig config = core->config;
-    LogMember *member = &config.members[config.count++];
-    *member = *candidate;
-    member->learner = true;
+    append_member(core, &config, candidate);
     propose_config(core, &config);
 }
 
-void
-LogCore_OnLeaving(LogCore *core, uint32_t id)
+/* Returns true when a voter gives its vote up rather than another one: if it
+ * is not live, or it joined earlier. */
+static bool
+yields_before(const LogCore *core, unsigned position, unsigned other,
+              TimeUs now)
 {
+    bool live = is_live(core, position, now);
+    if (live != is_live(core, other, now)) {
+        return !live;
+    }
+    return core->config.members[position].joined <
+           core->config.members[other].joined;
+}
+
+/* Returns the position of the voter that gives its vote up, in a zone that
+ * keeps enough live voters; -1 if there is none. */
+static int
+find_yielding_voter(const LogCore *core, TimeUs now)
+{
+    int best = -1;
     for (unsigned i = 0; i < core->config.count; i++) {
-        if (core->config.members[i].id == id) {
-            core->progress[i].leaving = true;
+        const LogMember *member = &core->config.members[i];
+        if (member->learner || member->zone[0] == '\0') {
+            continue;
+        }
+        ZoneVoters voters = count_voters(core, member->zone, now);
+        unsigned live = voters.live - (is_live(core, i, now) ? 1 : 0);
+        if (live >= core->timing.zone_voters &&
+            (best < 0 || yields_before(core, i, (unsigned)best, now)))
+        {
+            best = (int)i;
         }
     }
+    return best;
 }
 
-/* Returns true when the member at this position of the membership is this
- * host, or is not leaving and was seen within the surplus timeout. */
+/* Makes a voter a standby host. A leader that gives its vote up leads on. */
+static void
+demote_voter(LogCore *core, unsigned position)
+{
+    LogConfig config = core->config;
+    config.members[position].learner = true;
+    config.members[position].standby = true;
+    propose_config(core, &config);
+}
+
+/* An even number of voters bears no more losses than one less. After a learner
+ * became a voter beside another one of its zone, the other one becomes a
+ * standby host, whether it still runs or not. */
 static bool
-is_live(const LogCore *core, unsigned position, TimeUs now)
+restore_odd_voters(LogCore *core, TimeUs now)
+{
+    int position = has_even_voters(core) ? find_yielding_voter(core, now) : -1;
+    if (position >= 0) {
+        demote_voter(core, (unsigned)position);
+    }
+    return position >= 0;
+}
+
+static bool
+has_caught_up(const LogCore *core, unsigned position, TimeUs now)
 {
-    const LogMember *member = &core->config.members[position];
     const LogProgress *progress = &core->progress[position];
-    return member->id == core->id ||
-           (!progress->leaving &&
-            now - progress->last_seen_at <= core->timing.surplus_timeout);
+    return progress->disk_id != 0 &&
+           progress->state == LOG_PROGRESS_REPLICATE &&
+           progress->match_index >= core->commit_index &&
+           now - progress->last_seen_at <= core->timing.election_timeout;
 }
 
-static unsigned
-count_live_voters(const LogCore *core, const char *zone, TimeUs now)
+/* Returns true when a zone has no voter though it should. */
+static bool
+lacks_voter(const LogCore *core, const LogMember *member, TimeUs now)
 {
-    unsigned count = 0;
-    for (unsigned i = 0; i < core->config.count; i++) {
-        const LogMember *member = &core->config.members[i];
-        count += !member->learner && strcmp(member->zone, zone) == 0 &&
-                         is_live(core, i, now)
-                     ? 1
-                     : 0;
-    }
-    return count;
+    return count_voters(core, member->zone, now).count <
+           core->timing.zone_voters;
 }
 
-/* Returns a member that is not live and whose zone has enough live voters, or
- * NULL. */
-static const LogMember *
-find_surplus(const LogCore *core, TimeUs now)
+/* Returns the position of the voter whose vote a learner takes over: one of
+ * its zone that is not live, or joined earlier; -1 if there is none. */
+static int
+find_predecessor(const LogCore *core, const LogMember *learner, TimeUs now)
 {
+    int best = -1;
     for (unsigned i = 0; i < core->config.count; i++) {
         const LogMember *member = &core->config.members[i];
-        if (member->zone[0] != '\0' && !is_live(core, i, now) &&
-            count_live_voters(core, member->zone, now) >=
-                core->timing.zone_voters)
+        if (!member->learner && strcmp(member->zone, learner->zone) == 0 &&
+            (member->joined < learner->joined || !is_live(core, i, now)) &&
+            (best < 0 || yields_before(core, i, (unsigned)best, now)))
         {
-            return member;
+            best = (int)i;
         }
     }
-    return NULL;
+    return best;
 }
 
 static void
-remove_surplus(LogCore *core, TimeUs now)
+promote_learner(LogCore *core, unsigned position)
 {
-    if (core->timing.zone_voters == 0 || !can_change_membership(core)) {
-        return;
+    LogConfig config = core->config;
+    config.members[position].learner = false;
+    config.members[position].standby = false;
+    propose_config(core, &config);
+}
+
+/* Lets a learner take over the vote of another host of its zone. One that is
+ * not live gives its vote up first: beside it, the majority would need the
+ * learner, which may have ended as well. One that runs keeps its vote until
+ * the learner has its own, so that any single loss is borne in between. */
+static bool
+take_over_vote(LogCore *core, unsigned position, TimeUs now)
+{
+    int predecessor =
+        find_predecessor(core, &core->config.members[position], now);
+    if (predecessor < 0) {
+        return false;
     }
-    const LogMember *member = find_surplus(core, now);
-    if (member != NULL) {
-        remove_member(core, member->id, NULL);
+    if (!is_live(core, (unsigned)predecessor, now)) {
+        demote_voter(core, (unsigned)predecessor);
     }
+    else {
+        promote_learner(core, position);
+    }
+    return true;
 }
 
-/* Promotes the first live learner whose log has caught up. */
-static void
-promote_learner(LogCore *core, TimeUs now)
+/* Moves a vote to the first live learner that has caught up and is to have
+ * one: in a zone without a voter, then where the number of voters is even,
+ * then in place of another host of its zone. */
+static bool
+move_votes(LogCore *core, TimeUs now)
 {
-    if (!can_change_membership(core) ||
-        LogConfig_VoterCount(&core->config) >= VOTERS_MAX)
-    {
-        return;
+    int any = -1;
+    if (LogConfig_VoterCount(&core->config) >= VOTERS_MAX) {
+        return false;
     }
     for (unsigned i = 0; i < core->config.count; i++) {
-        const LogProgress *progress = &core->progress[i];
-        if (core->config.members[i].learner && progress->disk_id != 0 &&
-            progress->state == LOG_PROGRESS_REPLICATE &&
-            progress->match_index >= core->commit_index &&
-            now - progress->last_seen_at <= core->timing.election_timeout)
+        const LogMember *member = &core->config.members[i];
+        if (!member->learner || !has_caught_up(core, i, now) ||
+            !is_live(core, i, now)) {
+            continue;
+        }
+        if (!is_automatic(core) || lacks_voter(core, member, now)) {
+            promote_learner(core, i);
+            return true;
+        }
+        any = any < 0 ? (int)i : any;
+    }
+    if (any >= 0 && has_even_voters(core)) {
+        promote_learner(core, (unsigned)any);
+        return true;
+    }
+    for (unsigned i = 0; any >= 0 && i < core->config.count; i++) {
+        if (core->config.members[i].learner && has_caught_up(core, i, now) &&
+            is_live(core, i, now) && take_over_vote(core, i, now))
         {
-            LogConfig config = core->config;
-            config.members[i].learner = false;
-            propose_config(core, &config);
-            return;
+            return true;
         }
     }
+    return false;
 }
 
 void
 LogMembership_Tick(LogCore *core, TimeUs now)
 {
-    promote_learner(core, now);
-    remove_surplus(core, now);
+    if (!can_change_membership(core)) {
+        return;
+    }
+    if (is_automatic(core) && restore_odd_voters(core, now)) {
+        return;
+    }
+    if (move_votes(core, now) || !is_automatic(core)) {
+        return;
+    }
+    const LogMember *surplus = find_surplus(core, now);
+    if (surplus != NULL) {
+        remove_member(core, surplus->id, NULL);
+    }
 }
--- a/src/control/log_state.h
+++ b/src/control/log_state.h
@@ -30,8 +30,7 @@
     uint64_t match_index; /* highest index known to be durable at the member */
     uint64_t next_index;  /* index of the next entry to send */
     uint64_t acked_round; /* highest heartbeat round acknowledged */
-    TimeUs last_seen_at;  /* when the member last replied */
-    bool leaving;         /* the member has begun a planned stop */
+    TimeUs last_seen_at;  /* when the member was last heard; 0: never */
     bool awaiting_reply;  /* a probe or snapshot chunk is unacknowledged */
     TimeUs chunk_sent_at; /* when the latest snapshot chunk was sent */
     /* Snapshot being sent, with a reference to its data. */
@@ -39,6 +38,14 @@
     uint64_t snapshot_offset; /* byte offset of the next snapshot chunk */
 } LogProgress;
 
+/* What this host knows of another one, in whatever role it heard from it. */
+typedef struct LogContact {
+    uint32_t id; /* 0: unused */
+    uint64_t disk_id;
+    TimeUs heard_at; /* when its latest message arrived; 0: never */
+    bool leaving;    /* it has begun a planned stop */
+} LogContact;
+
 /* A batch that was handed to the store and is not saved yet. */
 typedef struct LogPendingBatch {
     uint64_t sequence;
@@ -85,8 +92,10 @@
     LogConfig config;      /* latest membership in the log, committed or not */
     uint64_t config_index; /* index of the entry that set config */
 
+    LogContact contacts[LOG_MEMBERS_MAX];
     /* Leader only: progress of the member at the same position in config. */
     LogProgress progress[LOG_MEMBERS_MAX];
+    TimeUs elected_at;
     uint64_t term_start_index; /* index of the leader's no-op entry */
     /* Number of the latest heartbeat round. Leadership is confirmed for reads
      * when a majority has acknowledged a round. */
@@ -174,6 +183,11 @@
                                TimeUs now);
 /* Commits the entries that a majority of the voters has saved. */
 void LogLeader_AdvanceCommit(LogCore *core, TimeUs now);
+/* Returns true when a member has not been heard for this time. After an
+ * election each member has an election timeout to answer: the leader does not
+ * hear the other members before. */
+bool LogLeader_IsSilent(const LogCore *core, const LogProgress *progress,
+                        TimeUs timeout, TimeUs now);
 /* Returns the progress of a member, or NULL. */
 LogProgress *LogLeader_FindProgress(LogCore *core, uint32_t id,
                                     uint64_t disk_id);
@@ -190,9 +204,18 @@
 void LogFollower_OnSnapshot(LogCore *core, const LogMessage *message,
                             TimeUs now);
 
+/* ---- log_contacts.c: what is known of other hosts ---- */
+
+/* Records that a message of a host arrived. */
+void LogContacts_OnMessage(LogCore *core, uint32_t id, uint64_t disk_id,
+                           TimeUs now);
+/* Returns when a host was last heard with this disk; 0: never. */
+TimeUs LogContacts_HeardAt(const LogCore *core, uint32_t id, uint64_t disk_id);
+bool LogContacts_IsLeaving(const LogCore *core, uint32_t id, uint64_t disk_id);
+
 /* ---- log_membership.c: membership changes ---- */
 
-/* Promotes learners that caught up and removes surplus members. */
+/* Moves votes to learners that caught up and removes surplus members. */
 void LogMembership_Tick(LogCore *core, TimeUs now);
 
 /* ---- log_core.c: construction and message dispatch ---- */
--- a/src/control/log_types.h
+++ b/src/control/log_types.h
@@ -14,6 +14,8 @@
 
 /** Maximum number of voters and learners together. */
 #define LOG_MEMBERS_MAX 12
+/** Number of removed members that are remembered. */
+#define LOG_FORMER_MAX 16
 #define LOG_ADDRESS_BYTES 64
 #define LOG_ZONE_BYTES 64
 
@@ -31,15 +33,27 @@
     uint32_t id;
     uint64_t disk_id; /**< 0 when unknown. */
     bool learner;     /**< Receives the log but does not vote. */
+    bool standby;     /**< A learner that was a voter and gave its vote to
+                         another host of its zone. */
+    uint64_t joined;  /**< Index of the entry that first added the host; 0 for
+                         the initial members. */
     char address[LOG_ADDRESS_BYTES]; /**< IP:PORT. */
     char zone[LOG_ZONE_BYTES];       /**< Empty when unknown. */
 } LogMember;
 
+/** A removed member, which may come back. */
+typedef struct LogFormerMember {
+    uint32_t id;
+    uint64_t joined;
+} LogFormerMember;
+
 /** A membership. It takes effect when its log entry is appended, before the
  * entry is committed. */
 typedef struct LogConfig {
     unsigned count;
     LogMember members[LOG_MEMBERS_MAX];
+    unsigned former_count;
+    LogFormerMember former[LOG_FORMER_MAX]; /**< Removed last comes last. */
 } LogConfig;
 
 typedef enum LogMessageType {
@@ -91,11 +105,11 @@
                                 this. */
     TimeUs replace_timeout; /**< A member's disk counts as lost when the member
                                has been silent for longer. */
-    /** Number of live voters that an availability zone needs. A silent or
-     * leaving member of a zone that has them is removed; 0 disables this. */
+    /** Number of live voters that an availability zone needs. Votes beyond
+     * them move to other hosts of the zone; 0 disables this. */
     unsigned zone_voters;
-    TimeUs surplus_timeout; /**< A member may be removed as surplus when it has
-                               been silent for longer. */
+    TimeUs surplus_timeout; /**< A member is not live when it has been silent
+                               for longer. */
 } LogTiming;
 
 /** Returns the member with this id, or NULL. */
--- a/src/control/replica.c
+++ b/src/control/replica.c
@@ -27,9 +27,10 @@
 #define REPLACE_TIMEOUT_AUTO_US (500 * US_PER_MS)
 /* Automatic membership keeps one voter in each availability zone. */
 #define ZONE_VOTERS_MIN 1
-/* A member that has been silent for this time is removed when its zone has
- * another live voter. Longer than a leader's links take to reconnect, shorter
- * than the repair of a host. */
+/* A member that has been silent for this time is not live: a voter then gives
+ * its vote to a live host of its zone, a host without a vote is removed.
+ * Longer than a leader's links take to reconnect, shorter than the repair of a
+ * host. */
 #define SURPLUS_TIMEOUT_US (1500 * US_PER_MS)
 #define TICK_INTERVAL_US (25 * US_PER_MS)
 /* A snapshot is taken after this many applied entries or bytes of commands. */
--- a/src/control/replica.h
+++ b/src/control/replica.h
@@ -56,6 +56,8 @@
     uint64_t config_index;
     uint32_t voter_count;
     uint32_t voters[REPLICA_VOTERS_MAX];
+    /** Hosts that answer questions: voters and standby hosts. */
+    uint32_t host_count;
     char addresses[REPLICA_VOTERS_MAX][64]; /**< IP:PORT for links. */
 } ReplicaStatus;
 
--- a/src/control/replica_dump.c
+++ b/src/control/replica_dump.c
@@ -26,9 +26,12 @@
             g_strlcpy(status->leader_address, member->address,
                       sizeof(status->leader_address));
         }
-        if (!member->learner && status->voter_count < REPLICA_VOTERS_MAX) {
-            g_strlcpy(status->addresses[status->voter_count], member->address,
+        bool answers = !member->learner || member->standby;
+        if (answers && status->host_count < REPLICA_VOTERS_MAX) {
+            g_strlcpy(status->addresses[status->host_count++], member->address,
                       sizeof(status->addresses[0]));
+        }
+        if (!member->learner && status->voter_count < REPLICA_VOTERS_MAX) {
             status->voters[status->voter_count++] = member->id;
         }
     }
@@ -49,6 +52,7 @@
         json_t *item = json_object();
         set_number(item, "id", member->id);
         json_object_set_new(item, "learner", json_boolean(member->learner));
+        json_object_set_new(item, "standby", json_boolean(member->standby));
         json_object_set_new(item, "address", json_string(member->address));
         if (log_status->is_leader && member->id != log_status->id) {
             set_number(item, "match",
--- a/src/control/replica_health.c
+++ b/src/control/replica_health.c
@@ -28,13 +28,14 @@
     if (status->failed) {
         return REPLICA_DISK_FAILED;
     }
-    if (LogConfig_Find(status->config, status->id) == NULL) {
+    const LogMember *self = LogConfig_Find(status->config, status->id);
+    if (self == NULL) {
         return REPLICA_NOT_A_MEMBER;
     }
     if (status->leader == 0) {
         return REPLICA_NO_MAJORITY;
     }
-    if (!status->is_voter) {
+    if (!status->is_voter && !self->standby) {
         return REPLICA_CATCHING_UP;
     }
     return status->applied_index < status->commit_index ? REPLICA_APPLYING
@@ -107,9 +108,11 @@
         replica->cause = cause;
         replica->cause_since = now;
         replica->cause_recorded_at = 0;
-        Counter_Set(Counter_Get("replica_takes_part",
-                                "1 while the host votes and is up to date."),
-                    cause == REPLICA_TAKES_PART);
+        Counter_Set(
+            Counter_Get(
+                "replica_takes_part",
+                "1 while the host votes or stands by, and is up to date."),
+            cause == REPLICA_TAKES_PART);
     }
     TimeUs lasted = now - replica->cause_since;
     if (cause == REPLICA_TAKES_PART || lasted < RECORD_AFTER_US) {
--- a/src/control/replica_links.c
+++ b/src/control/replica_links.c
@@ -100,9 +100,8 @@
     g_strlcpy(identity->address, hello->address, LOG_ADDRESS_BYTES);
     g_strlcpy(identity->zone, Link_Peer(link)->zone, LOG_ZONE_BYTES);
     g_hash_table_insert(replica->identities, link, identity);
-    if (hello->leaving) {
-        LogCore_OnLeaving(replica->core, hello->id);
-    }
+    LogCore_OnLeaving(replica->core, hello->id, hello->disk_id,
+                      hello->leaving);
     learn_members(replica, hello->members);
     LogCore_OnLinkConnected(replica->core, hello->id);
     LOG_INFO(REPLICA_PART,
--- a/src/fleet/gateways.c
+++ b/src/fleet/gateways.c
@@ -175,10 +175,10 @@
     state.gateways = count_gateways(fleet);
     state.leader = is_leader ? (char *)"" : status.leader_address;
     char *hosts[REPLICA_VOTERS_MAX];
-    for (unsigned i = 0; i < status.voter_count; i++) {
+    for (unsigned i = 0; i < status.host_count; i++) {
         hosts[i] = status.addresses[i];
     }
-    state.n_hosts = status.voter_count;
+    state.n_hosts = status.host_count;
     state.hosts = hosts;
     if (is_leader && fleet->document.version > query->version) {
         fill_document(fleet, &state);
--- a/test/fuzz/log_net.h
+++ b/test/fuzz/log_net.h
@@ -112,6 +112,9 @@
 void Net_Crash(Net *net, unsigned index);
 void Net_Start(Net *net, unsigned index);
 
+/** Stops a host and replaces its disk by an empty one with a new id. */
+void Net_ClearDisk(Net *net, unsigned index);
+
 /** Restarts a host with an empty disk and a new disk id, if a majority of the
  * voters of each membership that may be in effect keeps its disks. */
 void Net_LoseDisk(Net *net, unsigned index);
