Server: complete answers beyond the budget are cut at once

A connection that was to be closed for its unsent answer was closed only after its idle timeout if its request ended in the same step: the timer that closes it was set anew. Large blocks are counted by what is filled of them, since the rest of a mapped block takes no memory.

--- a/src/kernel/buffer.c
+++ b/src/kernel/buffer.c
@@ -6,6 +6,9 @@
 /* Least block that libevent allocates, and the header in each. */
 #define BLOCK_MIN_BYTES 1024
 #define BLOCK_HEADER_BYTES 48
+/* Larger blocks are mapped, and take memory only where they are filled. */
+#define MAPPED_MIN_BYTES (256u * 1024)
+#define PAGE_BYTES 4096
 /* Blocks whose filling is read at once. */
 #define EXTENTS 64
 
@@ -19,10 +22,14 @@
     }
 }
 
-/* Returns the size of a block: a power of two. */
+/* Returns the memory of a block, whose size is a power of two. */
 static size_t
 block_bytes(size_t filled)
 {
+    if (filled >= MAPPED_MIN_BYTES) {
+        return (filled + BLOCK_HEADER_BYTES + PAGE_BYTES - 1) / PAGE_BYTES *
+               PAGE_BYTES;
+    }
     size_t size = BLOCK_MIN_BYTES;
     while (size < filled + BLOCK_HEADER_BYTES) {
         size *= 2;
--- a/src/kernel/buffer.h
+++ b/src/kernel/buffer.h
@@ -14,8 +14,7 @@
 void Buffer_AppendPacked(struct evbuffer *out, struct evbuffer *in);
 
 /** Returns the number of bytes that the blocks of a buffer take, however it
- * was filled. Exact but for the first and the last block, each of which may
- * take up to BUFFER_BLOCK_BYTES more. */
+ * was filled. The first block counts for what has not been drained of it. */
 size_t Buffer_AllocatedBytes(struct evbuffer *buffer);
 
 /** Size of the blocks that libevent fills with small pieces. */
--- a/src/server/reader.c
+++ b/src/server/reader.c
@@ -93,7 +93,9 @@
 set_timer(Reader *reader, uint32_t ms)
 {
     struct timeval span = {.tv_sec = ms / 1000, .tv_usec = ms % 1000 * 1000};
-    event_add(reader->timer, &span);
+    if (!reader->cut) {
+        event_add(reader->timer, &span);
+    }
 }
 
 static void
@@ -172,6 +174,7 @@
 {
     Reader *reader = owner;
     reader->cut = true;
+    reader->discards_input = true;
     event_active(reader->timer, EV_TIMEOUT, 0);
 }
 
--- a/test/unit/test_http_answers.c
+++ b/test/unit/test_http_answers.c
@@ -80,6 +80,19 @@
     fixture->served++;
 }
 
+static void
+answer_large(HttpRequest *request, void *arg)
+{
+    Fixture *fixture = arg;
+    struct evbuffer *body = evbuffer_new();
+    char *bytes = g_strnfill(fixture->answer_bytes, 'x');
+    evbuffer_add(body, bytes, fixture->answer_bytes);
+    HttpRequest_Reply(request, 200, body);
+    evbuffer_free(body);
+    g_free(bytes);
+    fixture->served++;
+}
+
 static int
 set_up(void **state)
 {
@@ -98,6 +111,7 @@
     }
     HttpServer_SetHandler(fixture->server, "/pieces", answer_in_pieces,
                           fixture);
+    HttpServer_SetHandler(fixture->server, "/large", answer_large, fixture);
     HttpServer_SetHandler(fixture->server, "/whole", answer_whole, fixture);
     *state = fixture;
     return 0;
@@ -179,6 +193,26 @@
     }
 }
 
+/* Complete answers beyond the budget must be given up at once, not when the
+ * connection has been idle for long. */
+static void
+complete_answers_are_cut_at_once(void **state)
+{
+    Fixture *fixture = *state;
+    int slow[SLOW_CLIENTS];
+    fixture->answer_bytes = LARGE_BYTES;
+    size_t before = mallinfo2().uordblks + mallinfo2().hblkhd;
+    for (unsigned i = 0; i < SLOW_CLIENTS; i++) {
+        slow[i] = ask(fixture, "large");
+        size_t held = mallinfo2().uordblks + mallinfo2().hblkhd - before;
+        print_message("held %zu\n", held);
+        assert_true(held <= 2 * BOUND_BYTES);
+    }
+    for (unsigned i = 0; i < SLOW_CLIENTS; i++) {
+        close(slow[i]);
+    }
+}
+
 #define ANSWERS_TEST(test)                                                    \
     cmocka_unit_test_setup_teardown(test, set_up, tear_down)
 
@@ -188,6 +222,7 @@
     const struct CMUnitTest tests[] = {
         ANSWERS_TEST(parts_share_blocks),
         ANSWERS_TEST(only_slow_readers_are_cut),
+        ANSWERS_TEST(complete_answers_are_cut_at_once),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
