Replicated log: a lost disk costs no vote where hosts share a zone

An even number of voters was taken for a replacement in progress. Where hosts share a zone, one that lost its disk left an even number, so that another one gave its vote up, and the lost one did not get its vote back. The number of votes that the cluster began with is in the membership now.

--- a/src/control/log_config.c
+++ b/src/control/log_config.c
@@ -64,6 +64,7 @@
         wire->former[i].joined = config->former[i].joined;
         wire->former_pointers[i] = &wire->former[i];
     }
+    wire->list.votes = config->votes;
     wire->list.n_former = config->former_count;
     wire->list.former = wire->former_pointers;
 }
@@ -77,6 +78,7 @@
     {
         return ERR_CORRUPT;
     }
+    config->votes = list->votes;
     for (size_t i = 0; i < list->n_former; i++) {
         config->former[config->former_count++] = (LogFormerMember){
             .id = list->former[i]->id,
--- a/src/control/log_membership.c
+++ b/src/control/log_membership.c
@@ -20,9 +20,23 @@
            core->config_index <= core->commit_index;
 }
 
+/* Returns the number of voters that the cluster is to have. A membership of an
+ * earlier version does not say so; with an even number it may be in the middle
+ * of a replacement. */
+static unsigned
+wanted_votes(const LogConfig *config)
+{
+    unsigned count = LogConfig_VoterCount(config);
+    if (config->votes > 0) {
+        return config->votes;
+    }
+    return count > 2 && count % 2 == 0 ? count - 1 : count;
+}
+
 static void
-propose_config(LogCore *core, const LogConfig *config)
+propose_config(LogCore *core, LogConfig *config)
 {
+    config->votes = wanted_votes(&core->config);
     GBytes *data = LogConfig_Pack(config);
     StoreEntry entry = {
         .index = LogEntries_LastIndex(core) + 1,
@@ -209,12 +223,6 @@
     return core->timing.zone_voters > 0;
 }
 
-static bool
-has_even_voters(const LogCore *core)
-{
-    return LogConfig_VoterCount(&core->config) % 2 == 0;
-}
-
 /* Returns a learner that is not live and whose zone has enough live voters, or
  * NULL. Voters are never removed: a silent one may come back. */
 static const LogMember *
@@ -325,13 +333,15 @@
     propose_config(core, &config);
 }
 
-/* An even number of voters bears no more losses than one less. After a learner
- * became a voter beside another one of its zone, the other one becomes a
- * standby host, whether it still runs or not. */
+/* After a learner became a voter beside another one of its zone, the other one
+ * becomes a standby host, whether it still runs or not: one voter more bears
+ * no more losses. */
 static bool
-restore_odd_voters(LogCore *core, TimeUs now)
+remove_excess_vote(LogCore *core, TimeUs now)
 {
-    int position = has_even_voters(core) ? find_yielding_voter(core, now) : -1;
+    bool exceeds =
+        LogConfig_VoterCount(&core->config) > wanted_votes(&core->config);
+    int position = exceeds ? find_yielding_voter(core, now) : -1;
     if (position >= 0) {
         demote_voter(core, (unsigned)position);
     }
@@ -404,9 +414,9 @@
     return true;
 }
 
-/* Moves a vote to the first live learner that has caught up and is to have
- * one: in a zone without a voter, then where the number of voters is even,
- * then in place of another host of its zone. */
+/* Gives a vote to the first live learner that has caught up and is to have
+ * one: in a zone without a voter, then where the cluster lacks a vote, then in
+ * place of another host of its zone. */
 static bool
 move_votes(LogCore *core, TimeUs now)
 {
@@ -426,7 +436,9 @@
         }
         any = any < 0 ? (int)i : any;
     }
-    if (any >= 0 && has_even_voters(core)) {
+    if (any >= 0 &&
+        LogConfig_VoterCount(&core->config) < wanted_votes(&core->config))
+    {
         promote_learner(core, (unsigned)any);
         return true;
     }
@@ -446,7 +458,7 @@
     if (!can_change_membership(core)) {
         return;
     }
-    if (is_automatic(core) && restore_odd_voters(core, now)) {
+    if (is_automatic(core) && remove_excess_vote(core, now)) {
         return;
     }
     if (move_votes(core, now) || !is_automatic(core)) {
--- a/src/control/log_types.h
+++ b/src/control/log_types.h
@@ -52,6 +52,8 @@
 typedef struct LogConfig {
     unsigned count;
     LogMember members[LOG_MEMBERS_MAX];
+    unsigned votes; /**< Number of voters that it is to have, as at the first
+                       start; 0 when unknown. */
     unsigned former_count;
     LogFormerMember former[LOG_FORMER_MAX]; /**< Removed last comes last. */
 } LogConfig;
--- a/src/control/replica.c
+++ b/src/control/replica.c
@@ -316,6 +316,7 @@
         member->disk_id = identity->disk_id;
         g_strlcpy(member->zone, identity->zone, LOG_ZONE_BYTES);
     }
+    config->votes = config->count;
     return true;
 }
 
--- a/test/fuzz/fuzz_log.c
+++ b/test/fuzz/fuzz_log.c
@@ -252,7 +252,7 @@
     FuzzInput input = fuzz_input(bytes, length);
     unsigned kind = fuzz_byte(&input);
     if ((kind & 2) != 0) {
-        Net *net = Net_NewAutomatic(3);
+        Net *net = Net_NewAutomatic(3, 3);
         LogReplace_Run(net, &input);
         Net_Free(net);
         return 0;
--- a/test/fuzz/log_net.c
+++ b/test/fuzz/log_net.c
@@ -541,11 +541,11 @@
 }
 
 static Net *
-new_net(unsigned voters, bool automatic)
+new_net(unsigned voters, unsigned zones)
 {
     Net *net = g_new0(Net, 1);
     net->voters = voters;
-    net->automatic = automatic;
+    net->automatic = zones > 0;
     net->next_disk = 100;
     net->now = US_PER_S;
     net->messages = g_ptr_array_new_with_free_func(free_message);
@@ -561,9 +561,10 @@
         if (i < voters) {
             config.members[config.count++] = (LogMember){
                 .id = i + 1, .disk_id = net->hosts[i].disk.disk_id};
-            Net_SetZone(&config.members[i], i + 1);
+            Net_SetZone(&config.members[i], i % MAX(zones, 1) + 1);
         }
     }
+    config.votes = voters;
     LogCore_Bootstrap(net->hosts[0].core, &config, net->now);
     Net_ProcessOutput(net, &net->hosts[0]);
     return net;
@@ -572,13 +573,13 @@
 Net *
 Net_New(unsigned voters)
 {
-    return new_net(voters, false);
+    return new_net(voters, 0);
 }
 
 Net *
-Net_NewAutomatic(unsigned voters)
+Net_NewAutomatic(unsigned voters, unsigned zones)
 {
-    return new_net(voters, true);
+    return new_net(voters, zones);
 }
 
 void
--- a/test/fuzz/log_net.h
+++ b/test/fuzz/log_net.h
@@ -63,11 +63,11 @@
 
 Net *Net_New(unsigned voters);
 
-/** Like Net_New, with automatic changes of membership: each zone has one
- * voter, and each initial voter is in a zone of its own. */
-Net *Net_NewAutomatic(unsigned voters);
+/** Like Net_New, with automatic changes of membership. The initial voters are
+ * in the zones 1 to @p zones in turn. */
+Net *Net_NewAutomatic(unsigned voters, unsigned zones);
 
-/** Sets the member's zone to that of the initial voter with id @p id. */
+/** Sets the member's zone to the one with this number. */
 void Net_SetZone(LogMember *member, uint32_t id);
 
 /** Collects the batches and messages of a host's core, applies its committed
--- a/test/unit/test_log_core.c
+++ b/test/unit/test_log_core.c
@@ -329,7 +329,7 @@
 static void
 new_host_replaces_the_lost_one_of_its_zone(void **state)
 {
-    Net *net = Net_NewAutomatic(3);
+    Net *net = Net_NewAutomatic(3, 3);
     Net_Run(net, ROUNDS);
     unsigned leader = leader_of(net);
     unsigned lost = (leader + 1) % 3;
@@ -357,7 +357,7 @@
 static void
 silent_voter_stays_while_its_zone_has_no_other(void **state)
 {
-    Net *net = Net_NewAutomatic(3);
+    Net *net = Net_NewAutomatic(3, 3);
     Net_Run(net, ROUNDS);
     unsigned leader = leader_of(net);
     unsigned silent = (leader + 1) % 3;
@@ -375,7 +375,7 @@
 static void
 leaving_host_is_removed_at_once(void **state)
 {
-    Net *net = Net_NewAutomatic(3);
+    Net *net = Net_NewAutomatic(3, 3);
     Net_Run(net, ROUNDS);
     unsigned leader = leader_of(net);
     unsigned old = (leader + 1) % 3;
@@ -399,7 +399,7 @@
 static Net *
 start_replacement(unsigned leader, unsigned old)
 {
-    Net *net = Net_NewAutomatic(3);
+    Net *net = Net_NewAutomatic(3, 3);
     Net_Run(net, ROUNDS);
     while (leader_of(net) != leader) {
         Net_TransferLeadership(net, leader_of(net));
@@ -488,7 +488,7 @@
 static void
 dead_voter_does_not_outlast_elections(void **state)
 {
-    Net *net = Net_NewAutomatic(3);
+    Net *net = Net_NewAutomatic(3, 3);
     Net_Run(net, ROUNDS);
     unsigned dead = (leader_of(net) + 1) % 3;
     Net_Crash(net, dead);
@@ -506,6 +506,34 @@
     Net_Free(net);
 }
 
+/* A host that lost its disk must get its vote back, and no other host may give
+ * its vote up meanwhile, also where hosts share a zone. */
+static void
+lost_disk_of_a_shared_zone_costs_no_vote(void **state)
+{
+    static const unsigned forms[][2] = {{3, 1}, {3, 2}, {5, 3}, {2, 1}};
+    for (unsigned form = 0; form < G_N_ELEMENTS(forms); form++) {
+        unsigned voters = forms[form][0];
+        Net *net = Net_NewAutomatic(voters, forms[form][1]);
+        Net_Run(net, ROUNDS);
+        unsigned leader = leader_of(net);
+        LogStatus status = status_of(net, leader);
+        assert_int_equal(LogConfig_VoterCount(status.config), voters);
+        if (voters > 2) {
+            unsigned lost = (leader + 1) % voters;
+            Net_ClearDisk(net, lost);
+            Net_Start(net, lost);
+            for (unsigned i = 0; i < 2 * ROUNDS; i++) {
+                Net_Run(net, 1);
+                status = status_of(net, leader_of(net));
+                assert_true(LogConfig_VoterCount(status.config) >= voters - 1);
+            }
+            assert_int_equal(LogConfig_VoterCount(status.config), voters);
+        }
+        Net_Free(net);
+    }
+}
+
 int
 main(void)
 {
@@ -525,6 +553,7 @@
         cmocka_unit_test(replaced_host_that_returns_stands_by),
         cmocka_unit_test(vote_follows_the_host_that_runs),
         cmocka_unit_test(dead_voter_does_not_outlast_elections),
+        cmocka_unit_test(lost_disk_of_a_shared_zone_costs_no_vote),
     };
     return cmocka_run_group_tests_name("log core", tests, NULL, NULL);
 }
