Replicated log: a new host takes over a vote of its own zone

Where zones have several votes, the one that gave way after a replacement could be of another zone, since it was chosen among all zones. It is chosen in the zone that a host has joined last.

--- a/src/control/log_membership.c
+++ b/src/control/log_membership.c
@@ -197,10 +197,11 @@
                                 core->timing.surplus_timeout, now));
 }
 
-/* Number of a zone's voters. */
+/* A zone's voters. */
 typedef struct ZoneVoters {
     unsigned count;
     unsigned live;
+    uint64_t last_joined; /* when the latest of them joined */
 } ZoneVoters;
 
 static ZoneVoters
@@ -212,6 +213,7 @@
         if (!member->learner && strcmp(member->zone, zone) == 0) {
             voters.count++;
             voters.live += is_live(core, i, now) ? 1 : 0;
+            voters.last_joined = MAX(voters.last_joined, member->joined);
         }
     }
     return voters;
@@ -287,18 +289,26 @@
     propose_config(core, &config);
 }
 
-/* Returns true when a voter gives its vote up rather than another one: if it
- * is not live, or it joined earlier. */
+/* Returns true when a voter gives its vote up rather than another one: first
+ * in the zone that a host has joined last, then if it is not live, then if it
+ * joined earlier. */
 static bool
 yields_before(const LogCore *core, unsigned position, unsigned other,
               TimeUs now)
 {
+    const LogMember *members = core->config.members;
+    uint64_t newest =
+        count_voters(core, members[position].zone, now).last_joined;
+    uint64_t other_newest =
+        count_voters(core, members[other].zone, now).last_joined;
+    if (newest != other_newest) {
+        return newest > other_newest;
+    }
     bool live = is_live(core, position, now);
     if (live != is_live(core, other, now)) {
         return !live;
     }
-    return core->config.members[position].joined <
-           core->config.members[other].joined;
+    return members[position].joined < members[other].joined;
 }
 
 /* Returns the position of the voter that gives its vote up, in a zone that
--- a/test/unit/test_log_core.c
+++ b/test/unit/test_log_core.c
@@ -4,6 +4,8 @@
  */
 #include "unit.h"
 
+#include <string.h>
+
 #include "../fuzz/log_net.h"
 
 #define ROUNDS 60
@@ -534,6 +536,30 @@
     }
 }
 
+/* A new host takes over a vote of its own zone, so that each zone keeps its
+ * number of votes. */
+static void
+zones_keep_their_votes(void **state)
+{
+    Net *net = Net_NewAutomatic(5, 3);
+    Net_Run(net, ROUNDS);
+    /* The hosts 1 and 4 are in zone 1, 2 and 5 in zone 2. */
+    Net_SendJoinRequests(net, 6, 2);
+    Net_Run(net, ROUNDS);
+    LogStatus status = status_of(net, leader_of(net));
+    assert_int_equal(LogConfig_VoterCount(status.config), 5);
+    unsigned votes[4] = {0};
+    for (unsigned i = 0; i < status.config->count; i++) {
+        const LogMember *member = &status.config->members[i];
+        votes[member->zone[strlen("zone-")] - '0'] += member->learner ? 0 : 1;
+    }
+    assert_int_equal(votes[1], 2);
+    assert_int_equal(votes[2], 2);
+    assert_int_equal(votes[3], 1);
+    assert_false(LogConfig_Find(status.config, 6)->learner);
+    Net_Free(net);
+}
+
 int
 main(void)
 {
@@ -554,6 +580,7 @@
         cmocka_unit_test(vote_follows_the_host_that_runs),
         cmocka_unit_test(dead_voter_does_not_outlast_elections),
         cmocka_unit_test(lost_disk_of_a_shared_zone_costs_no_vote),
+        cmocka_unit_test(zones_keep_their_votes),
     };
     return cmocka_run_group_tests_name("log core", tests, NULL, NULL);
 }
