Full cluster: dead learners make room, nine voters can be replaced

What callers saw: nothing yet. A host that was to replace another one could stay outside for ever: nine members was the bound for learners, too, and only a learner of a zone with a live voter gave way. Six successors that failed before they caught up, or a cluster of nine voters, left no place.

Change: with automatic membership up to twelve members, and one voter more than the cluster began with while a vote moves; a learner that is not live gives way whatever its zone. Lists of hosts and voters in answers hold twelve.

--- a/src/control/log_membership.c
+++ b/src/control/log_membership.c
@@ -5,8 +5,9 @@
 
 #include "control/log_state.h"
 
-/* Maximum number of voters. Learners count as well, because each learner is
- * promoted to voter later. */
+/* Maximum number of voters, unless the cluster began with more. Where an
+ * operator changes the membership, learners count as well, because each
+ * learner is promoted to voter later. */
 #define VOTERS_MAX 9
 
 /* Returns true when a membership change may start: the previous change and an
@@ -33,6 +34,27 @@
     return count > 2 && count % 2 == 0 ? count - 1 : count;
 }
 
+static bool
+is_automatic(const LogCore *core)
+{
+    return core->timing.zone_voters > 0;
+}
+
+static unsigned
+members_max(const LogCore *core)
+{
+    return is_automatic(core) ? LOG_MEMBERS_MAX : VOTERS_MAX;
+}
+
+/* Returns the maximum number of voters. While a learner takes over a vote,
+ * there is one voter more than the cluster is to have. */
+static unsigned
+voters_max(const LogCore *core)
+{
+    unsigned wanted = wanted_votes(&core->config);
+    return is_automatic(core) ? MAX(VOTERS_MAX, wanted + 1) : VOTERS_MAX;
+}
+
 static void
 propose_config(LogCore *core, LogConfig *config)
 {
@@ -74,7 +96,7 @@
         return Error_Set(err, ERR_DUPLICATE,
                          "Control host %u is already a member.", id);
     }
-    if (config.count >= VOTERS_MAX) {
+    if (config.count >= members_max(core)) {
         return Error_Set(err, ERR_FULL,
                          "The cluster already has %u members, the maximum.",
                          config.count);
@@ -219,12 +241,6 @@
     return voters;
 }
 
-static bool
-is_automatic(const LogCore *core)
-{
-    return core->timing.zone_voters > 0;
-}
-
 /* Returns a learner that is not live and whose zone has enough live voters, or
  * NULL. Voters are never removed: a silent one may come back. */
 static const LogMember *
@@ -243,17 +259,22 @@
     return NULL;
 }
 
-/* Returns a standby host that can be removed to make room for a new member, or
- * NULL. */
+/* Returns a member without a vote that can be removed to make room for a new
+ * one: one that is not live, else a standby host; NULL if there is none. */
 static const LogMember *
-find_standby(const LogCore *core)
+find_spare(const LogCore *core, TimeUs now)
 {
+    const LogMember *spare = NULL;
     for (unsigned i = 0; i < core->config.count; i++) {
-        if (core->config.members[i].standby) {
-            return &core->config.members[i];
+        const LogMember *member = &core->config.members[i];
+        if (member->learner && !is_live(core, i, now)) {
+            return member;
+        }
+        if (member->standby && member->id != core->id) {
+            spare = member;
         }
     }
-    return NULL;
+    return spare;
 }
 
 /* Removes a member that can be spared, so that a new one can be added. */
@@ -262,9 +283,9 @@
 {
     const LogMember *member = find_surplus(core, now);
     if (member == NULL) {
-        member = find_standby(core);
+        member = find_spare(core, now);
     }
-    if (member != NULL && member->id != core->id) {
+    if (member != NULL) {
         remove_member(core, member->id, NULL);
     }
 }
@@ -278,7 +299,7 @@
     {
         return;
     }
-    if (core->config.count >= VOTERS_MAX) {
+    if (core->config.count >= members_max(core)) {
         if (is_automatic(core)) {
             make_room(core, now); /* the host asks again */
         }
@@ -431,7 +452,7 @@
 move_votes(LogCore *core, TimeUs now)
 {
     int any = -1;
-    if (LogConfig_VoterCount(&core->config) >= VOTERS_MAX) {
+    if (LogConfig_VoterCount(&core->config) >= voters_max(core)) {
         return false;
     }
     for (unsigned i = 0; i < core->config.count; i++) {
--- a/src/control/log_types.h
+++ b/src/control/log_types.h
@@ -33,8 +33,8 @@
     uint32_t id;
     uint64_t disk_id; /**< 0 when unknown. */
     bool learner;     /**< Receives the log but does not vote. */
-    bool standby;     /**< A learner that was a voter and gave its vote to
-                         another host of its zone. */
+    bool standby;     /**< A learner that gave its vote to another host of its
+                         zone, or was a member before. */
     uint64_t joined;  /**< Index of the entry that first added the host; 0 for
                          the initial members. */
     char address[LOG_ADDRESS_BYTES]; /**< IP:PORT. */
--- a/src/control/replica.h
+++ b/src/control/replica.h
@@ -17,7 +17,10 @@
 #include "kernel/settings.h"
 #include "wire/link.h"
 
+/** Most hosts that a cluster begins with, and most members that it may have
+ * while hosts are replaced. */
 #define REPLICA_VOTERS_MAX 9
+#define REPLICA_MEMBERS_MAX 12
 
 typedef struct Replica Replica;
 
@@ -55,10 +58,10 @@
     uint64_t applied_index;
     uint64_t config_index;
     uint32_t voter_count;
-    uint32_t voters[REPLICA_VOTERS_MAX];
+    uint32_t voters[REPLICA_MEMBERS_MAX];
     /** Hosts that answer questions: voters and standby hosts. */
     uint32_t host_count;
-    char addresses[REPLICA_VOTERS_MAX][64]; /**< IP:PORT for links. */
+    char addresses[REPLICA_MEMBERS_MAX][64]; /**< IP:PORT for links. */
 } ReplicaStatus;
 
 /** Opens the data folder, restores the state and starts replication.
--- a/src/control/replica_dump.c
+++ b/src/control/replica_dump.c
@@ -3,6 +3,8 @@
  */
 #include "control/replica_state.h"
 
+G_STATIC_ASSERT(REPLICA_MEMBERS_MAX == LOG_MEMBERS_MAX);
+
 void
 Replica_GetStatus(const Replica *replica, ReplicaStatus *status)
 {
@@ -27,11 +29,11 @@
                       sizeof(status->leader_address));
         }
         bool answers = !member->learner || member->standby;
-        if (answers && status->host_count < REPLICA_VOTERS_MAX) {
+        if (answers) {
             g_strlcpy(status->addresses[status->host_count++], member->address,
                       sizeof(status->addresses[0]));
         }
-        if (!member->learner && status->voter_count < REPLICA_VOTERS_MAX) {
+        if (!member->learner) {
             status->voters[status->voter_count++] = member->id;
         }
     }
--- a/src/entry/lease.h
+++ b/src/entry/lease.h
@@ -19,8 +19,8 @@
 
 #include "kernel/clock.h"
 
-/** Maximum number of control hosts. */
-#define LEASE_HOSTS_MAX 9
+/** Maximum number of control hosts, also while some are replaced. */
+#define LEASE_HOSTS_MAX 12
 
 /** One control host's reply. */
 typedef struct LeaseReply {
--- a/src/fleet/gateways.c
+++ b/src/fleet/gateways.c
@@ -174,7 +174,7 @@
     state.version = fleet->document.version;
     state.gateways = count_gateways(fleet);
     state.leader = is_leader ? (char *)"" : status.leader_address;
-    char *hosts[REPLICA_VOTERS_MAX];
+    char *hosts[REPLICA_MEMBERS_MAX];
     for (unsigned i = 0; i < status.host_count; i++) {
         hosts[i] = status.addresses[i];
     }
--- a/test/fuzz/log_net.h
+++ b/test/fuzz/log_net.h
@@ -9,7 +9,9 @@
 
 #include "control/log_core.h"
 
+#ifndef NET_HOSTS
 #define NET_HOSTS 6 /* up to 5 initial voters; id 6 is for a later member */
+#endif
 /** Maximum number of undelivered messages; further ones are lost. */
 #define NET_MESSAGES_MAX 400
 
--- a/test/unit/test_log_members.c
+++ b/test/unit/test_log_members.c
@@ -266,6 +266,56 @@
     Net_Free(net);
 }
 
+typedef enum Absence {
+    CRASHED,
+    FROZEN,
+    CUT_OFF,
+} Absence;
+
+static void
+set_absent(Net *net, unsigned host, Absence absence, bool absent)
+{
+    if (absence == CUT_OFF) {
+        Cluster_Isolate(net, host, absent);
+    }
+    else if (absence == FROZEN) {
+        net->hosts[host].frozen = absent;
+    }
+    else if (absent) {
+        Net_Crash(net, host);
+    }
+    else {
+        Net_Start(net, host);
+    }
+}
+
+/* A host that only restarts, pauses or is cut off for a time keeps its vote:
+ * nothing of its membership changes. */
+static void
+absent_hosts_keep_their_votes(void **state)
+{
+    static const unsigned rounds[] = {2, 10, ROUNDS, 4 * ROUNDS};
+    for (unsigned host = 0; host < 3; host++) {
+        for (unsigned form = 0; form < 3 * G_N_ELEMENTS(rounds); form++) {
+            Net *net = Net_NewAutomatic(3, 3);
+            Net_Run(net, ROUNDS);
+            for (unsigned i = 0; i < 3; i++) {
+                set_absent(net, host, (Absence)(form % 3), true);
+                Net_Run(net, rounds[form / 3]);
+                set_absent(net, host, (Absence)(form % 3), false);
+                Net_Run(net, i == 2 ? ROUNDS : 5);
+            }
+            LogStatus status = Cluster_Status(net, Cluster_Leader(net));
+            assert_int_equal(status.config->count, 3);
+            assert_int_equal(LogConfig_VoterCount(status.config), 3);
+            for (unsigned i = 0; i < 3; i++) {
+                assert_int_equal(status.config->members[i].joined, 0);
+            }
+            Net_Free(net);
+        }
+    }
+}
+
 int
 main(void)
 {
@@ -279,6 +329,7 @@
         cmocka_unit_test(dead_voter_does_not_outlast_elections),
         cmocka_unit_test(lost_disk_of_a_shared_zone_costs_no_vote),
         cmocka_unit_test(zones_keep_their_votes),
+        cmocka_unit_test(absent_hosts_keep_their_votes),
     };
     return cmocka_run_group_tests_name("log members", tests, NULL, NULL);
 }
