A planned stop hands unsent answers to the kernel

Cause: with the rule pressure the kernel holds 16 KB for a caller; the rest waits in the process and went with it. Evidence: functional/ platform-stop-slow-readers, which failed before (56 or 57 of 75 events for each caller, curl 18) and passes.

Sockets that are not limited take what the system allows already, and stay as they are.

--- a/src/gateway/conn.c
+++ b/src/gateway/conn.c
@@ -8,6 +8,7 @@
 #include "http1/chunk.h"
 #include "kernel/buffer.h"
 #include "kernel/log.h"
+#include "server/handover.h"
 #include "server/reader.h"
 #include "wire/client_memory.h"
 
@@ -20,6 +21,7 @@
     Call *call;
     bool close_after; /* close after the current answer */
     bool http10;
+    size_t handed_bytes;   /* of the kernel's buffer, at the end of a stop */
     ReaderRefusal refusal; /* the newest by a request's head */
 };
 
@@ -251,7 +253,7 @@
     size_t unsent = Reader_HeldBytes(conn->reader);
     size_t in_kernel = unsent > 0 ? Held_KernelBytes(conn->gateway->held) : 0;
     size_t of_call = conn->call == NULL ? 0 : Call_AnswerBytes(conn->call);
-    return unsent + in_kernel + of_call;
+    return unsent + in_kernel + conn->handed_bytes + of_call;
 }
 
 HeldFor
@@ -300,6 +302,10 @@
     if (conn->call != NULL) {
         Call_EndStop(conn->call);
     }
+    /* Other sockets take what the system's bound allows already. */
+    if (Held_KernelBytes(conn->gateway->held) > 0) {
+        conn->handed_bytes += Handover_GrowBuffer(Reader_Stream(conn->reader));
+    }
 }
 
 void
--- a/src/gateway/conn.h
+++ b/src/gateway/conn.h
@@ -73,7 +73,9 @@
  * outlast the planned stop. */
 void Conn_CheckStop(Conn *conn);
 
-/* Answers the connection's call, unless a part of the answer was sent. */
+/* Answers the connection's call, unless a part of the answer was sent, and
+ * hands unsent answers to the kernel, which sends them after the process has
+ * ended. */
 void Conn_EndStop(Conn *conn);
 
 /* Fails the connection's call if it waits and its request is barred. */
