--- a/test/functional/platform-crowd-ports.sh
+++ b/test/functional/platform-crowd-ports.sh
@@ -4,8 +4,10 @@
 . "$(dirname "${BASH_SOURCE[0]}")/crowd.inc"
 . "$(dirname "${BASH_SOURCE[0]}")/platform.inc"
 LIMITS="{\"limits\":{\"memoryMb\":$MEMORY_MB}}"
-GATEWAY=127.0.0.71
-KEEPER=127.0.0.72
+# The metrics' ports are fixed: runs at the same time differ in the address.
+NET=127.$((LL_PORT_BASE / 1000 % 200 + 1)).0
+GATEWAY=$NET.71
+KEEPER=$NET.72
 start_control_host 1
 start_control_host 2
 start_control_host 3
@@ -17,10 +19,10 @@
 start_process keeper1 keeper
 print_configuration 3 >first.conf
 wait_until replace_accepted 1 first.conf
-wait_until gateway_ready 71
+is_ready() { curl -fs "http://$GATEWAY:$READINESS_PORT/api/readyz"; }
+wait_until is_ready
 
 PLAYED=$PAGE_CROWDS
-is_ready() { gateway_ready 71; }
 gateway_metrics() { curl -fs "http://$GATEWAY:9464/metrics"; }
 keeper_metrics() { curl -fs "http://$KEEPER:9466/metrics"; }
 echo "-- readiness of a gateway"
